Add the whole path in a thin version

Operators' configuration goes from the builder through lentilwheel apply to the platform's head object; each daemon watches the head, checks and swaps the whole version, and routes a call to a target that announced itself.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,56 @@
+import neostandard from 'neostandard'
+
+/** Packages that each package may import; docs/design.md, section 3, gives the reasons. */
+const allowedImports = {
+  core: [],
+  config: ['core'],
+  builder: ['core', 'config'],
+  platform: ['core', 'config'],
+  mesh: ['core', 'config', 'platform'],
+  proxy: ['core', 'config'],
+  moves: ['core', 'config'],
+  daemon: ['core', 'config', 'platform', 'mesh', 'proxy', 'moves'],
+  cli: ['core', 'config', 'platform'],
+  testkit: ['core', 'config'],
+  bench: ['core', 'config', 'builder', 'platform', 'testkit', 'mesh', 'proxy', 'moves', 'daemon', 'cli']
+}
+
+const importDirection = Object.entries(allowedImports).map(([name, allowed]) => ({
+  files: [`packages/${name}/src/**/*.ts`],
+  ignores: ['**/__tests__/**'],
+  rules: {
+    'no-restricted-imports': ['error', {
+      patterns: [{
+        group: Object.keys(allowedImports)
+          .filter((other) => !allowed.includes(other))
+          .map((other) => `@lentilwheel/${other}`),
+        message: `packages/${name} may import only: ${allowed.join(', ') || 'nothing of this workspace'}`
+      }]
+    }]
+  }
+}))
+
+const pureDecisions = {
+  files: ['packages/{core,config,platform,mesh,proxy,moves,daemon}/src/**/*.ts'],
+  ignores: ['**/node*.ts', '**/__tests__/**', '**/gen/**'],
+  rules: {
+    'no-restricted-properties': ['error',
+      { object: 'Date', property: 'now', message: 'take the time from the timer service' },
+      { object: 'performance', property: 'now', message: 'take the time from the timer service' },
+      { object: 'Math', property: 'random', message: 'take a seeded Random' }
+    ],
+    'no-restricted-globals': ['error',
+      { name: 'setTimeout', message: 'subscribe to the timer service' },
+      { name: 'setInterval', message: 'subscribe to the timer service' },
+      { name: 'setImmediate', message: 'subscribe to the timer service' }
+    ]
+  }
+}
+
+export default [
+  { ignores: ['**/dist/**', '**/gen/**', 'bench-out/**'] },
+  ...neostandard({ ts: true }),
+  { rules: { 'max-lines': ['error', { max: 400 }] } },
+  pureDecisions,
+  ...importDirection
+]
--- /dev/null
+++ b/packages/bench/src/processes.ts
@@ -0,0 +1,88 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { stringify } from 'yaml'
+
+const packagesDir = fileURLToPath(new URL('../../', import.meta.url))
+const DAEMON_PROGRAM = join(packagesDir, 'daemon/bin/lentilwheeld.js')
+const CLI_PROGRAM = join(packagesDir, 'cli/bin/lentilwheel.js')
+
+/** Ports that one started daemon listens on. */
+export interface DaemonPorts {
+  proxy: number
+  admin: number
+  target: number
+  mesh: number
+}
+
+export interface StartedDaemon {
+  id: string
+  dataCentre: string
+  ports: DaemonPorts
+  process: ChildProcess
+}
+
+/** Starts processes of the two programs on loopback and ends exactly those. */
+export class ProcessGroup {
+  readonly dir = mkdtempSync(join(tmpdir(), 'lentilwheel-'))
+  readonly #children = new Set<ChildProcess>()
+
+  startDaemon (id: string, settings: Record<string, unknown>, ports: DaemonPorts): StartedDaemon {
+    const file = join(this.dir, `${id}.yaml`)
+    writeFileSync(file, stringify({
+      id,
+      ...settings,
+      proxyPort: ports.proxy,
+      adminPort: ports.admin,
+      targetPort: ports.target,
+      meshPort: ports.mesh
+    }))
+    const child = spawn(process.execPath, [DAEMON_PROGRAM, file], { stdio: ['ignore', 'ignore', 'inherit'] })
+    this.#track(child)
+    return { id, dataCentre: String(settings['dataCentre']), ports, process: child }
+  }
+
+  /** Runs `lentilwheel` to its end. */
+  async runCli (args: string[]): Promise<{ code: number | null, stdout: string, stderr: string }> {
+    const child = spawn(process.execPath, [CLI_PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    this.#track(child)
+    const output = { stdout: '', stderr: '' }
+    child.stdout.on('data', (chunk) => { output.stdout += String(chunk) })
+    child.stderr.on('data', (chunk) => { output.stderr += String(chunk) })
+    const code = await new Promise<number | null>((resolve) => child.once('close', resolve))
+    return { code, ...output }
+  }
+
+  async stopAll (): Promise<void> {
+    const exits = [...this.#children].map((child) => new Promise((resolve) => child.once('exit', resolve)))
+    for (const child of this.#children) child.kill('SIGTERM')
+    await Promise.all(exits)
+  }
+
+  #track (child: ChildProcess): void {
+    this.#children.add(child)
+    child.once('exit', () => this.#children.delete(child))
+  }
+}
+
+/** Polls until the check holds; rejects at the time limit with what was awaited. */
+export async function waitFor (what: string, check: () => Promise<boolean>, limitMs: number): Promise<void> {
+  const until = Date.now() + limitMs
+  for (;;) {
+    if (await check().catch(() => false)) return
+    if (Date.now() > until) throw new Error(`timed out waiting for ${what}`)
+    await new Promise((resolve) => setTimeout(resolve, 50))
+  }
+}
+
+/** Finds free ports by binding them all before any is released. */
+export async function freePorts (count: number): Promise<number[]> {
+  const { createServer } = await import('node:net')
+  const servers = Array.from({ length: count }, () => createServer())
+  await Promise.all(servers.map((server) => new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))))
+  const ports = servers.map((server) => (server.address() as { port: number }).port)
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
+  return ports
+}
--- /dev/null
+++ b/packages/builder/src/index.ts
@@ -0,0 +1,1 @@
+export * from './builder.js'
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export * from './apply.js'
--- /dev/null
+++ b/packages/config/src/__tests__/parse.spec.ts
@@ -0,0 +1,56 @@
+import test from 'ava'
+import { ConfigInvalid } from '../errors.js'
+import { parseConfig } from '../parse.js'
+
+const GOOD = `
+services:
+  orders:
+    versions: [v1, v2]
+    current: v1
+routes:
+  place:
+    service: orders
+    path: /orders
+`
+
+function refusal (text: string): string {
+  try {
+    parseConfig(new TextEncoder().encode(text), 'mesh.yaml')
+  } catch (err) {
+    if (err instanceof ConfigInvalid) return err.message
+    throw err
+  }
+  return 'accepted'
+}
+
+test('a valid configuration gets its defaults', (t) => {
+  t.snapshot(parseConfig(new TextEncoder().encode(GOOD)))
+})
+
+/** Guards against refusals that do not say where and what is wrong. */
+const REFUSED: Record<string, string> = {
+  'broken YAML': 'services: [a\n',
+  'unknown section': 'servces: {}\n',
+  'unknown field': GOOD.replace('current:', 'curent:'),
+  'wrong type': GOOD.replace('[v1, v2]', '3'),
+  'route to a missing service': GOOD.replace('service: orders', 'service: order'),
+  'two routes that match the same': GOOD + '  again:\n    service: orders\n    path: /orders\n',
+  'undeclared version': GOOD.replace('current: v1', 'current: v3'),
+  'move to an undeclared version': GOOD +
+    'moves:\n  m1: { service: orders, from: v1, to: v9, by: 2026-12-04T18:00:00Z }\n',
+  'overlapping moves': GOOD + 'moves:\n' +
+    '  m1: { service: orders, from: v1, to: v2, by: 2026-12-04T18:00:00Z }\n' +
+    '  m2: { service: orders, from: v2, to: v1, by: 2026-12-04T18:00:00Z }\n',
+  'bad time': GOOD + 'moves:\n  m1: { service: orders, from: v1, to: v2, by: tomorrow }\n',
+  'control characters': 'services: {}\n\u0001'
+}
+
+for (const [name, text] of Object.entries(REFUSED)) {
+  test(`refuses ${name}`, (t) => {
+    t.snapshot(refusal(text))
+  })
+}
+
+test('refuses a file of 20 MB before parsing it', (t) => {
+  t.snapshot(refusal('#'.repeat(20 * 1024 * 1024)))
+})
--- /dev/null
+++ b/packages/config/src/errors.ts
@@ -0,0 +1,56 @@
+import { LentilwheelError } from '@lentilwheel/core'
+
+/** One thing that is wrong in a configuration, placed where the operator wrote it. */
+export interface ConfigIssue {
+  code: ConfigIssueCode
+  /** Path of the value, such as `routes.browse.service`. */
+  path: string
+  message: string
+  /** 1-based line in the file; absent when the configuration did not come from a file. */
+  line?: number
+}
+
+export type ConfigIssueCode =
+  | 'syntax' | 'too-large' | 'too-many' | 'binary' | 'unknown-field' | 'wrong-type' | 'bad-value'
+  | 'missing-service' | 'missing-version' | 'same-match' | 'overlapping-move' | 'deadline-impossible'
+
+/** A configuration was refused; nothing of it is applied. */
+export class ConfigInvalid extends LentilwheelError {
+  readonly code = 'config-invalid'
+  readonly issues: readonly ConfigIssue[]
+
+  constructor (file: string, issues: readonly ConfigIssue[]) {
+    super(issues.map((issue) => formatIssue(file, issue)).join('\n'))
+    this.issues = issues
+  }
+}
+
+/** A delta, bundle or object does not match the hash that names it. */
+export class HashMismatch extends LentilwheelError {
+  readonly code = 'hash-mismatch'
+}
+
+/** A delta starts from a version other than the one held. */
+export class DeltaBaseMismatch extends LentilwheelError {
+  readonly code = 'delta-base-mismatch'
+}
+
+/** Two changes touch the same objects. */
+export class ChangeConflict extends LentilwheelError {
+  readonly code = 'change-conflict'
+  readonly otherChangeId: string
+  readonly keys: readonly string[]
+
+  constructor (other: { id: string, author: string, version: number }, keys: readonly string[]) {
+    super(`change ${other.id} by ${other.author} (version ${other.version}) already changed ${keys.join(', ')}; ` +
+      'read the version in force, repeat your edit on it and apply again')
+    this.otherChangeId = other.id
+    this.keys = keys
+  }
+}
+
+export function formatIssue (file: string, issue: ConfigIssue): string {
+  const line = issue.line === undefined ? '' : `:${issue.line}`
+  const path = issue.path === '' ? '' : `${issue.path}: `
+  return `${file}${line}: ${path}${issue.message}`
+}
--- /dev/null
+++ b/packages/config/src/parse.ts
@@ -0,0 +1,137 @@
+import { isMap, isScalar, LineCounter, parseDocument, type Document } from 'yaml'
+import type { z } from 'zod'
+import { checkClosure } from './closure.js'
+import { MAX_MOVES, MAX_ROUTES, MAX_SERVICES, MAX_TEXT_BYTES } from './constants.js'
+import { ConfigInvalid, type ConfigIssue } from './errors.js'
+import { configSchema, moveSchema, routeSchema, serviceSchema, type Config } from './schema.js'
+import { suggestion } from './suggest.js'
+
+/** Reads a configuration in YAML or JSON, or throws ConfigInvalid with every issue found. */
+export function parseConfig (bytes: Uint8Array, file = 'configuration'): Config {
+  const text = decodeText(bytes, file)
+  const lines = new LineCounter()
+  const doc = parseDocument(text, { lineCounter: lines })
+  const broken = doc.errors.map((err): ConfigIssue => ({
+    code: 'syntax',
+    path: '',
+    message: err.message.split('\n')[0]!.replace(/ at line \d+, column \d+:?$/, ''),
+    line: lines.linePos(err.pos[0]).line
+  }))
+  if (broken.length > 0) throw new ConfigInvalid(file, broken.slice(0, MAX_REPORTED_ISSUES))
+  const lineOf = (path: readonly PropertyKey[]): number => lineOfPath(doc, lines, path)
+  return checkConfig(toPlain(doc, file), file, lineOf)
+}
+
+/** Checks a configuration value that did not come from a file. */
+export function checkConfig (value: unknown, file = 'configuration', lineOf?: LineOf): Config {
+  checkCounts(value, file)
+  const parsed = configSchema.safeParse(value)
+  const issues = parsed.success
+    ? checkClosure(parsed.data)
+    : parsed.error.issues.flatMap((issue) => toConfigIssues(issue))
+  if (issues.length > 0) {
+    throw new ConfigInvalid(file, issues.slice(0, MAX_REPORTED_ISSUES).map((issue) => withLine(issue, lineOf)))
+  }
+  return parsed.data!
+}
+
+type LineOf = (path: readonly PropertyKey[]) => number
+
+const MAX_REPORTED_ISSUES = 20
+/** Bounds the expansion of nested YAML aliases. */
+const MAX_ALIASES = 100
+
+function decodeText (bytes: Uint8Array, file: string): string {
+  if (bytes.length > MAX_TEXT_BYTES) {
+    throw new ConfigInvalid(file, [{
+      code: 'too-large',
+      path: '',
+      message: `${bytes.length} bytes are more than the limit of ${MAX_TEXT_BYTES}`
+    }])
+  }
+  try {
+    const text = new TextDecoder('utf-8', { fatal: true }).decode(bytes)
+    // eslint-disable-next-line no-control-regex
+    if (!/[\x00-\x08\x0e-\x1f]/.test(text)) return text
+  } catch {
+    // Falls through to the same refusal as for control characters.
+  }
+  throw new ConfigInvalid(file, [{ code: 'binary', path: '', message: 'is not a text file in UTF-8' }])
+}
+
+function toPlain (doc: Document, file: string): unknown {
+  try {
+    return doc.toJS({ maxAliasCount: MAX_ALIASES }) ?? {}
+  } catch (err) {
+    throw new ConfigInvalid(file, [{ code: 'syntax', path: '', message: (err as Error).message }])
+  }
+}
+
+function checkCounts (value: unknown, file: string): void {
+  const limits = { services: MAX_SERVICES, routes: MAX_ROUTES, moves: MAX_MOVES }
+  for (const [section, limit] of Object.entries(limits)) {
+    const entries = (value as Record<string, unknown> | null)?.[section]
+    if (entries === null || typeof entries !== 'object') continue
+    const count = Object.keys(entries).length
+    if (count > limit) {
+      throw new ConfigInvalid(file, [{
+        code: 'too-many', path: section, message: `${count} entries are more than the limit of ${limit}`
+      }])
+    }
+  }
+}
+
+const SECTION_FIELDS: Readonly<Record<string, readonly string[]>> = {
+  '': Object.keys(configSchema.shape),
+  services: Object.keys(serviceSchema.shape),
+  routes: Object.keys(routeSchema.shape),
+  moves: Object.keys(moveSchema.shape)
+}
+
+function toConfigIssues (issue: z.core.$ZodIssue): ConfigIssue[] {
+  const path = issue.path.map(String)
+  if (issue.code === 'unrecognized_keys') {
+    const known = SECTION_FIELDS[path[0] ?? ''] ?? []
+    return issue.keys.map((key) => ({
+      code: 'unknown-field',
+      path: [...path, key].join('.'),
+      message: `field "${key}" is not known${suggestion(key, known)}`
+    }))
+  }
+  if (issue.code === 'invalid_key') {
+    const detail = issue.issues[0]?.message ?? 'is not a name'
+    return [{ code: 'bad-value', path: path.join('.'), message: detail }]
+  }
+  const code = issue.code === 'invalid_type' ? 'wrong-type' : 'bad-value'
+  return [{ code, path: path.join('.'), message: issue.message }]
+}
+
+function withLine (issue: ConfigIssue, lineOf: LineOf | undefined): ConfigIssue {
+  if (!lineOf) return issue
+  return { ...issue, line: lineOf(splitPath(issue.path)) }
+}
+
+/** Splits an issue's path; names of services, routes and moves may hold dots, fields of them do not. */
+function splitPath (path: string): string[] {
+  const parts = path.split('.')
+  if (parts.length <= 3) return parts
+  const [section, ...rest] = parts
+  const fields = SECTION_FIELDS[section!] ?? []
+  const field = rest.findIndex((part, i) => i > 0 && fields.includes(part))
+  if (field < 0) return [section!, rest.join('.')]
+  return [section!, rest.slice(0, field).join('.'), ...rest.slice(field)]
+}
+
+/** Line of the deepest part of the path that stands in the file. */
+function lineOfPath (doc: Document, lines: LineCounter, path: readonly PropertyKey[]): number {
+  let node: unknown = doc.contents
+  let offset = 0
+  for (const key of path) {
+    if (!isMap(node)) break
+    const pair = node.items.find((item) => isScalar(item.key) && String(item.key.value) === String(key))
+    if (!pair) break
+    if (isScalar(pair.key) && pair.key.range) offset = pair.key.range[0]
+    node = pair.value
+  }
+  return lines.linePos(offset).line
+}
--- /dev/null
+++ b/packages/core/src/events.ts
@@ -0,0 +1,118 @@
+import type { Timers } from './timers.js'
+
+/** Types of timeline events. */
+export const EVENT_TYPES = [
+  'daemonStarted', 'daemonReady', 'daemonStopping',
+  'versionAccepted', 'versionInForce', 'versionRefused', 'olderHeadSeen',
+  'memberJoined', 'memberSuspected', 'memberRemoved', 'partitionSuspected', 'partitionHealed',
+  'leaseTaken', 'leaseLost', 'platformLost', 'platformBack',
+  'targetAnnounced', 'targetReady', 'targetLeaving', 'targetGone', 'targetEjected', 'targetRestored',
+  'moveStarted', 'moveStage', 'movePaused', 'moveResumed', 'moveAlarm', 'moveRollback', 'moveEnded'
+] as const
+
+export type EventType = typeof EVENT_TYPES[number]
+
+/** Hybrid logical clock reading: wall milliseconds and a counter that orders events within one millisecond. */
+export interface HybridTime {
+  wallMs: number
+  counter: number
+}
+
+export interface EventFields {
+  service?: string
+  version?: number
+  move?: string
+  target?: string
+  reason?: string
+  /** Share of traffic on the new target version, 0 to 1. */
+  share?: number
+  [name: string]: string | number | boolean | undefined
+}
+
+export interface TimelineEvent {
+  /** `<daemon>#<sequence>`, unique over all processes. */
+  id: string
+  daemon: string
+  time: HybridTime
+  type: EventType
+  fields: EventFields
+  /** Id that links an apply to what follows from it: a change id, a move id or an event id. */
+  cause?: string
+}
+
+/** Clock whose readings never go back and that follows readings received from other processes. */
+export class HybridClock {
+  readonly #timers: Timers
+  #last: HybridTime = { wallMs: 0, counter: 0 }
+
+  constructor (timers: Timers) {
+    this.#timers = timers
+  }
+
+  tick (): HybridTime {
+    const wallMs = this.#timers.wallNow()
+    this.#last = wallMs > this.#last.wallMs
+      ? { wallMs, counter: 0 }
+      : { wallMs: this.#last.wallMs, counter: this.#last.counter + 1 }
+    return this.#last
+  }
+
+  /** Takes in a remote reading, unless it is so far ahead that the remote clock must be wrong. */
+  observe (remote: HybridTime): void {
+    if (remote.wallMs > this.#timers.wallNow() + MAX_CLOCK_LEAD_MS) return
+    if (compareTimes(remote, this.#last) > 0) this.#last = remote
+  }
+}
+
+const MAX_CLOCK_LEAD_MS = 5_000
+
+export function compareTimes (a: HybridTime, b: HybridTime): number {
+  return a.wallMs - b.wallMs || a.counter - b.counter
+}
+
+/** Orders events of several processes; ties break on the event id so that every merge gives the same order. */
+export function compareEvents (a: TimelineEvent, b: TimelineEvent): number {
+  return compareTimes(a.time, b.time) || a.id.localeCompare(b.id, 'en', { numeric: true })
+}
+
+/** Bounded ring of the events of one process. */
+export class EventLog {
+  readonly clock: HybridClock
+  readonly #daemon: string
+  readonly #capacity: number
+  readonly #events: TimelineEvent[] = []
+  #sequence = 0
+
+  constructor (opts: { daemon: string, timers: Timers, capacity?: number }) {
+    this.#daemon = opts.daemon
+    this.#capacity = opts.capacity ?? DEFAULT_EVENT_CAPACITY
+    this.clock = new HybridClock(opts.timers)
+  }
+
+  record (type: EventType, fields: EventFields = {}, cause?: string): TimelineEvent {
+    this.#sequence++
+    const event: TimelineEvent = {
+      id: `${this.#daemon}#${this.#sequence}`,
+      daemon: this.#daemon,
+      time: this.clock.tick(),
+      type,
+      fields,
+      ...(cause === undefined ? {} : { cause })
+    }
+    this.#events.push(event)
+    if (this.#events.length > this.#capacity) this.#events.shift()
+    return event
+  }
+
+  /** Events after a sequence number; 0 gives all that are still kept. */
+  since (sequence: number): TimelineEvent[] {
+    return this.#events.filter((event) => Number(event.id.slice(event.id.lastIndexOf('#') + 1)) > sequence)
+  }
+
+  /** Sequence number of the newest event. */
+  get cursor (): number {
+    return this.#sequence
+  }
+}
+
+const DEFAULT_EVENT_CAPACITY = 2_000
--- /dev/null
+++ b/packages/core/src/nodeMetrics.ts
@@ -0,0 +1,34 @@
+import { StatsD } from 'hot-shots'
+import type { Metrics, Tags } from './metrics.js'
+
+/** Sends DogStatsD datagrams over UDP. */
+export class StatsdMetrics implements Metrics {
+  readonly #client: StatsD
+
+  constructor (opts: { host: string, port: number, tags: Tags }) {
+    this.#client = new StatsD({
+      host: opts.host,
+      port: opts.port,
+      prefix: 'lentilwheel.',
+      globalTags: { ...opts.tags },
+      maxBufferSize: 1200,
+      errorHandler: () => {}
+    })
+  }
+
+  count (name: string, n = 1, tags?: Tags): void {
+    this.#client.increment(name, n, { ...tags })
+  }
+
+  gauge (name: string, value: number, tags?: Tags): void {
+    this.#client.gauge(name, value, { ...tags })
+  }
+
+  timing (name: string, ms: number, tags?: Tags): void {
+    this.#client.timing(name, ms, { ...tags })
+  }
+
+  close (): void {
+    this.#client.close()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+export * from './nodeDaemon.js'
+export * from './settings.js'
--- /dev/null
+++ b/packages/daemon/src/nodeDaemon.ts
@@ -0,0 +1,109 @@
+import type { ServerType } from '@hono/node-server'
+import { Hono } from 'hono'
+import { EventLog, NoMetrics, NodeTimers, ProcessLogger, SeededRandom, type Endpoint } from '@lentilwheel/core'
+import { EMPTY_SNAPSHOT, type Snapshot } from '@lentilwheel/config'
+import { decodeHead, HEAD_KEY, HttpPlatformClient, loadSnapshot } from '@lentilwheel/platform'
+import { ProxyServer } from '@lentilwheel/proxy'
+import { listenApp } from './nodeHttpSides.js'
+import type { ResolvedConfig } from './settings.js'
+import { announcementSchema, toEndpoint } from './targets.js'
+
+const WATCH_RETRY_MS = 500
+
+/** One daemon: takes versions into force, serves calls and takes announcements of targets. */
+export class Daemon {
+  readonly #cfg: ResolvedConfig
+  readonly #random
+  readonly #timers
+  readonly #log
+  readonly #events
+  readonly #platform
+  readonly #proxy
+  readonly #stop = new AbortController()
+  readonly #endpoints = new Map<string, Endpoint>()
+  readonly #servers: ServerType[] = []
+  #snapshot: Snapshot = EMPTY_SNAPSHOT
+
+  constructor (cfg: ResolvedConfig, seed: number) {
+    this.#cfg = cfg
+    this.#random = new SeededRandom(seed)
+    this.#timers = new NodeTimers(this.#random)
+    this.#log = new ProcessLogger({ name: cfg.id, format: cfg.logFormat, timers: this.#timers })
+    this.#events = new EventLog({ daemon: cfg.id, timers: this.#timers })
+    this.#platform = new HttpPlatformClient({ url: cfg.platform.url, timers: this.#timers, metrics: new NoMetrics() })
+    this.#proxy = new ProxyServer({ random: this.#random, versionFor: () => undefined })
+  }
+
+  async start (): Promise<void> {
+    this.#events.record('daemonStarted')
+    await this.#proxy.listen(this.#cfg.proxyPort, this.#cfg.address)
+    const targets = await listenApp(this.#targetApp(), this.#cfg.targetPort, '127.0.0.1')
+    const admin = await listenApp(this.#adminApp(), this.#cfg.adminPort, '127.0.0.1')
+    this.#servers.push(targets.server, admin.server)
+    this.#watchHead().catch((err: unknown) => this.#log.error('watch of the head ended', { err }))
+  }
+
+  async stop (): Promise<void> {
+    this.#events.record('daemonStopping')
+    this.#stop.abort()
+    await this.#proxy.close()
+    for (const server of this.#servers) server.close()
+    await this.#platform.close()
+  }
+
+  async #watchHead (): Promise<void> {
+    let revision = 0
+    while (!this.#stop.signal.aborted) {
+      try {
+        const stored = await this.#platform.watch(HEAD_KEY, revision, this.#stop.signal)
+        if (!stored) continue
+        revision = stored.revision
+        const head = decodeHead(stored.value)
+        if (head.version <= this.#snapshot.version) continue
+        this.#takeIntoForce(await loadSnapshot(this.#platform, head, this.#snapshot.objects))
+      } catch (err) {
+        this.#log.warn('head could not be read', { err: String(err) })
+        await new Promise<void>((resolve) => this.#timers.after(WATCH_RETRY_MS, resolve))
+      }
+    }
+  }
+
+  #takeIntoForce (snapshot: Snapshot): void {
+    this.#snapshot = snapshot
+    this.#proxy.setSnapshot(snapshot)
+    this.#events.record('versionInForce', { version: snapshot.version }, snapshot.changeId)
+    this.#log.info('version in force', { version: snapshot.version })
+  }
+
+  #targetApp (): Hono {
+    const app = new Hono()
+    app.post('/targets', async (ctx) => {
+      const parsed = announcementSchema.safeParse(await ctx.req.json())
+      if (!parsed.success) return ctx.json({ error: parsed.error.issues.map((issue) => issue.message) }, 400)
+      const endpoint = toEndpoint(this.#cfg, parsed.data)
+      this.#endpoints.set(endpoint.id, endpoint)
+      this.#publishEndpoints()
+      this.#events.record('targetAnnounced', { target: endpoint.id, service: endpoint.service })
+      return ctx.json({ id: endpoint.id }, 201)
+    })
+    app.delete('/targets/:daemon/:name', (ctx) => {
+      this.#endpoints.delete(`${ctx.req.param('daemon')}/${ctx.req.param('name')}`)
+      this.#publishEndpoints()
+      return ctx.body(null, 204)
+    })
+    return app
+  }
+
+  #publishEndpoints (): void {
+    this.#proxy.setEndpoints([...this.#endpoints.values()].map((endpoint) => ({ ...endpoint, reachable: true })))
+  }
+
+  #adminApp (): Hono {
+    const app = new Hono()
+    app.get('/healthz', (ctx) => ctx.text('ok\n'))
+    app.get('/readyz', (ctx) => this.#snapshot.version > 0 ? ctx.text('ready\n') : ctx.text('no version yet\n', 503))
+    app.get('/status', (ctx) => ctx.json({ daemon: this.#cfg.id, version: this.#snapshot.version }))
+    app.get('/events', (ctx) => ctx.json(this.#events.since(0)))
+    return app
+  }
+}
--- /dev/null
+++ b/packages/platform/src/configStore.ts
@@ -0,0 +1,173 @@
+import {
+  applyChange, buildSnapshot, canonicalJson, checkRebase, EMPTY_HEAD, HashMismatch, hashText, headSchema,
+  MAX_BUNDLE_BYTES, MAX_HEAD_BUNDLES, verifyObject, type Change, type ConfigObject, type Head, type Snapshot
+} from '@lentilwheel/config'
+import { encodeJson, type PlatformClient } from './client.js'
+import { PlatformBadAnswer, PlatformConflict, PlatformOutcomeUnknown } from './errors.js'
+
+export const HEAD_KEY = 'config/head'
+
+export interface StoredHead {
+  head: Head
+  revision: number
+}
+
+export interface Acceptance {
+  version: number
+  /** True when the change had been accepted by an earlier attempt whose answer was lost. */
+  settled: boolean
+}
+
+/** Rebases and conditional writes that one acceptance may take before it reports the conflict. */
+const MAX_ACCEPT_ROUNDS = 8
+
+export function bundleKey (hash: string): string {
+  return `config/bundle/${hash}`
+}
+
+export function decodeHead (value: Uint8Array): Head {
+  try {
+    return headSchema.parse(JSON.parse(new TextDecoder().decode(value)))
+  } catch (err) {
+    throw new PlatformBadAnswer('the head object is not a configuration head', err)
+  }
+}
+
+export async function readHead (client: PlatformClient): Promise<StoredHead> {
+  const stored = await client.get(HEAD_KEY)
+  return stored ? { head: decodeHead(stored.value), revision: stored.revision } : { head: EMPTY_HEAD, revision: 0 }
+}
+
+/**
+ * Accepts a change whole or not at all: bundles first, then one conditional update of the head.
+ * A lost answer is settled by reading the head back for the change id.
+ */
+export async function acceptChange (client: PlatformClient, base: StoredHead, change: Change): Promise<Acceptance> {
+  let current = base
+  for (let round = 0; round < MAX_ACCEPT_ROUNDS; round++) {
+    const accepted = current.head.changes.find((record) => record.id === change.id)
+    if (accepted) return { version: accepted.version, settled: true }
+    checkRebase(base.head, current.head, change)
+    await checkResult(client, current.head, change)
+    const head = await writeBundles(client, current.head, change)
+    try {
+      await client.put(HEAD_KEY, encodeJson(head), { ifRevision: current.revision })
+      return { version: head.version, settled: false }
+    } catch (err) {
+      if (!(err instanceof PlatformConflict) && !(err instanceof PlatformOutcomeUnknown)) throw err
+      current = await readBack(client, err)
+    }
+  }
+  throw new PlatformConflict(`the head changed ${MAX_ACCEPT_ROUNDS} times while change ${change.id} was written`)
+}
+
+async function readBack (client: PlatformClient, lost: Error): Promise<StoredHead> {
+  try {
+    return await readHead(client)
+  } catch (err) {
+    throw lost instanceof PlatformOutcomeUnknown ? lost : err
+  }
+}
+
+/** A rebased change may leave an open reference that neither change has by itself. */
+async function checkResult (client: PlatformClient, head: Head, change: Change): Promise<void> {
+  const objects = await loadObjects(client, head)
+  for (const key of change.remove) objects.delete(key)
+  for (const object of change.put) objects.set(object.key, object)
+  const { rootHash, version } = applyChange(head, change, [])
+  buildSnapshot({ version, rootHash, changeId: change.id, acceptedAt: change.acceptedAt }, objects)
+}
+
+async function writeBundles (client: PlatformClient, head: Head, change: Change): Promise<Head> {
+  const compact = head.bundles.length >= MAX_HEAD_BUNDLES
+  const next = applyChange(compact ? { ...head, bundles: [] } : head, change, [])
+  const objects = compact ? await objectsAfter(client, head, change) : change.put
+  const hashes: string[] = []
+  for (const text of packBundles(objects)) {
+    const hash = hashText(text)
+    hashes.push(hash)
+    await writeImmutable(client, bundleKey(hash), new TextEncoder().encode(text))
+  }
+  return { ...next, bundles: [...new Set([...next.bundles, ...hashes])] }
+}
+
+async function objectsAfter (client: PlatformClient, head: Head, change: Change): Promise<ConfigObject[]> {
+  const objects = await loadObjects(client, head)
+  for (const key of change.remove) objects.delete(key)
+  for (const object of change.put) objects.set(object.key, object)
+  return [...objects.values()]
+}
+
+/** Content-addressed, so that a conflict or a lost answer means at worst that the same bytes are there. */
+async function writeImmutable (client: PlatformClient, key: string, value: Uint8Array): Promise<void> {
+  try {
+    await client.put(key, value, { ifRevision: 0 })
+  } catch (err) {
+    if (err instanceof PlatformConflict) return
+    if (err instanceof PlatformOutcomeUnknown && await client.get(key)) return
+    throw err
+  }
+}
+
+function * packBundles (objects: readonly ConfigObject[]): Generator<string> {
+  let bundle: ConfigObject[] = []
+  let bytes = 0
+  for (const object of objects) {
+    if (bytes + object.text.length > MAX_BUNDLE_BYTES && bundle.length > 0) {
+      yield canonicalJson(bundle)
+      bundle = []
+      bytes = 0
+    }
+    bundle.push(object)
+    bytes += object.text.length
+  }
+  if (bundle.length > 0) yield canonicalJson(bundle)
+}
+
+/** Objects already held, by hash; loading reads only the bundles that hold something new. */
+export type KnownObjects = ReadonlyMap<string, ConfigObject>
+
+/** Reads the objects that a head names and checks each against its hash. */
+export async function loadObjects (
+  client: PlatformClient, head: Head, known: KnownObjects = new Map()
+): Promise<Map<string, ConfigObject>> {
+  const found = new Map<string, ConfigObject>()
+  const missing = new Map(Object.entries(head.objects))
+  for (const [key, hash] of missing) {
+    const held = known.get(key)
+    if (held?.hash !== hash) continue
+    found.set(key, held)
+    missing.delete(key)
+  }
+  for (const hash of head.bundles.toReversed()) {
+    if (missing.size === 0) break
+    for (const object of await readBundle(client, hash)) {
+      if (missing.get(object.key) !== object.hash) continue
+      found.set(object.key, object)
+      missing.delete(object.key)
+    }
+  }
+  if (missing.size > 0) throw new HashMismatch(`no bundle holds ${[...missing.keys()].slice(0, 5).join(', ')}`)
+  return found
+}
+
+async function readBundle (client: PlatformClient, hash: string): Promise<ConfigObject[]> {
+  const stored = await client.get(bundleKey(hash))
+  if (!stored) throw new HashMismatch(`bundle ${hash} does not exist`)
+  const text = new TextDecoder().decode(stored.value)
+  if (hashText(text) !== hash) throw new HashMismatch(`bundle ${hash} has other content than its hash names`)
+  const objects = JSON.parse(text) as ConfigObject[]
+  return objects.map((object) => verifyObject(object.key, object.text, object.hash))
+}
+
+/** Loads and builds the version that a head names. */
+export async function loadSnapshot (client: PlatformClient, head: Head, known?: KnownObjects): Promise<Snapshot> {
+  const objects = await loadObjects(client, head, known)
+  const change = head.changes.at(-1)
+  return buildSnapshot({
+    version: head.version,
+    rootHash: head.rootHash,
+    changeId: change?.id ?? '',
+    acceptedAt: change?.acceptedAt ?? 0
+  }, objects)
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,4 @@
+export * from './client.js'
+export * from './configStore.js'
+export * from './errors.js'
+export * from './nodeHttpClient.js'
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,2 @@
+export * from './nodeProxyServer.js'
+export * from './routing/router.js'
--- /dev/null
+++ b/packages/testkit/src/index.ts
@@ -0,0 +1,3 @@
+export * from './platformServer.js'
+export * from './platformStore.js'
+export * from './targetServer.js'
