--- /dev/null
+++ b/packages/bench/src/convergence/index.ts
@@ -0,0 +1,183 @@
+import { NodeTimers, NoMetrics, SeededRandom } from '@lentilwheel/core'
+import { HttpPlatformClient } from '@lentilwheel/platform'
+import { PlatformServer, TargetServer } from '@lentilwheel/testkit'
+import { applyConfig, fleetConfig, type AcceptedChange } from '../fleet/changes.js'
+import { Fleet, sumCounter, type Counters } from '../fleet/fleet.js'
+import { readForceHistory } from '../fleet/history.js'
+import { quantile, round, summarize } from '../fleet/procStats.js'
+import type { Bench, BenchOptions, BenchResult, Report } from '../options.js'
+import { waitFor } from '../processes.js'
+
+const DEFAULT_DAEMONS = 60
+const DEFAULT_SECONDS = 40
+/** Services of the size that the design is made for. */
+const SERVICE_COUNT = 150
+const IDLE_SECONDS = 20
+const CHANGE_INTERVAL_MS = 500
+const IN_FORCE_LIMIT_MS = 17_000
+/** Time for membership and start-up work to settle before the idle figures are taken. */
+const SETTLE_MS = 10_000
+const TARGET_CHANGES = 5
+
+interface Sample {
+  at: number
+  counters: (Counters | undefined)[]
+  cpuMs: number[]
+  reads: number
+  writes: number
+}
+
+/** Measures how fast and at what cost accepted changes come into force on real daemon processes. */
+export const run: Bench = async (opts, report) => {
+  const platform = new PlatformServer()
+  const url = await platform.listen()
+  const timers = new NodeTimers(new SeededRandom(opts.seed))
+  const client = new HttpPlatformClient({ url, timers, metrics: new NoMetrics() })
+  const fleet = new Fleet(url)
+  try {
+    return await measure(opts, report, { platform, client, fleet })
+  } finally {
+    await fleet.stop()
+    await client.close()
+    await platform.close()
+  }
+}
+
+interface Parts {
+  platform: PlatformServer
+  client: HttpPlatformClient
+  fleet: Fleet
+}
+
+async function measure (opts: BenchOptions, report: Report, parts: Parts): Promise<BenchResult> {
+  const { fleet, client } = parts
+  const daemons = opts.daemons ?? DEFAULT_DAEMONS
+  const seconds = opts.seconds ?? DEFAULT_SECONDS
+  await applyConfig(client, fleetConfig(SERVICE_COUNT), 'base')
+  report(`starting ${daemons} daemons`)
+  await fleet.start(daemons)
+  await fleet.waitInForce(1, IN_FORCE_LIMIT_MS * 2)
+  await sleep(SETTLE_MS)
+
+  report(`idle for ${IDLE_SECONDS} s`)
+  const idleStart = await sample(parts)
+  await sleep(IDLE_SECONDS * 1000)
+  const idleEnd = await sample(parts)
+  const idle = compare(idleStart, idleEnd)
+
+  report(`changes for ${seconds} s`)
+  const changes = await makeChanges(parts, seconds)
+  const busyEnd = await sample(parts)
+  const busy = compare(idleEnd, busyEnd)
+
+  const leave = await measureTargetChanges(parts, report)
+  const history = await readForceHistory(fleet, changes)
+  const delays = history.delaysMs.toSorted((a, b) => a - b)
+  const background = idle.totalBytesPerSec * busy.seconds
+  const encoded = changes.reduce((sum, change) => sum + change.encodedBytes, 0)
+  return {
+    settings: { daemons, seconds, services: SERVICE_COUNT, seed: opts.seed },
+    daemons,
+    changes: changes.length,
+    p50Ms: quantile(delays, 0.5),
+    p99Ms: quantile(delays, 0.99),
+    maxMs: delays.at(-1) ?? 0,
+    controlBytesPerDaemonPerSec: summarize(idle.bytesPerSec, 0),
+    bytesPerChangePerDaemon: round((busy.totalBytes - background) / changes.length / daemons, 0),
+    encodedBytesPerChange: round(encoded / changes.length, 0),
+    cpuPercentPerDaemon: summarize(idle.cpuPercent),
+    cpuPercentPerDaemonUnderChange: summarize(busy.cpuPercent),
+    rssMb: summarize(fleet.procStats().map((stats) => stats.rssMb), 1),
+    platformReadsPerSec: round(idle.readsPerSec),
+    platformWritesPerSec: round(idle.writesPerSec),
+    platformReadsPerSecUnderChange: round(busy.readsPerSec),
+    platformWritesPerSecUnderChange: round(busy.writesPerSec),
+    idleBytesByMessage: bytesByMessage(idleStart, idleEnd, daemons),
+    busyBytesByMessage: bytesByMessage(idleEnd, busyEnd, daemons),
+    targetLeaveKnownMs: leave,
+    missing: history.missing,
+    reverts: history.reverts,
+    partialApplies: history.partialApplies
+  }
+}
+
+async function makeChanges ({ client, fleet }: Parts, seconds: number): Promise<AcceptedChange[]> {
+  const changes: AcceptedChange[] = []
+  const revisions = new Map<number, number>()
+  const until = Date.now() + seconds * 1000
+  for (let i = 0; Date.now() < until; i++) {
+    const service = (i * 7) % SERVICE_COUNT
+    revisions.set(service, (revisions.get(service) ?? 0) + 1)
+    const change = await applyConfig(client, fleetConfig(SERVICE_COUNT, revisions), `change-${i}`)
+    changes.push(change)
+    await sleep(CHANGE_INTERVAL_MS)
+    if (i % 10 === 9) await fleet.waitInForce(change.version, IN_FORCE_LIMIT_MS)
+  }
+  await fleet.waitInForce(changes.at(-1)!.version, IN_FORCE_LIMIT_MS)
+  return changes
+}
+
+/** Announces targets and has them leave; measures until every daemon has stopped counting them. */
+async function measureTargetChanges ({ fleet }: Parts, report: Report): Promise<{ p50: number, max: number }> {
+  report('targets that announce themselves and leave')
+  const delays: number[] = []
+  const hasTargets = (count: number) => async (): Promise<boolean> =>
+    (await fleet.statuses()).every((status) => status?.targets === count)
+  for (let i = 0; i < TARGET_CHANGES; i++) {
+    const daemon = fleet.daemons[(i * 5) % fleet.daemons.length]!
+    const target = new TargetServer({
+      service: 'service0', version: 'v1', daemonUrl: `http://127.0.0.1:${daemon.ports.target}`
+    })
+    await target.start()
+    await waitFor('the target to be known everywhere', hasTargets(1), IN_FORCE_LIMIT_MS)
+    const startedAt = Date.now()
+    await target.stop()
+    await waitFor('the target to be gone everywhere', hasTargets(0), IN_FORCE_LIMIT_MS)
+    delays.push(Date.now() - startedAt)
+  }
+  return summarize(delays, 0)
+}
+
+async function sample ({ fleet, platform }: Parts): Promise<Sample> {
+  return {
+    at: Date.now(),
+    counters: await fleet.counters(),
+    cpuMs: fleet.procStats().map((stats) => stats.cpuMs),
+    reads: platform.counts.reads,
+    writes: platform.counts.writes
+  }
+}
+
+function compare (from: Sample, to: Sample) {
+  const seconds = (to.at - from.at) / 1000
+  const bytes = to.counters.map((counters, i) =>
+    sumCounter(counters, 'mesh.bytes_sent') - sumCounter(from.counters[i], 'mesh.bytes_sent'))
+  const totalBytes = bytes.reduce((sum, n) => sum + n, 0)
+  return {
+    seconds,
+    totalBytes,
+    totalBytesPerSec: totalBytes / seconds,
+    bytesPerSec: bytes.map((n) => n / seconds),
+    cpuPercent: to.cpuMs.map((ms, i) => (ms - from.cpuMs[i]!) / seconds / 10),
+    readsPerSec: (to.reads - from.reads) / seconds,
+    writesPerSec: (to.writes - from.writes) / seconds
+  }
+}
+
+/** Bytes sent per daemon and second by message type. */
+function bytesByMessage (from: Sample, to: Sample, daemons: number): Record<string, number> {
+  const seconds = (to.at - from.at) / 1000
+  const sums: Record<string, number> = {}
+  to.counters.forEach((counters, i) => {
+    for (const [key, n] of Object.entries(counters ?? {})) {
+      const message = /^mesh\.bytes_sent\{message=([^,}]+)/.exec(key)?.[1]
+      if (message === undefined) continue
+      sums[message] = (sums[message] ?? 0) + n - (from.counters[i]?.[key] ?? 0)
+    }
+  })
+  return Object.fromEntries(Object.entries(sums).map(([message, n]) => [message, round(n / seconds / daemons, 1)]))
+}
+
+async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
--- a/packages/bench/src/demo/index.ts
+++ b/packages/bench/src/demo/index.ts
@@ -13,7 +13,7 @@
   const ports = await freePorts(DAEMON_COUNT * 4)
   return Array.from({ length: DAEMON_COUNT }, (_, i) => {
     const [proxy, admin, target, mesh] = ports.slice(i * 4, i * 4 + 4) as [number, number, number, number]
-    const settings = { dataCentre: DATA_CENTRES[i % 4], platform: { url: platformUrl }, logFormat: 'off' }
+    const settings = { dataCentre: DATA_CENTRES[i % 4], platform: { url: platformUrl }, meshKey: 'demo-key-on-loopback', log: 'off' }
     return group.startDaemon(`d${i + 1}`, settings, { proxy, admin, target, mesh })
   })
 }
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -2,6 +2,8 @@
 import type { Bench, BenchOptions } from './options.js'
 
 const BENCHES: Readonly<Record<string, () => Promise<{ run: Bench }>>> = {
+  convergence: async () => await import('./convergence/index.js'),
+  recovery: async () => await import('./recovery/index.js'),
   path: async () => await import('./path/index.js'),
   moves: async () => await import('./moves/index.js')
 }
--- a/packages/core/src/nodeSettings.ts
+++ b/packages/core/src/nodeSettings.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs'
-import { LineCounter, parseDocument } from 'yaml'
+import { isMap, isNode, isScalar, LineCounter, parseDocument } from 'yaml'
 import type { z } from 'zod'
 import { SettingsInvalid } from './errors.js'
 
@@ -19,15 +19,30 @@
   const doc = parseDocument(text, { lineCounter: lines })
   const broken = doc.errors[0]
   if (broken) {
-    throw new SettingsInvalid(`${file}:${lines.linePos(broken.pos[0]).line}: ${broken.message.split('\n')[0]}`)
+    throw new SettingsInvalid(`${file}:${lines.linePos(broken.pos[0]).line}: ${broken.message.split('\n')[0]!.replace(/ at line \d+, column \d+:?$/, '')}`)
   }
   const parsed = schema.safeParse(doc.toJS() ?? {})
   if (parsed.success) return parsed.data
-  const issues = parsed.error.issues.map((issue) => {
-    const path = issue.path.map(String)
-    const node = doc.getIn(path, true) as { range?: [number, number, number] } | undefined
-    const line = node?.range ? lines.linePos(node.range[0]).line : 1
-    return `${file}:${line}: ${path.join('.') || 'settings'}: ${issue.message}`
-  })
-  throw new SettingsInvalid(issues.join('\n'))
+  const lineOf = (path: readonly string[]): number => {
+    const key = path.at(-1)
+    const parent = doc.getIn(path.slice(0, -1), true)
+    const pair = isMap(parent) ? parent.items.find((item) => isScalar(item.key) && item.key.value === key) : undefined
+    const node = pair?.key ?? doc.getIn(path, true)
+    return isNode(node) && node.range ? lines.linePos(node.range[0]).line : 1
+  }
+  const issues = parsed.error.issues.flatMap((issue) => locateIssue(issue))
+  throw new SettingsInvalid(issues.map(({ path, message }) =>
+    `${file}:${lineOf(path)}: ${path.join('.') || 'settings'}: ${message}`).join('\n'))
+}
+
+interface LocatedIssue {
+  path: string[]
+  message: string
+}
+
+/** An unknown setting is reported at its own place and not at that of the section around it. */
+function locateIssue (issue: z.core.$ZodIssue): LocatedIssue[] {
+  const path = issue.path.map(String)
+  if (issue.code !== 'unrecognized_keys') return [{ path, message: issue.message }]
+  return issue.keys.map((key) => ({ path: [...path, key], message: 'is not a known setting' }))
 }
--- /dev/null
+++ b/packages/daemon/src/admin/__tests__/app.spec.ts
@@ -0,0 +1,38 @@
+import test from 'ava'
+import { createAdminApp, type AdminSources } from '../app.js'
+
+const status = {
+  daemon: 'd1',
+  dataCentre: 'sapporo',
+  version: 3,
+  rootHash: 'h',
+  since: 0,
+  ready: false,
+  reason: 'no peer answered yet',
+  relay: false,
+  members: 2,
+  targets: 1
+}
+
+const sources: AdminSources = {
+  status: () => status,
+  fleetStatus: async () => ({ accounts: [], moves: [] }),
+  events: (since) => [{ id: `d1#${since + 1}`, daemon: 'd1', time: { wallMs: 0, counter: 0 }, type: 'daemonStarted', fields: {} }],
+  fleetEvents: async () => ({ events: [], silent: ['d2'] }),
+  counters: () => ({ 'platform.calls': 1 }),
+  takeBack: (move) => move === 'm1'
+}
+
+/** Guards against answers that the command line can't read. */
+const REQUESTS: [string, string][] = [
+  ['GET', '/healthz'], ['GET', '/readyz'], ['GET', '/status'], ['GET', '/status?scope=fleet'], ['GET', '/events?since=4'],
+  ['GET', '/events?since=x'], ['GET', '/events?scope=fleet'], ['GET', '/counters'], ['POST', '/moves/m1/take-back'],
+  ['POST', '/moves/m2/take-back'], ['GET', '/nothing']
+]
+
+for (const [method, path] of REQUESTS) {
+  test(`${method} ${path}`, async (t) => {
+    const res = await createAdminApp(sources).request(path, { method })
+    t.snapshot({ status: res.status, body: await res.text() })
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/admin/app.ts
@@ -0,0 +1,71 @@
+import { Hono } from 'hono'
+import type { TimelineEvent } from '@lentilwheel/core'
+
+/** Version of the JSON that the admin side answers; the command line refuses another one. */
+export const ADMIN_PROTOCOL = 1
+
+/** What this daemon holds, in the operator's terms. */
+export interface DaemonStatus {
+  daemon: string
+  dataCentre: string
+  version: number
+  rootHash: string
+  /** Unix milliseconds since when the version is in force here. */
+  since: number
+  ready: boolean
+  reason: string
+  /** Whether this daemon reads the platform for its data centre. */
+  relay: boolean
+  members: number
+  /** Targets known that may get new work. */
+  targets: number
+}
+
+export interface FleetStatus {
+  accounts: unknown[]
+  moves: unknown[]
+}
+
+export interface FleetEvents {
+  events: TimelineEvent[]
+  /** Daemons that did not answer. */
+  silent: string[]
+}
+
+/** What the admin side shows; handed in by the daemon. */
+export interface AdminSources {
+  status (): DaemonStatus
+  fleetStatus (): Promise<FleetStatus>
+  events (since: number): TimelineEvent[]
+  fleetEvents (): Promise<FleetEvents>
+  counters (): Record<string, number>
+  /** Publishes a rollback fact; false when the move is not known or has ended. */
+  takeBack (move: string, reason: string): boolean
+}
+
+/** Operators' side of a daemon: health, readiness, status, events and counters. */
+export function createAdminApp (sources: AdminSources): Hono {
+  const app = new Hono()
+  app.get('/healthz', (ctx) => ctx.text('ok\n'))
+  app.get('/readyz', (ctx) => {
+    const { ready, reason } = sources.status()
+    return ready ? ctx.text('ready\n') : ctx.text(`${reason}\n`, 503)
+  })
+  app.get('/status', async (ctx) => {
+    const answer = ctx.req.query('scope') === 'fleet' ? await sources.fleetStatus() : sources.status()
+    return ctx.json({ protocol: ADMIN_PROTOCOL, ...answer })
+  })
+  app.get('/events', async (ctx) => {
+    if (ctx.req.query('scope') === 'fleet') {
+      return ctx.json({ protocol: ADMIN_PROTOCOL, ...await sources.fleetEvents() })
+    }
+    const since = Number(ctx.req.query('since') ?? 0)
+    return ctx.json({ protocol: ADMIN_PROTOCOL, events: sources.events(Number.isFinite(since) ? since : 0), silent: [] })
+  })
+  app.get('/counters', (ctx) => ctx.json({ protocol: ADMIN_PROTOCOL, counters: sources.counters() }))
+  app.post('/moves/:move/take-back', (ctx) => {
+    const published = sources.takeBack(ctx.req.param('move'), ctx.req.query('reason') ?? 'taken back by an operator')
+    return published ? ctx.json({ published }) : ctx.json({ published, error: 'no such move in progress' }, 404)
+  })
+  return app
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,3 @@
+export * from './admin/app.js'
 export * from './nodeDaemon.js'
-export * from './settings.js'
+export * from './settings/schema.js'
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,8 +1,10 @@
 import { cac } from 'cac'
 import { randomBytes } from 'node:crypto'
-import { errorCode, readSettings } from '@lentilwheel/core'
+import { stringify } from 'yaml'
+import { errorCode } from '@lentilwheel/core'
 import { Daemon } from './nodeDaemon.js'
-import { daemonSettingsSchema } from './settings.js'
+import { resolveSettings } from './settings/nodeResolve.js'
+import { maskSecrets } from './settings/schema.js'
 
 /** Runs `lentilwheeld`. */
 export async function main (argv: string[]): Promise<void> {
@@ -10,9 +12,9 @@
   cli.command('[settings]', 'Run the daemon with a settings file')
     .option('--check', 'Print the resolved settings and end')
     .action(async (file: string | undefined, opts: { check?: boolean }) => {
-      const cfg = readSettings(file ?? 'lentilwheeld.yaml', daemonSettingsSchema)
+      const cfg = resolveSettings(file ?? 'lentilwheeld.yaml')
       if (opts.check) {
-        console.log(JSON.stringify(cfg, null, 2))
+        console.log(stringify(maskSecrets(cfg)).trimEnd())
         return
       }
       const daemon = new Daemon(cfg, randomBytes(4).readInt32LE())
--- a/packages/daemon/src/nodeDaemon.ts
+++ b/packages/daemon/src/nodeDaemon.ts
@@ -1,11 +1,12 @@
 import type { ServerType } from '@hono/node-server'
 import { Hono } from 'hono'
-import { EventLog, NoMetrics, NodeTimers, ProcessLogger, SeededRandom, type Endpoint } from '@lentilwheel/core'
+import { EventLog, MemoryMetrics, NodeTimers, ProcessLogger, SeededRandom, type Endpoint } from '@lentilwheel/core'
 import { EMPTY_SNAPSHOT, type Snapshot } from '@lentilwheel/config'
 import { decodeHead, HEAD_KEY, HttpPlatformClient, loadSnapshot } from '@lentilwheel/platform'
 import { ProxyServer } from '@lentilwheel/proxy'
+import { createAdminApp, type AdminSources, type DaemonStatus } from './admin/app.js'
 import { listenApp } from './nodeHttpSides.js'
-import type { ResolvedConfig } from './settings.js'
+import type { ResolvedConfig } from './settings/schema.js'
 import { announcementSchema, toEndpoint } from './targets.js'
 
 const WATCH_RETRY_MS = 500
@@ -17,28 +18,30 @@
   readonly #timers
   readonly #log
   readonly #events
+  readonly #metrics = new MemoryMetrics()
   readonly #platform
   readonly #proxy
   readonly #stop = new AbortController()
   readonly #endpoints = new Map<string, Endpoint>()
   readonly #servers: ServerType[] = []
   #snapshot: Snapshot = EMPTY_SNAPSHOT
+  #since = 0
 
   constructor (cfg: ResolvedConfig, seed: number) {
     this.#cfg = cfg
     this.#random = new SeededRandom(seed)
     this.#timers = new NodeTimers(this.#random)
-    this.#log = new ProcessLogger({ name: cfg.id, format: cfg.logFormat, timers: this.#timers })
+    this.#log = new ProcessLogger({ name: cfg.id, format: cfg.log, timers: this.#timers })
     this.#events = new EventLog({ daemon: cfg.id, timers: this.#timers })
-    this.#platform = new HttpPlatformClient({ url: cfg.platform.url, timers: this.#timers, metrics: new NoMetrics() })
+    this.#platform = new HttpPlatformClient({ url: cfg.platform.url, timers: this.#timers, metrics: this.#metrics })
     this.#proxy = new ProxyServer({ random: this.#random, versionFor: () => undefined })
   }
 
   async start (): Promise<void> {
     this.#events.record('daemonStarted')
     await this.#proxy.listen(this.#cfg.proxyPort, this.#cfg.address)
-    const targets = await listenApp(this.#targetApp(), this.#cfg.targetPort, '127.0.0.1')
-    const admin = await listenApp(this.#adminApp(), this.#cfg.adminPort, '127.0.0.1')
+    const targets = await listenApp(this.#targetApp(), this.#cfg.targetPort, this.#cfg.targetAddress)
+    const admin = await listenApp(createAdminApp(this.#adminSources()), this.#cfg.adminPort, this.#cfg.adminAddress)
     this.#servers.push(targets.server, admin.server)
     this.#watchHead().catch((err: unknown) => this.#log.error('watch of the head ended', { err }))
   }
@@ -70,8 +73,9 @@
 
   #takeIntoForce (snapshot: Snapshot): void {
     this.#snapshot = snapshot
+    this.#since = this.#timers.wallNow()
     this.#proxy.setSnapshot(snapshot)
-    this.#events.record('versionInForce', { version: snapshot.version }, snapshot.changeId)
+    this.#events.record('versionInForce', { version: snapshot.version, rootHash: snapshot.rootHash }, snapshot.changeId)
     this.#log.info('version in force', { version: snapshot.version })
   }
 
@@ -98,12 +102,31 @@
     this.#proxy.setEndpoints([...this.#endpoints.values()].map((endpoint) => ({ ...endpoint, reachable: true })))
   }
 
-  #adminApp (): Hono {
-    const app = new Hono()
-    app.get('/healthz', (ctx) => ctx.text('ok\n'))
-    app.get('/readyz', (ctx) => this.#snapshot.version > 0 ? ctx.text('ready\n') : ctx.text('no version yet\n', 503))
-    app.get('/status', (ctx) => ctx.json({ daemon: this.#cfg.id, version: this.#snapshot.version }))
-    app.get('/events', (ctx) => ctx.json(this.#events.since(0)))
-    return app
+  #status (): DaemonStatus {
+    const { version, rootHash } = this.#snapshot
+    const ready = version > 0
+    return {
+      daemon: this.#cfg.id,
+      dataCentre: this.#cfg.dataCentre,
+      version,
+      rootHash,
+      since: this.#since,
+      ready,
+      reason: ready ? '' : 'no version is held yet',
+      relay: true,
+      members: 1,
+      targets: this.#endpoints.size
+    }
+  }
+
+  #adminSources (): AdminSources {
+    return {
+      status: () => this.#status(),
+      fleetStatus: async () => ({ accounts: [], moves: [] }),
+      events: (since) => this.#events.since(since),
+      fleetEvents: async () => ({ events: this.#events.since(0), silent: [] }),
+      counters: () => Object.fromEntries(this.#metrics.counters),
+      takeBack: () => false
+    }
   }
 }
