--- a/packages/daemon/src/nodeDaemon.ts
+++ b/packages/daemon/src/nodeDaemon.ts
@@ -31,7 +31,13 @@
     this.#log = new ProcessLogger({ name: cfg.id, format: cfg.logFormat, timers: this.#timers })
     this.#events = new EventLog({ daemon: cfg.id, timers: this.#timers })
     this.#platform = new HttpPlatformClient({ url: cfg.platform.url, timers: this.#timers, metrics: new NoMetrics() })
-    this.#proxy = new ProxyServer({ random: this.#random, versionFor: () => undefined })
+    this.#proxy = new ProxyServer({
+      daemon: cfg.id,
+      dataCentre: cfg.dataCentre,
+      timers: this.#timers,
+      random: this.#random,
+      metrics: new NoMetrics()
+    })
   }
 
   async start (): Promise<void> {
@@ -46,7 +52,7 @@
   async stop (): Promise<void> {
     this.#events.record('daemonStopping')
     this.#stop.abort()
-    await this.#proxy.close()
+    await this.#proxy.drain()
     for (const server of this.#servers) server.close()
     await this.#platform.close()
   }
--- a/packages/proxy/src/nodeProxyServer.ts
+++ b/packages/proxy/src/nodeProxyServer.ts
@@ -1,112 +1,255 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
-import { Agent, type Dispatcher } from 'undici'
-import type { EndpointView, Random } from '@lentilwheel/core'
+import type { AddressInfo, Socket } from 'node:net'
+import type { Cancel, EndpointView, Metrics, Random, Timers } from '@lentilwheel/core'
 import type { Snapshot } from '@lentilwheel/config'
+import {
+  CALLER_HEADERS_TIMEOUT_MS, CALLER_KEEP_ALIVE_MS, DRAIN_LIMIT_MS, DRAIN_LINGER_MS, MAX_HEADER_BYTES, NOT_RUN_HEADER,
+  REFUSAL_HEADER, UPKEEP_MS
+} from './constants.js'
+import { ProxyCounters } from './counters.js'
+import { Call } from './nodeCall.js'
+import { refuse, type ProxyCore } from './nodeProxyCore.js'
+import { Target } from './nodeTarget.js'
+import type { ProxyCallObserver, TrafficShare } from './observer.js'
+import { REFUSALS, type Refusal } from './requests/refusal.js'
+import { RequestHead } from './requests/requestHead.js'
 import { buildRouter, type Router } from './routing/router.js'
-
-export const NOT_RUN_HEADER = 'x-lentilwheel-not-run'
+import { ServiceState } from './service/serviceState.js'
+import { groupBy } from './utils.js'
 
 export interface ProxyOptions {
+  /** Id of this daemon; decides which subset of targets it uses. */
+  daemon: string
+  dataCentre: string
+  timers: Timers
   random: Random
-  /** Share of a service's traffic that goes to a version; absent when no move is in progress. */
-  versionFor (service: string): string | undefined
+  metrics: Metrics
+  observer?: ProxyCallObserver
+  /** How a move divides a service's traffic; without one all goes to the service's current version. */
+  shareOf? (service: string): TrafficShare | undefined
+  onEjected? (target: EndpointView): void
+  onRestored? (target: EndpointView): void
+}
+
+export interface DrainOptions {
+  /** How long new connections are still accepted. */
+  lingerMs?: number
+  /** After this time calls in flight are cut off. */
+  limitMs?: number
 }
 
+const METRICS_PERIOD_MS = 1_000
+
 /** Forwards calls to targets by the snapshot in force. */
 export class ProxyServer {
+  readonly counters = new ProxyCounters()
   readonly #server: Server
-  readonly #agent = new Agent({ pipelining: 1 })
   readonly #opts: ProxyOptions
+  readonly #core: ProxyCore
+  readonly #services = new Map<string, ServiceState<Target>>()
+  readonly #calls = new Map<Socket, Call>()
+  readonly #ejected = new Set<Target>()
+  readonly #cancels: Cancel[]
   #router: Router | undefined
   #endpoints: readonly EndpointView[] = []
+  #callers = 1
+  #active = 0
+  #onIdle: (() => void) | undefined
 
   constructor (opts: ProxyOptions) {
     this.#opts = opts
-    this.#server = createServer((req, res) => this.#serve(req, res))
+    this.#core = {
+      timers: opts.timers,
+      random: opts.random,
+      counters: this.counters,
+      observer: opts.observer,
+      shareOf: opts.shareOf ?? (() => undefined),
+      draining: false
+    }
+    this.#server = this.#createServer()
+    this.#cancels = [
+      opts.timers.every(UPKEEP_MS, () => this.#upkeep()),
+      opts.timers.every(METRICS_PERIOD_MS, () => this.#sendMetrics())
+    ]
   }
 
   async listen (port: number, host: string): Promise<number> {
-    await new Promise<void>((resolve) => this.#server.listen(port, host, resolve))
-    return (this.#server.address() as AddressInfo).port
-  }
-
-  async close (): Promise<void> {
-    await new Promise((resolve) => {
-      this.#server.close(resolve)
-      this.#server.closeIdleConnections()
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, host, () => {
+        this.#server.off('error', reject)
+        resolve()
+      })
     })
-    await this.#agent.close()
+    return (this.#server.address() as AddressInfo).port
   }
 
+  /** Swaps the configuration; calls already routed end under the one they began with. */
   setSnapshot (snapshot: Snapshot): void {
+    const { services } = snapshot.config
+    for (const [name, service] of Object.entries(services)) {
+      const state = this.#services.get(name)
+      if (state) state.configure(service)
+      else this.#services.set(name, this.#newService(name, service))
+    }
     this.#router = buildRouter(snapshot.config)
+    for (const [name, state] of this.#services) {
+      if (Object.hasOwn(services, name)) continue
+      this.#services.delete(name)
+      state.update([], this.#callers, this.#opts.timers.now())
+    }
   }
 
   setEndpoints (endpoints: readonly EndpointView[]): void {
     this.#endpoints = endpoints
+    const byService = groupBy(endpoints, (endpoint) => endpoint.service)
+    const now = this.#opts.timers.now()
+    for (const [name, state] of this.#services) state.update(byService.get(name) ?? [], this.#callers, now)
   }
 
-  #serve (req: IncomingMessage, res: ServerResponse): void {
-    const url = req.url ?? '/'
-    const path = url.split('?', 1)[0]!
-    const host = (req.headers.host ?? '').replace(/:\d+$/, '').toLowerCase()
-    const found = this.#router?.match(req.method ?? 'GET', host, path, req.headers)
-    if (!this.#router) return refuse(res, 503, 'no configuration is in force yet')
-    if (!found) return refuse(res, 404, 'no route matches')
-    const version = this.#opts.versionFor(found.route.service) ?? found.service.current
-    const candidates = this.#endpoints.filter((endpoint) => endpoint.service === found.route.service &&
-      endpoint.version === version && endpoint.state === 'ready')
-    if (candidates.length === 0) return refuse(res, 503, `no target of ${found.route.service} ${version} is ready`)
-    const endpoint = this.#opts.random.pick(candidates)
-    this.#agent.dispatch({
-      origin: `http://${endpoint.address}:${endpoint.port}`,
-      path: url,
-      method: req.method as Dispatcher.HttpMethod,
-      headers: endToEndHeaders(req),
-      body: hasBody(req) ? req : null
-    }, forwardTo(res))
+  /** Sets the number of daemons that share the targets; divides the targets' connections. */
+  setCallers (callers: number): void {
+    if (callers === this.#callers) return
+    this.#callers = callers
+    this.setEndpoints(this.#endpoints)
   }
-}
 
-function refuse (res: ServerResponse, status: number, reason: string): void {
-  res.writeHead(status, { [NOT_RUN_HEADER]: '1', 'content-type': 'text/plain' }).end(`${reason}\n`)
-}
+  /** Ends without cutting off a request: callers are told to leave, then nothing new is accepted. */
+  async drain (opts: DrainOptions = {}): Promise<void> {
+    this.#core.draining = true
+    await this.#sleep(opts.lingerMs ?? DRAIN_LINGER_MS)
+    const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()))
+    await this.#waitUntilIdle(opts.limitMs ?? DRAIN_LIMIT_MS)
+    this.#server.closeIdleConnections()
+    await this.#stop(closed)
+  }
 
-function hasBody (req: IncomingMessage): boolean {
-  return req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
-}
+  /** Ends at once; calls in flight are cut off. */
+  async close (): Promise<void> {
+    this.#core.draining = true
+    const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()))
+    await this.#stop(closed)
+  }
 
-const HOP_BY_HOP = new Set(['connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'expect',
-  'proxy-connection'])
+  async #stop (closed: Promise<void>): Promise<void> {
+    for (const cancel of this.#cancels) cancel()
+    this.#server.closeAllConnections()
+    await closed
+    for (const state of this.#services.values()) state.update([], this.#callers, this.#opts.timers.now())
+    this.#sendMetrics()
+  }
 
-function endToEndHeaders (req: IncomingMessage): string[] {
-  const result: string[] = []
-  for (let i = 0; i < req.rawHeaders.length; i += 2) {
-    const name = req.rawHeaders[i]!
-    if (!HOP_BY_HOP.has(name.toLowerCase())) result.push(name, req.rawHeaders[i + 1]!)
+  #createServer (): Server {
+    const server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: CALLER_HEADERS_TIMEOUT_MS,
+      keepAliveTimeout: CALLER_KEEP_ALIVE_MS,
+      // Each call has its own deadline.
+      requestTimeout: 0,
+      noDelay: true
+    })
+    server.on('request', (req, res) => this.#serve(req, res, false))
+    server.on('checkContinue', (req, res) => this.#serve(req, res, true))
+    server.on('checkExpectation', (_req, res) => this.#refuse(res, REFUSALS.expectation, true))
+    server.on('clientError', (err, socket) => this.#onGarbage(err as NodeJS.ErrnoException, socket as Socket))
+    return server
+  }
+
+  #serve (req: IncomingMessage, res: ServerResponse, awaitsContinue: boolean): void {
+    this.counters.calls++
+    const head = new RequestHead(req.method!, req.url!, req.rawHeaders)
+    if (head.refusal) return this.#refuse(res, head.refusal, true)
+    if (!this.#router) return this.#refuse(res, REFUSALS.noConfiguration, awaitsContinue)
+    const route = this.#router.match(req.method!, head.host, head.path, req.headers)
+    if (!route) return this.#refuse(res, REFUSALS.noRoute, awaitsContinue)
+    const service = this.#services.get(route.serviceName)!
+    const call = new Call(this.#core, req, res, head, route, service, awaitsContinue)
+    this.#track(call, res)
+    call.start()
+  }
+
+  #track (call: Call, res: ServerResponse): void {
+    const socket = res.socket!
+    this.#active++
+    this.#calls.set(socket, call)
+    res.once('close', () => {
+      this.#active--
+      if (this.#calls.get(socket) === call) this.#calls.delete(socket)
+      if (this.#active === 0) this.#onIdle?.()
+    })
+  }
+
+  #refuse (res: ServerResponse, refusal: Refusal, close: boolean): void {
+    this.counters.refused++
+    refuse(res, refusal, { notRun: true, close: close || this.#core.draining })
+  }
+
+  /** A caller that sent what isn't HTTP; an answer would be mistaken for that of a call still in progress. */
+  #onGarbage (err: NodeJS.ErrnoException, socket: Socket): void {
+    const call = this.#calls.get(socket)
+    if (call || !socket.writable || err.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    this.counters.refused++
+    const refusal = garbageRefusal(err.code)
+    socket.end(`HTTP/1.1 ${refusal.status} Refused\r\n${NOT_RUN_HEADER}: 1\r\n${REFUSAL_HEADER}: ${refusal.code}\r\n` +
+      'connection: close\r\ncontent-length: 0\r\n\r\n')
+  }
+
+  #newService (name: string, service: Snapshot['config']['services'][string]): ServiceState<Target> {
+    const { daemon, dataCentre, random, timers } = this.#opts
+    const state = new ServiceState<Target>(service, {
+      daemon,
+      dataCentre,
+      random,
+      makeTarget: (view, now, warm) => new Target(view, now, warm),
+      retireTarget: (target) => target.retire()
+    })
+    state.update(this.#endpoints.filter((endpoint) => endpoint.service === name), this.#callers, timers.now())
+    return state
   }
-  return result
-}
 
-function forwardTo (res: ServerResponse): Dispatcher.DispatchHandler {
-  return {
-    onRequestStart (controller) {
-      res.once('close', () => { if (!res.writableEnded) controller.abort(new Error('caller went away')) })
-    },
-    onResponseStart (_controller, status, headers) {
-      const kept = Object.entries(headers).filter(([name]) => !HOP_BY_HOP.has(name))
-      res.writeHead(status, Object.fromEntries(kept))
-    },
-    onResponseData (_controller, chunk) {
-      res.write(chunk)
-    },
-    onResponseEnd () {
-      res.end()
-    },
-    onResponseError () {
-      if (res.headersSent) res.destroy()
-      else res.writeHead(502).end('the target did not answer\n')
+  #upkeep (): void {
+    const now = this.#opts.timers.now()
+    for (const state of this.#services.values()) {
+      for (const target of state.tick(now, UPKEEP_MS)) {
+        this.counters.ejections++
+        this.#ejected.add(target)
+        this.#opts.onEjected?.(target.view)
+      }
+      for (const target of state.targets) target.trim()
+    }
+    for (const target of this.#ejected) {
+      if (target.ejected(now)) continue
+      this.#ejected.delete(target)
+      this.#opts.onRestored?.(target.view)
     }
   }
+
+  #sendMetrics (): void {
+    this.counters.flush(this.#opts.metrics)
+    this.#opts.metrics.gauge('proxy.active', this.#active)
+  }
+
+  async #sleep (ms: number): Promise<void> {
+    await new Promise<void>((resolve) => { this.#opts.timers.after(ms, resolve) })
+  }
+
+  async #waitUntilIdle (limitMs: number): Promise<void> {
+    if (this.#active === 0) return
+    await new Promise<void>((resolve) => {
+      const cancel = this.#opts.timers.after(limitMs, resolve)
+      this.#onIdle = () => {
+        cancel()
+        resolve()
+      }
+    })
+  }
+}
+
+function garbageRefusal (code: string | undefined): Refusal {
+  if (code === 'HPE_HEADER_OVERFLOW') return REFUSALS.headTooLarge
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return REFUSALS.headTimeout
+  return REFUSALS.badHead
 }
--- /dev/null
+++ b/packages/proxy/src/targets/nodeProbe.ts
@@ -0,0 +1,16 @@
+import { request } from 'undici'
+import type { Probe } from './targetApp.js'
+
+const PROBE_TIMEOUT_MS = 1_000
+const MAX_ANSWER_CHARS = 1_000
+
+/** Asks a target's hint endpoints over HTTP. */
+export const httpProbe: Probe = async (endpoint, path) => {
+  const res = await request(`http://${endpoint.address}:${endpoint.port}${path}`, {
+    headersTimeout: PROBE_TIMEOUT_MS,
+    bodyTimeout: PROBE_TIMEOUT_MS,
+    signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)
+  })
+  const body = await res.body.text()
+  return { status: res.statusCode, body: body.slice(0, MAX_ANSWER_CHARS) }
+}
