--- a/packages/daemon/src/nodeDaemon.ts
+++ b/packages/daemon/src/nodeDaemon.ts
@@ -34,7 +34,13 @@
     this.#log = new ProcessLogger({ name: cfg.id, format: cfg.log, timers: this.#timers })
     this.#events = new EventLog({ daemon: cfg.id, timers: this.#timers })
     this.#platform = new HttpPlatformClient({ url: cfg.platform.url, timers: this.#timers, metrics: this.#metrics })
-    this.#proxy = new ProxyServer({ random: this.#random, versionFor: () => undefined })
+    this.#proxy = new ProxyServer({
+      daemon: cfg.id,
+      dataCentre: cfg.dataCentre,
+      timers: this.#timers,
+      random: this.#random,
+      metrics: this.#metrics
+    })
   }
 
   async start (): Promise<void> {
@@ -49,7 +55,7 @@
   async stop (): Promise<void> {
     this.#events.record('daemonStopping')
     this.#stop.abort()
-    await this.#proxy.close()
+    await this.#proxy.drain()
     for (const server of this.#servers) server.close()
     await this.#platform.close()
   }
