--- a/packages/core/src/moveFacts.ts
+++ b/packages/core/src/moveFacts.ts
@@ -20,7 +20,7 @@
   version: string
   calls: number
   errors: number
-  /** Calls per latency bucket; bucket bounds are given by `latencyBucket`. */
+  /** Successful calls per latency bucket, without the zeros at the end; package `moves` gives the bounds. */
   buckets: number[]
 }
 
@@ -28,5 +28,7 @@
 export interface EvidenceReport {
   move: string
   daemon: string
+  /** Stage in force when the calls were counted; absent means the stage that the coordinator knows. */
+  stage?: number
   rows: EvidenceRow[]
 }
--- /dev/null
+++ b/packages/moves/src/coordinator.ts
@@ -0,0 +1,330 @@
+import type { EvidenceReport, EventFields, EventType, MoveFact, MoveFacts, MoveOutcome } from '@lentilwheel/core'
+import { unsureChoice, type Move, type Service } from '@lentilwheel/config'
+import type { Capacity } from './capacity.js'
+import {
+  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS, SPREAD_MS,
+  WARM_UP_MS
+} from './constants.js'
+import type { MoveEffect } from './effects.js'
+import { Baseline, Window, type Cell } from './evidence.js'
+import { AlarmTest } from './alarmTest.js'
+import { HoldAlarm } from './holdAlarm.js'
+import { firstShare, SHORTEST_RAMP_MS, stageMs } from './plan.js'
+import { rampStep, type RampStep } from './ramp.js'
+import { VersionTest } from './versionTest.js'
+
+export interface CoordinatorOptions {
+  move: string
+  daemon: string
+  routes: readonly string[]
+  from: string
+  to: string
+  capacity: Capacity
+}
+
+/** What the coordinator reads at each tick. */
+export interface CoordinatorInput {
+  now: number
+  wallNow: number
+  cfg: Move
+  service: Service
+  facts: MoveFacts
+}
+
+type Phase = 'observe' | 'ramp' | 'hold' | 'alarm'
+
+/**
+ * Runs one move: merges evidence, publishes stages, and ends the move. All that must outlive it is in the facts; a
+ * coordinator that takes over stays at the stage in force and gathers its own evidence.
+ */
+export class Coordinator {
+  readonly #opts: CoordinatorOptions
+  readonly #baseline = new Baseline()
+  #window: Window
+  #test: VersionTest
+  #hold: HoldAlarm
+  #alarm: AlarmTest | undefined
+  #alarms = 0
+  #stage = -1
+  #share = 0
+  #enteredAt = 0
+  #plannedMs = OBSERVE_MS
+  #lastTick: number | undefined
+  #startedAt = 0
+  #observedCalls = 0
+  #warmUntil = -Infinity
+  #warmedMs = 0
+  #arrivals = 0
+  #told = ''
+
+  constructor (opts: CoordinatorOptions, past: readonly Pick<Cell, 'route' | 'old'>[]) {
+    this.#opts = opts
+    this.#window = new Window(opts.from, opts.to)
+    this.#test = this.#newTest()
+    this.#hold = new HoldAlarm(opts.routes)
+    for (const cell of past) this.#baseline.add(cell)
+  }
+
+  onEvidence (report: EvidenceReport): void {
+    this.#window.add(report, this.#stage)
+  }
+
+  * tick (input: CoordinatorInput): Generator<MoveEffect> {
+    const cells = [...this.#window.cells()]
+    this.#window = new Window(this.#opts.from, this.#opts.to)
+    const gap = input.now - (this.#lastTick ?? input.now)
+    const started = this.#lastTick !== undefined
+    this.#lastTick = input.now
+    if (!started) yield * this.#start(input)
+    if (yield * this.#endIfDecided(input)) return
+    this.#follow(input)
+    if (gap > MAX_TICK_GAP_MS) return this.#enterStage(input, this.#stage, this.#share)
+    this.#learn(input, cells)
+    const bad = this.#verdict()
+    if (bad !== undefined) return yield * this.#rollBack(input, bad)
+    yield * this.#steer(input, gap)
+  }
+
+  * #start (input: CoordinatorInput): Generator<MoveEffect> {
+    this.#startedAt = input.now
+    this.#follow(input)
+    if (input.facts.stage || input.facts.outcome) return
+    const { from, to } = this.#opts
+    yield this.#event('moveStarted', { service: input.cfg.service, from, to, by: input.cfg.by })
+  }
+
+  /** Ends the move when a rollback, an outcome or an operator has already decided it. */
+  * #endIfDecided (input: CoordinatorInput): Generator<MoveEffect, boolean> {
+    const { rollback, outcome } = input.facts
+    if (rollback) {
+      if (outcome?.outcome !== 'takenBack') yield * this.#end(input, 'takenBack', rollback.reason)
+      return true
+    }
+    if (outcome) return true
+    if (input.cfg.control === 'takeBack') {
+      yield * this.#rollBack(input, 'an operator took the move back')
+      return true
+    }
+    if (input.cfg.control === 'finish' && this.#opts.capacity.readySlots > 0) {
+      const before = input.facts.stage?.share ?? 0
+      if (before < 1) yield * this.#publishStage(input, 1)
+      yield * this.#end(input, 'done', `an operator finished the move at a share of ${formatShare(before)}`)
+      return true
+    }
+    return false
+  }
+
+  /** Takes over the stage in force, which another coordinator may have published. */
+  #follow (input: CoordinatorInput): void {
+    const stage = input.facts.stage
+    if ((stage?.stage ?? 0) <= this.#stage) return
+    this.#enterStage(input, stage?.stage ?? 0, stage?.share ?? 0)
+  }
+
+  #enterStage (input: CoordinatorInput, stage: number, share: number): void {
+    const returning = share === 1 && this.#stage >= HOLD_STAGE
+    this.#stage = stage
+    this.#share = share
+    this.#enteredAt = input.now
+    this.#plannedMs = share === 0 ? observeMs(this.#leftMs(input)) : stageMs(share, this.#leftMs(input))
+    if (returning) this.#hold = new HoldAlarm(this.#opts.routes)
+    if (this.#phase !== 'alarm') {
+      this.#alarm = undefined
+      return
+    }
+    this.#test = this.#newTest()
+    this.#alarm ??= new AlarmTest(undefined)
+    this.#alarm.start(input.now)
+  }
+
+  get #phase (): Phase {
+    if (this.#stage >= HOLD_STAGE) return this.#share === 1 ? 'hold' : 'alarm'
+    return this.#stage <= 0 ? 'observe' : 'ramp'
+  }
+
+  #learn (input: CoordinatorInput, cells: readonly Cell[]): void {
+    const countSlow = !this.#isWarming(input, cells)
+    if (this.#phase === 'observe') {
+      for (const cell of cells) this.#observedCalls += cell.old.calls
+    } else {
+      this.#test.update(cells, this.#baseline, countSlow)
+      if (this.#phase === 'hold') this.#hold.update(cells, this.#baseline, countSlow)
+    }
+    for (const cell of cells) this.#baseline.add(cell)
+  }
+
+  /** Cold instances are slow at first; restarting ones may claim this only for a bounded time in all. */
+  #isWarming (input: CoordinatorInput, cells: readonly Cell[]): boolean {
+    const arrivals = this.#opts.capacity.arrivals
+    const hasCalls = cells.some((cell) => cell.new.calls > 0)
+    if (hasCalls && arrivals !== this.#arrivals && this.#warmedMs < MAX_WARM_UP_MS) {
+      this.#arrivals = arrivals
+      this.#warmedMs += WARM_UP_MS
+      this.#warmUntil = input.now + WARM_UP_MS
+    }
+    return input.now < this.#warmUntil
+  }
+
+  #verdict (): string | undefined {
+    const { lostNew, lostOld } = this.#opts.capacity
+    if (this.#phase !== 'observe' && lostNew >= CRASH_LIMIT && lostNew >= CRASH_LIMIT * (lostOld + 1)) {
+      return `${lostNew} targets of ${this.#opts.to} were lost during the move, and ${lostOld} of ${this.#opts.from}`
+    }
+    return this.#phase === 'observe' ? undefined : this.#test.verdict
+  }
+
+  * #steer (input: CoordinatorInput, gap: number): Generator<MoveEffect> {
+    if (input.cfg.control === 'paused') {
+      this.#enteredAt += gap
+      return yield * this.#tell('movePaused', 'an operator paused the move')
+    }
+    if (this.#told !== '' && this.#told.startsWith('an operator')) {
+      this.#told = ''
+      yield this.#event('moveResumed', { share: this.#share })
+    }
+    switch (this.#phase) {
+      case 'observe':
+      case 'ramp':
+        return yield * this.#steerRamp(input)
+      case 'hold':
+        return yield * this.#steerHold(input)
+      case 'alarm':
+        return yield * this.#steerAlarm(input)
+    }
+  }
+
+  * #steerRamp (input: CoordinatorInput): Generator<MoveEffect> {
+    const left = this.#leftMs(input)
+    const unsure = unsureChoice(input.cfg, input.service)
+    if (this.#share === 0 && unsure === 'keepOld' && this.#startedAt === input.now && left < SHORTEST_RAMP_MS) {
+      return yield * this.#end(input, 'late', tooLateReason(left, this.#opts.from))
+    }
+    const step = this.#rampStep(input, left)
+    switch (step.kind) {
+      case 'advance':
+        return yield * this.#publishStage(input, step.share)
+      case 'late':
+        return yield * this.#end(input, 'late', step.reason)
+      case 'wait':
+        if (input.now - this.#enteredAt >= this.#plannedMs && step.reason !== undefined) {
+          yield * this.#tell('movePaused', step.reason)
+        }
+    }
+  }
+
+  #rampStep (input: CoordinatorInput, leftMs: number): RampStep {
+    const { capacity, from, to } = this.#opts
+    const observedSeconds = Math.max(1, (input.now - this.#enteredAt) / 1000)
+    return rampStep({
+      share: this.#share,
+      first: this.#share === 0 ? firstShare(this.#observedCalls / observedSeconds) : 0,
+      elapsedMs: input.now - this.#enteredAt,
+      plannedMs: this.#plannedMs,
+      leftMs,
+      unsure: unsureChoice(input.cfg, input.service),
+      newCalls: this.#test.newCalls,
+      suspicious: this.#test.isSuspicious,
+      bound: capacity.bound,
+      readySlots: capacity.readySlots,
+      neededSlots: capacity.neededSlots,
+      from,
+      to
+    })
+  }
+
+  * #steerHold (input: CoordinatorInput): Generator<MoveEffect> {
+    const alarm = this.#hold.alarm
+    if (!alarm) {
+      if (input.now - this.#enteredAt < input.cfg.hold + SPREAD_MS) return
+      return yield * this.#end(input, 'done', this.#doneReason(input))
+    }
+    const what = `${this.#opts.to} has more ${alarm.kind === 'errors' ? 'failed' : 'slow'} calls at 100% than ` +
+      `${this.#opts.from} had before (${(alarm.rate * 100).toPrecision(2)}%)`
+    this.#alarms++
+    if (this.#alarms >= MAX_HOLD_ALARMS) {
+      return yield * this.#rollBack(input, `${what}, for the ${this.#alarms}rd time, though not at smaller shares`)
+    }
+    yield this.#event('moveAlarm', { share: 1, reason: what })
+    this.#alarm = new AlarmTest(alarm)
+    yield * this.#publishStage(input, ALARM_SHARES[Math.min(this.#alarms, ALARM_SHARES.length) - 1]!)
+  }
+
+  * #steerAlarm (input: CoordinatorInput): Generator<MoveEffect> {
+    const result = this.#alarm!.result(input.now, this.#test)
+    if (result === 'wait') return
+    if (result === 'cleared' || unsureChoice(input.cfg, input.service) === 'finish') {
+      return yield * this.#publishStage(input, 1)
+    }
+    yield * this.#rollBack(input, `an alarm at 100% could not be cleared by ${this.#test.newCalls} calls at a share ` +
+      `of ${formatShare(this.#share)}`)
+  }
+
+  * #publishStage (input: CoordinatorInput, share: number): Generator<MoveEffect> {
+    const after = Math.max(this.#stage, 0) + 1
+    const stage = share === 1 ? Math.max(after, HOLD_STAGE) : after
+    this.#told = ''
+    this.#enterStage(input, stage, share)
+    yield this.#publish({ kind: 'stage', move: this.#opts.move, stage, share, at: input.wallNow })
+    yield this.#event('moveStage', { service: input.cfg.service, share })
+  }
+
+  * #rollBack (input: CoordinatorInput, reason: string): Generator<MoveEffect> {
+    const { move, daemon } = this.#opts
+    yield this.#publish({ kind: 'rollback', move, reason, at: input.wallNow, daemon })
+    yield this.#event('moveRollback', { service: input.cfg.service, share: this.#share, reason })
+    yield * this.#end(input, 'takenBack', reason)
+  }
+
+  * #end (input: CoordinatorInput, outcome: MoveOutcome, reason: string): Generator<MoveEffect> {
+    yield this.#publish({ kind: 'outcome', move: this.#opts.move, outcome, reason, at: input.wallNow })
+    yield this.#event('moveEnded', { service: input.cfg.service, outcome, reason })
+  }
+
+  /** Reports why a move stands still, once per reason. */
+  * #tell (type: EventType, reason: string): Generator<MoveEffect> {
+    const kind = reason.replace(/\d+/g, '#')
+    if (this.#told === kind) return
+    this.#told = kind
+    yield this.#event(type, { share: this.#share, reason })
+  }
+
+  #doneReason (input: CoordinatorInput): string {
+    const late = -(this.#leftMs(input) + (input.now - this.#enteredAt))
+    const when = late > 0 && this.#alarms === 0 ? `, ${Math.ceil(late / 1000)} s after the deadline` : ''
+    return `all traffic is on ${this.#opts.to}${when}, and the hold time passed without a fault`
+  }
+
+  #leftMs (input: CoordinatorInput): number {
+    return Date.parse(input.cfg.by) - input.wallNow
+  }
+
+  #newTest (): VersionTest {
+    return new VersionTest(this.#opts.from, this.#opts.to, this.#opts.routes)
+  }
+
+  #publish (fact: MoveFact): MoveEffect {
+    return { kind: 'publishFact', fact }
+  }
+
+  #event (type: EventType, fields: EventFields): MoveEffect {
+    return { kind: 'event', type, fields: { move: this.#opts.move, ...fields }, cause: this.#opts.move }
+  }
+}
+
+/** Part of the time left that is spent on measuring the old version first. */
+const OBSERVE_PART = 0.05
+
+function observeMs (leftMs: number): number {
+  return Math.max(OBSERVE_MS, Math.min(leftMs * OBSERVE_PART, 10_000))
+}
+
+function formatShare (share: number): string {
+  return `${Number((share * 100).toPrecision(3))}%`
+}
+
+function tooLateReason (leftMs: number, from: string): string {
+  const when = leftMs <= 0
+    ? `the deadline had passed ${Math.ceil(-leftMs / 1000)} s before the move began`
+    : `the deadline was ${Math.floor(leftMs / 1000)} s away and the shortest ramp takes ${SHORTEST_RAMP_MS / 1000} s`
+  return `${when}, so all traffic stays on ${from}`
+}
--- /dev/null
+++ b/packages/moves/src/counters.ts
@@ -0,0 +1,96 @@
+import type { EvidenceReport, EvidenceRow } from '@lentilwheel/core'
+import { BUCKET_COUNT, latencyBucket } from './latency.js'
+
+/** Calls of one route to one version since the last report. */
+export class RouteCounter {
+  calls = 0
+  errors = 0
+  readonly buckets = new Uint32Array(BUCKET_COUNT)
+
+  add (ok: boolean, latencyMs: number, n: number): void {
+    this.calls += n
+    if (!ok) {
+      this.errors += n
+      return
+    }
+    const bucket = latencyBucket(latencyMs)
+    this.buckets[bucket] = this.buckets[bucket]! + n
+  }
+
+  reset (): void {
+    this.calls = 0
+    this.errors = 0
+    this.buckets.fill(0)
+  }
+}
+
+/** Counters of one version of a service, one per route; all exist before the first call, so counting allocates nothing. */
+export class VersionCounters {
+  readonly version: string
+  readonly #byRoute: Map<string, RouteCounter>
+
+  constructor (version: string, routes: Iterable<string>) {
+    this.version = version
+    this.#byRoute = new Map(Array.from(routes, (route) => [route, new RouteCounter()]))
+  }
+
+  add (route: string, ok: boolean, latencyMs: number, n: number): void {
+    this.#byRoute.get(route)?.add(ok, latencyMs, n)
+  }
+
+  /** Rows of the routes that had calls; empties the counters. */
+  take (): EvidenceRow[] {
+    const rows: EvidenceRow[] = []
+    for (const [route, counter] of this.#byRoute) {
+      if (counter.calls === 0) continue
+      const { calls, errors } = counter
+      rows.push({ route, version: this.version, calls, errors, buckets: withoutTrailingZeros(counter.buckets) })
+      counter.reset()
+    }
+    return rows
+  }
+}
+
+function withoutTrailingZeros (buckets: Uint32Array): number[] {
+  let length = buckets.length
+  while (length > 0 && buckets[length - 1] === 0) length--
+  return Array.from(buckets.subarray(0, length))
+}
+
+/** Sums of many rows of one route and version. */
+export class RowSum {
+  calls = 0
+  errors = 0
+  readonly buckets = new Float64Array(BUCKET_COUNT)
+
+  add (row: Pick<EvidenceRow, 'calls' | 'errors'> & { buckets: ArrayLike<number> }): void {
+    this.calls += row.calls
+    this.errors += row.errors
+    const length = Math.min(row.buckets.length, BUCKET_COUNT)
+    for (let i = 0; i < length; i++) this.buckets[i] = this.buckets[i]! + row.buckets[i]!
+  }
+
+  get successes (): number {
+    return this.calls - this.errors
+  }
+
+  /** Forgets a part of the past, so that the sum follows a version whose latency drifts. */
+  scale (factor: number): void {
+    this.calls *= factor
+    this.errors *= factor
+    for (let i = 0; i < this.buckets.length; i++) this.buckets[i] = this.buckets[i]! * factor
+  }
+}
+
+/** True when a report's numbers can be counted; a damaged or hostile one is dropped whole. */
+export function isSoundReport (report: EvidenceReport): boolean {
+  return report.rows.every((row) => {
+    const successes = row.buckets.reduce((sum, n) => sum + n, 0)
+    return isCount(row.calls) && isCount(row.errors) && row.buckets.every(isCount) &&
+      row.buckets.length <= BUCKET_COUNT && row.errors + successes === row.calls
+  })
+}
+
+function isCount (n: number): boolean {
+  return Number.isSafeInteger(n) && n >= 0
+}
--- /dev/null
+++ b/packages/moves/src/evidence.ts
@@ -0,0 +1,100 @@
+import type { EvidenceReport, EvidenceRow } from '@lentilwheel/core'
+import { SLOW_MIN_CALLS, SLOW_QUANTILES, SLOW_TOLERANCE_BUCKETS } from './constants.js'
+import { isSoundReport, RowSum } from './counters.js'
+import type { Table } from './hypergeometric.js'
+import { countAbove, quantileBucket } from './latency.js'
+
+/** Calls of one route in one window under one stage. */
+export interface Cell {
+  route: string
+  new: RowSum
+  old: RowSum
+}
+
+/** Slow-call bounds of one route: the last bucket that isn't slow, for each quantile that has enough calls. */
+export type SlowBounds = readonly (number | undefined)[]
+
+/**
+ * Reports of all daemons since the last window. Reports of different stages are kept apart: pooling different shares
+ * would make a fault of one moment look like a fault of one version.
+ */
+export class Window {
+  readonly #from: string
+  readonly #to: string
+  readonly #cells = new Map<string, Cell>()
+
+  constructor (from: string, to: string) {
+    this.#from = from
+    this.#to = to
+  }
+
+  add (report: EvidenceReport, stage: number): void {
+    if (!isSoundReport(report)) return
+    for (const row of report.rows) this.#addRow(row, report.stage ?? stage)
+  }
+
+  cells (): IterableIterator<Cell> {
+    return this.#cells.values()
+  }
+
+  #addRow (row: EvidenceRow, stage: number): void {
+    if (row.version !== this.#from && row.version !== this.#to) return
+    const key = `${stage} ${row.route}`
+    let cell = this.#cells.get(key)
+    if (!cell) {
+      cell = { route: row.route, new: new RowSum(), old: new RowSum() }
+      this.#cells.set(key, cell)
+    }
+    const sum = row.version === this.#to ? cell.new : cell.old
+    sum.add(row)
+  }
+}
+
+/** Past calls above which the older half of the baseline's weight is dropped. */
+const BASELINE_CALLS = 100_000
+
+/** What the old version did until now: fixes slow-call bounds before each window, and the hold time's reference. */
+export class Baseline {
+  readonly service = new RowSum()
+  readonly #routes = new Map<string, RowSum>()
+
+  add (cell: Pick<Cell, 'route' | 'old'>): void {
+    if (cell.old.calls === 0) return
+    this.service.add(cell.old)
+    this.route(cell.route).add(cell.old)
+    for (const sum of [this.service, this.route(cell.route)]) if (sum.calls > BASELINE_CALLS) sum.scale(0.5)
+  }
+
+  route (name: string): RowSum {
+    let sum = this.#routes.get(name)
+    if (!sum) {
+      sum = new RowSum()
+      this.#routes.set(name, sum)
+    }
+    return sum
+  }
+
+  /** Bounds from the route's own calls, or from the service's while the route has too few. */
+  slowBounds (route: string): SlowBounds {
+    return SLOW_QUANTILES.map((quantile, i) => {
+      const source = [this.route(route), this.service].find((sum) => sum.successes >= SLOW_MIN_CALLS[i]!)
+      return source && quantileBucket(source.buckets, source.successes, quantile)
+    })
+  }
+}
+
+export function errorTable (cell: Cell): Table {
+  return {
+    callsNew: cell.new.calls, badNew: cell.new.errors, callsOld: cell.old.calls, badOld: cell.old.errors
+  }
+}
+
+/** Slow calls of both versions; the new version's bound is higher by the tolerated slowness. */
+export function slowTable (cell: Cell, bound: number): Table {
+  return {
+    callsNew: cell.new.successes,
+    badNew: countAbove(cell.new.buckets, bound + SLOW_TOLERANCE_BUCKETS),
+    callsOld: cell.old.successes,
+    badOld: countAbove(cell.old.buckets, bound)
+  }
+}
--- /dev/null
+++ b/packages/moves/src/holdAlarm.ts
@@ -0,0 +1,103 @@
+import { HOLD_ALARM, SLOW_QUANTILES, SLOW_TOLERANCE_BUCKETS } from './constants.js'
+import { EProcess } from './eProcess.js'
+import type { Baseline, Cell } from './evidence.js'
+import { countAbove } from './latency.js'
+
+/** Ratios to the old version's past rate that the alarm looks for. */
+const RATE_RATIOS: readonly number[] = [2, 4, 16, 64]
+const MAX_RATE = 0.9
+/** Past rate assumed when a new coordinator has seen no calls of the old version. */
+const UNKNOWN_RATE = 0.02
+/** The past rate is taken higher than seen by this factor, because other times differ. */
+const DRIFT = 1.3
+/** Past calls that an estimate needs. */
+const MIN_PAST_CALLS = 100
+/** Calls of the alarm's rate estimate. */
+const RECENT_CALLS = 200
+
+/** Watches one rate of the new version against the old version's past while no calls go to the old version. */
+class RateWatch {
+  readonly #process = new EProcess(RATE_RATIOS.length)
+  readonly #logs = new Float64Array(RATE_RATIOS.length)
+  #recentCalls = 0
+  #recentBad = 0
+
+  update (calls: number, bad: number, past: number): void {
+    RATE_RATIOS.forEach((ratio, i) => {
+      const rate = Math.min(MAX_RATE, past * ratio)
+      this.#logs[i] = bad * Math.log(rate / past) + (calls - bad) * Math.log((1 - rate) / (1 - past))
+    })
+    this.#process.update(this.#logs)
+    const keep = Math.min(1, RECENT_CALLS / (this.#recentCalls + 1))
+    this.#recentCalls = this.#recentCalls * keep + calls
+    this.#recentBad = this.#recentBad * keep + bad
+  }
+
+  get value (): number {
+    return this.#process.value
+  }
+
+  get recentRate (): number {
+    return this.#recentCalls === 0 ? 0 : this.#recentBad / this.#recentCalls
+  }
+}
+
+export interface Alarm {
+  kind: 'errors' | 'slow'
+  /** Rate of bad calls that raised it. */
+  rate: number
+}
+
+/** Asks for a concurrent test when the new version at 100% does worse than the old version did before. */
+export class HoldAlarm {
+  readonly #errors = new Map<string, RateWatch>()
+  readonly #slow = new RateWatch()
+  readonly #allErrors = new RateWatch()
+
+  constructor (routes: Iterable<string>) {
+    for (const route of routes) this.#errors.set(route, new RateWatch())
+  }
+
+  update (cells: readonly Cell[], baseline: Baseline, countSlow: boolean): void {
+    let calls = 0
+    let errors = 0
+    for (const cell of cells) {
+      calls += cell.new.calls
+      errors += cell.new.errors
+      this.#errors.get(cell.route)?.update(cell.new.calls, cell.new.errors, pastErrorRate(baseline, cell.route))
+    }
+    this.#allErrors.update(calls, errors, pastErrorRate(baseline))
+    if (countSlow) this.#updateSlow(cells, baseline)
+  }
+
+  get alarm (): Alarm | undefined {
+    const routes = [...this.#errors.values()]
+    const routeMean = routes.reduce((sum, watch) => sum + watch.value, 0) / Math.max(1, routes.length)
+    if ((this.#allErrors.value + routeMean) / 2 >= HOLD_ALARM) {
+      return { kind: 'errors', rate: this.#allErrors.recentRate }
+    }
+    return this.#slow.value >= HOLD_ALARM ? { kind: 'slow', rate: this.#slow.recentRate } : undefined
+  }
+
+  /** Slowness is watched at the lowest quantile only, over all routes. */
+  #updateSlow (cells: readonly Cell[], baseline: Baseline): void {
+    let calls = 0
+    let slow = 0
+    for (const cell of cells) {
+      const bound = baseline.slowBounds(cell.route)[0]
+      if (bound === undefined) continue
+      calls += cell.new.successes
+      slow += countAbove(cell.new.buckets, bound + SLOW_TOLERANCE_BUCKETS)
+    }
+    this.#slow.update(calls, slow, (1 - SLOW_QUANTILES[0]!) * DRIFT)
+  }
+}
+
+/** Upper estimate of the old version's failure rate, on one route or over all. */
+function pastErrorRate (baseline: Baseline, route?: string): number {
+  const own = route === undefined ? baseline.service : baseline.route(route)
+  const sum = own.calls >= MIN_PAST_CALLS ? own : baseline.service
+  if (sum.calls < MIN_PAST_CALLS) return UNKNOWN_RATE
+  const upper = (sum.errors + 2 * Math.sqrt(sum.errors + 1) + 1) / sum.calls * DRIFT
+  return Math.min(MAX_RATE / 2, upper)
+}
--- /dev/null
+++ b/packages/moves/src/plan.ts
@@ -0,0 +1,65 @@
+import { unsureChoice, type Move, type Service } from '@lentilwheel/config'
+import {
+  FIRST_STAGE_CALLS_PER_SECOND, MAX_FIRST_SHARE, MAX_STAGE_MS, MIN_STAGE_MS, OBSERVE_MS, PLANNED_TIME_PART, SPREAD_MS,
+  STAGE_SHARES, STAGE_WEIGHTS
+} from './constants.js'
+
+/** Something about a move that acceptance should tell the operator. */
+export interface PlanWarning {
+  code: 'deadline-past' | 'deadline-impossible'
+  message: string
+}
+
+/** Time that the shortest ramp needs until every daemon sends everything to the new version. */
+export const SHORTEST_RAMP_MS = OBSERVE_MS + (STAGE_SHARES.length - 1) * MIN_STAGE_MS + SPREAD_MS
+
+/** Warns of a deadline that no ramp can meet; `now` is Unix milliseconds. */
+export function planWarnings (move: Move, service: Service, now: number): PlanWarning[] {
+  if (move.control === 'takeBack' || move.control === 'finish') return []
+  const left = Date.parse(move.by) - now
+  const then = unsureChoice(move, service) === 'keepOld'
+    ? 'the move would end late at once, with all traffic on the old version'
+    : 'the move would take every stage as fast as it can and be done after its deadline'
+  if (left <= 0) {
+    return [{ code: 'deadline-past', message: `the deadline ${move.by} has passed; ${then}` }]
+  }
+  if (left >= SHORTEST_RAMP_MS) return []
+  const message = `the deadline ${move.by} is ${Math.floor(left / 1000)} s away and the shortest ramp takes ` +
+    `${SHORTEST_RAMP_MS / 1000} s; ${then}`
+  return [{ code: 'deadline-impossible', message }]
+}
+
+/** Share of the first stage: raised for a quiet service until it yields evidence. */
+export function firstShare (callsPerSecond: number): number {
+  const wanted = FIRST_STAGE_CALLS_PER_SECOND / Math.max(callsPerSecond, 1e-9)
+  return Math.min(MAX_FIRST_SHARE, Math.max(STAGE_SHARES[0]!, wanted))
+}
+
+/** The share after the given one. */
+export function nextShare (share: number, first: number): number {
+  if (share < first) return first
+  return STAGE_SHARES.find((candidate) => candidate > share + 1e-9) ?? 1
+}
+
+/** Time to stay at a share, worked back from the time left until the deadline. */
+export function stageMs (share: number, leftMs: number): number {
+  const index = stageIndex(share)
+  const weights = STAGE_WEIGHTS.slice(index)
+  const sum = weights.reduce((total, weight) => total + weight, 0)
+  const part = sum === 0 ? 0 : weights[0]! / sum
+  const planned = (leftMs - SPREAD_MS) * PLANNED_TIME_PART * part
+  return Math.min(MAX_STAGE_MS, Math.max(MIN_STAGE_MS, planned))
+}
+
+/** Least time from a share to all traffic everywhere. */
+export function shortestMs (share: number): number {
+  const stages = share === 0 ? STAGE_SHARES.length - 1 : STAGE_WEIGHTS.length - stageIndex(share)
+  return stages * MIN_STAGE_MS + SPREAD_MS
+}
+
+/** The last regular stage at or below a share; a raised or bounded share counts as the stage below it. */
+function stageIndex (share: number): number {
+  let index = 0
+  for (let i = 0; i < STAGE_SHARES.length; i++) if (STAGE_SHARES[i]! <= share + 1e-9) index = i
+  return index
+}
