--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
 export * from './apply.js'
+export * from './account/schema.js'
