Add the mesh: membership, dissemination, floor, relays, facts, evidence and events

A first whole version over UDP and connect-es. Small pushes (records, facts, small deltas) go down the delegated tree in datagrams, larger ones in calls. Leases, accounts and move records are in the platform package.

--- /dev/null
+++ b/packages/mesh/src/floor/announce.ts
@@ -0,0 +1,24 @@
+import { shuffled, type Random } from '@lentilwheel/core'
+import { ANNOUNCE_PEERS, CHILD_TIMEOUT_MS } from '../constants.js'
+import type { MemberTable } from '../membership/table.js'
+import type { Messenger } from '../wire/messenger.js'
+
+/**
+ * Tells two peers of a version and waits for their answers, so that the floor outlives this daemon when it dies right
+ * after it took the version into force. Peers that don't answer are replaced until all were asked once.
+ */
+export async function announceVersion (
+  parts: { messenger: Messenger, table: MemberTable, random: Random }, version: number
+): Promise<number> {
+  const { messenger, table, random } = parts
+  const reachable = shuffled(table.members().filter((member) => table.status(member) === 'alive'), random)
+  let answers = 0
+  while (answers < ANNOUNCE_PEERS && reachable.length > 0) {
+    const asked = reachable.splice(0, ANNOUNCE_PEERS - answers)
+    const results = await Promise.all(asked.map(async ({ address }) => {
+      return await messenger.request(address, { case: 'ping', value: {} }, CHILD_TIMEOUT_MS, version)
+    }))
+    answers += results.filter((header) => header !== undefined).length
+  }
+  return answers
+}
--- /dev/null
+++ b/packages/mesh/src/floor/starter.ts
@@ -0,0 +1,208 @@
+import { backoffMs, shuffled, type Cancel } from '@lentilwheel/core'
+import {
+  decodeHead, decodeLease, decodeMoveRecord, factsOfRecord, HEAD_KEY, LEASE_PREFIX, MOVE_PREFIX
+} from '@lentilwheel/platform'
+import {
+  JOIN_GRACE_MS, START_ASKS, START_BACKOFF_MS, START_BACKOFF_PER_MEMBER_MS, START_PERIOD_MS
+} from '../constants.js'
+import type { MeshContext } from '../context.js'
+import type { Exchanger } from '../membership/exchanger.js'
+import type { Header } from '../gen/mesh_pb.js'
+import type { Readiness } from '../types.js'
+import { meshAddress, type MeshAddress } from '../wire/address.js'
+import { startRule } from './startRule.js'
+import { takeHead } from './takeHead.js'
+
+/** Seeds asked in each period until one answers. */
+const SEEDS_AT_ONCE = 2
+const ASK_TIMEOUT_MS = 200
+const JOIN_BACKOFF_CAP_MS = 2_000
+
+/** Brings a starting daemon into the mesh and decides when it may serve. */
+export class Starter {
+  readonly #ctx: MeshContext
+  readonly #exchanger: Exchanger
+  readonly #onReadiness: (readiness: Readiness) => void
+  readonly #seeds: readonly MeshAddress[]
+  readonly #answered = new Set<string>()
+  readonly #ready = new Set<string>()
+  #readiness: Readiness = { ready: false, reason: 'starting' }
+  #headKnown = false
+  #factsLoaded = false
+  #isJoined = false
+  #isJoining = false
+  #joinAttempt = 0
+  #joinDueAt = 0
+  #startedAt = 0
+  #platformAttempt = 0
+  #platformDueAt = 0
+  #cancel: Cancel = () => {}
+
+  constructor (ctx: MeshContext, exchanger: Exchanger, onReadiness: (readiness: Readiness) => void) {
+    this.#ctx = ctx
+    this.#exchanger = exchanger
+    this.#onReadiness = onReadiness
+    const own = meshAddress(ctx.table.self.address, ctx.table.self.meshPort)
+    this.#seeds = ctx.opts.seeds.filter((seed) => seed !== own)
+  }
+
+  get readiness (): Readiness {
+    return this.#readiness
+  }
+
+  start (): void {
+    const { timers } = this.#ctx.opts
+    this.#startedAt = timers.now()
+    this.#platformDueAt = timers.now() + this.#platformDelay()
+    const cancelEvery = timers.every(START_PERIOD_MS, () => this.#tick(), { jitter: 0.2 })
+    const cancelFirst = timers.after(0, () => this.#tick())
+    this.#cancel = () => {
+      cancelEvery()
+      cancelFirst()
+    }
+  }
+
+  stop (): void {
+    this.#cancel()
+  }
+
+  /** Whether this daemon knows the mesh well enough to become relay; seeds that don't answer end the wait. */
+  get mayLead (): boolean {
+    if (this.#isJoined || this.#seeds.length === 0) return true
+    return this.#ctx.opts.timers.now() - this.#startedAt >= JOIN_GRACE_MS
+  }
+
+  /** The head or a push that comes from it told the version in force. */
+  sawHead (): void {
+    this.#headKnown = true
+    this.check()
+  }
+
+  sawFacts (): void {
+    this.#factsLoaded = true
+    this.check()
+  }
+
+  /** An answer of a peer that came after the start. */
+  answered (header: Header): void {
+    if (this.#readiness.ready) return
+    this.#answered.add(header.from)
+    if (header.ready) this.#ready.add(header.from)
+  }
+
+  check (): void {
+    if (this.#readiness.ready) return
+    const { table, holder, floor } = this.#ctx
+    const peers = table.members().filter((member) => table.status(member) !== 'unreachable')
+    const next = startRule({
+      version: holder.snapshot.version,
+      floor: floor.value,
+      headKnown: this.#headKnown,
+      readyAnswers: this.#ready.size,
+      answers: peers.filter((member) => this.#answered.has(member.record.id)).length,
+      peers: peers.length,
+      factsLoaded: this.#factsLoaded
+    })
+    const isNew = next.ready !== this.#readiness.ready || next.reason !== this.#readiness.reason
+    this.#readiness = next
+    if (isNew) this.#onReadiness(next)
+  }
+
+  #tick (): void {
+    if (this.#readiness.ready && this.#isJoined) return this.#cancel()
+    if (!this.#isJoined) this.#join().catch(() => {})
+    if (!this.#readiness.ready) {
+      this.#askPeers()
+      this.#loadFacts()
+      this.#askPlatform().catch(() => {})
+    }
+    this.check()
+    if (this.#readiness.ready && this.#seeds.length === 0) this.#cancel()
+  }
+
+  async #join (): Promise<void> {
+    const { table, opts } = this.#ctx
+    const now = opts.timers.now()
+    if (this.#isJoining || now < this.#joinDueAt) return
+    this.#joinDueAt = now + backoffMs(this.#joinAttempt++, { baseMs: START_PERIOD_MS, capMs: JOIN_BACKOFF_CAP_MS }, opts.random)
+    this.#isJoining = true
+    try {
+      const known = table.members().map((member) => member.address)
+      const asked = shuffled([...new Set([...this.#seeds, ...known])], opts.random).slice(0, SEEDS_AT_ONCE)
+      await Promise.all(asked.map(async (address) => await this.#exchange(address).catch(() => {})))
+    } finally {
+      this.#isJoining = false
+    }
+  }
+
+  async #exchange (address: MeshAddress): Promise<void> {
+    const outcome = await this.#exchanger.with(address)
+    if (outcome.kind === 'retry') return
+    this.answered(outcome.header)
+    if (outcome.header.ready) this.sawFacts()
+    if (this.#isJoined) return
+    this.#isJoined = true
+    this.#ctx.changeSelf({})
+  }
+
+  #askPeers (): void {
+    const { table, messenger, opts } = this.#ctx
+    const unasked = table.members().filter((member) => {
+      return !this.#answered.has(member.record.id) && table.status(member) !== 'unreachable'
+    })
+    for (const member of shuffled(unasked, opts.random).slice(0, START_ASKS)) {
+      messenger.request(member.address, { case: 'ping', value: {} }, ASK_TIMEOUT_MS).then((header) => {
+        if (header) this.answered(header)
+        this.check()
+      }).catch(() => {})
+    }
+  }
+
+  /** Facts must come from a ready peer, since others may have missed some. */
+  #loadFacts (): void {
+    if (this.#factsLoaded || this.#isJoining || this.#ready.size === 0) return
+    const { table, opts } = this.#ctx
+    const member = table.get(opts.random.pick([...this.#ready]))
+    if (member) this.#exchange(member.address).catch(() => {})
+  }
+
+  /**
+   * Reads the platform itself when the mesh does not help. The delay grows with the fleet, so that a restart of all
+   * daemons leaves this to the relays.
+   */
+  async #askPlatform (): Promise<void> {
+    const { platform, timers, random } = this.#ctx.opts
+    if (timers.now() < this.#platformDueAt) return
+    this.#platformDueAt = timers.now() + backoffMs(this.#platformAttempt++, {
+      baseMs: START_BACKOFF_MS, capMs: 4 * START_BACKOFF_MS + this.#ctx.table.size * START_BACKOFF_PER_MEMBER_MS
+    }, random)
+    if (this.#ctx.table.size === 1) await this.#findMesh()
+    const stored = await platform.get(HEAD_KEY)
+    if (!stored) return
+    const head = decodeHead(stored.value)
+    this.#ctx.floor.raise(head.version)
+    for (const object of await platform.list(MOVE_PREFIX)) {
+      const record = decodeMoveRecord(object.value)
+      if (record) this.#ctx.mergeFacts(factsOfRecord(record))
+    }
+    if (head.version > this.#ctx.holder.snapshot.version) await takeHead(this.#ctx, head, 'pull')
+    this.sawFacts()
+    this.sawHead()
+  }
+
+  /** All seeds are gone: the relays' leases name daemons of the mesh. */
+  async #findMesh (): Promise<void> {
+    const own = this.#ctx.table.self.id
+    for (const object of await this.#ctx.opts.platform.list(LEASE_PREFIX)) {
+      const lease = decodeLease(object)
+      if (!lease || lease.holder === own || lease.holder === '') continue
+      await this.#exchange(lease.address).catch(() => {})
+      if (this.#isJoined) return
+    }
+  }
+
+  #platformDelay (): number {
+    const { random } = this.#ctx.opts
+    return JOIN_GRACE_MS + random.next() * START_BACKOFF_MS
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/membership/prober.ts
@@ -0,0 +1,70 @@
+import type { Cancel } from '@lentilwheel/core'
+import { INDIRECT_PROBES, PROBE_PERIOD_MS, PROBE_TIMEOUT_MS } from '../constants.js'
+import type { MeshContext } from '../context.js'
+import type { Datagram } from '../gen/mesh_pb.js'
+import { splitAddress, ipToNumber, meshAddress, type MeshAddress } from '../wire/address.js'
+import { ProbeOrder, pickReachable, pickUnreachable } from './probing.js'
+import type { Member } from './table.js'
+
+/** Probes one member each period, and one of those that this daemon could not reach. */
+export class Prober {
+  readonly #ctx: MeshContext
+  readonly #order: ProbeOrder
+  readonly #onFailed: (member: Member) => void
+  #cancel: Cancel = () => {}
+
+  constructor (ctx: MeshContext, onFailed: (member: Member) => void) {
+    this.#ctx = ctx
+    this.#order = new ProbeOrder(ctx.opts.random)
+    this.#onFailed = onFailed
+  }
+
+  start (): void {
+    this.#cancel = this.#ctx.opts.timers.every(PROBE_PERIOD_MS, () => this.#tick(), { jitter: 0.1 })
+  }
+
+  stop (): void {
+    this.#cancel()
+  }
+
+  /** Probes another member on behalf of the asking one and passes the answer on. */
+  async probeFor (asker: MeshAddress, datagram: Datagram): Promise<void> {
+    if (datagram.body.case !== 'pingReq') return
+    const { address, port } = datagram.body.value
+    if (await this.#ping(meshAddress(address, port))) this.#ctx.messenger.ack(asker, datagram.seq)
+  }
+
+  #tick (): void {
+    const { table, opts } = this.#ctx
+    const next = this.#order.next(table)
+    if (next) this.#probe(next).catch(() => {})
+    const unreachable = pickUnreachable(table, opts.random)
+    if (unreachable && unreachable !== next) this.#ping(unreachable.address).catch(() => {})
+  }
+
+  async #probe (member: Member): Promise<void> {
+    if (await this.#ping(member.address, member.record.id)) return
+    if (await this.#probeIndirectly(member)) return
+    const { table, isStopped } = this.#ctx
+    const current = table.get(member.record.id)
+    if (isStopped() || current !== member) return
+    this.#onFailed(member)
+  }
+
+  async #ping (address: MeshAddress, id?: string): Promise<boolean> {
+    const header = await this.#ctx.messenger.request(address, { case: 'ping', value: {} }, PROBE_TIMEOUT_MS)
+    return header !== undefined && (id === undefined || header.from === id)
+  }
+
+  async #probeIndirectly (member: Member): Promise<boolean> {
+    const { table, opts, messenger } = this.#ctx
+    const helpers = pickReachable(table, opts.random, INDIRECT_PROBES, (helper) => helper !== member)
+    const { ip, port } = splitAddress(member.address)
+    const body = { case: 'pingReq', value: { address: ipToNumber(ip), port } } as const
+    const limit = PROBE_PERIOD_MS - PROBE_TIMEOUT_MS
+    const answers = await Promise.all(helpers.map(async (helper) => {
+      return await messenger.request(helper.address, body, limit)
+    }))
+    return answers.some((header) => header !== undefined)
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/relay/accountWriter.ts
@@ -0,0 +1,76 @@
+import {
+  accountKey, accountSchema, encodeJson, PlatformConflict, type Account, type Lease
+} from '@lentilwheel/platform'
+import type { MeshContext } from '../context.js'
+import type { StatusCollector } from '../status/collector.js'
+
+/** Writes the account of the data centre when it changed; while the platform is down the newest one is kept. */
+export class AccountWriter {
+  readonly #ctx: MeshContext
+  readonly #collector: StatusCollector
+  readonly #lease: Lease
+  #revision: number | undefined
+  #written = ''
+  #isWriting = false
+
+  constructor (ctx: MeshContext, collector: StatusCollector, lease: Lease) {
+    this.#ctx = ctx
+    this.#collector = collector
+    this.#lease = lease
+  }
+
+  current (): Account {
+    const { table, floor, opts } = this.#ctx
+    const { dataCentre } = table.self
+    const others = table.members().filter((member) => member.record.dataCentre === dataCentre)
+    const members = [table.self.id, ...others.map((member) => member.record.id)].sort()
+    this.#collector.retain(new Set(members))
+    const at = opts.timers.wallNow()
+    return this.#collector.account({ dataCentre, at, token: this.#lease.token ?? 0, members, version: floor.value })
+  }
+
+  /** One step; called at most every 2 s. */
+  async step (): Promise<void> {
+    const token = this.#lease.token
+    if (this.#isWriting || token === undefined) return
+    this.#isWriting = true
+    try {
+      if (this.#revision === undefined) await this.#load()
+      const account = this.current()
+      const content = JSON.stringify({ ...account, at: 0 })
+      if (content === this.#written) return
+      this.#revision = await this.#write(account)
+      this.#written = content
+    } finally {
+      this.#isWriting = false
+    }
+  }
+
+  async #write (account: Account): Promise<number | undefined> {
+    const key = accountKey(account.dataCentre)
+    try {
+      return await this.#ctx.opts.platform.put(key, encodeJson(account), { ifRevision: this.#revision ?? 0 })
+    } catch (err) {
+      this.#revision = undefined
+      if (err instanceof PlatformConflict) this.#written = ''
+      throw err
+    }
+  }
+
+  /** A higher token in the stored account means that another relay took over; this one writes no more. */
+  async #load (): Promise<void> {
+    const stored = await this.#ctx.opts.platform.get(accountKey(this.#ctx.table.self.dataCentre))
+    this.#revision = stored?.revision ?? 0
+    if (!stored) return
+    const parsed = accountSchema.safeParse(readJson(stored.value))
+    if (parsed.success) this.#collector.inherit(parsed.data.refusals)
+  }
+}
+
+function readJson (value: Uint8Array): unknown {
+  try {
+    return JSON.parse(new TextDecoder().decode(value))
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/relay/relayRole.ts
@@ -0,0 +1,129 @@
+import { errorCode, type Cancel } from '@lentilwheel/core'
+import { Lease, leaseKey, type Account } from '@lentilwheel/platform'
+import { ACCOUNT_PERIOD_MS, LEASE_RENEW_MS, LEASE_TTL_MS, RELAY_PERIOD_MS } from '../constants.js'
+import type { MeshContext } from '../context.js'
+import type { StatusCollector } from '../status/collector.js'
+import { AccountWriter } from './accountWriter.js'
+import { liveRelays, relaySlot } from './election.js'
+import { HeadWatch } from './headWatch.js'
+import { MoveWriter } from './moveWriter.js'
+
+export interface RelayHooks {
+  /** The platform told the head, or that there is none. */
+  sawHead (): void
+  /** All facts recorded on the platform are merged. */
+  sawFacts (): void
+  mayLead (): boolean
+}
+
+interface Term {
+  slot: number
+  lease: Lease
+  watch: HeadWatch
+  account: AccountWriter
+  moves: MoveWriter
+  leaseDueAt: number
+  accountDueAt: number
+  isLeasing: boolean
+}
+
+/**
+ * The relay's duties, while membership says that this daemon is one. The lease bounds the writers; reading starts at
+ * once, so that a data centre whose relays all died waits for no lease to end.
+ */
+export class RelayRole {
+  readonly #ctx: MeshContext
+  readonly #collector: StatusCollector
+  readonly #hooks: RelayHooks
+  #term: Term | undefined
+  #cancel: Cancel = () => {}
+
+  constructor (ctx: MeshContext, collector: StatusCollector, hooks: RelayHooks) {
+    this.#ctx = ctx
+    this.#collector = collector
+    this.#hooks = hooks
+  }
+
+  get isRelay (): boolean {
+    return this.#term !== undefined
+  }
+
+  /** First live relay of its data centre: pushes and writes the account. */
+  get isFirst (): boolean {
+    const { table } = this.#ctx
+    return this.isRelay && liveRelays(table, table.self.dataCentre)[0]?.id === table.self.id
+  }
+
+  account (): Account | undefined {
+    return this.#term?.account.current()
+  }
+
+  start (): void {
+    this.#cancel = this.#ctx.opts.timers.every(RELAY_PERIOD_MS, () => this.#tick(), { jitter: 0.2 })
+  }
+
+  async stop (): Promise<void> {
+    this.#cancel()
+    await this.#end()
+  }
+
+  #tick (): void {
+    if (!this.#hooks.mayLead()) return
+    const slot = relaySlot(this.#ctx.table)
+    if (this.#term && slot === undefined) {
+      this.#end().catch(() => {})
+      return
+    }
+    if (slot === undefined) return
+    if (!this.#term) this.#begin(slot)
+    this.#work(this.#term!)
+  }
+
+  #begin (slot: number): void {
+    const { opts, table } = this.#ctx
+    const { id, dataCentre } = table.self
+    const address = `${opts.identity.address}:${opts.identity.ports.mesh}`
+    const key = leaseKey(dataCentre, slot)
+    const lease = new Lease({ client: opts.platform, timers: opts.timers, key, holder: { id, address }, ttlMs: LEASE_TTL_MS })
+    const watch = new HeadWatch(this.#ctx, { isFirst: () => this.isFirst, onHead: () => this.#hooks.sawHead() })
+    const account = new AccountWriter(this.#ctx, this.#collector, lease)
+    const moves = new MoveWriter(this.#ctx)
+    this.#term = { slot, lease, watch, account, moves, leaseDueAt: 0, accountDueAt: 0, isLeasing: false }
+    this.#ctx.changeSelf({ relay: slot + 1 })
+    watch.run().catch((err: unknown) => opts.log.error('watch of the head ended', { code: errorCode(err) }))
+  }
+
+  async #end (): Promise<void> {
+    const term = this.#term
+    if (!term) return
+    this.#term = undefined
+    term.watch.stop()
+    if (!this.#ctx.isStopped()) this.#ctx.changeSelf({ relay: 0 })
+    await term.lease.release().catch(() => {})
+  }
+
+  #work (term: Term): void {
+    const now = this.#ctx.opts.timers.now()
+    if (now >= term.leaseDueAt && !term.isLeasing) this.#stepLease(term, now).catch(() => {})
+    term.moves.step(term.lease.isHeld()).then(() => this.#hooks.sawFacts()).catch(() => {})
+    if (now < term.accountDueAt || !this.isFirst) return
+    term.accountDueAt = now + ACCOUNT_PERIOD_MS
+    term.account.step().catch(() => {})
+  }
+
+  async #stepLease (term: Term, now: number): Promise<void> {
+    const { events, log } = this.#ctx.opts
+    term.isLeasing = true
+    term.leaseDueAt = now + LEASE_RENEW_MS
+    try {
+      const step = await term.lease.step()
+      if (step === 'taken') events.record('leaseTaken', { slot: term.slot })
+      if (step !== 'lost') return
+      events.record('leaseLost', { slot: term.slot })
+      log.info('lease lost, stepping down', { slot: term.slot })
+      if (this.#term === term) await this.#end()
+    } finally {
+      term.isLeasing = false
+    }
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,7 @@
+export * from './account.js'
 export * from './client.js'
 export * from './configStore.js'
 export * from './errors.js'
+export * from './lease.js'
+export * from './moveRecord.js'
 export * from './nodeHttpClient.js'
--- /dev/null
+++ b/packages/platform/src/moveRecord.ts
@@ -0,0 +1,69 @@
+import { MOVE_OUTCOMES, type MoveFact, type MoveFacts } from '@lentilwheel/core'
+import { z } from 'zod'
+
+/** Progress of a move as its coordinator stores it. */
+export const moveRecordSchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  from: z.string(),
+  to: z.string(),
+  by: z.string(),
+  /** 0 before the first stage. */
+  stage: z.int(),
+  share: z.number(),
+  outcome: z.enum(MOVE_OUTCOMES).optional(),
+  reason: z.string().optional(),
+  /** Unix milliseconds of the newest fact. */
+  at: z.number(),
+  stageAt: z.number().optional(),
+  outcomeAt: z.number().optional(),
+  /** Permanent once present. */
+  rollback: z.object({ reason: z.string(), at: z.number(), daemon: z.string() }).optional()
+})
+
+export type MoveRecord = z.output<typeof moveRecordSchema>
+/** What the configuration says of a move. */
+export type MovePlan = Pick<MoveRecord, 'service' | 'from' | 'to' | 'by'>
+
+export const MOVE_PREFIX = 'move/'
+
+export function moveKey (id: string): string {
+  return `${MOVE_PREFIX}${id}`
+}
+
+export function toMoveRecord (id: string, plan: MovePlan, facts: MoveFacts): MoveRecord {
+  const { stage, rollback, outcome } = facts
+  const reason = outcome?.reason ?? rollback?.reason
+  return {
+    id,
+    service: plan.service,
+    from: plan.from,
+    to: plan.to,
+    by: plan.by,
+    stage: stage?.stage ?? 0,
+    share: rollback ? 0 : stage?.share ?? 0,
+    at: Math.max(0, stage?.at ?? 0, rollback?.at ?? 0, outcome?.at ?? 0),
+    ...(stage ? { stageAt: stage.at } : {}),
+    ...(outcome ? { outcome: outcome.outcome, outcomeAt: outcome.at } : {}),
+    ...(reason === undefined ? {} : { reason }),
+    ...(rollback ? { rollback: { reason: rollback.reason, at: rollback.at, daemon: rollback.daemon } } : {})
+  }
+}
+
+/** The facts that a stored record proves; a share of 0 after a rollback tells nothing of the stage's share. */
+export function factsOfRecord (record: MoveRecord): MoveFact[] {
+  const { id: move, stage, share, rollback, outcome, reason = '' } = record
+  const facts: MoveFact[] = []
+  if (stage > 0 && !rollback) facts.push({ kind: 'stage', move, stage, share, at: record.stageAt ?? record.at })
+  if (rollback) facts.push({ kind: 'rollback', move, ...rollback })
+  if (outcome) facts.push({ kind: 'outcome', move, outcome, reason, at: record.outcomeAt ?? record.at })
+  return facts
+}
+
+export function decodeMoveRecord (value: Uint8Array): MoveRecord | undefined {
+  try {
+    return moveRecordSchema.parse(JSON.parse(new TextDecoder().decode(value)))
+  } catch {
+    return undefined
+  }
+}
