--- /dev/null
+++ b/packages/bench/src/path/fleet.ts
@@ -0,0 +1,91 @@
+import { fileURLToPath } from 'node:url'
+import type { EndpointView } from '@lentilwheel/core'
+import type { ConfigInput } from '@lentilwheel/config'
+import { CommandProcess, LOAD_PROGRAM, TARGET_PROGRAM, type LoadRequest, type StreamResult } from '@lentilwheel/testkit'
+
+const PROXY_PROGRAM = fileURLToPath(new URL('./proxyMain.js', import.meta.url))
+export const TARGET_COUNT = 6
+
+/** Enough slots that the proxy and not the targets limits the rate. */
+const SLOTS = 64
+
+export interface ProxyUsage {
+  cpuMs: number
+  rssMb: number
+  counters: Record<string, number>
+}
+
+/** The processes of one run: targets, one proxy and one load process. */
+export class Fleet {
+  readonly targets: CommandProcess[] = []
+  readonly proxy = new CommandProcess(PROXY_PROGRAM, proxyNodeArgs())
+  readonly load = new CommandProcess(LOAD_PROGRAM)
+  targetPorts: number[] = []
+  proxyPort = 0
+  #sent = 0
+
+  async start (): Promise<void> {
+    for (let i = 0; i < TARGET_COUNT; i++) this.targets.push(new CommandProcess(TARGET_PROGRAM))
+    this.targetPorts = await Promise.all(
+      this.targets.map(async (target) => await target.call<number>('start', { service: 'orders', version: 'v1' })))
+    await this.swapConfig()
+    await this.setEndpoints(() => 'ready')
+    this.proxyPort = await this.proxy.call<number>('listen')
+  }
+
+  /** Takes a new version into force; each differs from the one before. */
+  async swapConfig (): Promise<void> {
+    const cfg: ConfigInput = {
+      services: { orders: { versions: ['v1'], current: 'v1', slots: SLOTS, connections: 256 } },
+      routes: {
+        read: { service: 'orders', path: '/read/*' },
+        place: { service: 'orders', path: '/place', methods: ['POST'], idempotent: false },
+        [`r${this.#sent++}`]: { service: 'orders', path: `/other/${this.#sent}` }
+      }
+    }
+    await this.proxy.call('setConfig', cfg)
+  }
+
+  async setEndpoints (stateOf: (index: number) => EndpointView['state']): Promise<void> {
+    const endpoints = this.targetPorts.map((port, i): EndpointView => ({
+      id: `d${i}/orders`,
+      service: 'orders',
+      version: 'v1',
+      address: '127.0.0.1',
+      port,
+      dataCentre: 'here',
+      slots: SLOTS,
+      connections: 256,
+      state: stateOf(i),
+      reachable: true
+    }))
+    await this.proxy.call('setEndpoints', endpoints)
+  }
+
+  async run (req: LoadRequest): Promise<StreamResult[]> {
+    return await this.load.call<StreamResult[]>('run', req)
+  }
+
+  async usage (): Promise<ProxyUsage> {
+    return await this.proxy.call<ProxyUsage>('usage')
+  }
+
+  /** Runs by request id over all targets since the last call. */
+  async takeRuns (): Promise<Map<string, number>> {
+    const runs = new Map<string, number>()
+    for (const target of this.targets) {
+      const part = await target.call<[string, number][]>('takeRuns').catch(() => [])
+      for (const [id, count] of part) runs.set(id, (runs.get(id) ?? 0) + count)
+    }
+    return runs
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all([...this.targets, this.proxy, this.load].map(async (child) => await child.stop()))
+  }
+}
+
+/** Options of Node for the proxy process, such as `--cpu-prof`; for profiling only. */
+function proxyNodeArgs (): string[] {
+  return (process.env['LENTILWHEEL_BENCH_PROXY_ARGS'] ?? '').split(' ').filter((arg) => arg !== '')
+}
--- a/packages/bench/src/path/index.ts
+++ b/packages/bench/src/path/index.ts
@@ -1,4 +1,198 @@
-import type { Bench } from '../options.js'
+import type { LoadStream, StreamResult } from '@lentilwheel/testkit'
+import type { Bench, BenchOptions, Report } from '../options.js'
+import { Fleet, TARGET_COUNT } from './fleet.js'
 
-/** Not measured yet. */
-export const run: Bench = async () => ({ measured: false })
+const DEFAULT_SECONDS = 10
+const DEFAULT_RATE = 350
+const HIGH_RATE = 1_000
+const WARMUP_SECONDS = 2
+/** Rates tried for the highest one that is held. */
+const RATE_STEPS = [2_000, 4_000, 6_000, 7_000, 8_000, 9_000, 10_000, 11_000, 12_000, 14_000]
+const STEP_SECONDS = 3
+/** A rate is held when this share of it is answered in time and none fails. */
+const HELD_SHARE = 0.99
+const HELD_P99_MS = 50
+const BIG_BODY_BYTES = 1_000_000
+const BIG_BODY_RATE = 30
+const SLOW_TARGET_MS = 20
+const DRAIN_AFTER_MS = 1_500
+const DRAIN_NOTICE_MS = 1_000
+const SWAP_PERIOD_MS = 100
+
+interface Row {
+  name: string
+  ratePerSec: number
+  direct: Latencies
+  proxied: Latencies
+  addedP50Ms: number
+  addedP99Ms: number
+  cpuMsPerCall: number
+  failed: number
+  truncated: number
+  duplicateRuns: number
+  untruthfulRefusals: number
+}
+
+type Latencies = Pick<StreamResult, 'p50Ms' | 'p99Ms' | 'p999Ms'>
+
+interface RowOptions {
+  name: string
+  rate: number
+  seconds: number
+  postBytes?: number
+  /** What happens while the load runs. */
+  during?: () => Promise<void>
+  /** Some targets are no longer there for direct calls. */
+  directPorts?: number[]
+}
+
+/** Measures one proxied hop against direct calls that run in the same load. */
+class PathBench {
+  readonly fleet = new Fleet()
+  readonly #seed: number
+  readonly #report: Report
+  #runs = 0
+
+  constructor (seed: number, report: Report) {
+    this.#seed = seed
+    this.#report = report
+  }
+
+  async row (opts: RowOptions): Promise<Row> {
+    const base = { path: opts.postBytes === undefined ? '/read/x' : '/place', rate: opts.rate }
+    const size = opts.postBytes === undefined ? {} : { postBytes: opts.postBytes }
+    const streams: LoadStream[] = [
+      { name: `direct${++this.#runs}`, ports: opts.directPorts ?? this.fleet.targetPorts, ...base, ...size },
+      { name: `proxied${this.#runs}`, ports: [this.fleet.proxyPort], ...base, ...size }
+    ]
+    const before = await this.fleet.usage()
+    const [results] = await Promise.all([
+      this.fleet.run({ streams, seconds: opts.seconds, warmupSeconds: WARMUP_SECONDS, seed: this.#seed + this.#runs }),
+      opts.during?.()
+    ])
+    const after = await this.fleet.usage()
+    const [direct, proxied] = results as [StreamResult, StreamResult]
+    const runs = await this.fleet.takeRuns()
+    const calls = proxied.calls * (opts.seconds + WARMUP_SECONDS) / opts.seconds
+    const row: Row = {
+      name: opts.name,
+      ratePerSec: opts.rate,
+      direct: latencies(direct),
+      proxied: latencies(proxied),
+      addedP50Ms: round(proxied.p50Ms - direct.p50Ms),
+      addedP99Ms: round(proxied.p99Ms - direct.p99Ms),
+      cpuMsPerCall: round((after.cpuMs - before.cpuMs) / calls),
+      failed: proxied.failed,
+      truncated: proxied.truncated,
+      duplicateRuns: opts.postBytes === undefined ? 0 : [...runs.values()].filter((count) => count > 1).length,
+      untruthfulRefusals: proxied.saidNotRun.filter((id) => runs.has(id)).length
+    }
+    this.#report(`${row.name}: direct p99 ${row.direct.p99Ms} ms, proxied p99 ${row.proxied.p99Ms} ms, ` +
+      `added p50 ${row.addedP50Ms} ms, added p99 ${row.addedP99Ms} ms, failed ${row.failed}`)
+    return row
+  }
+
+  /** The highest of the tried rates at which nearly all calls are answered at once. */
+  async maxRate (): Promise<{ maxCallsPerSec: number, cpuMsPerCallAtMax: number }> {
+    let best = { maxCallsPerSec: 0, cpuMsPerCallAtMax: 0 }
+    for (const rate of RATE_STEPS) {
+      const stream = { name: `max${++this.#runs}`, ports: [this.fleet.proxyPort], path: '/read/x', rate }
+      const before = await this.fleet.usage()
+      const [result] = await this.fleet.run({ streams: [stream], seconds: STEP_SECONDS, warmupSeconds: 1, seed: this.#seed })
+      const cpuMs = (await this.fleet.usage()).cpuMs - before.cpuMs
+      const { answeredPerSec, failed, p99Ms } = result!
+      const held = failed === 0 && p99Ms < HELD_P99_MS && answeredPerSec >= rate * HELD_SHARE
+      this.#report(`${rate}/s: answered ${Math.round(answeredPerSec)}/s, p99 ${p99Ms} ms, failed ${failed}, ` +
+        `proxy CPU ${Math.round(cpuMs / (STEP_SECONDS + 1) / 10)}%`)
+      await this.fleet.takeRuns()
+      if (!held) break
+      best = { maxCallsPerSec: Math.round(answeredPerSec), cpuMsPerCallAtMax: round(cpuMs / (rate * (STEP_SECONDS + 1))) }
+    }
+    return best
+  }
+}
+
+function latencies ({ p50Ms, p99Ms, p999Ms }: StreamResult): Latencies {
+  return { p50Ms, p99Ms, p999Ms }
+}
+
+function round (value: number): number {
+  return Math.round(value * 1000) / 1000
+}
+
+async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+async function specialRows (bench: PathBench, rate: number, seconds: number): Promise<Row[]> {
+  const { fleet } = bench
+  const rows: Row[] = []
+  rows.push(await bench.row({ name: '1 MB request bodies', rate: BIG_BODY_RATE, seconds, postBytes: BIG_BODY_BYTES }))
+  await Promise.all(fleet.targets.map((target) => target.call('configure', { answerBytes: BIG_BODY_BYTES })))
+  rows.push(await bench.row({ name: '1 MB answer bodies', rate: BIG_BODY_RATE, seconds }))
+  await Promise.all(fleet.targets.map((target) => target.call('configure', { answerBytes: 0 })))
+  await fleet.targets[0]!.call('configure', { delayMs: SLOW_TARGET_MS })
+  rows.push(await bench.row({
+    name: 'one slow target of six', rate, seconds, directPorts: fleet.targetPorts.slice(1)
+  }))
+  await fleet.targets[0]!.call('configure', { delayMs: 0 })
+  const swapUntil = (WARMUP_SECONDS + seconds) * 1000 / SWAP_PERIOD_MS
+  rows.push(await bench.row({
+    name: 'configuration swaps',
+    rate,
+    seconds,
+    during: async () => {
+      for (let i = 0; i < swapUntil; i++) {
+        await fleet.swapConfig()
+        await sleep(SWAP_PERIOD_MS)
+      }
+    }
+  }))
+  rows.push(await bench.row({
+    name: 'a target drains',
+    rate,
+    seconds,
+    postBytes: 100,
+    directPorts: fleet.targetPorts.slice(0, -1),
+    during: async () => {
+      await sleep(WARMUP_SECONDS * 1000 + DRAIN_AFTER_MS)
+      await fleet.setEndpoints((i) => i === TARGET_COUNT - 1 ? 'draining' : 'ready')
+      await sleep(DRAIN_NOTICE_MS)
+      await fleet.targets[TARGET_COUNT - 1]!.call('close')
+    }
+  }))
+  return rows
+}
+
+async function measure (bench: PathBench, opts: BenchOptions): Promise<Record<string, unknown>> {
+  const seconds = Number(opts.seconds ?? DEFAULT_SECONDS)
+  const rate = Number(opts.rate ?? DEFAULT_RATE)
+  await bench.fleet.start()
+  const main = await bench.row({ name: `${rate}/s`, rate, seconds })
+  const high = await bench.row({ name: `${HIGH_RATE}/s`, rate: HIGH_RATE, seconds })
+  const max = await bench.maxRate()
+  const special = await specialRows(bench, rate, Math.max(4, seconds / 2))
+  const rows = [high, ...special]
+  const sum = (pick: (row: Row) => number): number => [main, ...rows].reduce((total, row) => total + pick(row), 0)
+  const slow = special.find((row) => row.name === 'one slow target of six')!
+  return {
+    ...main,
+    ...max,
+    rssMb: Math.round((await bench.fleet.usage()).rssMb),
+    failed: sum((row) => row.failed),
+    truncated: sum((row) => row.truncated),
+    duplicateRuns: sum((row) => row.duplicateRuns),
+    untruthfulRefusals: sum((row) => row.untruthfulRefusals),
+    slowTargetP99Ratio: round(slow.proxied.p99Ms / main.proxied.p99Ms),
+    rows
+  }
+}
+
+export const run: Bench = async (opts, report) => {
+  const bench = new PathBench(Number(opts.seed), report)
+  try {
+    return await measure(bench, opts)
+  } finally {
+    await bench.fleet.stop()
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/commands.ts
@@ -0,0 +1,60 @@
+import { fork, type ChildProcess } from 'node:child_process'
+
+/** Commands that a child process serves over its IPC channel. */
+export type Handlers = Readonly<Record<string, (args: never) => unknown>>
+
+interface Request { id: number, name: string, args: unknown }
+interface Answer { id: number, result?: unknown, error?: string }
+
+/** Serves commands in a child process until its parent disconnects. */
+export function serveCommands (handlers: Handlers): void {
+  process.on('message', (req: Request) => {
+    answer(handlers, req).then((message) => process.send?.(message), () => process.exit(1))
+  })
+  process.once('disconnect', () => process.exit(0))
+}
+
+async function answer (handlers: Handlers, req: Request): Promise<Answer> {
+  try {
+    return { id: req.id, result: await handlers[req.name]!(req.args as never) }
+  } catch (err) {
+    return { id: req.id, error: String((err as Error).stack ?? err) }
+  }
+}
+
+/** The parent's side of a child process that serves commands. */
+export class CommandProcess {
+  readonly #child: ChildProcess
+  readonly #pending = new Map<number, (answer: Answer) => void>()
+  #lastId = 0
+
+  constructor (file: string, nodeArgs: string[] = []) {
+    this.#child = fork(file, [], { execArgv: nodeArgs, stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
+    this.#child.on('message', (message: Answer) => {
+      this.#pending.get(message.id)?.(message)
+      this.#pending.delete(message.id)
+    })
+    this.#child.once('exit', (code) => {
+      for (const [id, resolve] of this.#pending) resolve({ id, error: `the process ended with code ${code}` })
+      this.#pending.clear()
+    })
+  }
+
+  async call<R = unknown> (name: string, args: unknown = {}): Promise<R> {
+    const id = ++this.#lastId
+    const message = await new Promise<Answer>((resolve) => {
+      this.#pending.set(id, resolve)
+      this.#child.send({ id, name, args }, (err) => { if (err) resolve({ id, error: String(err) }) })
+    })
+    if (message.error !== undefined) throw new Error(`${name}: ${message.error}`)
+    return message.result as R
+  }
+
+  /** Ends the process and waits for it. */
+  async stop (): Promise<void> {
+    if (this.#child.exitCode !== null || this.#child.signalCode !== null) return
+    const exited = new Promise((resolve) => this.#child.once('exit', resolve))
+    this.#child.disconnect()
+    await exited
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/targetMain.ts
@@ -0,0 +1,24 @@
+import { serveCommands } from './commands.js'
+import { TargetServer } from './targetServer.js'
+
+/** A target stand-in in a process of its own, driven over IPC. */
+let target: TargetServer | undefined
+
+serveCommands({
+  start: async (opts: { service: string, version: string }) => {
+    target = new TargetServer(opts)
+    await target.start()
+    return target.port
+  },
+  configure: (opts: { delayMs?: number, answerBytes?: number }) => {
+    if (opts.delayMs !== undefined) target!.delayMs = () => opts.delayMs!
+    if (opts.answerBytes !== undefined) target!.answerBytes = opts.answerBytes
+  },
+  /** Ids that ran, with their number of runs; forgets them. */
+  takeRuns: () => {
+    const runs = [...target!.runs]
+    target!.runs.clear()
+    return runs
+  },
+  close: async () => { await target!.close() }
+})
