--- a/packages/bench/src/convergence/index.ts
+++ b/packages/bench/src/convergence/index.ts
@@ -122,7 +122,7 @@
   report('targets that announce themselves and leave')
   const delays: number[] = []
   const hasTargets = (count: number) => async (): Promise<boolean> =>
-    (await fleet.statuses()).every((status) => status?.targets === count)
+    (await fleet.statuses()).every((status) => status?.targets.reduce((sum, { ready }) => sum + ready, 0) === count)
   for (let i = 0; i < TARGET_CHANGES; i++) {
     const daemon = fleet.daemons[(i * 5) % fleet.daemons.length]!
     const target = new TargetServer({
--- a/packages/bench/src/demo/index.ts
+++ b/packages/bench/src/demo/index.ts
@@ -11,9 +11,10 @@
 
 async function startDaemons (group: ProcessGroup, platformUrl: string): Promise<StartedDaemon[]> {
   const ports = await freePorts(DAEMON_COUNT * 4)
+  const seeds = [3, 7, 11].map((i) => `127.0.0.1:${ports[i]!}`)
   return Array.from({ length: DAEMON_COUNT }, (_, i) => {
     const [proxy, admin, target, mesh] = ports.slice(i * 4, i * 4 + 4) as [number, number, number, number]
-    const settings = { dataCentre: DATA_CENTRES[i % 4], platform: { url: platformUrl }, meshKey: 'demo-key-on-loopback', log: 'off' }
+    const settings = { dataCentre: DATA_CENTRES[i % 4], platform: { url: platformUrl }, seeds, meshKey: 'demo-key-on-loopback', log: 'off' }
     return group.startDaemon(`d${i + 1}`, settings, { proxy, admin, target, mesh })
   })
 }
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -22,7 +22,7 @@
   reason: string
   relay: boolean
   members: number
-  targets: number
+  targets: { ready: number }[]
 }
 
 export type Counters = Record<string, number>
--- a/packages/daemon/src/admin/__tests__/app.spec.ts
+++ b/packages/daemon/src/admin/__tests__/app.spec.ts
@@ -11,7 +11,7 @@
   reason: 'no peer answered yet',
   relay: false,
   members: 2,
-  targets: 1
+  targets: [{ service: 'orders', version: 'v1', dataCentre: 'sapporo', ready: 1, total: 2 }]
 }
 
 const sources: AdminSources = {
@@ -20,12 +20,13 @@
   events: (since) => [{ id: `d1#${since + 1}`, daemon: 'd1', time: { wallMs: 0, counter: 0 }, type: 'daemonStarted', fields: {} }],
   fleetEvents: async () => ({ events: [], silent: ['d2'] }),
   counters: () => ({ 'platform.calls': 1 }),
-  takeBack: (move) => move === 'm1'
+  takeBack: (move) => move === 'm1' ? { move, published: true } : { move, published: false, reason: 'no such move' },
+  debug: () => ({ connections: 3 })
 }
 
 /** Guards against answers that the command line can't read. */
 const REQUESTS: [string, string][] = [
-  ['GET', '/healthz'], ['GET', '/readyz'], ['GET', '/status'], ['GET', '/status?scope=fleet'], ['GET', '/events?since=4'],
+  ['GET', '/healthz'], ['GET', '/readyz'], ['GET', '/status'], ['GET', '/status?debug=1'], ['GET', '/status?scope=fleet'], ['GET', '/events?since=4'],
   ['GET', '/events?since=x'], ['GET', '/events?scope=fleet'], ['GET', '/counters'], ['POST', '/moves/m1/take-back'],
   ['POST', '/moves/m2/take-back'], ['GET', '/nothing']
 ]
--- a/packages/daemon/src/admin/app.ts
+++ b/packages/daemon/src/admin/app.ts
@@ -1,5 +1,5 @@
 import { Hono } from 'hono'
-import type { TimelineEvent } from '@lentilwheel/core'
+import type { MoveOutcome, TimelineEvent } from '@lentilwheel/core'
 
 /** Version of the JSON that the admin side answers; the command line refuses another one. */
 export const ADMIN_PROTOCOL = 1
@@ -11,14 +11,31 @@
   version: number
   rootHash: string
   /** Unix milliseconds since when the version is in force here. */
-  since: number
+  since?: number
   ready: boolean
   reason: string
   /** Whether this daemon reads the platform for its data centre. */
   relay: boolean
   members: number
-  /** Targets known that may get new work. */
-  targets: number
+  targets: TargetCount[]
+}
+
+/** Targets of one version in one data centre as this daemon sees them. */
+export interface TargetCount {
+  service: string
+  version: string
+  dataCentre: string
+  ready: number
+  total: number
+}
+
+export interface TakeBackAnswer {
+  move: string
+  published: boolean
+  /** Set when the move had ended before the request. */
+  outcome?: MoveOutcome
+  /** Why nothing was published. */
+  reason?: string
 }
 
 export interface FleetStatus {
@@ -39,8 +56,10 @@
   events (since: number): TimelineEvent[]
   fleetEvents (): Promise<FleetEvents>
   counters (): Record<string, number>
-  /** Publishes a rollback fact; false when the move is not known or has ended. */
-  takeBack (move: string, reason: string): boolean
+  /** Publishes a rollback fact, unless the move is not known or has ended. */
+  takeBack (move: string, reason: string): TakeBackAnswer
+  /** State of the proxy for debugging; its shape may change with any release. */
+  debug (): Record<string, unknown>
 }
 
 /** Operators' side of a daemon: health, readiness, status, events and counters. */
@@ -52,8 +71,11 @@
     return ready ? ctx.text('ready\n') : ctx.text(`${reason}\n`, 503)
   })
   app.get('/status', async (ctx) => {
-    const answer = ctx.req.query('scope') === 'fleet' ? await sources.fleetStatus() : sources.status()
-    return ctx.json({ protocol: ADMIN_PROTOCOL, ...answer })
+    if (ctx.req.query('scope') === 'fleet') {
+      return ctx.json({ protocol: ADMIN_PROTOCOL, ...await sources.fleetStatus() })
+    }
+    const debug = ctx.req.query('debug') === '1' ? { debug: sources.debug() } : {}
+    return ctx.json({ protocol: ADMIN_PROTOCOL, ...sources.status(), ...debug })
   })
   app.get('/events', async (ctx) => {
     if (ctx.req.query('scope') === 'fleet') {
@@ -64,8 +86,8 @@
   })
   app.get('/counters', (ctx) => ctx.json({ protocol: ADMIN_PROTOCOL, counters: sources.counters() }))
   app.post('/moves/:move/take-back', (ctx) => {
-    const published = sources.takeBack(ctx.req.param('move'), ctx.req.query('reason') ?? 'taken back by an operator')
-    return published ? ctx.json({ published }) : ctx.json({ published, error: 'no such move in progress' }, 404)
+    const answer = sources.takeBack(ctx.req.param('move'), ctx.req.query('reason') ?? 'taken back by an operator')
+    return ctx.json({ protocol: ADMIN_PROTOCOL, ...answer }, answer.published ? 200 : 409)
   })
   return app
 }
--- a/packages/daemon/src/nodeDaemon.ts
+++ b/packages/daemon/src/nodeDaemon.ts
@@ -1,138 +1,175 @@
 import type { ServerType } from '@hono/node-server'
-import { Hono } from 'hono'
-import { EventLog, MemoryMetrics, NodeTimers, ProcessLogger, SeededRandom, type Endpoint } from '@lentilwheel/core'
-import { EMPTY_SNAPSHOT, type Snapshot } from '@lentilwheel/config'
-import { decodeHead, HEAD_KEY, HttpPlatformClient, loadSnapshot } from '@lentilwheel/platform'
-import { ProxyServer } from '@lentilwheel/proxy'
-import { createAdminApp, type AdminSources, type DaemonStatus } from './admin/app.js'
+import {
+  EventLog, MemoryMetrics, NodeTimers, ProcessLogger, SeededRandom, StatsdMetrics, TeeMetrics, TokenBucket,
+  type Logger, type Metrics
+} from '@lentilwheel/core'
+import { createMesh, type Mesh, type Readiness } from '@lentilwheel/mesh'
+import { createMoveEngine, type MoveEngine } from '@lentilwheel/moves'
+import { HttpPlatformClient } from '@lentilwheel/platform'
+import { createTargetApp, httpProbe, ProxyServer, type TargetApp, type TargetEvent } from '@lentilwheel/proxy'
+import { createAdminApp } from './admin/app.js'
+import { DaemonSources } from './admin/sources.js'
+import { MoveRunner } from './moves/moveRunner.js'
 import { listenApp } from './nodeHttpSides.js'
 import type { ResolvedConfig } from './settings/schema.js'
-import { announcementSchema, toEndpoint } from './targets.js'
 
-const WATCH_RETRY_MS = 500
-
-/** One daemon: takes versions into force, serves calls and takes announcements of targets. */
+/** One daemon: connects the mesh, the proxy, the move engine and the HTTP sides. */
 export class Daemon {
   readonly #cfg: ResolvedConfig
-  readonly #random
-  readonly #timers
-  readonly #log
-  readonly #events
-  readonly #metrics = new MemoryMetrics()
-  readonly #platform
-  readonly #proxy
-  readonly #stop = new AbortController()
-  readonly #endpoints = new Map<string, Endpoint>()
+  readonly #timers: NodeTimers
+  readonly #log: Logger
+  readonly #counters = new MemoryMetrics()
+  readonly #statsd: StatsdMetrics | undefined
+  readonly #metrics: Metrics
+  readonly #events: EventLog
+  readonly #platform: HttpPlatformClient
+  readonly #mesh: Mesh
+  readonly #proxy: ProxyServer
+  readonly #engine: MoveEngine
+  readonly #targets: TargetApp
+  readonly #runner: MoveRunner
+  readonly #sources: DaemonSources
   readonly #servers: ServerType[] = []
-  #snapshot: Snapshot = EMPTY_SNAPSHOT
-  #since = 0
 
   constructor (cfg: ResolvedConfig, seed: number) {
+    const random = new SeededRandom(seed)
     this.#cfg = cfg
-    this.#random = new SeededRandom(seed)
-    this.#timers = new NodeTimers(this.#random)
+    this.#timers = new NodeTimers(random)
     this.#log = new ProcessLogger({ name: cfg.id, format: cfg.log, timers: this.#timers })
+    this.#statsd = cfg.statsd && new StatsdMetrics({
+      host: cfg.statsd.address,
+      port: cfg.statsd.port,
+      tags: { daemon: cfg.id, data_centre: cfg.dataCentre }
+    })
+    this.#metrics = this.#statsd ? new TeeMetrics(this.#counters, this.#statsd) : this.#counters
     this.#events = new EventLog({ daemon: cfg.id, timers: this.#timers })
-    this.#platform = new HttpPlatformClient({ url: cfg.platform.url, timers: this.#timers, metrics: this.#metrics })
-    this.#proxy = new ProxyServer({
-      daemon: cfg.id,
+    this.#platform = this.#createPlatform()
+    this.#mesh = this.#createMesh(random)
+    this.#engine = createMoveEngine({ daemon: cfg.id, isCoordinator: (move) => this.#mesh.isCoordinator(move) })
+    this.#proxy = this.#createProxy(random)
+    this.#targets = this.#createTargets()
+    this.#runner = new MoveRunner({
+      engine: this.#engine, mesh: this.#mesh, events: this.#events, timers: this.#timers
+    })
+    this.#sources = new DaemonSources({
+      id: cfg.id,
       dataCentre: cfg.dataCentre,
-      timers: this.#timers,
-      random: this.#random,
-      metrics: this.#metrics
+      mesh: this.#mesh,
+      engine: this.#engine,
+      events: this.#events,
+      counters: this.#counters,
+      timers: this.#timers
     })
   }
 
+  /** Opens all ports; the proxy refuses calls until the mesh is ready. */
   async start (): Promise<void> {
+    const { address, proxyPort, adminAddress, adminPort, targetAddress, targetPort } = this.#cfg
     this.#events.record('daemonStarted')
-    await this.#proxy.listen(this.#cfg.proxyPort, this.#cfg.address)
-    const targets = await listenApp(this.#targetApp(), this.#cfg.targetPort, this.#cfg.targetAddress)
-    const admin = await listenApp(createAdminApp(this.#adminSources()), this.#cfg.adminPort, this.#cfg.adminAddress)
-    this.#servers.push(targets.server, admin.server)
-    this.#watchHead().catch((err: unknown) => this.#log.error('watch of the head ended', { err }))
+    this.#listenToMesh()
+    await this.#proxy.listen(proxyPort, address)
+    const admin = await listenApp(createAdminApp(this.#sources), adminPort, adminAddress)
+    const targets = await listenApp(this.#targets.app, targetPort, targetAddress)
+    this.#servers.push(admin.server, targets.server)
+    await this.#mesh.start()
   }
 
+  /** Ends without cutting off a call: the targets leave first, then calls in flight end, then the mesh closes. */
   async stop (): Promise<void> {
     this.#events.record('daemonStopping')
-    this.#stop.abort()
-    await this.#proxy.drain()
+    this.#targets.leaveAll()
+    await this.#proxy.drain({ limitMs: this.#cfg.drainSeconds * 1000 })
+    this.#runner.stop()
+    this.#targets.stop()
+    await this.#mesh.stop()
     for (const server of this.#servers) server.close()
     await this.#platform.close()
+    this.#statsd?.close()
   }
 
-  async #watchHead (): Promise<void> {
-    let revision = 0
-    while (!this.#stop.signal.aborted) {
-      try {
-        const stored = await this.#platform.watch(HEAD_KEY, revision, this.#stop.signal)
-        if (!stored) continue
-        revision = stored.revision
-        const head = decodeHead(stored.value)
-        if (head.version <= this.#snapshot.version) continue
-        this.#takeIntoForce(await loadSnapshot(this.#platform, head, this.#snapshot.objects))
-      } catch (err) {
-        this.#log.warn('head could not be read', { err: String(err) })
-        await new Promise<void>((resolve) => this.#timers.after(WATCH_RETRY_MS, resolve))
-      }
-    }
+  #createPlatform (): HttpPlatformClient {
+    const { url, callsPerSecond, callBurst } = this.#cfg.platform
+    const budget = new TokenBucket({ perSecond: callsPerSecond, burst: callBurst, now: this.#timers.now() })
+    return new HttpPlatformClient({ url, timers: this.#timers, metrics: this.#metrics, budget })
   }
 
-  #takeIntoForce (snapshot: Snapshot): void {
-    this.#snapshot = snapshot
-    this.#since = this.#timers.wallNow()
-    this.#proxy.setSnapshot(snapshot)
-    this.#events.record('versionInForce', { version: snapshot.version, rootHash: snapshot.rootHash }, snapshot.changeId)
-    this.#log.info('version in force', { version: snapshot.version })
+  #createMesh (random: SeededRandom): Mesh {
+    const { id, address, meshPort, proxyPort, adminPort, dataCentre, region, seeds, meshKey } = this.#cfg
+    return createMesh({
+      identity: { id, address, ports: { mesh: meshPort, proxy: proxyPort, admin: adminPort }, dataCentre, region },
+      seeds,
+      meshKey,
+      platform: this.#platform,
+      timers: this.#timers,
+      random,
+      metrics: this.#metrics,
+      log: this.#log,
+      events: this.#events
+    })
   }
 
-  #targetApp (): Hono {
-    const app = new Hono()
-    app.post('/targets', async (ctx) => {
-      const parsed = announcementSchema.safeParse(await ctx.req.json())
-      if (!parsed.success) return ctx.json({ error: parsed.error.issues.map((issue) => issue.message) }, 400)
-      const endpoint = toEndpoint(this.#cfg, parsed.data)
-      this.#endpoints.set(endpoint.id, endpoint)
-      this.#publishEndpoints()
-      this.#events.record('targetAnnounced', { target: endpoint.id, service: endpoint.service })
-      return ctx.json({ id: endpoint.id }, 201)
+  #createProxy (random: SeededRandom): ProxyServer {
+    const onTarget = (type: 'targetEjected' | 'targetRestored') => (target: { id: string, service: string }) => {
+      this.#events.record(type, { target: target.id, service: target.service })
+    }
+    return new ProxyServer({
+      daemon: this.#cfg.id,
+      dataCentre: this.#cfg.dataCentre,
+      timers: this.#timers,
+      random,
+      metrics: this.#metrics,
+      observer: this.#engine,
+      shareOf: (service) => this.#engine.shareOf(service),
+      onEjected: onTarget('targetEjected'),
+      onRestored: onTarget('targetRestored')
     })
-    app.delete('/targets/:daemon/:name', (ctx) => {
-      this.#endpoints.delete(`${ctx.req.param('daemon')}/${ctx.req.param('name')}`)
-      this.#publishEndpoints()
-      return ctx.body(null, 204)
+  }
+
+  #createTargets (): TargetApp {
+    return createTargetApp({
+      daemon: { id: this.#cfg.id, dataCentre: this.#cfg.dataCentre },
+      timers: this.#timers,
+      probe: httpProbe,
+      onEndpoints: (endpoints) => this.#mesh.setEndpoints(endpoints),
+      onEvent: (event) => this.#recordTarget(event)
     })
-    return app
   }
 
-  #publishEndpoints (): void {
-    this.#proxy.setEndpoints([...this.#endpoints.values()].map((endpoint) => ({ ...endpoint, reachable: true })))
+  #recordTarget ({ kind, endpoint, reason }: TargetEvent): void {
+    const types = {
+      announced: 'targetAnnounced', ready: 'targetReady', leaving: 'targetLeaving', gone: 'targetGone'
+    } as const
+    const { id: target, service, version: targetVersion } = endpoint
+    this.#events.record(types[kind], { target, service, targetVersion, reason })
   }
 
-  #status (): DaemonStatus {
-    const { version, rootHash } = this.#snapshot
-    const ready = version > 0
-    return {
-      daemon: this.#cfg.id,
-      dataCentre: this.#cfg.dataCentre,
-      version,
-      rootHash,
-      since: this.#since,
-      ready,
-      reason: ready ? '' : 'no version is held yet',
-      relay: true,
-      members: 1,
-      targets: this.#endpoints.size
-    }
+  #listenToMesh (): void {
+    this.#mesh.on({
+      onSnapshot: () => this.#takeSnapshot(),
+      onReadiness: (readiness) => this.#onReadiness(readiness),
+      onEndpoints: (endpoints) => {
+        this.#proxy.setEndpoints(endpoints)
+        this.#engine.setEndpoints(endpoints)
+        this.#proxy.setCallers(this.#mesh.members().length)
+      },
+      onFact: (fact) => this.#engine.onFact(fact),
+      onEvidence: (report) => this.#engine.onEvidence(report)
+    })
   }
 
-  #adminSources (): AdminSources {
-    return {
-      status: () => this.#status(),
-      fleetStatus: async () => ({ accounts: [], moves: [] }),
-      events: (since) => this.#events.since(since),
-      fleetEvents: async () => ({ events: this.#events.since(0), silent: [] }),
-      counters: () => Object.fromEntries(this.#metrics.counters),
-      takeBack: () => false
-    }
+  #onReadiness ({ ready, reason }: Readiness): void {
+    if (ready) this.#events.record('daemonReady')
+    this.#log.info(ready ? 'ready' : 'not ready', { reason })
+    this.#takeSnapshot()
+  }
+
+  /** A daemon that isn't ready serves nothing: it may still hold less than it held before its restart. */
+  #takeSnapshot (): void {
+    if (!this.#mesh.readiness().ready) return
+    const snapshot = this.#mesh.snapshot()
+    this.#engine.setConfig(snapshot)
+    this.#proxy.setSnapshot(snapshot)
+    this.#sources.inForce(snapshot)
+    this.#log.info('version in force', { version: snapshot.version })
   }
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -20,7 +20,7 @@
  * await mesh.stop()                   // announces leaving; call it after the targets have drained
  * ```
  *
- * The mesh records `versionInForce`, `versionRefused`, `olderHeadSeen`, membership, lease and platform events in the
+ * The mesh records `versionRefused`, `olderHeadSeen`, membership, lease and platform events in the
  * event log by itself. A process that should read the platform, and one that should not, are set up alike: membership
  * decides which daemons are relays.
  */
--- a/packages/mesh/src/meshState.ts
+++ b/packages/mesh/src/meshState.ts
@@ -144,7 +144,6 @@
   held (snapshot: Snapshot, source: SnapshotSource): void {
     this.floor.raise(snapshot.version)
     this.opts.metrics.gauge('mesh.version', snapshot.version)
-    this.opts.events.record('versionInForce', { version: snapshot.version, source }, snapshot.changeId)
     this.#hooks.snapshotHeld(snapshot, source)
   }
 
