--- /dev/null
+++ b/packages/mesh/src/__tests__/membership.spec.ts
@@ -0,0 +1,148 @@
+import { create } from '@bufbuild/protobuf'
+import test from 'ava'
+import fc from 'fast-check'
+import type { Endpoint } from '@lentilwheel/core'
+import { TOMBSTONE_MS } from '../constants.js'
+import { RecordSchema, SuspicionSchema, type Record as MemberRecord } from '../gen/mesh_pb.js'
+import { compareRecords } from '../membership/records.js'
+import { MemberTable } from '../membership/table.js'
+import { addressOf, Fleet } from './fakes/fleet.js'
+
+function record (index: number, change: Partial<MemberRecord> = {}): MemberRecord {
+  const dataCentre = `dc${index % 2}`
+  return { ...create(RecordSchema, { id: `d${index}`, address: 1, meshPort: index, dataCentre, incarnation: 1, sequence: 1 }), ...change }
+}
+
+function tableOf (members: number): MemberTable {
+  const table = new MemberTable(record(0))
+  for (let i = 1; i < members; i++) table.merge(record(i), 0)
+  return table
+}
+
+function suspect (table: MemberTable, index: number, observers: string[], now: number) {
+  return table.suspect(create(SuspicionSchema, { subject: `d${index}`, incarnation: 1, sequence: 1, observers }), now)
+}
+
+const ids = (table: MemberTable): string[] => table.members().map((member) => member.record.id)
+
+test('records merge to the same table in any order', (t) => {
+  const stamp = fc.record({ index: fc.integer({ min: 1, max: 3 }), incarnation: fc.integer({ min: 1, max: 3 }), sequence: fc.integer({ min: 1, max: 3 }), gone: fc.boolean() })
+  fc.assert(fc.property(fc.array(stamp, { maxLength: 12 }), fc.infiniteStream(fc.nat()), (stamps, keys) => {
+    const records = stamps.map(({ index, ...change }) => record(index, change))
+    const mixed = records.map((item) => ({ item, key: keys.next().value as number })).sort((a, b) => a.key - b.key)
+    const one = tableOf(1)
+    const two = tableOf(1)
+    for (const item of records) one.merge(item, 0)
+    for (const { item } of mixed) two.merge(item, 0)
+    t.deepEqual(ids(one).sort(), ids(two).sort())
+    t.is(one.digest, two.digest)
+  }), { seed: 7, numRuns: 200 })
+})
+
+test('a member is removed only when the period has passed and three observers agree', (t) => {
+  const rows = [
+    { observers: ['a', 'b', 'c'], afterMs: 20_000, removed: true },
+    { observers: ['a', 'b'], afterMs: 20_000, removed: false },
+    { observers: ['a', 'b', 'c'], afterMs: 3_000, removed: false }
+  ]
+  for (const { observers, afterMs, removed } of rows) {
+    const table = tableOf(10)
+    suspect(table, 3, observers, 0)
+    const effects = [...table.tick(afterMs)]
+    t.is(effects.some((effect) => effect.kind === 'removed'), removed, observers.join())
+    t.is(ids(table).includes('d3'), !removed)
+  }
+})
+
+test('two observers are enough when there are no more', (t) => {
+  const table = new MemberTable(record(0))
+  for (const index of [2, 4]) table.merge(record(index), 0)
+  suspect(table, 2, ['d0', 'd4'], 0)
+  t.is([...table.tick(20_000)].length, 1)
+})
+
+test('a data centre of which more than half is unreachable is kept', (t) => {
+  const table = tableOf(10)
+  for (const index of [1, 3, 5]) suspect(table, index, ['a', 'b', 'c'], 0)
+  t.deepEqual([...table.tick(20_000)].map((effect) => effect.kind), ['partition'])
+  t.is(table.size, 10)
+  t.is(table.status(table.get('d1')!), 'unreachable')
+  for (const index of [1, 3]) table.heard(`d${index}`, 21_000, { version: 0, ready: true })
+  t.deepEqual([...table.tick(21_000)].map((effect) => effect.kind), ['healed'])
+  t.deepEqual([...table.tick(22_000)], [], 'a full period again for the rest')
+})
+
+test('suspicions and tombstones of this daemon are refuted above every rank they have', (t) => {
+  const table = tableOf(3)
+  t.is(table.suspect(create(SuspicionSchema, { subject: 'd0', incarnation: 1, sequence: 1, observers: ['d1'] }), 0), 'refute')
+  for (const seen of [{ gone: true, sequence: 9 }, { incarnation: 50, sequence: 3 }, { incarnation: 60, gone: true }]) {
+    t.is(table.merge(record(0, seen), 0), 'refute')
+    t.true(compareRecords(table.self, record(0, seen)) > 0)
+  }
+})
+
+test('a tombstone keeps the removed run away for its time', (t) => {
+  const table = tableOf(3)
+  table.merge(record(1, { gone: true }), 0)
+  t.is(table.merge(record(1), 1_000), 'old')
+  t.deepEqual([...table.tick(TOMBSTONE_MS)], [])
+  t.is(table.merge(record(1), TOMBSTONE_MS), 'joined')
+})
+
+test('a dead daemon is removed everywhere, and one that few can\'t reach is not', async (t) => {
+  const fleet = await Fleet.ready({ daemons: 16 })
+  fleet.network.isCut = (from, to) => [from, to].includes(addressOf(5)) && [from, to].includes(addressOf(6))
+  fleet.kill(4)
+  const gone = (): boolean => fleet.live().every((member) => !member.mesh.members().some((other) => other.id === 'd4'))
+  await fleet.until(gone, 40_000, 'removed')
+  await fleet.run(120_000)
+  t.true(fleet.live().every((member) => member.mesh.members().length === 15))
+  const views = fleet.live().map((member) => member.mesh.members().find((other) => other.id === 'd5')!.status)
+  t.true(views.filter((status) => status === 'alive').length >= 12)
+})
+
+test('a daemon that was paused until its removal comes back by itself', async (t) => {
+  const fleet = await Fleet.ready({ daemons: 12 })
+  const member = fleet.members[7]!
+  member.host.pause()
+  await fleet.run(60_000)
+  t.false(fleet.members[1]!.mesh.members().some((other) => other.id === 'd7'))
+  member.host.resume()
+  await fleet.until(() => fleet.live().every((other) => other.mesh.members().length === 12), 20_000, 'back')
+  t.pass()
+})
+
+function endpoint (daemon: string, state: Endpoint['state'], load?: number): Endpoint {
+  const place = { address: '10.0.0.9', port: 80, dataCentre: 'dc0', slots: 6, connections: 100 }
+  return { id: `${daemon}/a`, service: 's0', version: 'v1', state, ...place, ...(load === undefined ? {} : { load }) }
+}
+
+/** Guards the drain bound: no new work a few seconds after a target said that it leaves, even on a lossy network. */
+test('a leaving target is known everywhere within a second', async (t) => {
+  const fleet = await Fleet.ready({ daemons: 40, dataCentres: 4 })
+  const [member] = fleet.members
+  const seen = (state: string): boolean => fleet.live().every((other) => {
+    return other.mesh.endpoints().some((view) => view.id === 'd0/a' && view.state === state)
+  })
+  member!.mesh.setEndpoints([endpoint('d0', 'ready', 0.2)])
+  t.true(await fleet.until(() => seen('ready'), 3_000, 'ready') <= 1_000)
+  const before = fleet.network.bytes.datagrams
+  member!.mesh.setEndpoints([endpoint('d0', 'ready', 0.7)])
+  await fleet.run(100)
+  t.true(fleet.network.bytes.datagrams - before < 2_000, 'a change of load is not pushed')
+  fleet.network.dropShare = 0.1
+  fleet.kill(11, 22)
+  member!.mesh.setEndpoints([endpoint('d0', 'draining')])
+  t.true(await fleet.until(() => seen('draining'), 3_000, 'draining') <= 3_000)
+})
+
+test('a daemon that stops takes its targets along at once', async (t) => {
+  const fleet = await Fleet.ready({ daemons: 12 })
+  fleet.members[3]!.mesh.setEndpoints([endpoint('d3', 'ready')])
+  await fleet.run(500)
+  const stopped = fleet.settle(fleet.members[3]!.mesh.stop())
+  await stopped
+  fleet.kill(3)
+  await fleet.run(100)
+  t.true(fleet.live().every((member) => member.mesh.endpoints().length === 0 && member.mesh.members().length === 11))
+})
