Harden acceptance, leases and the platform client, with tables of races and lost answers

- A failure status of a write is an unknown outcome, not "nothing was sent".
- Compaction removes the bundles it replaces; readers of the old head start over.
- After a restored head the next accepted version is above what accounts report in force; before, daemons ignored every change until the count caught up.

--- a/packages/mesh/src/relay/headWatch.ts
+++ b/packages/mesh/src/relay/headWatch.ts
@@ -77,12 +77,19 @@
       await takeHead(this.#ctx, head, 'head')
     } catch (err) {
       if (!(err instanceof HashMismatch) && !(err instanceof ConfigInvalid)) throw err
+      if (await this.#isSuperseded(head)) return
       const changeId = head.changes.at(-1)?.id ?? ''
       opts.log.warn('version of the head is refused', { version: head.version, code: errorCode(err) })
       this.#ctx.refused({ version: head.version, changeId, reason: err.message })
     }
   }
 
+  /** Compaction may have removed a bundle of a head that another one replaced meanwhile. */
+  async #isSuperseded (head: Head): Promise<boolean> {
+    const stored = await this.#ctx.opts.platform.get(HEAD_KEY)
+    return stored !== undefined && decodeHead(stored.value).version > head.version
+  }
+
   /** A head of the same version with other content comes from a backup that was written to. */
   #isOlder (head: Head): boolean {
     const { version, rootHash } = this.#ctx.holder.snapshot
--- /dev/null
+++ b/packages/platform/src/__tests__/nodeHttpClient.spec.ts
@@ -0,0 +1,69 @@
+import test from 'ava'
+import { MemoryMetrics, NodeTimers, SeededRandom, TokenBucket } from '@lentilwheel/core'
+import { PlatformServer } from '@lentilwheel/testkit'
+import { decodeMoveRecord, factsOfRecord, toMoveRecord } from '../moveRecord.js'
+import { HttpPlatformClient, type HttpPlatformOptions } from '../nodeHttpClient.js'
+import { encodeJson } from '../client.js'
+
+const value = new TextEncoder().encode('value')
+
+async function prepared (change: Partial<HttpPlatformOptions> = {}) {
+  const server = new PlatformServer()
+  const url = await server.listen()
+  const timers = new NodeTimers(new SeededRandom(1))
+  const metrics = new MemoryMetrics()
+  return { server, timers, metrics, client: new HttpPlatformClient({ url, timers, metrics, watchMs: 50, ...change }) }
+}
+
+test('every operation speaks the object API', async (t) => {
+  const { client, server, metrics } = await prepared()
+  t.is(await client.get('a/b c'), undefined)
+  const revision = await client.put('a/b c', value, { ifRevision: 0 })
+  await t.throwsAsync(client.put('a/b c', value, { ifRevision: 0 }), { any: true, code: 'platform-conflict' })
+  t.deepEqual(await client.list('a/'), [{ key: 'a/b c', value, revision }])
+  const signal = new AbortController().signal
+  t.is((await client.watch('a/b c', 0, signal))?.revision, revision)
+  t.is(await client.watch('a/b c', revision, signal), undefined)
+  await t.throwsAsync(client.remove('a/b c', { ifRevision: 99 }), { any: true, code: 'platform-conflict' })
+  await client.remove('a/b c', { ifRevision: revision })
+  t.is(metrics.total('platform.calls'), 8)
+  await client.close()
+  await server.close()
+})
+
+/** Guards against a lost answer that is taken for a failure, and an outage that is taken for an answer. */
+test('faults are told apart', async (t) => {
+  const { client, server } = await prepared({ timeoutMs: 2_000 })
+  server.loseAnswers = 1
+  await t.throwsAsync(client.put('a', value, { ifRevision: 0 }), { any: true, code: 'platform-outcome-unknown' })
+  t.truthy(await client.get('a'))
+  server.mode = 'html'
+  await t.throwsAsync(client.get('a'), { any: true, code: 'platform-bad-answer' })
+  server.mode = 'down'
+  await t.throwsAsync(client.get('a'), { any: true, code: 'platform-unreachable' })
+  await server.close()
+  await t.throwsAsync(client.put('a', value, { ifRevision: 0 }), { any: true, code: 'platform-unreachable' })
+  await client.close()
+})
+
+test('calls beyond the budget fail at once', async (t) => {
+  const { client, server, metrics } = await prepared({ budget: new TokenBucket({ perSecond: 0.001, burst: 2, now: 0 }) })
+  await client.get('a')
+  await client.get('a')
+  await t.throwsAsync(client.get('a'), { any: true, code: 'platform-budget-exhausted' })
+  t.is(metrics.total('platform.calls'), 2)
+  await client.close()
+  await server.close()
+})
+
+test('a move record keeps its facts, and its rollback for good', (t) => {
+  const plan = { service: 's', from: 'v1', to: 'v2', by: '2026-01-01T00:00:00Z' }
+  const stage = { kind: 'stage' as const, move: 'm', stage: 2, share: 0.05, at: 3 }
+  const rollback = { kind: 'rollback' as const, move: 'm', reason: 'errors', at: 4, daemon: 'd' }
+  const outcome = { kind: 'outcome' as const, move: 'm', outcome: 'takenBack' as const, reason: 'errors', at: 5 }
+  const read = (facts: Parameters<typeof toMoveRecord>[2]) => factsOfRecord(decodeMoveRecord(encodeJson(toMoveRecord('m', plan, facts)))!)
+  t.deepEqual(read({ stage }), [stage])
+  t.deepEqual(read({ stage, rollback, outcome }), [rollback, outcome])
+  t.is(toMoveRecord('m', plan, { stage, rollback }).share, 0)
+  t.is(decodeMoveRecord(new TextEncoder().encode('<html>')), undefined)
+})
--- a/packages/platform/src/configStore.ts
+++ b/packages/platform/src/configStore.ts
@@ -1,9 +1,11 @@
 import {
-  applyChange, buildSnapshot, canonicalJson, checkRebase, EMPTY_HEAD, HashMismatch, hashText, headSchema,
+  applyChange, buildSnapshot, canonicalJson, checkRebase, EMPTY_HEAD, HashMismatch, hashText,
   MAX_BUNDLE_BYTES, MAX_HEAD_BUNDLES, verifyObject, type Change, type ConfigObject, type Head, type Snapshot
 } from '@lentilwheel/config'
-import { encodeJson, type PlatformClient } from './client.js'
+import type { PlatformClient } from './client.js'
 import { PlatformBadAnswer, PlatformConflict, PlatformOutcomeUnknown } from './errors.js'
+import { decodeHead, encodeHead } from './headCodec.js'
+import { accountSchema, ACCOUNT_PREFIX } from './account.js'
 
 export const HEAD_KEY = 'config/head'
 
@@ -25,14 +27,6 @@
   return `config/bundle/${hash}`
 }
 
-export function decodeHead (value: Uint8Array): Head {
-  try {
-    return headSchema.parse(JSON.parse(new TextDecoder().decode(value)))
-  } catch (err) {
-    throw new PlatformBadAnswer('the head object is not a configuration head', err)
-  }
-}
-
 export async function readHead (client: PlatformClient): Promise<StoredHead> {
   const stored = await client.get(HEAD_KEY)
   return stored ? { head: decodeHead(stored.value), revision: stored.revision } : { head: EMPTY_HEAD, revision: 0 }
@@ -48,24 +42,84 @@
     const accepted = current.head.changes.find((record) => record.id === change.id)
     if (accepted) return { version: accepted.version, settled: true }
     checkRebase(base.head, current.head, change)
-    await checkResult(client, current.head, change)
-    const head = await writeBundles(client, current.head, change)
-    try {
-      await client.put(HEAD_KEY, encodeJson(head), { ifRevision: current.revision })
-      return { version: head.version, settled: false }
-    } catch (err) {
-      if (!(err instanceof PlatformConflict) && !(err instanceof PlatformOutcomeUnknown)) throw err
-      current = await readBack(client, err)
-    }
+    const version = await tryAccept(client, current, change)
+    if (version !== undefined) return { version, settled: false }
+    current = await readHead(client)
   }
   throw new PlatformConflict(`the head changed ${MAX_ACCEPT_ROUNDS} times while change ${change.id} was written`)
 }
 
-async function readBack (client: PlatformClient, lost: Error): Promise<StoredHead> {
+/** One conditional update; undefined when the head has to be read again. */
+async function tryAccept (client: PlatformClient, current: StoredHead, change: Change): Promise<number | undefined> {
+  let next: Head
+  try {
+    const raised = { ...current.head, version: Math.max(current.head.version, await highestInForce(client)) }
+    await checkResult(client, raised, change)
+    next = await writeBundles(client, raised, change)
+  } catch (err) {
+    if (await isSuperseded(client, current, err)) return undefined
+    throw err
+  }
   try {
-    return await readHead(client)
+    await client.put(HEAD_KEY, encodeHead(next), { ifRevision: current.revision })
   } catch (err) {
-    throw lost instanceof PlatformOutcomeUnknown ? lost : err
+    if (err instanceof PlatformConflict) return undefined
+    if (!(err instanceof PlatformOutcomeUnknown) && !(err instanceof PlatformBadAnswer)) throw err
+    return await settleLost(client, change, err)
+  }
+  await removeRetired(client, current.head, next)
+  return next.version
+}
+
+/**
+ * Highest version that daemons report as in force. After the head was restored from a backup it is above the head's,
+ * and a version that isn't above it would be ignored by every daemon.
+ */
+async function highestInForce (client: PlatformClient): Promise<number> {
+  let highest = 0
+  for (const { value } of await client.list(ACCOUNT_PREFIX)) {
+    const account = accountSchema.safeParse(readJson(value))
+    if (!account.success) continue
+    highest = Math.max(highest, ...Object.keys(account.data.inForce).map(Number))
+  }
+  return highest
+}
+
+function readJson (value: Uint8Array): unknown {
+  try {
+    return JSON.parse(new TextDecoder().decode(value))
+  } catch {
+    return undefined
+  }
+}
+
+/** A bundle is missing because another operator's change compacted the bundles meanwhile. */
+async function isSuperseded (client: PlatformClient, current: StoredHead, err: unknown): Promise<boolean> {
+  if (!(err instanceof HashMismatch)) return false
+  return (await readHead(client)).revision !== current.revision
+}
+
+/** Reads the head back after a lost answer; when that fails too, the outcome stays unknown. */
+async function settleLost (client: PlatformClient, change: Change, lost: Error): Promise<number | undefined> {
+  try {
+    const { head } = await readHead(client)
+    return head.changes.find((record) => record.id === change.id)?.version
+  } catch {
+    throw new PlatformOutcomeUnknown(`the answer to change ${change.id} was lost and the head cannot be read back`, lost)
+  }
+}
+
+/** Removes bundles that compaction replaced; what fails is left behind and does no harm. */
+async function removeRetired (client: PlatformClient, before: Head, after: Head): Promise<void> {
+  const kept = new Set(after.bundles)
+  for (const hash of before.bundles) {
+    if (kept.has(hash)) continue
+    try {
+      const stored = await client.get(bundleKey(hash))
+      if (stored) await client.remove(stored.key, { ifRevision: stored.revision })
+    } catch {
+      return
+    }
   }
 }
 
@@ -113,13 +167,14 @@
   let bundle: ConfigObject[] = []
   let bytes = 0
   for (const object of objects) {
-    if (bytes + object.text.length > MAX_BUNDLE_BYTES && bundle.length > 0) {
+    const size = Buffer.byteLength(canonicalJson(object)) + 1
+    if (bytes + size > MAX_BUNDLE_BYTES && bundle.length > 0) {
       yield canonicalJson(bundle)
       bundle = []
       bytes = 0
     }
     bundle.push(object)
-    bytes += object.text.length
+    bytes += size
   }
   if (bundle.length > 0) yield canonicalJson(bundle)
 }
--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -117,14 +117,17 @@
   async #isOwn (value: LeaseValue, until: number): Promise<boolean> {
     const stored = await this.#opts.client.get(this.#opts.key)
     const found = stored && decodeLease(stored)
-    if (!stored || found?.holder !== value.holder || found.token !== value.token || found.address !== value.address) {
-      return false
-    }
+    if (!stored || !found || !isSame(found, value)) return false
     this.#held = { revision: stored.revision, value: found, until }
     return true
   }
 }
 
+/** Renewals count, too: a renewal that did not take effect must not lengthen the term. */
+function isSame (a: LeaseValue, b: LeaseValue): boolean {
+  return a.holder === b.holder && a.address === b.address && a.token === b.token && a.renewals === b.renewals
+}
+
 /** Values that are no lease count as free, since they can't be renewed by anyone. */
 export function decodeLease (stored: StoredObject): LeaseValue | undefined {
   try {
--- a/packages/platform/src/nodeHttpClient.ts
+++ b/packages/platform/src/nodeHttpClient.ts
@@ -20,6 +20,8 @@
 /** Time that a long poll may run past its own limit before it counts as lost. */
 const WATCH_GRACE_MS = 2_000
 const MAX_CONNECTIONS = 4
+/** Bound on what an answer can make this process keep; a list holds at most some hundred small objects. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024
 
 type Answer = { status: number, revision: number, body: Uint8Array }
 type Operation = 'get' | 'put' | 'remove' | 'list' | 'watch'
@@ -35,7 +37,7 @@
     this.#opts = opts
     this.#timeoutMs = opts.timeoutMs ?? DEFAULT_TIMEOUT_MS
     this.#watchMs = opts.watchMs ?? DEFAULT_WATCH_MS
-    this.#pool = new Pool(opts.url, { connections: MAX_CONNECTIONS, connect: { timeout: this.#timeoutMs } })
+    this.#pool = new Pool(opts.url, { connections: MAX_CONNECTIONS, connect: { timeout: this.#timeoutMs }, maxResponseSize: MAX_ANSWER_BYTES })
   }
 
   async get (key: string): Promise<StoredObject | undefined> {
@@ -49,7 +51,7 @@
     const headers = { ...condition(opts.ifRevision), 'content-type': 'application/octet-stream' }
     const answer = await this.#call('put', { method: 'PUT', path: objectPath(key), headers, body: value })
     if (answer.status === 412) throw new PlatformConflict(`object ${key} is not at revision ${opts.ifRevision}`)
-    expectStatus(answer, 200)
+    expectWritten(answer, 200)
     return answer.revision
   }
 
@@ -57,7 +59,7 @@
     const headers = condition(opts.ifRevision)
     const answer = await this.#call('remove', { method: 'DELETE', path: objectPath(key), headers })
     if (answer.status === 412) throw new PlatformConflict(`object ${key} is not at revision ${opts.ifRevision}`)
-    expectStatus(answer, 204)
+    expectWritten(answer, 204)
   }
 
   async list (prefix: string): Promise<StoredObject[]> {
@@ -122,8 +124,14 @@
   return ifRevision === 0 ? { 'if-none-match': '*' } : { 'if-match': `"${ifRevision}"` }
 }
 
+/** A failure status of a write may come from a gateway after the platform took the write. */
+function expectWritten (answer: Answer, status: number): void {
+  if (answer.status >= 500) throw new PlatformOutcomeUnknown(`a write was answered with status ${answer.status}`)
+  expectStatus(answer, status)
+}
+
 function expectStatus (answer: Answer, status: number): void {
-  if (answer.status >= 500) throw new PlatformUnreachable(`platform answered with status ${answer.status}`)
+  if (answer.status >= 500 || answer.status === 429) throw new PlatformUnreachable(`platform answered with status ${answer.status}`)
   if (answer.status !== status) throw new PlatformBadAnswer(`platform answered with status ${answer.status}`)
   if (status === 200 && Number.isNaN(answer.revision)) {
     throw new PlatformBadAnswer('answer has no ETag; the platform url does not name an object API')
