Test the call path against target faults, interleavings and malformed requests

The fault table found that a retry on the client whose connect had just failed trips an assertion of undici and ends the process; a broken connection is now dropped instead of reused.

--- /dev/null
+++ b/packages/proxy/src/__tests__/exchanges.spec.ts
@@ -0,0 +1,189 @@
+import test from 'ava'
+import type { IncomingHttpHeaders } from 'node:http'
+import { ordersConfig, Rig, snapshotOf, viewOf } from './rig.js'
+
+const SHAPES: Readonly<Record<string, string>> = {
+  'length and chunked': 'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n',
+  'two lengths': 'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd',
+  'two equal lengths': 'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ncontent-length: 3\r\n\r\nabc',
+  'signed length': 'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: +3\r\n\r\nabc',
+  'gzip, chunked': 'POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
+  'chunked twice': 'POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n',
+  'chunked with a tab': 'POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding:\x0bchunked\r\n\r\n0\r\n\r\n',
+  'space before colon': 'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length : 3\r\n\r\nabc',
+  'folded header': 'GET /x HTTP/1.1\r\nhost: a\r\nx-a: b\r\n c\r\n\r\n',
+  'bare line feed': 'GET /x HTTP/1.1\nhost: a\n\n',
+  'no host': 'GET /x HTTP/1.1\r\n\r\n',
+  'two hosts': 'GET /x HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n',
+  'absolute target': 'GET http://b/x HTTP/1.1\r\nhost: a\r\n\r\n',
+  'host named in connection': 'GET /x HTTP/1.1\r\nhost: a\r\nconnection: close, host\r\n\r\n',
+  'large head': `GET /x HTTP/1.1\r\nhost: a\r\nx-a: ${'y'.repeat(20_000)}\r\n\r\n`,
+  'unknown method': 'PROPFIND /x HTTP/1.1\r\nhost: a\r\n\r\n',
+  'other expectation': 'GET /x HTTP/1.1\r\nhost: a\r\nexpect: tea\r\n\r\n',
+  'not a deadline': 'GET /x HTTP/1.1\r\nhost: a\r\nx-lentilwheel-deadline-ms: -1\r\n\r\n',
+  garbage: '\x16\x03\x01\x02\x00\r\n\r\n'
+}
+
+/** Guards against request smuggling: none of these may reach a target, and each is truthfully refused. */
+test('shapes that are refused', async (t) => {
+  const rig = await new Rig().start(1)
+  const rows: string[] = []
+  for (const [name, bytes] of Object.entries(SHAPES)) {
+    const answer = await rig.raw(bytes)
+    const notRun = /x-lentilwheel-not-run: 1/i.test(answer)
+    const code = /x-lentilwheel-refusal: (\S+)/i.exec(answer)?.[1] ?? ''
+    rows.push(`${name}: ${answer.slice(9, 12)} ${code}${notRun ? ', not run' : ''}`)
+  }
+  t.is(rig.targets[0]!.received, 0)
+  t.snapshot(rows)
+  await rig.stop()
+})
+
+/** Guards against internal and hop-by-hop headers that leak, and deadlines or attempts that a caller could widen. */
+test('headers that reach the target and the caller', async (t) => {
+  const rig = await new Rig().start(1)
+  let seen: IncomingHttpHeaders = {}
+  rig.targets[0]!.answerStatus = (req) => {
+    seen = req.headers
+    return 200
+  }
+  const result = await rig.call({
+    headers: {
+      'x-lentilwheel-not-run': '1',
+      'x-lentilwheel-secret': 'a',
+      'x-lentilwheel-deadline-ms': '15000',
+      'x-lentilwheel-attempt': '2',
+      connection: 'close, x-hop',
+      'x-hop': '1',
+      te: 'trailers',
+      'x-kept': 'yes'
+    }
+  })
+  t.is(result.status, 200)
+  t.true(Number(seen['x-lentilwheel-deadline-ms']) <= 15_000)
+  t.is(seen['x-lentilwheel-attempt'], '2')
+  t.is(seen['x-kept'], 'yes')
+  for (const name of ['x-lentilwheel-secret', 'x-lentilwheel-not-run', 'x-hop', 'te']) t.is(seen[name], undefined)
+  await rig.stop()
+})
+
+/** Guards against retries that multiply over hops. */
+test('a request that was retried upstream is not retried again', async (t) => {
+  const rig = await new Rig().start(2)
+  for (const target of rig.targets) target.faultOf = () => 'shedUnrun'
+  const result = await rig.call({ headers: { 'x-lentilwheel-attempt': '1' } })
+  t.deepEqual([result.status, result.headers['x-lentilwheel-not-run']], [503, '1'])
+  t.is(rig.targets[0]!.received + rig.targets[1]!.received, 1)
+  await rig.stop()
+})
+
+/** Guards HEAD, Expect and large bodies in both directions. */
+test('HEAD, 100-continue and large bodies', async (t) => {
+  const rig = await new Rig().start(1)
+  const head = await rig.call({ method: 'HEAD', id: 'h' })
+  t.deepEqual([head.status, head.body, Number(head.headers['content-length']) > 0], [200, '', true])
+  const expecting = await rig.raw('POST /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\nhi')
+  t.regex(expecting, /^HTTP\/1\.1 100 Continue\r\n\r\nHTTP\/1\.1 200 OK/)
+  rig.targets[0]!.answerBytes = 3_000_000
+  const large = await rig.call({ method: 'POST', id: 'big', body: 'b'.repeat(3_000_000) })
+  t.deepEqual([large.status, large.broken, large.body.length > 3_000_000], [200, false, true])
+  await rig.stop()
+})
+
+/** Guards against work that goes on for a caller that went away. */
+test('a caller that goes away cancels its call at the target', async (t) => {
+  const rig = await new Rig().start(1)
+  const target = rig.targets[0]!
+  let abort = (): void => {}
+  const atTarget = new Promise<void>((resolve) => {
+    target.faultOf = (req) => {
+      req.socket.once('close', () => resolve())
+      abort()
+      return 'hang'
+    }
+  })
+  await rig.call({ onRequest: (fn) => { abort = fn } })
+  await atTarget
+  t.is(target.cancelled, 1)
+  await rig.stop()
+})
+
+/** Guards against a parse error whose answer a caller would take for that of its call in progress. */
+test('garbage after a request gives no second answer', async (t) => {
+  const rig = await new Rig().start(1)
+  rig.targets[0]!.faultOf = () => 'hang'
+  t.is(await rig.raw('POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\nnot-hex\r\n'), '')
+  await rig.stop()
+})
+
+/** Guards against a planned stop that cuts off a call, and against new work on a target that leaves. */
+test('the proxy and a target drain with calls in flight', async (t) => {
+  const rig = await new Rig().start(2)
+  let arrived = 0
+  let onAll = (): void => {}
+  const all = new Promise<void>((resolve) => { onAll = resolve })
+  for (const target of rig.targets) {
+    target.delayMs = () => {
+      if (++arrived === 6) onAll()
+      return 50
+    }
+  }
+  const calls = Array.from({ length: 6 }, async (_, i) => await rig.call({ method: 'POST', id: `d${i}`, body: 'x' }))
+  await all
+  rig.proxy.setEndpoints([viewOf(rig.targets[0]!, 0, { state: 'draining' }), viewOf(rig.targets[1]!, 1)])
+  const before = rig.targets[0]!.received
+  const later = await rig.call({ id: 'later' })
+  const drained = rig.proxy.drain({ lingerMs: 0 })
+  const results = await Promise.all(calls)
+  await drained
+  t.deepEqual(results.map((result) => result.status), [200, 200, 200, 200, 200, 200])
+  t.deepEqual([later.status, rig.targets[0]!.received], [200, before])
+  t.true((await rig.call()).broken, 'nothing is accepted after the drain')
+  await rig.stop()
+})
+
+/** Guards against calls that fail because the configuration changes under them. */
+test('configuration swaps under load fail no call', async (t) => {
+  const rig = await new Rig().start(2)
+  const statuses = await Promise.all(Array.from({ length: 100 }, async (_, i) => {
+    rig.proxy.setSnapshot(snapshotOf(ordersConfig(i % 2 === 0 ? '20s' : '30s'), i + 2))
+    return (await rig.call({ id: `c${i}` })).status
+  }))
+  t.true(statuses.every((status) => status === 200))
+  await rig.stop()
+})
+
+/** Guards the share of a move, its evidence, and the fallback to the old version when the new one has no target. */
+test('a move divides the calls and falls back to the old version', async (t) => {
+  const seen = new Map<string, number>()
+  const share = { from: 'v1', to: 'v2', share: 1 }
+  const rig = await new Rig({
+    shareOf: () => share,
+    observer: { onCall: (_service, _route, version) => { seen.set(version, (seen.get(version) ?? 0) + 1) } }
+  }).start(2)
+  t.is((await rig.call()).status, 200)
+  t.deepEqual([...seen], [['v1', 1]])
+  rig.proxy.setEndpoints([viewOf(rig.targets[0]!, 0), viewOf(rig.targets[1]!, 1, { version: 'v2' })])
+  t.is((await rig.call()).status, 200)
+  share.share = 0
+  t.is((await rig.call()).status, 200)
+  t.deepEqual([...seen], [['v1', 2], ['v2', 1]])
+  await rig.stop()
+})
+
+/** Guards against an unbounded queue and a refusal that isn't truthful when all slots are busy. */
+test('calls wait for a slot in a bounded queue and are refused as not run beyond it', async (t) => {
+  const cfg = ordersConfig('20s')
+  cfg.services!['orders']!.queue = 1
+  const rig = await new Rig().start(1, cfg)
+  const target = rig.targets[0]!
+  target.delayMs = () => 100
+  rig.proxy.setEndpoints([viewOf(target, 0, { slots: 1 })])
+  const results = await Promise.all(Array.from({ length: 4 }, async (_, i) => await rig.call({ path: '/slow', id: `q${i}` })))
+  const served = results.filter((result) => result.status === 200)
+  const refused = results.filter((result) => result.headers['x-lentilwheel-not-run'] === '1')
+  t.is(served.length + refused.length, 4)
+  t.true(served.length >= 2)
+  for (const [i, result] of results.entries()) if (result.status !== 200) t.is(rig.runs(`q${i}`), 0)
+  await rig.stop()
+})
--- a/packages/proxy/src/nodeProxyServer.ts
+++ b/packages/proxy/src/nodeProxyServer.ts
@@ -146,6 +146,8 @@
       keepAliveTimeout: CALLER_KEEP_ALIVE_MS,
       // Each call has its own deadline.
       requestTimeout: 0,
+      // Checked with the rest of the head, so that the refusal says that nothing was run.
+      requireHostHeader: false,
       noDelay: true
     })
     server.on('request', (req, res) => this.#serve(req, res, false))
--- a/packages/proxy/src/nodeTarget.ts
+++ b/packages/proxy/src/nodeTarget.ts
@@ -48,11 +48,13 @@
     return new Connection(this.#origin)
   }
 
-  /** Takes a connection back; a broken one reconnects at its next use. */
+  /**
+   * Takes a connection back. A broken one is dropped: undici reports a failed connect before its own state is
+   * settled, and a request sent on the same client from within that report fails an assertion of undici.
+   */
   giveBack (connection: Connection, answered: boolean, now: number): void {
-    if (answered) connection.answeredAt = now
-    else connection.open = false
-    if (this.#retired) this.#destroy(connection)
+    connection.answeredAt = now
+    if (this.#retired || !answered) this.#destroy(connection)
     else this.#idle.push(connection)
   }
 
