Bound the connections that a fleet opens to one target

Rendezvous picks spread like independent draws: with the mean as the plan, 51 callers opened 144 connections to one of 56 targets that accept 100. The plan now leaves four standard deviations, and subsets shrink where that needs it.

--- a/packages/proxy/src/balance/subset.ts
+++ b/packages/proxy/src/balance/subset.ts
@@ -2,8 +2,10 @@
 
 /** Targets of one version that a daemon uses when there are more. */
 export const SUBSET_SIZE = 12
-/** Share of a target's connections that this fleet plans with; the rest is for overlap while members change. */
-const CONNECTION_SHARE = 0.9
+/** A daemon keeps an alternative to retry on, even when that uses up the targets' connections. */
+const MIN_SUBSET_SIZE = 2
+/** Standard deviations above the mean number of daemons that pick one target, which a target must have room for. */
+const PICKERS_MARGIN = 4
 const FNV_OFFSET = 0x811c9dc5
 const FNV_PRIME = 0x01000193
 
@@ -33,16 +35,32 @@
 }
 
 function pickPart (question: SubsetQuestion, endpoints: readonly EndpointView[], local: boolean): SubsetEntry[] {
-  const ranked = endpoints
+  if (endpoints.length === 0) return []
+  const room = Math.min(...endpoints.map((endpoint) => endpoint.connections))
+  const size = subsetSize(question.callers, endpoints.length, room)
+  const pickers = likelyPickers(question.callers, size, endpoints.length)
+  return endpoints
     .map((endpoint) => ({ endpoint, rank: rendezvousRank(question.daemon, endpoint.id) }))
     .sort((a, b) => b.rank - a.rank || (a.endpoint.id < b.endpoint.id ? -1 : 1))
-    .slice(0, SUBSET_SIZE)
-  const callersPerTarget = Math.max(1, question.callers * ranked.length / Math.max(1, endpoints.length))
-  return ranked.map(({ endpoint }) => ({
-    endpoint,
-    local,
-    connections: Math.max(1, Math.floor(endpoint.connections * CONNECTION_SHARE / callersPerTarget))
-  }))
+    .slice(0, size)
+    .map(({ endpoint }) => ({
+      endpoint,
+      local,
+      connections: Math.max(1, Math.floor(endpoint.connections / pickers))
+    }))
+}
+
+/** The largest subset with which each target has a connection for every daemon that picks it. */
+function subsetSize (callers: number, targets: number, room: number): number {
+  let size = Math.min(SUBSET_SIZE, targets)
+  while (size > MIN_SUBSET_SIZE && likelyPickers(callers, size, targets) > room) size--
+  return size
+}
+
+/** Upper bound on the daemons that pick one target; picks by hash spread like independent draws. */
+export function likelyPickers (callers: number, size: number, targets: number): number {
+  const share = size / targets
+  return callers * share + PICKERS_MARGIN * Math.sqrt(callers * share * (1 - share))
 }
 
 /** FNV-1a over both names with a final mix; equal on every daemon. */
--- /dev/null
+++ b/packages/proxy/src/targets/__tests__/targetApp.spec.ts
@@ -0,0 +1,86 @@
+import test from 'ava'
+import { VirtualTimers, type Endpoint } from '@lentilwheel/core'
+import { createTargetApp, type Probe } from '../targetApp.js'
+
+const ANNOUNCED = { name: 'orders', service: 'orders', version: 'v1', port: 9000 }
+
+function setUp (probe: Probe = async () => ({ status: 200, body: '' })) {
+  const timers = new VirtualTimers()
+  const events: string[] = []
+  let last: Endpoint[] = []
+  const targets = createTargetApp({
+    daemon: { id: 'd1', dataCentre: 'otaru' },
+    timers,
+    probe,
+    onEndpoints: (endpoints) => { last = endpoints },
+    onEvent: (event) => events.push(`${timers.now()} ${event.kind}: ${event.reason}`)
+  })
+  const send = async (method: string, path: string, body?: unknown): Promise<{ status: number, body: Record<string, unknown> }> => {
+    const res = await targets.app.request(path, { method, ...(body === undefined ? {} : { body: JSON.stringify(body) }) })
+    return { status: res.status, body: await res.json() as Record<string, unknown> }
+  }
+  return { timers, events, targets, send, states: () => last.map((endpoint) => `${endpoint.id} ${endpoint.state}`) }
+}
+
+/** Guards against calls to a target whose lease expired, and against one that is forgotten while it renews. */
+test('a target announces itself, renews, falls silent and is gone', async (t) => {
+  const { timers, events, send, states } = setUp()
+  const created = await send('POST', '/targets', ANNOUNCED)
+  t.deepEqual([created.status, created.body['id']], [201, 'd1/orders'])
+  for (let i = 0; i < 5; i++) {
+    timers.advance(2_000)
+    t.is((await send('PUT', '/targets/d1/orders', { load: 0.5 })).status, 200)
+  }
+  t.deepEqual(states(), ['d1/orders ready'])
+  timers.advance(7_000)
+  t.deepEqual(states(), ['d1/orders gone'])
+  t.is((await send('PUT', '/targets/d1/orders')).status, 404)
+  timers.advance(4_000)
+  t.deepEqual(states(), [])
+  t.snapshot(events)
+})
+
+/** Guards against new work on a target that leaves, and against a listing that ends before others have seen it. */
+test('a leaving target drains before it is gone', async (t) => {
+  const { timers, send, states, targets } = setUp()
+  await send('POST', '/targets', ANNOUNCED)
+  t.deepEqual((await send('DELETE', '/targets/d1/orders')).body, { serveForMs: 3_000 })
+  t.deepEqual(states(), ['d1/orders draining'])
+  timers.advance(3_000)
+  t.deepEqual(states(), ['d1/orders gone'])
+  await send('POST', '/targets', ANNOUNCED)
+  targets.leaveAll()
+  t.deepEqual(states(), ['d1/orders draining'])
+})
+
+/** Guards against a health endpoint that misleads: it delays the start at most, and later only lowers preference. */
+test('health and load are hints', async (t) => {
+  let healthy = false
+  const { timers, send, states, targets } = setUp(async (_endpoint, path) =>
+    path === '/load' ? { status: 200, body: '{"load":0.25}' } : { status: healthy ? 200 : 500, body: '' })
+  await send('POST', '/targets', { ...ANNOUNCED, healthPath: '/health', loadPath: '/load' })
+  const step = async (): Promise<void> => {
+    await timers.advanceAsync(2_000)
+    await send('PUT', '/targets/d1/orders')
+  }
+  await step()
+  t.deepEqual(states(), ['d1/orders starting'])
+  healthy = true
+  await step()
+  t.deepEqual([states()[0], targets.endpoints()[0]!.load], ['d1/orders ready', 0.25])
+  healthy = false
+  for (let i = 0; i < 3; i++) await step()
+  t.deepEqual([states()[0], targets.endpoints()[0]!.load], ['d1/orders ready', 1])
+})
+
+/** Guards against announcements that would enter the fleet's records unchecked. */
+test('broken announcements are refused with what is wrong', async (t) => {
+  const { send, states } = setUp()
+  for (const change of [{ port: 0 }, { service: '' }, { address: 'a host' }, { extra: 1 }, { slots: 'six' }]) {
+    const { status, body } = await send('POST', '/targets', { ...ANNOUNCED, ...change })
+    t.is(status, 400)
+    t.snapshot(body)
+  }
+  t.is((await send('POST', '/targets')).status, 400)
+  t.deepEqual(states(), [])
+})
