--- a/packages/bench/src/options.ts
+++ b/packages/bench/src/options.ts
@@ -4,6 +4,8 @@
   seconds?: number
   rate?: number
   seed: number
+  /** Directory of a built checkout of an earlier version to compare with. */
+  baseline?: string
 }
 
 /** Settings used and figures measured, printed as the last line with `--json`. */
--- /dev/null
+++ b/packages/bench/src/path/compare.ts
@@ -0,0 +1,90 @@
+import type { LoadStream, StreamResult } from '@lentilwheel/testkit'
+import type { BenchResult, Report } from '../options.js'
+import { Fleet } from './fleet.js'
+
+const RATES = [350, 1_000]
+const SECONDS = 5
+const WARMUP_SECONDS = 1
+const REPEATS = 5
+/** Rate at which the CPU time of a call is compared; most of one core. */
+const BUSY_RATE = 5_000
+const BUSY_SECONDS = 3
+
+interface Sample { baseline: number, current: number }
+
+/**
+ * Compares this build's proxy with an earlier one in the same load, calls of both interleaved, because figures of
+ * different runs on a shared machine don't compare. Reports the median and the range of the ratios of single runs.
+ */
+export async function compare (baselineDir: string, seed: number, report: Report): Promise<BenchResult> {
+  const fleet = new Fleet(baselineDir)
+  const samples = new Map<string, Sample[]>()
+  const add = (key: string, sample: Sample): void => { samples.set(key, [...samples.get(key) ?? [], sample]) }
+  try {
+    await fleet.start()
+    for (let i = 0; i < REPEATS; i++) {
+      for (const rate of RATES) await compareLatency(fleet, rate, seed + i, add)
+      await compareBusy(fleet, seed + i, add)
+      report(`repeat ${i + 1} of ${REPEATS} done`)
+    }
+  } finally {
+    await fleet.stop()
+  }
+  return Object.fromEntries([...samples].map(([key, list]) => [key, summary(list)]))
+}
+
+type Add = (key: string, sample: Sample) => void
+
+async function compareLatency (fleet: Fleet, rate: number, seed: number, add: Add): Promise<void> {
+  const base = { path: '/read/x', rate }
+  const streams: LoadStream[] = [
+    { name: 'direct', ports: fleet.targetPorts, ...base },
+    { name: 'baseline', ports: [fleet.baselinePort], ...base },
+    { name: 'current', ports: [fleet.proxyPort], ...base }
+  ]
+  const before = await cpu(fleet)
+  const results = await fleet.run({ streams, seconds: SECONDS, warmupSeconds: WARMUP_SECONDS, seed })
+  const after = await cpu(fleet)
+  await fleet.takeRuns()
+  const [direct, baseline, current] = results as [StreamResult, StreamResult, StreamResult]
+  const calls = rate * (SECONDS + WARMUP_SECONDS)
+  add(`${rate}/s added p50 ms`, { baseline: baseline.p50Ms - direct.p50Ms, current: current.p50Ms - direct.p50Ms })
+  add(`${rate}/s added p99 ms`, { baseline: baseline.p99Ms - direct.p99Ms, current: current.p99Ms - direct.p99Ms })
+  add(`${rate}/s cpu us per call`, {
+    baseline: (after.baseline - before.baseline) * 1000 / calls, current: (after.current - before.current) * 1000 / calls
+  })
+}
+
+/** One after the other, as two busy proxies at once would disturb each other. */
+async function compareBusy (fleet: Fleet, seed: number, add: Add): Promise<void> {
+  const sample: Sample = { baseline: 0, current: 0 }
+  for (const which of ['baseline', 'current'] as const) {
+    const port = which === 'baseline' ? fleet.baselinePort : fleet.proxyPort
+    const before = await cpu(fleet)
+    const streams = [{ name: which, ports: [port], path: '/read/x', rate: BUSY_RATE }]
+    await fleet.run({ streams, seconds: BUSY_SECONDS, warmupSeconds: WARMUP_SECONDS, seed })
+    sample[which] = ((await cpu(fleet))[which] - before[which]) * 1000 / (BUSY_RATE * (BUSY_SECONDS + WARMUP_SECONDS))
+    await fleet.takeRuns()
+  }
+  add(`${BUSY_RATE}/s cpu us per call`, sample)
+}
+
+async function cpu (fleet: Fleet): Promise<Sample> {
+  return { baseline: (await fleet.usage('baseline')).cpuMs, current: (await fleet.usage()).cpuMs }
+}
+
+function summary (samples: readonly Sample[]): BenchResult {
+  const median = (values: number[]): number => round(values.sort((a, b) => a - b)[values.length >> 1]!)
+  const ratios = samples.map((sample) => sample.current / sample.baseline).sort((a, b) => a - b)
+  return {
+    baseline: median(samples.map((sample) => sample.baseline)),
+    current: median(samples.map((sample) => sample.current)),
+    ratio: median([...ratios]),
+    ratioMin: round(ratios[0]!),
+    ratioMax: round(ratios.at(-1)!)
+  }
+}
+
+function round (value: number): number {
+  return Math.round(value * 1000) / 1000
+}
--- a/packages/bench/src/path/fleet.ts
+++ b/packages/bench/src/path/fleet.ts
@@ -1,3 +1,4 @@
+import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import type { EndpointView } from '@lentilwheel/core'
 import type { ConfigInput } from '@lentilwheel/config'
@@ -20,10 +21,19 @@
   readonly targets: CommandProcess[] = []
   readonly proxy = new CommandProcess(PROXY_PROGRAM, proxyNodeArgs())
   readonly load = new CommandProcess(LOAD_PROGRAM)
+  /** A proxy of an earlier build, to compare with. */
+  readonly baseline: CommandProcess | undefined
   targetPorts: number[] = []
   proxyPort = 0
+  baselinePort = 0
   #sent = 0
 
+  /** `baselineDir` is a built checkout of an earlier version. */
+  constructor (baselineDir?: string) {
+    if (baselineDir === undefined) return
+    this.baseline = new CommandProcess(join(baselineDir, 'packages/bench/dist/path/proxyMain.js'))
+  }
+
   async start (): Promise<void> {
     for (let i = 0; i < TARGET_COUNT; i++) this.targets.push(new CommandProcess(TARGET_PROGRAM))
     this.targetPorts = await Promise.all(
@@ -31,6 +41,7 @@
     await this.swapConfig()
     await this.setEndpoints(() => 'ready')
     this.proxyPort = await this.proxy.call<number>('listen')
+    if (this.baseline) this.baselinePort = await this.baseline.call<number>('listen')
   }
 
   /** Takes a new version into force; each differs from the one before. */
@@ -43,7 +54,7 @@
         [`r${this.#sent++}`]: { service: 'orders', path: `/other/${this.#sent}` }
       }
     }
-    await this.proxy.call('setConfig', cfg)
+    await this.#tellProxies('setConfig', cfg)
   }
 
   async setEndpoints (stateOf: (index: number) => EndpointView['state']): Promise<void> {
@@ -59,15 +70,15 @@
       state: stateOf(i),
       reachable: true
     }))
-    await this.proxy.call('setEndpoints', endpoints)
+    await this.#tellProxies('setEndpoints', endpoints)
   }
 
   async run (req: LoadRequest): Promise<StreamResult[]> {
     return await this.load.call<StreamResult[]>('run', req)
   }
 
-  async usage (): Promise<ProxyUsage> {
-    return await this.proxy.call<ProxyUsage>('usage')
+  async usage (of: 'proxy' | 'baseline' = 'proxy'): Promise<ProxyUsage> {
+    return await this[of]!.call<ProxyUsage>('usage')
   }
 
   /** Runs by request id over all targets since the last call. */
@@ -81,7 +92,11 @@
   }
 
   async stop (): Promise<void> {
-    await Promise.all([...this.targets, this.proxy, this.load].map(async (child) => await child.stop()))
+    await Promise.all([...this.targets, this.proxy, this.baseline, this.load].map(async (child) => await child?.stop()))
+  }
+
+  async #tellProxies (name: string, args: unknown): Promise<void> {
+    await Promise.all([this.proxy, this.baseline].map(async (proxy) => await proxy?.call(name, args)))
   }
 }
 
--- a/packages/bench/src/path/index.ts
+++ b/packages/bench/src/path/index.ts
@@ -1,5 +1,6 @@
 import type { LoadStream, StreamResult } from '@lentilwheel/testkit'
 import type { Bench, BenchOptions, Report } from '../options.js'
+import { compare } from './compare.js'
 import { Fleet, TARGET_COUNT } from './fleet.js'
 
 const DEFAULT_SECONDS = 10
@@ -189,6 +190,7 @@
 }
 
 export const run: Bench = async (opts, report) => {
+  if (opts.baseline !== undefined) return await compare(opts.baseline, Number(opts.seed), report)
   const bench = new PathBench(Number(opts.seed), report)
   try {
     return await measure(bench, opts)
