--- a/packages/bench/src/path/compare.ts
+++ b/packages/bench/src/path/compare.ts
@@ -22,6 +22,7 @@
   const add = (key: string, sample: Sample): void => { samples.set(key, [...samples.get(key) ?? [], sample]) }
   try {
     await fleet.start()
+    await fleet.warmUp(seed)
     for (let i = 0; i < REPEATS; i++) {
       for (const rate of RATES) await compareLatency(fleet, rate, seed + i, add)
       await compareBusy(fleet, seed + i, add)
--- a/packages/bench/src/path/fleet.ts
+++ b/packages/bench/src/path/fleet.ts
@@ -7,6 +7,9 @@
 const PROXY_PROGRAM = fileURLToPath(new URL('./proxyMain.js', import.meta.url))
 export const TARGET_COUNT = 6
 
+const WARM_RATE = 1_500
+const WARM_SECONDS = 6
+
 /** Enough slots that the proxy and not the targets limits the rate. */
 const SLOTS = 64
 
@@ -77,6 +80,15 @@
     return await this.load.call<StreamResult[]>('run', req)
   }
 
+  /** Lets every process compile its hot code, as it has after minutes of its usual load. */
+  async warmUp (seed: number): Promise<void> {
+    const streams = [this.proxyPort, this.baselinePort].filter((port) => port !== 0)
+      .map((port, i) => ({ name: `warm${i}`, ports: [port], path: '/read/x', rate: WARM_RATE }))
+    streams.push({ name: 'warm', ports: this.targetPorts, path: '/read/x', rate: WARM_RATE })
+    await this.run({ streams, seconds: WARM_SECONDS, warmupSeconds: 0, seed })
+    await this.takeRuns()
+  }
+
   async usage (of: 'proxy' | 'baseline' = 'proxy'): Promise<ProxyUsage> {
     return await this[of]!.call<ProxyUsage>('usage')
   }
--- a/packages/bench/src/path/index.ts
+++ b/packages/bench/src/path/index.ts
@@ -169,6 +169,7 @@
   const seconds = Number(opts.seconds ?? DEFAULT_SECONDS)
   const rate = Number(opts.rate ?? DEFAULT_RATE)
   await bench.fleet.start()
+  await bench.fleet.warmUp(Number(opts.seed))
   const main = await bench.row({ name: `${rate}/s`, rate, seconds })
   const high = await bench.row({ name: `${HIGH_RATE}/s`, rate: HIGH_RATE, seconds })
   const max = await bench.maxRate()
