--- a/packages/bench/src/path/index.ts
+++ b/packages/bench/src/path/index.ts
@@ -1,5 +1,6 @@
 import type { LoadStream, StreamResult } from '@lentilwheel/testkit'
 import type { Bench, BenchOptions, Report } from '../options.js'
+import { compare } from './compare.js'
 import { Fleet, TARGET_COUNT } from './fleet.js'
 
 const DEFAULT_SECONDS = 10
@@ -168,6 +169,7 @@
   const seconds = Number(opts.seconds ?? DEFAULT_SECONDS)
   const rate = Number(opts.rate ?? DEFAULT_RATE)
   await bench.fleet.start()
+  await bench.fleet.warmUp(Number(opts.seed))
   const main = await bench.row({ name: `${rate}/s`, rate, seconds })
   const high = await bench.row({ name: `${HIGH_RATE}/s`, rate: HIGH_RATE, seconds })
   const max = await bench.maxRate()
@@ -189,6 +191,7 @@
 }
 
 export const run: Bench = async (opts, report) => {
+  if (opts.baseline !== undefined) return await compare(opts.baseline, Number(opts.seed), report)
   const bench = new PathBench(Number(opts.seed), report)
   try {
     return await measure(bench, opts)
