Keep calls of a larger share out of comparisons, and judge hold alarms by likelihood

Cause: after a share fell, calls sent before still counted as the new version's, and counts that stopped at a local trip were biased toward failures; a third alarm in the hold always rolled back. A noisy dependency was rolled back so. Calls sent before a fall are left out now, counts are dropped at a trip, alarms are counted per kind of badness, cleared by the likelihood of the alarm's rate, and a rate seen at both versions near full load is tolerated afterwards. Strong suspicion at the deadline takes the move back instead of ending it late.

--- a/packages/bench/src/moves/calls.ts
+++ b/packages/bench/src/moves/calls.ts
@@ -69,15 +69,22 @@
     const newFailed = ownFailures + binomial(newCalls - ownFailures, common, this.#random)
     const oldCalls = calls - newCalls
     const oldFailed = binomial(oldCalls, common, this.#random)
-    const unsent = this.#failures(engine, route.name, newFailed, oldFailed)
-    const sentFailures = newFailed - unsent
-    const sentPart = newFailed === 0 ? 1 : sentFailures / newFailed
-    const newOk = Math.round((newCalls - newFailed) * sentPart)
-    tally.newCalls += newOk + sentFailures
+    const oldOk = oldCalls - oldFailed
+    const newOk = newCalls - newFailed
+    this.#successes(engine, route, at, dependency, Math.ceil(oldOk / 2), Math.ceil(newOk / 2))
+    const sentFailures = newFailed - this.#failures(engine, route.name, newFailed, oldFailed)
+    const newOkLater = engine.shareOf(SERVICE)?.share === 0 && sentFailures < newFailed ? 0 : Math.floor(newOk / 2)
+    this.#successes(engine, route, at, dependency, Math.floor(oldOk / 2), newOkLater)
+    tally.newCalls += Math.ceil(newOk / 2) + newOkLater + sentFailures
     tally.failedByNew += Math.min(ownFailures, sentFailures)
-    this.#successes(engine, route, OLD, oldCalls - oldFailed, (_z) => dependency.slowness)
+  }
+
+  #successes (
+    engine: MoveEngine, route: typeof ROUTES[number], at: Moment, dependency: Dependency, oldOk: number, newOk: number
+  ): void {
     const slowness = this.#kind.slowness
-    this.#successes(engine, route, NEW, newOk, (z) => dependency.slowness * (slowness?.(at, z) ?? 1))
+    this.#successesOf(engine, route, OLD, oldOk, (_z) => dependency.slowness)
+    this.#successesOf(engine, route, NEW, newOk, (z) => dependency.slowness * (slowness?.(at, z) ?? 1))
   }
 
   /**
@@ -96,7 +103,7 @@
     return 0
   }
 
-  #successes (
+  #successesOf (
     engine: MoveEngine, route: typeof ROUTES[number], version: string, calls: number, slowness: (z: number) => number
   ): void {
     if (calls === 0) return
--- a/packages/bench/src/moves/fleet.ts
+++ b/packages/bench/src/moves/fleet.ts
@@ -28,6 +28,7 @@
   /** Daemons that neither tick nor hear facts or evidence. */
   readonly stopped = new Set<number>()
   readonly #opts: FleetOptions
+  #nowMs = 0
   #late: { fact: MoveFact, daemon: number }[] = []
 
   constructor (opts: FleetOptions) {
@@ -46,8 +47,14 @@
     for (const engine of this.engines) engine.setEndpoints(endpoints)
   }
 
+  /** Moves the clock to the middle of a second, in which its calls end. */
+  startSecond (second: number): void {
+    this.#nowMs = second * 1000 + 500
+  }
+
   /** Ends one second: every daemon reports, then the coordinators decide. */
   tick (second: number): void {
+    this.#nowMs = second * 1000
     this.#deliverLate()
     const members = this.engines.map((_, i) => i).filter((i) => !this.stopped.has(i))
     const last = (i: number): number => (this.coordinators.has(i) ? 1 : 0)
@@ -62,7 +69,8 @@
   }
 
   #newEngine (i: number): MoveEngine {
-    return createMoveEngine({ daemon: `d${i}`, isCoordinator: () => this.coordinators.has(i) })
+    const timers = { now: (): number => this.#nowMs }
+    return createMoveEngine({ daemon: `d${i}`, isCoordinator: () => this.coordinators.has(i), timers })
   }
 
   #tickOne (i: number, second: number): void {
--- a/packages/bench/src/moves/simulate.ts
+++ b/packages/bench/src/moves/simulate.ts
@@ -54,6 +54,7 @@
   let endedAt: number | undefined
   let second = 0
   while (second < limit && (endedAt === undefined || second < endedAt + AFTER_SECONDS)) {
+    fleet.startSecond(START_SECOND + second)
     moveCase.disturb?.(fleet, second)
     run.second(second)
     second++
--- a/packages/moves/src/constants.ts
+++ b/packages/moves/src/constants.ts
@@ -25,6 +25,8 @@
 export const ALPHA = 0.001
 /** Evidence (e-value) above which a move waits instead of going on. */
 export const SUSPICION = 20
+/** Evidence at which a move that must end at its deadline is taken back instead of ending late. */
+export const STRONG_SUSPICION = 100
 /** Evidence at which the hold alarm asks for a concurrent test; a false alarm costs only time. */
 export const HOLD_ALARM = 200
 
@@ -51,13 +53,13 @@
 export const CRASH_LIMIT = 3
 
 /** Shares of the concurrent tests after the first hold alarm and after later ones. */
-export const ALARM_SHARES: readonly number[] = [0.2, 0.9]
+export const ALARM_SHARES: readonly number[] = [0.2, 0.8]
 /** Alarms in the hold after which the move is taken back even though concurrent tests found nothing. */
-export const MAX_HOLD_ALARMS = 3
+export const MAX_HOLD_ALARMS = 4
 export const ALARM_TEST_MIN_MS = 8_000
 export const ALARM_TEST_MAX_MS = 120_000
-/** Bad calls expected in a concurrent test, had the alarm been right, before it counts as cleared. */
-export const ALARM_CLEAR_EXPECTED = 4
+/** Likelihood ratio at which a concurrent test clears the new version of an alarm. */
+export const ALARM_CLEARED = 50
 
 /** Log-likelihood at which one daemon rolls back by itself: one false trip in 10 million failures. */
 export const LOCAL_TRIP = Math.log(1e7)
--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -8,7 +8,7 @@
 import type { MoveEffect } from './effects.js'
 import { Baseline, Window, type Cell } from './evidence.js'
 import { AlarmTest } from './alarmTest.js'
-import { HoldAlarm } from './holdAlarm.js'
+import { HoldAlarm, NO_BAD_CALLS, type BadRates } from './holdAlarm.js'
 import { firstShare, SHORTEST_RAMP_MS, stageMs } from './plan.js'
 import { rampStep, type RampStep } from './ramp.js'
 import { VersionTest } from './versionTest.js'
@@ -44,7 +44,8 @@
   #test: VersionTest
   #hold: HoldAlarm
   #alarm: AlarmTest | undefined
-  #alarms = 0
+  readonly #alarms = { errors: 0, slow: 0 }
+  #tolerated: BadRates = NO_BAD_CALLS
   #stage = -1
   #share = 0
   #enteredAt = 0
@@ -61,7 +62,7 @@
     this.#opts = opts
     this.#window = new Window(opts.from, opts.to)
     this.#test = this.#newTest()
-    this.#hold = new HoldAlarm(opts.routes)
+    this.#hold = new HoldAlarm(opts.routes, NO_BAD_CALLS)
     for (const cell of past) this.#baseline.add(cell)
   }
 
@@ -127,13 +128,13 @@
     this.#share = share
     this.#enteredAt = input.now
     this.#plannedMs = share === 0 ? observeMs(this.#leftMs(input)) : stageMs(share, this.#leftMs(input))
-    if (returning) this.#hold = new HoldAlarm(this.#opts.routes)
+    if (returning) this.#hold = new HoldAlarm(this.#opts.routes, this.#tolerated)
     if (this.#phase !== 'alarm') {
       this.#alarm = undefined
       return
     }
     this.#test = this.#newTest()
-    this.#alarm ??= new AlarmTest(undefined)
+    this.#alarm ??= new AlarmTest()
     this.#alarm.start(input.now)
   }
 
@@ -204,6 +205,7 @@
       case 'advance':
         return yield * this.#publishStage(input, step.share)
       case 'late':
+        if (this.#test.isStronglySuspicious) return yield * this.#rollBack(input, step.reason)
         return yield * this.#end(input, 'late', step.reason)
       case 'wait':
         if (input.now - this.#enteredAt >= this.#plannedMs && step.reason !== undefined) {
@@ -240,25 +242,34 @@
     }
     const what = `${this.#opts.to} has more ${alarm.kind === 'errors' ? 'failed' : 'slow'} calls at 100% than ` +
       `${this.#opts.from} had before (${(alarm.rate * 100).toPrecision(2)}%)`
-    this.#alarms++
-    if (this.#alarms >= MAX_HOLD_ALARMS) {
-      return yield * this.#rollBack(input, `${what}, for the ${this.#alarms}rd time, though not at smaller shares`)
+    const count = ++this.#alarms[alarm.kind]
+    if (count >= MAX_HOLD_ALARMS) {
+      return yield * this.#rollBack(input, `${what}, again after ${count - 1} concurrent tests at smaller shares found nothing`)
     }
     yield this.#event('moveAlarm', { share: 1, reason: what })
     this.#alarm = new AlarmTest(alarm)
-    yield * this.#publishStage(input, ALARM_SHARES[Math.min(this.#alarms, ALARM_SHARES.length) - 1]!)
+    yield * this.#publishStage(input, ALARM_SHARES[Math.min(count, ALARM_SHARES.length) - 1]!)
   }
 
   * #steerAlarm (input: CoordinatorInput): Generator<MoveEffect> {
     const result = this.#alarm!.result(input.now, this.#test)
     if (result === 'wait') return
-    if (result === 'cleared' || unsureChoice(input.cfg, input.service) === 'finish') {
-      return yield * this.#publishStage(input, 1)
-    }
+    if (result === 'cleared') this.#tolerate()
+    if (result === 'cleared' || !this.#test.isSuspicious) return yield * this.#publishStage(input, 1)
     yield * this.#rollBack(input, `an alarm at 100% could not be cleared by ${this.#test.newCalls} calls at a share ` +
       `of ${formatShare(this.#share)}`)
   }
 
+  /** A test near full load shows that the rate which raised the alarm comes from something both versions use. */
+  #tolerate (): void {
+    const peaks = this.#alarm?.alarm.peaks
+    if (!peaks || this.#share <= ALARM_SHARES[0]!) return
+    this.#tolerated = {
+      errors: Math.max(this.#tolerated.errors, peaks.errors),
+      slow: Math.max(this.#tolerated.slow, peaks.slow)
+    }
+  }
+
   * #publishStage (input: CoordinatorInput, share: number): Generator<MoveEffect> {
     const after = Math.max(this.#stage, 0) + 1
     const stage = share === 1 ? Math.max(after, HOLD_STAGE) : after
@@ -290,7 +301,7 @@
 
   #doneReason (input: CoordinatorInput): string {
     const late = -(this.#leftMs(input) + (input.now - this.#enteredAt))
-    const when = late > 0 && this.#alarms === 0 ? `, ${Math.ceil(late / 1000)} s after the deadline` : ''
+    const when = late > 0 && this.#alarms.errors + this.#alarms.slow === 0 ? `, ${Math.ceil(late / 1000)} s after the deadline` : ''
     return `all traffic is on ${this.#opts.to}${when}, and the hold time passed without a fault`
   }
 
--- a/packages/moves/src/counters.ts
+++ b/packages/moves/src/counters.ts
@@ -49,6 +49,10 @@
     }
     return rows
   }
+
+  discard (): void {
+    for (const counter of this.#byRoute.values()) counter.reset()
+  }
 }
 
 function withoutTrailingZeros (buckets: Uint32Array): number[] {
--- a/packages/moves/src/engine.ts
+++ b/packages/moves/src/engine.ts
@@ -1,4 +1,6 @@
-import { mergeMoveFact, type EndpointView, type EvidenceReport, type MoveFact, type MoveFacts } from '@lentilwheel/core'
+import {
+  mergeMoveFact, type EndpointView, type EvidenceReport, type MoveFact, type MoveFacts, type Timers
+} from '@lentilwheel/core'
 import type { Snapshot } from '@lentilwheel/config'
 import { Coordinator } from './coordinator.js'
 import type { MoveEffect } from './effects.js'
@@ -24,6 +26,8 @@
   daemon: string
   /** Whether this daemon coordinates the move now. */
   isCoordinator (move: string): boolean
+  /** The clock that `tick` is called by. */
+  timers: Pick<Timers, 'now'>
 }
 
 /** Facts kept for moves that aren't in the configuration (yet); the oldest go first. */
@@ -57,7 +61,8 @@
         continue
       }
       this.#drop(id)
-      const move = new LocalMove({ id, cfg, service, routes: names, facts: this.factsOf(id) })
+      const { timers } = this.#opts
+      const move = new LocalMove({ id, cfg, service, routes: names, facts: this.factsOf(id), timers })
       move.setEndpoints(this.#endpoints)
       this.#moves.set(id, move)
     }
@@ -107,8 +112,10 @@
   * #tickLocal (move: LocalMove, coordinates: boolean, now: number, wallNow: number): Generator<MoveEffect> {
     const reason = move.checkDefence(now)
     if (reason !== undefined) {
-      yield * this.#publish([{ kind: 'publishFact', fact: { kind: 'rollback', move: move.id, reason, at: wallNow, daemon: this.#opts.daemon } }])
-      yield { kind: 'event', type: 'moveRollback', fields: { move: move.id, service: move.service, reason }, cause: move.id }
+      const { id, service } = move
+      const fact: MoveFact = { kind: 'rollback', move: id, reason, at: wallNow, daemon: this.#opts.daemon }
+      yield * this.#publish([{ kind: 'publishFact', fact }])
+      yield { kind: 'event', type: 'moveRollback', fields: { move: id, service, reason }, cause: id }
     }
     const report = move.takeReport(this.#opts.daemon)
     if (!report) return
--- a/packages/moves/src/holdAlarm.ts
+++ b/packages/moves/src/holdAlarm.ts
@@ -14,6 +14,8 @@
 const MIN_PAST_CALLS = 100
 /** Calls of the alarm's rate estimate. */
 const RECENT_CALLS = 200
+/** Calls that a window needs before its rate counts as a peak. */
+const MIN_PEAK_CALLS = 10
 
 /** Watches one rate of the new version against the old version's past while no calls go to the old version. */
 class RateWatch {
@@ -21,13 +23,15 @@
   readonly #logs = new Float64Array(RATE_RATIOS.length)
   #recentCalls = 0
   #recentBad = 0
+  #peakRate = 0
 
   update (calls: number, bad: number, past: number): void {
     RATE_RATIOS.forEach((ratio, i) => {
-      const rate = Math.min(MAX_RATE, past * ratio)
+      const rate = Math.max(past, Math.min(MAX_RATE, past * ratio))
       this.#logs[i] = bad * Math.log(rate / past) + (calls - bad) * Math.log((1 - rate) / (1 - past))
     })
     this.#process.update(this.#logs)
+    if (calls >= MIN_PEAK_CALLS) this.#peakRate = Math.max(this.#peakRate, bad / calls)
     const keep = Math.min(1, RECENT_CALLS / (this.#recentCalls + 1))
     this.#recentCalls = this.#recentCalls * keep + calls
     this.#recentBad = this.#recentBad * keep + bad
@@ -40,21 +44,39 @@
   get recentRate (): number {
     return this.#recentCalls === 0 ? 0 : this.#recentBad / this.#recentCalls
   }
+
+  /** Highest rate of a single window that had enough calls. */
+  get peakRate (): number {
+    return Math.max(this.#peakRate, this.recentRate)
+  }
 }
 
 export interface Alarm {
   kind: 'errors' | 'slow'
   /** Rate of bad calls that raised it. */
   rate: number
+  /** Highest rates of one window. */
+  peaks: BadRates
+}
+
+export interface BadRates {
+  errors: number
+  slow: number
 }
 
+export const NO_BAD_CALLS: BadRates = { errors: 0, slow: 0 }
+
 /** Asks for a concurrent test when the new version at 100% does worse than the old version did before. */
 export class HoldAlarm {
   readonly #errors = new Map<string, RateWatch>()
   readonly #slow = new RateWatch()
   readonly #allErrors = new RateWatch()
 
-  constructor (routes: Iterable<string>) {
+  readonly #tolerated: BadRates
+
+  /** `tolerated` are rates that a concurrent test has shown to be common to both versions. */
+  constructor (routes: Iterable<string>, tolerated: BadRates) {
+    this.#tolerated = tolerated
     for (const route of routes) this.#errors.set(route, new RateWatch())
   }
 
@@ -64,9 +86,10 @@
     for (const cell of cells) {
       calls += cell.new.calls
       errors += cell.new.errors
-      this.#errors.get(cell.route)?.update(cell.new.calls, cell.new.errors, pastErrorRate(baseline, cell.route))
+      const past = Math.max(pastErrorRate(baseline, cell.route), this.#tolerated.errors)
+      this.#errors.get(cell.route)?.update(cell.new.calls, cell.new.errors, past)
     }
-    this.#allErrors.update(calls, errors, pastErrorRate(baseline))
+    this.#allErrors.update(calls, errors, Math.max(pastErrorRate(baseline), this.#tolerated.errors))
     if (countSlow) this.#updateSlow(cells, baseline)
   }
 
@@ -74,9 +97,14 @@
     const routes = [...this.#errors.values()]
     const routeMean = routes.reduce((sum, watch) => sum + watch.value, 0) / Math.max(1, routes.length)
     if ((this.#allErrors.value + routeMean) / 2 >= HOLD_ALARM) {
-      return { kind: 'errors', rate: this.#allErrors.recentRate }
+      return { kind: 'errors', rate: this.#allErrors.recentRate, peaks: this.#peaks() }
     }
-    return this.#slow.value >= HOLD_ALARM ? { kind: 'slow', rate: this.#slow.recentRate } : undefined
+    if (this.#slow.value < HOLD_ALARM) return undefined
+    return { kind: 'slow', rate: this.#slow.recentRate, peaks: this.#peaks() }
+  }
+
+  #peaks (): BadRates {
+    return { errors: this.#allErrors.peakRate, slow: this.#slow.peakRate }
   }
 
   /** Slowness is watched at the lowest quantile only, over all routes. */
@@ -89,7 +117,7 @@
       calls += cell.new.successes
       slow += countAbove(cell.new.buckets, bound + SLOW_TOLERANCE_BUCKETS)
     }
-    this.#slow.update(calls, slow, (1 - SLOW_QUANTILES[0]!) * DRIFT)
+    this.#slow.update(calls, slow, Math.max((1 - SLOW_QUANTILES[0]!) * DRIFT, this.#tolerated.slow))
   }
 }
 
--- a/packages/moves/src/localDefence.ts
+++ b/packages/moves/src/localDefence.ts
@@ -21,9 +21,11 @@
  */
 export class LocalDefence {
   trip: LocalTrip = 'none'
-  /** Calls and failures of the new version since it was last taken for sound. */
-  newCalls = 0
-  newFailures = 0
+  /** Calls and failures of the new version that led to the trip. */
+  tripCalls = 0
+  tripFailures = 0
+  #newCalls = 0
+  #newFailures = 0
   #score = 0
   #oldRate = 0
   #newStep = 0
@@ -33,8 +35,8 @@
   /** Prepares the steps for a share, so that no logarithm is taken per call while versions are compared. */
   setShare (share: number): void {
     this.#score = 0
-    this.newCalls = 0
-    this.newFailures = 0
+    this.#newCalls = 0
+    this.#newFailures = 0
     this.#compares = share > 0 && share <= MAX_COMPARED_SHARE
     if (!this.#compares) return
     this.#newStep = Math.log(FAILING_PART / share)
@@ -49,8 +51,8 @@
   }
 
   onNewCall (ok: boolean, n: number): void {
-    this.newCalls += n
-    if (!ok) this.newFailures += n
+    this.#newCalls += n
+    if (!ok) this.#newFailures += n
     if (!this.#compares) this.#addAbsolute(ok, n)
     else if (!ok) this.#add(this.#newStep * n)
   }
@@ -65,10 +67,13 @@
     this.#score += step
     if (this.#score <= 0) {
       this.#score = 0
-      this.newCalls = 0
-      this.newFailures = 0
+      this.#newCalls = 0
+      this.#newFailures = 0
     }
-    if (this.#score >= LOCAL_TRIP && this.trip === 'none') this.trip = this.#compares ? 'failing' : 'suspect'
+    if (this.#score < LOCAL_TRIP || this.trip !== 'none') return
+    this.trip = this.#compares ? 'failing' : 'suspect'
+    this.tripCalls = this.#newCalls
+    this.tripFailures = this.#newFailures
   }
 }
 
--- a/packages/moves/src/localMove.ts
+++ b/packages/moves/src/localMove.ts
@@ -1,4 +1,4 @@
-import type { EndpointView, EvidenceReport, MoveFacts } from '@lentilwheel/core'
+import type { EndpointView, EvidenceReport, MoveFacts, Timers } from '@lentilwheel/core'
 import type { Move, Service } from '@lentilwheel/config'
 import { Capacity } from './capacity.js'
 import { LOCAL_CAP_MS, LOCAL_CAP_SHARE } from './constants.js'
@@ -13,6 +13,18 @@
   readonly share: number
 }
 
+/** Calls older than this have all ended or timed out. */
+const SETTLE_MS = 60_000
+
+export interface LocalMoveOptions {
+  id: string
+  cfg: Move
+  service: Service
+  routes: readonly string[]
+  facts: MoveFacts
+  timers: Pick<Timers, 'now'>
+}
+
 /** One move as every daemon holds it: the share it sends, what it counted, and its own defence. */
 export class LocalMove {
   readonly id: string
@@ -26,12 +38,16 @@
   readonly #new: VersionCounters
   readonly #past = new Map<string, RowSum>()
   readonly #defence = new LocalDefence()
+  readonly #timers: Pick<Timers, 'now'>
   #facts: MoveFacts
+  /** When the share last fell, while calls sent before that may still end. */
+  #fellAt: number | undefined
   #reportedStage: number | undefined
   #capUntil = -Infinity
   #capped = false
 
-  constructor (opts: { id: string, cfg: Move, service: Service, routes: readonly string[], facts: MoveFacts }) {
+  constructor (opts: LocalMoveOptions) {
+    this.#timers = opts.timers
     this.id = opts.id
     this.cfg = opts.cfg
     this.service = opts.cfg.service
@@ -69,12 +85,17 @@
     this.#updateShare()
   }
 
+  /**
+   * Counts a call. A call sent before the share fell is left out: hung calls of the larger share would otherwise look
+   * like failures of the new version alone.
+   */
   onCall (route: string, version: string, ok: boolean, latencyMs: number, n: number): void {
+    if (this.#fellAt !== undefined && this.#timers.now() - latencyMs < this.#fellAt) return
     if (version === this.shares.to) {
       this.#new.add(route, ok, latencyMs, n)
       if (this.#facts.outcome) return
       this.#defence.onNewCall(ok, n)
-      if (this.#defence.trip !== 'none') this.#updateShare()
+      if (this.#defence.trip !== 'none') this.#onTrip()
     } else if (version === this.shares.from) {
       this.#old.add(route, ok, latencyMs, n)
       this.#defence.onOldCall(ok, n)
@@ -83,13 +104,14 @@
 
   /** Reason for a rollback by this daemon alone, once, when its own calls show clear failure. */
   checkDefence (now: number): string | undefined {
-    const { trip, newCalls, newFailures } = this.#defence
+    const { trip, tripCalls, tripFailures } = this.#defence
+    if (this.#fellAt !== undefined && now - this.#fellAt > SETTLE_MS) this.#fellAt = undefined
     if (this.#capped && now >= this.#capUntil) {
       this.#capped = false
       this.#updateShare()
     }
     if (trip === 'none' || this.#facts.rollback || this.#facts.outcome) return undefined
-    if (trip === 'failing') return `${this.shares.to} failed ${newFailures} of ${newCalls} calls of one daemon`
+    if (trip === 'failing') return `${this.shares.to} failed ${tripFailures} of ${tripCalls} calls of one daemon`
     this.#defence.trip = 'none'
     this.#capped = true
     this.#capUntil = now + LOCAL_CAP_MS
@@ -112,6 +134,15 @@
     return Array.from(this.#past, ([route, old]) => ({ route, old }))
   }
 
+  /** Counts that end at a trip are biased toward failures, so they are no evidence for the fleet's test. */
+  #onTrip (): void {
+    const before = this.shares.share
+    this.#updateShare()
+    if (this.shares.share === before) return
+    this.#old.discard()
+    this.#new.discard()
+  }
+
   #pastOf (route: string): RowSum {
     let sum = this.#past.get(route)
     if (!sum) {
@@ -124,6 +155,7 @@
   #updateShare (): void {
     const share = this.#wantedShare()
     if (share === this.shares.share) return
+    if (share < this.shares.share) this.#fellAt = this.#timers.now()
     this.shares.share = share
     this.#defence.setShare(share)
   }
--- a/packages/moves/src/versionTest.ts
+++ b/packages/moves/src/versionTest.ts
@@ -1,4 +1,4 @@
-import { ALPHA, ERROR_ODDS, SLOW_ODDS, SLOW_QUANTILES, SUSPICION } from './constants.js'
+import { ALPHA, ERROR_ODDS, SLOW_ODDS, SLOW_QUANTILES, STRONG_SUSPICION, SUSPICION } from './constants.js'
 import { Comparison } from './comparison.js'
 import { errorTable, slowTable, type Baseline, type Cell } from './evidence.js'
 import type { Table } from './hypergeometric.js'
@@ -66,6 +66,10 @@
     return Math.max(this.errorEvidence, this.slowEvidence) >= SUSPICION
   }
 
+  get isStronglySuspicious (): boolean {
+    return Math.max(this.errorEvidence, this.slowEvidence) >= STRONG_SUSPICION
+  }
+
   /** Why the new version is bad, in a sentence, or undefined while the evidence is short of that. */
   get verdict (): string | undefined {
     if (this.errorEvidence >= 1 / ALPHA) return this.#errorReason()
@@ -75,7 +79,7 @@
 
   #errorReason (): string {
     const route = this.#errors.worstRoute
-    const { callsNew, badNew, callsOld, badOld } = this.#sum('errors', route)
+    const { callsNew, badNew, callsOld, badOld } = this.sums('errors', route)
     return `${this.#to} failed ${badNew} of ${callsNew} calls${onRoute(route)}, ` +
       `while ${this.#from} failed ${badOld} of ${callsOld} in the same time`
   }
@@ -83,13 +87,14 @@
   #slowReason (): string {
     const worst = this.#slow.reduce((a, b) => (b.value > a.value ? b : a))
     const route = worst.worstRoute
-    const { callsNew, badNew, callsOld, badOld } = this.#sum('slow', route)
+    const { callsNew, badNew, callsOld, badOld } = this.sums('slow', route)
     return `${this.#to} was slow in ${percent(badNew, callsNew)} of its calls${onRoute(route)}, ` +
       `while ${this.#from} was slow in ${percent(badOld, callsOld)} in the same time` +
       (route === undefined ? '' : ` (slow is above ${this.#totalsOf(route).slowAboveMs.toPrecision(2)} ms)`)
   }
 
-  #sum (kind: 'errors' | 'slow', route: string | undefined): Table {
+  /** Calls of both versions since the start of the test, over one route or all. */
+  sums (kind: 'errors' | 'slow', route?: string): Table {
     const sum = emptyTable()
     for (const [name, totals] of this.#totals) {
       if (route === undefined || route === name) addTable(sum, totals[kind])
