--- /dev/null
+++ b/packages/cli/src/account/platformSource.ts
@@ -0,0 +1,60 @@
+import { splitKey, type Config, type Head } from '@lentilwheel/config'
+import { errorCode } from '@lentilwheel/core'
+import { loadSnapshot, readHead, type PlatformClient, type StoredObject } from '@lentilwheel/platform'
+import type { z } from 'zod'
+import { accountSchema, moveRecordSchema, type Account } from './schema.js'
+import type { FleetView } from './view.js'
+
+const ACCOUNT_PREFIX = 'account/'
+const MOVE_PREFIX = 'move/'
+
+/** Reads all that the platform keeps about the fleet; one damaged object costs only itself. */
+export async function readPlatformView (client: PlatformClient): Promise<FleetView> {
+  const notices: string[] = []
+  const [{ head }, accounts, records] = await Promise.all([
+    readHead(client),
+    listObjects(client, ACCOUNT_PREFIX, accountSchema, notices),
+    listObjects(client, MOVE_PREFIX, moveRecordSchema, notices)
+  ])
+  const config = await readMoves(client, head, notices)
+  const accepted = { version: head.version, changes: head.changes, ...(config && { config }) }
+  return { source: 'platform', accepted, accounts, records, notices }
+}
+
+export async function readAccounts (client: PlatformClient): Promise<Account[]> {
+  return await listObjects(client, ACCOUNT_PREFIX, accountSchema, [])
+}
+
+async function listObjects<S extends z.ZodType> (
+  client: PlatformClient, prefix: string, schema: S, notices: string[]
+): Promise<z.output<S>[]> {
+  const stored = await client.list(prefix)
+  return stored.flatMap((object) => {
+    const parsed = schema.safeParse(decode(object))
+    if (parsed.success) return [parsed.data]
+    const issue = parsed.error.issues[0]
+    notices.push(`The object ${object.key} on the platform has another form than this command knows ` +
+      `(${issue?.path.join('.') || 'value'}: ${issue?.message}) and is left out.`)
+    return []
+  })
+}
+
+function decode (object: StoredObject): unknown {
+  try {
+    return JSON.parse(new TextDecoder().decode(object.value))
+  } catch {
+    return undefined
+  }
+}
+
+/** The configuration is loaded only when it declares moves; a status must not fail for a damaged bundle. */
+async function readMoves (client: PlatformClient, head: Head, notices: string[]): Promise<Config | undefined> {
+  const hasMoves = Object.keys(head.objects).some((key) => splitKey(key).kind === 'move')
+  if (!hasMoves) return { services: {}, routes: {}, moves: {} }
+  try {
+    return (await loadSnapshot(client, head)).config
+  } catch (err) {
+    notices.push(`The moves of version ${head.version} could not be read: ${errorCode(err)}: ${(err as Error).message}`)
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/cli/src/apply/difference.ts
@@ -0,0 +1,43 @@
+import type { Change, ConfigObject } from '@lentilwheel/config'
+
+/** One object that a change adds, alters or removes. */
+export interface Difference {
+  kind: 'added' | 'changed' | 'removed'
+  key: string
+  /** Fields that differ, for changed objects. */
+  fields: { field: string, before: unknown, after: unknown }[]
+}
+
+/** What a change does to the objects held. */
+export function differencesOf (change: Change, held: ReadonlyMap<string, ConfigObject>): Difference[] {
+  const put = change.put.map((object): Difference => {
+    const before = held.get(object.key)
+    if (!before) return { kind: 'added', key: object.key, fields: [] }
+    return { kind: 'changed', key: object.key, fields: fieldDifferences(before, object) }
+  })
+  const removed = change.remove.map((key): Difference => ({ kind: 'removed', key, fields: [] }))
+  return [...put, ...removed].sort((a, b) => (a.key < b.key ? -1 : 1))
+}
+
+function fieldDifferences (before: ConfigObject, after: ConfigObject): Difference['fields'] {
+  const old = JSON.parse(before.text) as Record<string, unknown>
+  const now = JSON.parse(after.text) as Record<string, unknown>
+  const names = [...new Set([...Object.keys(old), ...Object.keys(now)])].sort()
+  return names
+    .filter((name) => JSON.stringify(old[name]) !== JSON.stringify(now[name]))
+    .map((field) => ({ field, before: old[field], after: now[field] }))
+}
+
+const SIGNS = { added: '+', changed: '~', removed: '-' } as const
+
+/** Lines such as `~ service/orders current: "v1" -> "v2"`. */
+export function differenceLines (differences: readonly Difference[]): string[] {
+  return differences.flatMap(({ kind, key, fields }) => {
+    const head = `${SIGNS[kind]} ${key}`
+    return [head, ...fields.map(({ field, before, after }) => `    ${field}: ${shown(before)} -> ${shown(after)}`)]
+  })
+}
+
+function shown (value: unknown): string {
+  return value === undefined ? 'unset' : JSON.stringify(value)
+}
--- /dev/null
+++ b/packages/cli/src/commands/apply.ts
@@ -0,0 +1,163 @@
+import { parseDuration, touchedKeys } from '@lentilwheel/config'
+import type { PlatformClient } from '@lentilwheel/platform'
+import { acceptOrSettle, prepareChange, type PreparedChange } from '../apply/apply.js'
+import { deadlineWarnings } from '../apply/deadlines.js'
+import { differenceLines } from '../apply/difference.js'
+import { lackingSentences, waitInForce, type WaitResult } from '../apply/waiting.js'
+import { reachOf, type Reach } from '../account/view.js'
+import { textOption, versionOption, withPlatform, type CommandContext, type CommonOptions } from '../context.js'
+import { Interrupted, NotInForceEverywhere, UsageError } from '../errors.js'
+import { EXIT_PLATFORM_AWAY } from '../exitCodes.js'
+import { Reporter } from '../output/reporter.js'
+import { counted } from '../output/text.js'
+
+const DEFAULT_TIMEOUT = '60s'
+
+export interface ApplyOptions extends CommonOptions {
+  base?: unknown
+  wait?: boolean
+  timeout?: unknown
+  changeId?: unknown
+}
+
+type Phase = 'preparing' | 'accepting' | 'waiting'
+
+/** Follows Ctrl-C through the phases of an apply, because in each it means something else. */
+class InterruptGuard {
+  interrupted = false
+  phase: Phase = 'preparing'
+  readonly #ctx: CommandContext
+  readonly #changeId: string
+  readonly stop
+
+  constructor (ctx: CommandContext, changeId: string) {
+    this.#ctx = ctx
+    this.#changeId = changeId
+    this.stop = ctx.onInterrupt(() => this.#interrupt())
+  }
+
+  #interrupt (): void {
+    if (this.interrupted && this.phase === 'accepting') {
+      this.#ctx.screen.note(`interrupted: it is unknown whether change ${this.#changeId} was accepted; see ` +
+        '`lentilwheel history`')
+      this.#ctx.exit(EXIT_PLATFORM_AWAY)
+    }
+    if (!this.interrupted && this.phase === 'accepting') {
+      this.#ctx.screen.note('interrupted: waiting for the platform to say whether the change is accepted; ' +
+        'press Ctrl-C again to end without knowing')
+    }
+    this.interrupted = true
+  }
+
+  /** Nothing has been sent yet, so the answer is certain. */
+  checkBeforeSending (): void {
+    if (this.interrupted) throw new Interrupted('interrupted: nothing was accepted')
+    this.phase = 'accepting'
+  }
+}
+
+/** Has a configuration accepted and waits until it is in force everywhere. */
+export async function apply (ctx: CommandContext, file: string, opts: ApplyOptions): Promise<void> {
+  const reporter = new Reporter(ctx, opts)
+  if (reporter.form === 'csv') throw new UsageError('apply has no CSV form')
+  const timeoutMs = timeoutOption(opts.timeout)
+  const baseVersion = versionOption(opts.base, 'base')
+  const changeId = textOption(opts.changeId, 'change-id') ?? ctx.newId()
+  const bytes = ctx.readFile(file)
+  const guard = new InterruptGuard(ctx, changeId)
+  try {
+    await withPlatform(ctx, opts, async (client) => {
+      const prepared = await prepareChange(client, {
+        bytes, file, author: ctx.userName(), changeId, now: ctx.timers.wallNow(), baseVersion
+      })
+      const version = await acceptPrepared(ctx, reporter, client, prepared, guard)
+      guard.phase = 'waiting'
+      const result = opts.wait === false ? undefined : await waitOrStop(ctx, client, version, timeoutMs, guard)
+      reporter.json(applyReport(prepared, version, result))
+      concludeApply(reporter, version, changeId, result, guard)
+    })
+  } finally {
+    guard.stop()
+    ctx.screen.clearProgress()
+  }
+}
+
+function timeoutOption (value: unknown): number {
+  const text = textOption(value, 'timeout') ?? DEFAULT_TIMEOUT
+  const ms = parseDuration(text)
+  if (ms === undefined) throw new UsageError(`--timeout: "${text}" is not a duration such as 30s or 5m`)
+  return ms
+}
+
+async function acceptPrepared (
+  ctx: CommandContext, reporter: Reporter, client: PlatformClient, prepared: PreparedChange, guard: InterruptGuard
+): Promise<number> {
+  const { base, change, differences, acceptedBefore } = prepared
+  if (acceptedBefore !== undefined) {
+    reporter.say(`Change ${change.id} was already accepted as version ${acceptedBefore}.`)
+    return acceptedBefore
+  }
+  if (touchedKeys(change).length === 0) {
+    reporter.say(`Nothing to change: version ${base.head.version} already has this configuration.`)
+    return base.head.version
+  }
+  for (const line of differenceLines(differences)) reporter.say(line)
+  reporter.notices(deadlineWarnings(change, ctx.timers.wallNow()))
+  guard.checkBeforeSending()
+  const version = await acceptOrSettle(client, prepared, ctx.timers)
+  reporter.say(`Accepted as version ${version} (change ${change.id}).`)
+  return version
+}
+
+async function waitOrStop (
+  ctx: CommandContext, client: PlatformClient, version: number, timeoutMs: number, guard: InterruptGuard
+): Promise<WaitResult> {
+  return await waitInForce(client, {
+    version,
+    timeoutMs,
+    timers: ctx.timers,
+    interrupted: () => guard.interrupted,
+    onProgress: (reach) => ctx.screen.progress(progressText(version, reach))
+  })
+}
+
+function progressText (version: number, reach: Reach | undefined): string {
+  if (!reach) return `v${version}: platform is not answering`
+  if (reach.members === 0) return `v${version}: no daemon has reported yet`
+  return `v${version}: on ${reach.holding} of ${counted(reach.members, 'daemon')}`
+}
+
+function applyReport (prepared: PreparedChange, version: number, result: WaitResult | undefined) {
+  const report = { changeId: prepared.change.id, version, differences: prepared.differences }
+  if (!result) return report
+  const { end, accounts } = result
+  const lacking = end === 'everywhere' ? [] : lackingSentences(accounts, version)
+  return { ...report, waited: end, ...reachOf(accounts, version), lacking }
+}
+
+function concludeApply (
+  reporter: Reporter, version: number, changeId: string, result: WaitResult | undefined, guard: InterruptGuard
+): void {
+  if (!result) {
+    if (guard.interrupted) throw new Interrupted(interruptedText(version, changeId))
+    return
+  }
+  const { holding, members } = reachOf(result.accounts, version)
+  if (result.end === 'everywhere') {
+    reporter.say(`Version ${version} is in force on all ${counted(members, 'daemon')}.`, 'green')
+    return
+  }
+  if (result.end === 'noDaemons') {
+    reporter.say('No daemon has reported to the platform yet, so nothing is known about what is in force.')
+    return
+  }
+  if (result.end === 'interrupted') throw new Interrupted(interruptedText(version, changeId))
+  const lacking = lackingSentences(result.accounts, version).map((sentence) => `\n  ${sentence}`).join('')
+  const stale = result.isFresh ? '' : ' at the last answer of the platform, which does not answer now'
+  throw new NotInForceEverywhere(
+    `version ${version} is in force on ${holding} of ${counted(members, 'daemon')}${stale}${lacking}`)
+}
+
+function interruptedText (version: number, changeId: string): string {
+  return `interrupted: change ${changeId} was accepted as version ${version} and comes into force without this command`
+}
--- /dev/null
+++ b/packages/cli/src/commands/moveControl.ts
@@ -0,0 +1,90 @@
+import { fromObjects, makeObject, splitKey, suggestion, type Change, type Move } from '@lentilwheel/config'
+import { loadObjects, readHead, type PlatformClient } from '@lentilwheel/platform'
+import { acceptOrSettle } from '../apply/apply.js'
+import { readPlatformView } from '../account/platformSource.js'
+import { movesOf, type MoveView } from '../account/view.js'
+import { daemonOf, withPlatform, type CommandContext, type CommonOptions } from '../context.js'
+import { MoveControlRefused, MoveEnded, MoveNotFound, UsageError } from '../errors.js'
+import { Reporter } from '../output/reporter.js'
+import { formatTime } from '../output/text.js'
+
+/** What an operator asks of a move, and the control that the move object then holds. */
+export const MOVE_ACTIONS = { pause: 'paused', resume: 'run', 'take-back': 'takeBack', finish: 'finish' } as const
+export type MoveAction = keyof typeof MOVE_ACTIONS
+
+export function isMoveAction (text: string): text is MoveAction {
+  return Object.hasOwn(MOVE_ACTIONS, text)
+}
+
+const OUTCOME_WORDS = { done: 'done', takenBack: 'taken back', late: 'late' } as const
+
+/** Whether a request still has a meaning; throws when it does not, returns false when it is already so. */
+export function needsChange (move: MoveView, action: MoveAction): boolean {
+  if (move.outcome) {
+    const when = move.at === undefined ? '' : ` at ${formatTime(move.at)}`
+    const reason = move.reason === undefined ? '' : `: ${move.reason}`
+    throw new MoveEnded(`move ${move.id} had already ended${when} as ${OUTCOME_WORDS[move.outcome]}${reason}`)
+  }
+  if (move.control === MOVE_ACTIONS[action]) return false
+  if (move.control === 'takeBack') {
+    throw new MoveControlRefused(`move ${move.id} is being taken back, which is permanent; it cannot ${action}`)
+  }
+  return true
+}
+
+/** Changes what operators ask of a move, on the platform or, for a take-back, through a daemon. */
+export async function controlMove (
+  ctx: CommandContext, action: MoveAction, id: string, opts: CommonOptions
+): Promise<void> {
+  const reporter = new Reporter(ctx, opts)
+  if (opts.daemon !== undefined) {
+    await takeBackByDaemon(ctx, reporter, action, id, opts)
+    return
+  }
+  await withPlatform(ctx, opts, async (client) => {
+    const version = await changeControl(ctx, client, action, id)
+    reporter.json({ move: id, action, changed: version !== undefined, ...(version !== undefined && { version }) })
+    reporter.say(version === undefined
+      ? `Move ${id} already has what ${action} asks for; nothing was changed.`
+      : `Move ${id}: ${action} accepted as version ${version}.`)
+  })
+}
+
+async function changeControl (
+  ctx: CommandContext, client: PlatformClient, action: MoveAction, id: string
+): Promise<number | undefined> {
+  const view = await readPlatformView(client)
+  const moves = movesOf(view)
+  const move = moves.find((candidate) => candidate.id === id)
+  if (!move) throw new MoveNotFound(`there is no move "${id}"${suggestion(id, moves.map((known) => known.id))}`)
+  if (!needsChange(move, action)) return undefined
+  const base = await readHead(client)
+  const held = (await loadObjects(client, base.head)).get(`move/${id}`)
+  if (!held) throw new MoveNotFound(`move "${id}" was removed from the configuration`)
+  const object = makeObject(held.key, withControl(fromObjects([held]).moves[splitKey(held.key).name]!, action))
+  const info = { id: ctx.newId(), author: ctx.userName(), acceptedAt: ctx.timers.wallNow() }
+  const change: Change = { ...info, put: [object], remove: [] }
+  return await acceptOrSettle(client, { base, change, differences: [] }, ctx.timers)
+}
+
+function withControl (move: Move, action: MoveAction): Move {
+  return { ...move, control: MOVE_ACTIONS[action] }
+}
+
+async function takeBackByDaemon (
+  ctx: CommandContext, reporter: Reporter, action: MoveAction, id: string, opts: CommonOptions
+): Promise<void> {
+  if (action !== 'take-back') {
+    throw new UsageError(`${action} needs the platform; only take-back works through --daemon`)
+  }
+  const daemon = daemonOf(ctx, opts)!
+  const answer = await daemon.takeBack(id)
+  reporter.json(answer)
+  if (answer.published) {
+    reporter.say(`Move ${id}: daemon ${daemon.address} published its rollback; no daemon sends to the new version 2 s from now.`)
+    return
+  }
+  const reason = answer.reason === undefined ? '' : `: ${answer.reason}`
+  if (answer.outcome) throw new MoveEnded(`move ${id} had already ended as ${OUTCOME_WORDS[answer.outcome]}${reason}`)
+  throw new MoveNotFound(`daemon ${daemon.address} knows no move "${id}" in progress${reason}`)
+}
--- /dev/null
+++ b/packages/cli/src/commands/reports.ts
@@ -0,0 +1,118 @@
+import { readPlatformView } from '../account/platformSource.js'
+import {
+  laggingBehind, movesOf, newestVersion, reachOf, refusalsOf, unnamedLagging, type FleetView
+} from '../account/view.js'
+import { daemonOf, withPlatform, type CommandContext, type CommonOptions } from '../context.js'
+import { UsageError } from '../errors.js'
+import { Reporter } from '../output/reporter.js'
+import { counted, formatTime } from '../output/text.js'
+import { dataCentreRows, historyRows, laggingRows, moveRows, refusalRows } from '../reports/rows.js'
+
+/** Refusals that `status` shows; `refusals` shows all. */
+const STATUS_REFUSALS = 5
+
+/** The fleet as the platform keeps it, or as the daemon named by --daemon knows it. */
+export async function readView (ctx: CommandContext, opts: CommonOptions): Promise<FleetView> {
+  const daemon = daemonOf(ctx, opts)
+  return daemon ? await daemon.fleet() : await withPlatform(ctx, opts, readPlatformView)
+}
+
+/** What is in force and what is not, and why. */
+export async function status (ctx: CommandContext, opts: CommonOptions & { debug?: boolean }): Promise<void> {
+  if (opts.debug && opts.daemon === undefined) {
+    throw new UsageError('--debug shows the proxy state of one daemon; add --daemon <admin address>')
+  }
+  const reporter = new Reporter(ctx, opts)
+  const view = await readView(ctx, opts)
+  const debug = opts.debug ? (await daemonOf(ctx, opts)!.status(true)).debug ?? {} : undefined
+  const summary = summarise(view)
+  reporter.notices(view.notices)
+  reporter.json({ ...summary, ...(debug && { debug }) })
+  for (const sentence of statusSentences(summary)) reporter.say(sentence)
+  printTables(reporter, summary, view)
+  if (debug && reporter.form === 'text') {
+    reporter.heading(`Proxy state of daemon ${String(opts.daemon)}`)
+    for (const [name, value] of Object.entries(debug)) reporter.say(`${name}: ${JSON.stringify(value)}`)
+  }
+}
+
+type StatusSummary = ReturnType<typeof summarise>
+
+function summarise (view: FleetView) {
+  const version = newestVersion(view)
+  const change = view.accepted?.changes.find((record) => record.version === version)
+  return {
+    source: view.source,
+    version,
+    ...(change && { acceptedAt: change.acceptedAt, author: change.author, changeId: change.id }),
+    ...reachOf(view.accounts, version),
+    dataCentres: view.accounts,
+    lagging: laggingBehind(view.accounts, version),
+    unnamedLagging: unnamedLagging(view.accounts, version),
+    refusals: refusalsOf(view),
+    moves: movesOf(view)
+  }
+}
+
+export function statusSentences (summary: StatusSummary): string[] {
+  const { version, acceptedAt, author, holding, members, source } = summary
+  if (version === 0) return ['No configuration is accepted yet. Apply one with `lentilwheel apply <file>`.']
+  const accepted = acceptedAt === undefined ? '' : `, accepted ${formatTime(acceptedAt)} by ${author ?? 'unknown'},`
+  const from = source === 'platform' ? '' : ` This is what ${source} knows; the platform was not asked.`
+  if (members === 0) return [`Version ${version}${accepted} is known. No daemon has reported to the platform yet.${from}`]
+  return [`Version ${version}${accepted} is in force on ${holding} of ${counted(members, 'daemon')}.${from}`]
+}
+
+function printTables (reporter: Reporter, summary: StatusSummary, view: FleetView): void {
+  const section = (heading: string, isEmpty: boolean, print: () => void): void => {
+    if (isEmpty && reporter.form === 'text') return
+    reporter.heading(heading)
+    print()
+  }
+  section('Data centres', summary.dataCentres.length === 0, () =>
+    reporter.table('dataCentres', dataCentreRows(view, summary.version)))
+  const isNoneLagging = summary.lagging.length + summary.unnamedLagging.length === 0
+  section(`Daemons that lack version ${summary.version}`, isNoneLagging, () => {
+    reporter.table('lagging', laggingRows(summary.lagging))
+    for (const { dataCentre, count } of summary.unnamedLagging) {
+      reporter.say(`${counted(count, 'daemon')} in ${dataCentre} not named in its account.`)
+    }
+  })
+  section('Refused', summary.refusals.length === 0, () => {
+    const shown = reporter.form === 'text' ? summary.refusals.slice(0, STATUS_REFUSALS) : summary.refusals
+    reporter.table('refusals', refusalRows(shown))
+    const rest = summary.refusals.length - shown.length
+    if (rest > 0) reporter.say(`${rest} more: see \`lentilwheel refusals\`.`)
+  })
+  section('Moves', summary.moves.length === 0, () => reporter.table('moves', moveRows(summary.moves)))
+}
+
+export async function listMoves (ctx: CommandContext, opts: CommonOptions): Promise<void> {
+  const reporter = new Reporter(ctx, opts)
+  const view = await readView(ctx, opts)
+  const moves = movesOf(view)
+  reporter.notices(view.notices)
+  reporter.json({ source: view.source, moves })
+  reporter.table('moves', moveRows(moves))
+  if (moves.length === 0) reporter.say('There are no moves.')
+}
+
+export async function refusals (ctx: CommandContext, opts: CommonOptions): Promise<void> {
+  const reporter = new Reporter(ctx, opts)
+  const view = await readView(ctx, opts)
+  const refused = refusalsOf(view)
+  reporter.notices(view.notices)
+  reporter.json({ source: view.source, refusals: refused })
+  reporter.table('refusals', refusalRows(refused))
+  if (refused.length === 0) reporter.say('No daemon reports a refusal.')
+}
+
+export async function history (ctx: CommandContext, opts: CommonOptions): Promise<void> {
+  if (opts.daemon !== undefined) throw new UsageError('only the platform keeps the history; leave out --daemon')
+  const reporter = new Reporter(ctx, opts)
+  const view = await withPlatform(ctx, opts, readPlatformView)
+  const changes = view.accepted?.changes ?? []
+  reporter.json({ version: newestVersion(view), changes: changes.toReversed() })
+  reporter.table('history', historyRows(changes))
+  if (changes.length === 0) reporter.say('No configuration is accepted yet.')
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,6 @@
-export * from './apply.js'
 export * from './account/schema.js'
+export * from './account/view.js'
+export * from './output/layout.js'
+export * from './reports/fields.js'
+export * from './settings.js'
+export * from './errors.js'
--- /dev/null
+++ b/packages/cli/src/nodeContext.ts
@@ -0,0 +1,95 @@
+import { randomUUID } from 'node:crypto'
+import { existsSync, readFileSync, writeFileSync } from 'node:fs'
+import { userInfo } from 'node:os'
+import { NodeTimers, NoMetrics, SeededRandom, type Cancel } from '@lentilwheel/core'
+import { HttpPlatformClient } from '@lentilwheel/platform'
+import { HttpDaemonAdmin } from './account/nodeDaemonClient.js'
+import type { CommandContext } from './context.js'
+import { FileFailed } from './errors.js'
+import { parseLayout } from './output/layout.js'
+import { Screen } from './output/screen.js'
+import { parseCliSettings, SETTINGS_FILE } from './settings.js'
+
+const DEFAULT_LAYOUT = new URL('../layouts/default.yaml', import.meta.url)
+/** Narrower output would break every word. */
+const MIN_COLUMNS = 20
+const STDIN = 0
+
+/** The context of the running process. */
+export function nodeContext (): CommandContext {
+  const timers = new NodeTimers(new SeededRandom(1))
+  return {
+    screen: nodeScreen(),
+    timers,
+    env: process.env,
+    settings: parseCliSettings(existsSync(SETTINGS_FILE) ? new TextDecoder().decode(readFile(SETTINGS_FILE)) : undefined),
+    defaultLayout: parseLayout(readFileSync(DEFAULT_LAYOUT, 'utf8'), 'default layout'),
+    readFile,
+    writeFile,
+    newId: () => randomUUID(),
+    userName,
+    openPlatform: (url) => new HttpPlatformClient({ url, timers, metrics: new NoMetrics() }),
+    openDaemon: (address) => new HttpDaemonAdmin(address),
+    onInterrupt,
+    exit: (code) => process.exit(code)
+  }
+}
+
+/** Width of the terminal, else the variable COLUMNS, else unlimited. */
+export function terminalColumns (): number {
+  const columns = process.stdout.columns ?? Number(process.env['COLUMNS'] ?? Infinity)
+  return Number.isNaN(columns) || columns <= 0 ? Infinity : Math.max(MIN_COLUMNS, columns)
+}
+
+function nodeScreen (): Screen {
+  const { stdout, stderr } = process
+  return new Screen({
+    out: (text) => stdout.write(text),
+    err: (text) => stderr.write(text),
+    columns: terminalColumns(),
+    outIsTerminal: stdout.isTTY === true,
+    errIsTerminal: stderr.isTTY === true,
+    colours: stdout.isTTY === true && (process.env['NO_COLOR'] ?? '') === '' && process.env['TERM'] !== 'dumb'
+  })
+}
+
+function readFile (path: string): Uint8Array {
+  try {
+    return readFileSync(path === '-' ? STDIN : path)
+  } catch (err) {
+    throw new FileFailed(`cannot read ${path}: ${reasonOf(err)}`, err)
+  }
+}
+
+function writeFile (path: string, text: string): void {
+  try {
+    writeFileSync(path, text)
+  } catch (err) {
+    throw new FileFailed(`cannot write ${path}: ${reasonOf(err)}`, err)
+  }
+}
+
+const REASONS: Readonly<Record<string, string>> = {
+  ENOENT: 'there is no such file or directory',
+  EACCES: 'permission denied',
+  EISDIR: 'it is a directory'
+}
+
+function reasonOf (err: unknown): string {
+  const { code, message } = err as NodeJS.ErrnoException
+  return REASONS[code ?? ''] ?? message
+}
+
+/** The name recorded with a change; hosts without an entry for the user give its number. */
+function userName (): string {
+  try {
+    return userInfo().username
+  } catch {
+    return `uid ${process.getuid?.() ?? 'unknown'}`
+  }
+}
+
+function onInterrupt (fn: () => void): Cancel {
+  process.on('SIGINT', fn)
+  return () => process.off('SIGINT', fn)
+}
--- /dev/null
+++ b/packages/cli/src/program.ts
@@ -0,0 +1,93 @@
+import { cac, type CAC } from 'cac'
+import { errorCode } from '@lentilwheel/core'
+import { ConfigInvalid, suggestion } from '@lentilwheel/config'
+import { adviceFor } from './advice.js'
+import { commandName } from './commands/completion.js'
+import { COMMANDS, COMMON_OPTIONS, type CommandSpec } from './commands/table.js'
+import type { CommandContext, CommonOptions } from './context.js'
+import { UsageError } from './errors.js'
+import { EXIT_DONE, exitCodeOf, isUsage } from './exitCodes.js'
+import { wrapBlock } from './output/text.js'
+
+const NAME = 'lentilwheel'
+
+export interface ProgramOptions {
+  version: string
+  /** Width for help texts; infinite when the output is not a terminal. */
+  columns: number
+  /** Called only when a command runs, so that help works beside a broken settings file. */
+  makeContext (): CommandContext
+}
+
+/** Parses the arguments, runs the command and returns the exit code. */
+export async function runProgram (argv: readonly string[], opts: ProgramOptions): Promise<number> {
+  const { version, columns, makeContext } = opts
+  let ctx: CommandContext | undefined
+  try {
+    const cli = makeCli(version, columns, () => (ctx ??= makeContext()))
+    cli.parse([...argv], { run: false })
+    if (cli.options['help'] || cli.options['version']) return EXIT_DONE
+    if (!cli.matchedCommand) throw unknownCommand(cli)
+    await cli.runMatchedCommand()
+    ctx?.screen.finishJson()
+    return EXIT_DONE
+  } catch (err) {
+    report(err, argv.includes('--json'), ctx)
+    return exitCodeOf(err)
+  }
+}
+
+function makeCli (version: string, columns: number, context: () => CommandContext): CAC {
+  const cli = cac(NAME)
+  for (const option of COMMON_OPTIONS) cli.option(option.flags, option.description)
+  for (const spec of COMMANDS) {
+    const command = cli.command(spec.usage, spec.description)
+    for (const option of spec.options ?? []) command.option(option.flags, option.description)
+    for (const example of spec.examples) command.example(`  $ ${NAME} ${example}`)
+    command.action(async (...given: unknown[]) => await runCommand(spec, context(), given, cli))
+  }
+  cli.version(version)
+  cli.help((sections) => sections.map(({ title, body }) => ({ title, body: helpBody(body, columns) })))
+  return cli
+}
+
+async function runCommand (spec: CommandSpec, ctx: CommandContext, given: unknown[], cli: CAC): Promise<void> {
+  const most = spec.usage.split(' ').length - 1
+  if (cli.args.length > most) {
+    throw new UsageError(`${commandName(spec)} takes no argument "${cli.args[most]}"`)
+  }
+  const args = given.slice(0, -1).filter((arg) => arg !== undefined).map(String)
+  await spec.run(ctx, args, given.at(-1) as CommonOptions)
+}
+
+function unknownCommand (cli: CAC): UsageError {
+  const given = cli.args[0]
+  if (given === undefined) return new UsageError('no command given')
+  return new UsageError(`there is no command "${given}"${suggestion(given, COMMANDS.map(commandName))}`)
+}
+
+/** Puts each description below its option when the terminal is too narrow for two columns. */
+export function helpBody (body: string, columns: number): string {
+  const lines = body.replaceAll('(default: true)', '').split('\n')
+  const isWide = lines.every((line) => line.trimEnd().length <= columns)
+  if (isWide) return lines.map((line) => line.trimEnd()).join('\n')
+  return lines.map((line) => {
+    const found = /^( {2}\S.*?) {2,}(\S.*)$/.exec(line)
+    return wrapBlock(found ? `${found[1]}\n      ${found[2]!.trimEnd()}` : line, columns)
+  }).join('\n')
+}
+
+/** The message and the next step; as JSON on standard output too when JSON was asked for. */
+function report (err: unknown, asJson: boolean, ctx: CommandContext | undefined): void {
+  const code = isUsage(err) ? 'usage' : errorCode(err)
+  const message = err instanceof Error ? err.message : String(err)
+  const next = adviceFor(code)
+  const text = `${NAME}: ${message}${next === undefined ? '' : `\n${next}`}`
+  if (!ctx) {
+    process.stderr.write(text + '\n')
+    return
+  }
+  const issues = err instanceof ConfigInvalid ? err.issues : undefined
+  if (asJson) ctx.screen.finishJson({ code, message, ...(next !== undefined && { next }), ...(issues && { issues }) })
+  ctx.screen.note(text)
+}
