--- a/packages/cli/src/timeline/page.ts
+++ b/packages/cli/src/timeline/page.ts
@@ -2,7 +2,7 @@
 import { counted, formatExactTime, formatTime, plainText } from '../output/text.js'
 import { describeEvent } from './describe.js'
 import { PAGE_SCRIPT, PAGE_STYLE } from './pageAssets.js'
-import { escapeHtml, MAX_LINES, renderPlot } from './plot.js'
+import { escapeHtml, inForcePanel, MAX_LINES, renderPanel, sharePanel, type Panel } from './plot.js'
 import { inForceSeries, shareSeries, type Series } from './series.js'
 
 export interface PageOptions {
@@ -29,7 +29,6 @@
   const moves = new Set(opts.events.map((event) => event.fields['move']))
   const shares = withinSpan(shareSeries(opts.all).filter((series) => moves.has(series.name)), from, to)
   const inForce = withinSpan(inForceSeries(opts.all), from, to)
-  const plot = (width: number): string => renderPlot({ width, from, to, shares, inForce })
   return `<!doctype html>
 <html lang="en">
 <head>
@@ -41,9 +40,8 @@
 <body>
 <h1>Timeline</h1>
 <p>${escapeHtml(summaryOf(opts, from, to))}</p>
-${silentNote(opts.silent)}<div class="wide">${plot(WIDE_PX)}</div>
-<div class="narrow">${plot(NARROW_PX)}</div>
-${legend('Moves', shares)}${legend('Versions', inForce)}
+${silentNote(opts.silent)}${figure(sharePanel(shares), shares, { from, to })}
+${figure(inForcePanel(inForce), inForce, { from, to })}
 <h2>Events</h2>
 ${filterForm(opts.events)}
 <ol id="events">
@@ -77,12 +75,19 @@
   })
 }
 
-function legend (title: string, series: readonly Series[]): string {
+/** The panel in both widths, with its legend. */
+function figure (panel: Panel, series: readonly Series[], span: { from: number, to: number }): string {
+  const plots = [['wide', WIDE_PX], ['narrow', NARROW_PX]] as const
+  const parts = plots.map(([name, width]) => `<div class="${name}">${renderPanel(panel, { ...span, width })}</div>`)
+  return `<figure>${parts.join('')}${legend(series)}</figure>`
+}
+
+function legend (series: readonly Series[]): string {
   if (series.length === 0) return ''
   const shown = series.slice(-MAX_LINES).map(({ name }, i) => `<span class="key l${i}">${escapeHtml(name)}</span>`)
   const hidden = series.length - shown.length
   const rest = hidden > 0 ? ` <span>${hidden} older not drawn</span>` : ''
-  return `<p class="legend"><b>${title}</b> ${shown.join(' ')}${rest}</p>\n`
+  return `<figcaption>${shown.join(' ')}${rest}</figcaption>`
 }
 
 function filterForm (events: readonly ReportedEvent[]): string {
--- a/packages/cli/src/timeline/pageAssets.ts
+++ b/packages/cli/src/timeline/pageAssets.ts
@@ -16,7 +16,7 @@
 .grid{stroke:var(--rule)}.axis{fill:var(--dim);font-size:12px}.title{fill:var(--ink);font-size:13px;font-weight:600}
 .line{fill:none;stroke:var(--line);stroke-width:2}
 ${LINE_RULES}
-.legend{margin:6px 0;font-size:13px}.legend b{margin-right:8px}
+figure{margin:14px 0 18px}figcaption{margin:2px 0 0 44px;font-size:13px}
 .key{display:inline-block;margin-right:14px;overflow-wrap:anywhere}
 .key::before{content:"";display:inline-block;width:14px;height:3px;margin-right:6px;vertical-align:middle;background:var(--line)}
 form{display:flex;flex-wrap:wrap;gap:8px 18px;align-items:center;margin-bottom:10px}
@@ -30,7 +30,7 @@
 .cause{font-size:13px}
 @media(max-width:760px){body{padding:12px 14px 40px}.wide{display:none}.narrow{display:block}
 li{grid-template-columns:1fr auto;gap:0 10px}li b{grid-column:1}li .what{grid-column:1/-1}.daemon{text-align:right}
-input[type=search]{width:100%}label{max-width:100%}}
+label:has(input){flex:1 1 100%;display:flex;gap:8px;align-items:center}input{flex:1;min-width:0}}
 `
 
 /** Hides the events that match neither the search text nor the chosen type. */
--- a/packages/cli/src/timeline/plot.ts
+++ b/packages/cli/src/timeline/plot.ts
@@ -3,31 +3,30 @@
 /** Most lines of one panel that can be told apart; the newest are drawn. */
 export const MAX_LINES = 8
 
-export interface PlotOptions {
-  width: number
-  from: number
-  to: number
-  shares: readonly Series[]
-  inForce: readonly Series[]
-}
-
-interface Panel {
+/** Lines over a span of time, with an axis from 0 to `max`. */
+export interface Panel {
   title: string
-  top: number
   max: number
   label: (value: number) => string
   series: readonly Series[]
 }
 
+export interface PanelOptions {
+  width: number
+  from: number
+  to: number
+}
+
 interface Frame {
   left: number
   right: number
   x: (at: number) => number
+  y: (value: number) => number
 }
 
-const PANEL_HEIGHT = 150
-const PANEL_GAP = 46
 const TOP = 26
+const BOTTOM = 176
+const HEIGHT = 200
 const LEFT = 44
 const RIGHT = 12
 /** A time label of eight characters needs about this much room. */
@@ -39,52 +38,62 @@
   60 * MINUTE_MS, 120 * MINUTE_MS, 360 * MINUTE_MS, 720 * MINUTE_MS, 1_440 * MINUTE_MS
 ]
 
-/** Two panels over one time axis: shares of moves, and daemons by the version they hold. */
-export function renderPlot (opts: PlotOptions): string {
+export function sharePanel (series: readonly Series[]): Panel {
+  const label = (value: number): string => `${Math.round(value * 100)}%`
+  return { title: 'Share of traffic on the new version', max: 1, label, series: series.slice(-MAX_LINES) }
+}
+
+/** The axis ends at an even number, so that its middle is a whole number of daemons. */
+export function inForcePanel (series: readonly Series[]): Panel {
+  const drawn = series.slice(-MAX_LINES)
+  const highest = drawn.flatMap((own) => own.points).reduce((max, point) => Math.max(max, point.value), 2)
+  return { title: 'Daemons by version in force', max: Math.ceil(highest / 2) * 2, label: String, series: drawn }
+}
+
+/** One panel as an inline SVG. */
+export function renderPanel (panel: Panel, opts: PanelOptions): string {
   const span = Math.max(1, opts.to - opts.from)
   const right = opts.width - RIGHT
-  const frame: Frame = { left: LEFT, right, x: (at) => LEFT + (at - opts.from) / span * (right - LEFT) }
-  const inForce = opts.inForce.slice(-MAX_LINES)
-  const panels: Panel[] = [
-    { title: 'Share of traffic on the new version', top: TOP, max: 1, label: (value) => `${Math.round(value * 100)}%`, series: opts.shares.slice(-MAX_LINES) },
-    { title: 'Daemons by version in force', top: TOP + PANEL_HEIGHT + PANEL_GAP, max: highest(inForce), label: String, series: inForce }
-  ]
-  const height = TOP + 2 * PANEL_HEIGHT + PANEL_GAP + 24
-  const body = panels.map((panel) => renderPanel(panel, frame, opts)).join('')
-  return `<svg viewBox="0 0 ${opts.width} ${height}" width="${opts.width}" height="${height}" role="img" ` +
-    `aria-label="Shares of moves and versions in force over time">${body}</svg>`
+  const frame: Frame = {
+    left: LEFT,
+    right,
+    x: (at) => LEFT + (at - opts.from) / span * (right - LEFT),
+    y: (value) => BOTTOM - value / panel.max * (BOTTOM - TOP)
+  }
+  const title = `<text class="title" x="${LEFT}" y="${TOP - 10}">${panel.title}</text>`
+  const lines = panel.series.length > 0 ? panel.series.map((series, i) => renderLine(series, i, frame, opts.to)).join('') : emptyNote(frame)
+  return `<svg viewBox="0 0 ${opts.width} ${HEIGHT}" width="${opts.width}" height="${HEIGHT}" role="img" ` +
+    `aria-label="${panel.title}">${title}${renderGrid(panel, frame)}${renderTimeAxis(frame, opts)}${lines}</svg>`
+}
+
+function renderGrid (panel: Panel, { left, right, y }: Frame): string {
+  return [0, panel.max / 2, panel.max].map((value) =>
+    `<line class="grid" x1="${left}" x2="${right}" y1="${y(value)}" y2="${y(value)}"/>` +
+    `<text class="axis" x="${left - 6}" y="${y(value) + 4}" text-anchor="end">${panel.label(value)}</text>`).join('')
+}
+
+function renderTimeAxis (frame: Frame, { from, to }: PanelOptions): string {
+  const most = Math.max(2, Math.floor((frame.right - frame.left) / TICK_ROOM_PX))
+  return timeTicks(from, to, most).map(({ at, label }) => {
+    const x = fixed(frame.x(at))
+    return `<line class="grid" x1="${x}" x2="${x}" y1="${TOP}" y2="${BOTTOM}"/>` +
+      `<text class="axis" x="${x}" y="${BOTTOM + 16}" text-anchor="middle">${label}</text>`
+  }).join('')
 }
 
-/** A round upper bound with a whole middle, so that the axis labels are whole numbers of daemons. */
-function highest (series: readonly Series[]): number {
-  const max = Math.max(2, ...series.flatMap((own) => own.points.map((point) => point.value)))
-  return Math.ceil(max / 2) * 2
+function emptyNote ({ left, right }: Frame): string {
+  return `<text class="axis" x="${(left + right) / 2}" y="${(TOP + BOTTOM) / 2 - 8}" text-anchor="middle">no such events</text>`
 }
 
-function renderPanel (panel: Panel, frame: Frame, opts: PlotOptions): string {
-  const bottom = panel.top + PANEL_HEIGHT
-  const y = (value: number): number => bottom - value / panel.max * PANEL_HEIGHT
-  const grid = [0, panel.max / 2, panel.max].map((value) =>
-    `<line class="grid" x1="${frame.left}" x2="${frame.right}" y1="${y(value)}" y2="${y(value)}"/>` +
-    `<text class="axis" x="${frame.left - 6}" y="${y(value) + 4}" text-anchor="end">${panel.label(value)}</text>`)
-  const ticks = timeTicks(opts.from, opts.to, Math.max(2, Math.floor((frame.right - frame.left) / TICK_ROOM_PX)))
-  const axis = ticks.map(({ at, label }) =>
-    `<line class="grid" x1="${fixed(frame.x(at))}" x2="${fixed(frame.x(at))}" y1="${panel.top}" y2="${bottom}"/>` +
-    `<text class="axis" x="${fixed(frame.x(at))}" y="${bottom + 16}" text-anchor="middle">${label}</text>`)
-  const empty = panel.series.length > 0
-    ? ''
-    : `<text class="axis" x="${(frame.left + frame.right) / 2}" y="${panel.top + PANEL_HEIGHT / 2 - 8}" text-anchor="middle">no such events</text>`
-  const lines = panel.series.map((series, i) =>
-    `<path class="line l${i}" d="${stepPath(series, frame, y, opts.to)}"><title>${escapeHtml(series.name)}</title></path>`)
-  const title = `<text class="title" x="${frame.left}" y="${panel.top - 10}">${panel.title}</text>`
-  return title + grid.join('') + axis.join('') + empty + lines.join('')
+function renderLine (series: Series, i: number, frame: Frame, to: number): string {
+  return `<path class="line l${i}" d="${stepPath(series, frame, to)}"><title>${escapeHtml(series.name)}</title></path>`
 }
 
 /** Values hold until the next point, so the line goes in steps and runs to the right edge. */
-function stepPath (series: Series, frame: Frame, y: (value: number) => number, to: number): string {
+function stepPath (series: Series, { x, y }: Frame, to: number): string {
   const steps = series.points.map(({ at, value }, i) =>
-    i === 0 ? `M${fixed(frame.x(at))} ${fixed(y(0))}V${fixed(y(value))}` : `H${fixed(frame.x(at))}V${fixed(y(value))}`)
-  return steps.join('') + `H${fixed(frame.x(to))}`
+    i === 0 ? `M${fixed(x(at))} ${fixed(y(0))}V${fixed(y(value))}` : `H${fixed(x(at))}V${fixed(y(value))}`)
+  return steps.join('') + `H${fixed(x(to))}`
 }
 
 function fixed (value: number): string {
