--- a/packages/cli/src/apply/apply.ts
+++ b/packages/cli/src/apply/apply.ts
@@ -3,7 +3,7 @@
 } from '@lentilwheel/config'
 import type { Timers } from '@lentilwheel/core'
 import {
-  acceptChange, loadObjects, PlatformOutcomeUnknown, readHead, type PlatformClient, type StoredHead
+  acceptChange, loadObjects, PlatformBadAnswer, PlatformOutcomeUnknown, readHead, type PlatformClient, type StoredHead
 } from '@lentilwheel/platform'
 import { differencesOf, type Difference } from './difference.js'
 
@@ -58,14 +58,19 @@
   try {
     return (await acceptChange(client, base, change)).version
   } catch (err) {
-    if (!(err instanceof PlatformOutcomeUnknown)) throw err
+    if (!mayHaveTakenEffect(err)) throw err
     const version = await settle(client, change.id, timers)
     if (version !== undefined) return version
     throw new PlatformOutcomeUnknown(`it is unknown whether change ${change.id} was accepted: the platform did not ` +
-      `answer. Applying the same file with --change-id ${change.id} is safe: it is accepted at most once`, err)
+      `answer. Applying the same file with --change-id ${change.id} is safe: it is accepted at most once`)
   }
 }
 
+/** A gateway may pass a write on and answer it with a page of its own. */
+function mayHaveTakenEffect (err: unknown): boolean {
+  return err instanceof PlatformOutcomeUnknown || err instanceof PlatformBadAnswer
+}
+
 /** A head that is readable and lacks the change proves nothing: the write may still be on its way. */
 async function settle (client: PlatformClient, changeId: string, timers: Timers): Promise<number | undefined> {
   for (let i = 0; i < SETTLE_READS; i++) {
--- a/packages/cli/src/apply/waiting.ts
+++ b/packages/cli/src/apply/waiting.ts
@@ -66,7 +66,7 @@
   const named = laggingBehind(accounts, version).map((daemon) =>
     `${daemon.daemon} in ${daemon.dataCentre} holds version ${daemon.version}: ${daemon.reason}`)
   const unnamed = unnamedLagging(accounts, version).map(({ dataCentre, count }) =>
-    `${counted(count, 'daemon')} in ${dataCentre} not named in its account`)
+    `${counted(count, 'further daemon')} in ${dataCentre}, which its account does not name`)
   const refused = accounts.flatMap((account) => account.refusals)
     .filter((refusal) => refusal.version === version)
     .map((refusal) => `refused by ${refusal.daemons.join(', ')}: ${refusal.reason}`)
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -56,7 +56,7 @@
       `By version ${version}, ${callsOf(route)} go by route "${name}" to service "${route.service}".`,
       ...shareSentences(shares, move),
       ...callSentences(cfg, route),
-      ...targetSentences(route.service, shares, own)
+      ...targetSentences(shares, own)
     ]
   }
 }
@@ -106,13 +106,13 @@
 }
 
 function targetSentences (
-  service: string, shares: Readonly<Record<string, number>>, targets: readonly TargetCount[] | undefined
+  shares: Readonly<Record<string, number>>, targets: readonly TargetCount[] | undefined
 ): string[] {
   if (!targets) return ['Targets are known to daemons only; add --daemon <admin address> to see them by data centre.']
-  return Object.entries(shares).map(([version, share]) => {
+  return Object.keys(shares).map((version) => {
     const own = targets.filter((target) => target.version === version && target.total > 0)
     const places = own.map((target) => `${target.ready} of ${target.total} ready in ${target.dataCentre}`)
     if (places.length > 0) return `Targets of version ${version}: ${places.join(', ')}.`
-    return `No target of version ${version} is announced${share > 0 ? ', so calls to it fail until one is.' : '.'}`
+    return `No target of version ${version} is announced.`
   })
 }
--- a/packages/cli/src/commands/moveControl.ts
+++ b/packages/cli/src/commands/moveControl.ts
@@ -1,4 +1,4 @@
-import { fromObjects, makeObject, splitKey, suggestion, type Change, type Move } from '@lentilwheel/config'
+import { ChangeConflict, fromObjects, makeObject, splitKey, suggestion, type Change, type Move } from '@lentilwheel/config'
 import { loadObjects, readHead, type PlatformClient } from '@lentilwheel/platform'
 import { acceptOrSettle } from '../apply/apply.js'
 import { readPlatformView } from '../account/platformSource.js'
@@ -64,7 +64,14 @@
   const object = makeObject(held.key, withControl(fromObjects([held]).moves[splitKey(held.key).name]!, action))
   const info = { id: ctx.newId(), author: ctx.userName(), acceptedAt: ctx.timers.wallNow() }
   const change: Change = { ...info, put: [object], remove: [] }
-  return await acceptOrSettle(client, { base, change, differences: [] }, ctx.timers)
+  try {
+    return await acceptOrSettle(client, { base, change, differences: [] }, ctx.timers)
+  } catch (err) {
+    if (!(err instanceof ChangeConflict)) throw err
+    const { author, version } = err.other
+    throw new MoveControlRefused(`${author} changed move ${id} at the same time (version ${version}); nothing was ` +
+      `changed by this ${action}`)
+  }
 }
 
 function withControl (move: Move, action: MoveAction): Move {
--- a/packages/cli/src/commands/reports.ts
+++ b/packages/cli/src/commands/reports.ts
@@ -59,7 +59,7 @@
   if (version === 0) return ['No configuration is accepted yet. Apply one with `lentilwheel apply <file>`.']
   const accepted = acceptedAt === undefined ? '' : `, accepted ${formatTime(acceptedAt)} by ${author ?? 'unknown'},`
   const from = source === 'platform' ? '' : ` This is what ${source} knows; the platform was not asked.`
-  if (members === 0) return [`Version ${version}${accepted} is known. No daemon has reported to the platform yet.${from}`]
+  if (members === 0) return [`Version ${version}${accepted} is known. No daemon has reported yet.${from}`]
   return [`Version ${version}${accepted} is in force on ${holding} of ${counted(members, 'daemon')}.${from}`]
 }
 
@@ -75,7 +75,7 @@
   section(`Daemons that lack version ${summary.version}`, isNoneLagging, () => {
     reporter.table('lagging', laggingRows(summary.lagging))
     for (const { dataCentre, count } of summary.unnamedLagging) {
-      reporter.say(`${counted(count, 'daemon')} in ${dataCentre} not named in its account.`)
+      reporter.say(`${counted(count, 'further daemon')} in ${dataCentre}, which its account does not name.`)
     }
   })
   section('Refused', summary.refusals.length === 0, () => {
--- a/packages/cli/src/nodeContext.ts
+++ b/packages/cli/src/nodeContext.ts
@@ -16,10 +16,10 @@
 const STDIN = 0
 
 /** The context of the running process. */
-export function nodeContext (): CommandContext {
+export function nodeContext (screen: Screen): CommandContext {
   const timers = new NodeTimers(new SeededRandom(1))
   return {
-    screen: nodeScreen(),
+    screen,
     timers,
     env: process.env,
     settings: parseCliSettings(existsSync(SETTINGS_FILE) ? new TextDecoder().decode(readFile(SETTINGS_FILE)) : undefined),
@@ -36,12 +36,13 @@
 }
 
 /** Width of the terminal, else the variable COLUMNS, else unlimited. */
-export function terminalColumns (): number {
+function terminalColumns (): number {
   const columns = process.stdout.columns ?? Number(process.env['COLUMNS'] ?? Infinity)
   return Number.isNaN(columns) || columns <= 0 ? Infinity : Math.max(MIN_COLUMNS, columns)
 }
 
-function nodeScreen (): Screen {
+/** The terminal or the pipes of the running process. */
+export function nodeScreen (): Screen {
   const { stdout, stderr } = process
   return new Screen({
     out: (text) => stdout.write(text),
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -7,47 +7,46 @@
 import type { CommandContext, CommonOptions } from './context.js'
 import { UsageError } from './errors.js'
 import { EXIT_DONE, exitCodeOf, isUsage } from './exitCodes.js'
+import type { Screen } from './output/screen.js'
 import { wrapBlock } from './output/text.js'
 
 const NAME = 'lentilwheel'
 
 export interface ProgramOptions {
   version: string
-  /** Width for help texts; infinite when the output is not a terminal. */
-  columns: number
+  screen: Screen
   /** Called only when a command runs, so that help works beside a broken settings file. */
-  makeContext (): CommandContext
+  makeContext (screen: Screen): CommandContext
 }
 
 /** Parses the arguments, runs the command and returns the exit code. */
 export async function runProgram (argv: readonly string[], opts: ProgramOptions): Promise<number> {
-  const { version, columns, makeContext } = opts
-  let ctx: CommandContext | undefined
+  const { screen } = opts
   try {
-    const cli = makeCli(version, columns, () => (ctx ??= makeContext()))
+    const cli = makeCli(opts)
     cli.parse([...argv], { run: false })
     if (cli.options['help'] || cli.options['version']) return EXIT_DONE
     if (!cli.matchedCommand) throw unknownCommand(cli)
     await cli.runMatchedCommand()
-    ctx?.screen.finishJson()
+    screen.finishJson()
     return EXIT_DONE
   } catch (err) {
-    report(err, argv.includes('--json'), ctx)
+    report(err, argv.includes('--json'), screen)
     return exitCodeOf(err)
   }
 }
 
-function makeCli (version: string, columns: number, context: () => CommandContext): CAC {
+function makeCli ({ version, screen, makeContext }: ProgramOptions): CAC {
   const cli = cac(NAME)
   for (const option of COMMON_OPTIONS) cli.option(option.flags, option.description)
   for (const spec of COMMANDS) {
     const command = cli.command(spec.usage, spec.description)
     for (const option of spec.options ?? []) command.option(option.flags, option.description)
     for (const example of spec.examples) command.example(`  $ ${NAME} ${example}`)
-    command.action(async (...given: unknown[]) => await runCommand(spec, context(), given, cli))
+    command.action(async (...given: unknown[]) => await runCommand(spec, makeContext(screen), given, cli))
   }
   cli.version(version)
-  cli.help((sections) => sections.map(({ title, body }) => ({ title, body: helpBody(body, columns) })))
+  cli.help((sections) => sections.map(({ title, body }) => ({ title, body: helpBody(body, screen.streams.columns) })))
   return cli
 }
 
@@ -78,16 +77,12 @@
 }
 
 /** The message and the next step; as JSON on standard output too when JSON was asked for. */
-function report (err: unknown, asJson: boolean, ctx: CommandContext | undefined): void {
+function report (err: unknown, asJson: boolean, screen: Screen): void {
   const code = isUsage(err) ? 'usage' : errorCode(err)
   const message = err instanceof Error ? err.message : String(err)
   const next = adviceFor(code)
   const text = `${NAME}: ${message}${next === undefined ? '' : `\n${next}`}`
-  if (!ctx) {
-    process.stderr.write(text + '\n')
-    return
-  }
   const issues = err instanceof ConfigInvalid ? err.issues : undefined
-  if (asJson) ctx.screen.finishJson({ code, message, ...(next !== undefined && { next }), ...(issues && { issues }) })
-  ctx.screen.note(text)
+  if (asJson) screen.finishJson({ code, message, ...(next !== undefined && { next }), ...(issues && { issues }) })
+  screen.note(text)
 }
--- a/packages/config/src/errors.ts
+++ b/packages/config/src/errors.ts
@@ -35,16 +35,23 @@
   readonly code = 'delta-base-mismatch'
 }
 
+/** The change that was there first. */
+export interface OtherChange {
+  id: string
+  author: string
+  version: number
+}
+
 /** Two changes touch the same objects. */
 export class ChangeConflict extends LentilwheelError {
   readonly code = 'change-conflict'
-  readonly otherChangeId: string
+  readonly other: Readonly<OtherChange>
   readonly keys: readonly string[]
 
-  constructor (other: { id: string, author: string, version: number }, keys: readonly string[]) {
+  constructor (other: OtherChange, keys: readonly string[]) {
     super(`change ${other.id} by ${other.author} (version ${other.version}) already changed ${keys.join(', ')}; ` +
-      'read the version in force, repeat your edit on it and apply again')
-    this.otherChangeId = other.id
+      'take that change into your file and apply it again')
+    this.other = other
     this.keys = keys
   }
 }
