--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,5 +1,7 @@
+export * from './advice.js'
 export * from './account/schema.js'
 export * from './account/view.js'
+export * from './commands/table.js'
 export * from './output/layout.js'
 export * from './reports/fields.js'
 export * from './settings.js'
--- a/packages/config/src/duration.ts
+++ b/packages/config/src/duration.ts
@@ -33,5 +33,5 @@
       return z.NEVER
     }
     return ms
-  })
+  }).meta({ format: 'duration', limits: `${formatDuration(minMs)} to ${formatDuration(maxMs)}` })
 }
