--- /dev/null
+++ b/packages/cli/src/timeline/plot.ts
@@ -0,0 +1,124 @@
+import type { Series } from './series.js'
+
+/** Most lines of one panel that can be told apart; the newest are drawn. */
+export const MAX_LINES = 8
+
+/** Lines over a span of time, with an axis from 0 to `max`. */
+export interface Panel {
+  title: string
+  max: number
+  label: (value: number) => string
+  series: readonly Series[]
+}
+
+export interface PanelOptions {
+  width: number
+  from: number
+  to: number
+}
+
+interface Frame {
+  left: number
+  right: number
+  x: (at: number) => number
+  y: (value: number) => number
+}
+
+const TOP = 26
+const BOTTOM = 176
+const HEIGHT = 200
+const LEFT = 44
+const RIGHT = 12
+/** A time label of eight characters needs about this much room. */
+const TICK_ROOM_PX = 92
+const MINUTE_MS = 60_000
+const TICK_STEPS_MS = [
+  1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 15_000, 30_000,
+  MINUTE_MS, 2 * MINUTE_MS, 5 * MINUTE_MS, 10 * MINUTE_MS, 15 * MINUTE_MS, 30 * MINUTE_MS,
+  60 * MINUTE_MS, 120 * MINUTE_MS, 360 * MINUTE_MS, 720 * MINUTE_MS, 1_440 * MINUTE_MS
+]
+
+export function sharePanel (series: readonly Series[]): Panel {
+  const label = (value: number): string => `${Math.round(value * 100)}%`
+  return { title: 'Share of traffic on the new version', max: 1, label, series: series.slice(-MAX_LINES) }
+}
+
+/** The axis ends at an even number, so that its middle is a whole number of daemons. */
+export function inForcePanel (series: readonly Series[]): Panel {
+  const drawn = series.slice(-MAX_LINES)
+  const highest = drawn.flatMap((own) => own.points).reduce((max, point) => Math.max(max, point.value), 2)
+  return { title: 'Daemons by version in force', max: Math.ceil(highest / 2) * 2, label: String, series: drawn }
+}
+
+/** One panel as an inline SVG. */
+export function renderPanel (panel: Panel, opts: PanelOptions): string {
+  const span = Math.max(1, opts.to - opts.from)
+  const right = opts.width - RIGHT
+  const frame: Frame = {
+    left: LEFT,
+    right,
+    x: (at) => LEFT + (at - opts.from) / span * (right - LEFT),
+    y: (value) => BOTTOM - value / panel.max * (BOTTOM - TOP)
+  }
+  const title = `<text class="title" x="${LEFT}" y="${TOP - 10}">${panel.title}</text>`
+  const lines = panel.series.length > 0 ? panel.series.map((series, i) => renderLine(series, i, frame, opts.to)).join('') : emptyNote(frame)
+  return `<svg viewBox="0 0 ${opts.width} ${HEIGHT}" width="${opts.width}" height="${HEIGHT}" role="img" ` +
+    `aria-label="${panel.title}">${title}${renderGrid(panel, frame)}${renderTimeAxis(frame, opts)}${lines}</svg>`
+}
+
+function renderGrid (panel: Panel, { left, right, y }: Frame): string {
+  return [0, panel.max / 2, panel.max].map((value) =>
+    `<line class="grid" x1="${left}" x2="${right}" y1="${y(value)}" y2="${y(value)}"/>` +
+    `<text class="axis" x="${left - 6}" y="${y(value) + 4}" text-anchor="end">${panel.label(value)}</text>`).join('')
+}
+
+function renderTimeAxis (frame: Frame, { from, to }: PanelOptions): string {
+  const most = Math.max(2, Math.floor((frame.right - frame.left) / TICK_ROOM_PX))
+  return timeTicks(from, to, most).map(({ at, label }) => {
+    const x = fixed(frame.x(at))
+    return `<line class="grid" x1="${x}" x2="${x}" y1="${TOP}" y2="${BOTTOM}"/>` +
+      `<text class="axis" x="${x}" y="${BOTTOM + 16}" text-anchor="middle">${label}</text>`
+  }).join('')
+}
+
+function emptyNote ({ left, right }: Frame): string {
+  return `<text class="axis" x="${(left + right) / 2}" y="${(TOP + BOTTOM) / 2 - 8}" text-anchor="middle">no such events</text>`
+}
+
+function renderLine (series: Series, i: number, frame: Frame, to: number): string {
+  return `<path class="line l${i}" d="${stepPath(series, frame, to)}"><title>${escapeHtml(series.name)}</title></path>`
+}
+
+/** Values hold until the next point, so the line goes in steps and runs to the right edge. */
+function stepPath (series: Series, { x, y }: Frame, to: number): string {
+  const steps = series.points.map(({ at, value }, i) =>
+    i === 0 ? `M${fixed(x(at))} ${fixed(y(0))}V${fixed(y(value))}` : `H${fixed(x(at))}V${fixed(y(value))}`)
+  return steps.join('') + `H${fixed(x(to))}`
+}
+
+function fixed (value: number): string {
+  return String(Number(value.toFixed(1)))
+}
+
+export function timeTicks (from: number, to: number, most: number): { at: number, label: string }[] {
+  const step = TICK_STEPS_MS.find((candidate) => (to - from) / candidate <= most) ?? Math.ceil((to - from) / most)
+  const first = Math.ceil(from / step) * step
+  const count = Math.floor((to - first) / step) + 1
+  return Array.from({ length: Math.max(0, count) }, (_, i) => {
+    const at = first + i * step
+    return { at, label: tickLabel(at, step) }
+  })
+}
+
+function tickLabel (at: number, step: number): string {
+  const iso = new Date(at).toISOString()
+  if (step < 1_000) return iso.slice(17, 23)
+  if (step < MINUTE_MS) return iso.slice(11, 19)
+  return step < 1_440 * MINUTE_MS ? iso.slice(11, 16) : iso.slice(5, 10)
+}
+
+const ENTITIES: Readonly<Record<string, string>> = { '&': '&amp;', '<': '&lt;', '>': '&gt;', '"': '&quot;', "'": '&#39;' }
+
+export function escapeHtml (text: string): string {
+  return text.replace(/[&<>"']/g, (char) => ENTITIES[char]!)
+}
--- a/packages/daemon/src/nodeDaemon.ts
+++ b/packages/daemon/src/nodeDaemon.ts
@@ -45,7 +45,9 @@
     this.#events = new EventLog({ daemon: cfg.id, timers: this.#timers })
     this.#platform = this.#createPlatform()
     this.#mesh = this.#createMesh(random)
-    this.#engine = createMoveEngine({ daemon: cfg.id, isCoordinator: (move) => this.#mesh.isCoordinator(move) })
+    this.#engine = createMoveEngine({
+      daemon: cfg.id, timers: this.#timers, isCoordinator: (move) => this.#mesh.isCoordinator(move)
+    })
     this.#proxy = this.#createProxy(random)
     this.#targets = this.#createTargets()
     this.#runner = new MoveRunner({
