--- a/packages/cli/src/__tests__/apply.spec.ts
+++ b/packages/cli/src/__tests__/apply.spec.ts
@@ -9,10 +9,10 @@
 
 test('an apply shows the difference, waits and says that the version is in force', async (t) => {
   const desk = deskWith()
-  desk.platform.set('account/otaru', account('otaru', { 1: 3 }))
+  desk.platform.beforeHeadWrite = () => desk.platform.set('account/otaru', account('otaru', { 1: 3 }))
   t.snapshot(await desk.run('apply', 'mesh.yaml'))
   desk.files.set('mesh.yaml', MESH.replace('current: v1', 'current: v1, slots: 8').replace(/moves:[^]*/, ''))
-  desk.platform.set('account/otaru', account('otaru', { 2: 3 }))
+  desk.platform.beforeHeadWrite = () => desk.platform.set('account/otaru', account('otaru', { 2: 3 }))
   t.snapshot(await desk.run('apply', 'mesh.yaml'))
   t.snapshot(await desk.run('apply', 'mesh.yaml', '--json'))
 })
@@ -29,7 +29,9 @@
 for (const [name, { accounts, args = [], interruptAfterMs, code }] of Object.entries(WAITS)) {
   test(`wait: ${name}`, async (t) => {
     const desk = deskWith()
-    for (const [i, own] of accounts.entries()) desk.platform.set(`account/${i}`, own)
+    desk.platform.beforeHeadWrite = () => {
+      for (const [i, own] of accounts.entries()) desk.platform.set(`account/${i}`, own)
+    }
     if (interruptAfterMs !== undefined) desk.timers.after(interruptAfterMs, () => desk.interrupt?.())
     const result = await desk.run('apply', 'mesh.yaml', ...args)
     t.is(result.code, code)
--- a/packages/platform/src/__tests__/acceptance.spec.ts
+++ b/packages/platform/src/__tests__/acceptance.spec.ts
@@ -84,7 +84,7 @@
     const mine = acceptChange(client, base, edit(base, 'mine', { a: '2s', b: '1s' }))
     if (result === 'conflict') {
       const err = await t.throwsAsync(mine, { any: true, instanceOf: ChangeConflict })
-      t.is((err as unknown as ChangeConflict).otherChangeId, 'rival')
+      t.is((err as unknown as ChangeConflict).other.id, 'rival')
       return
     }
     t.is((await mine).version, 3)
