--- a/packages/bench/src/demo/index.ts
+++ b/packages/bench/src/demo/index.ts
@@ -1,57 +1,127 @@
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
+import { stringify } from 'yaml'
 import { request } from 'undici'
-import { PlatformServer, TargetServer } from '@lentilwheel/testkit'
-import { freePorts, ProcessGroup, waitFor, type StartedDaemon } from '../processes.js'
+import type { TargetServer } from '@lentilwheel/testkit'
+import { waitFor } from '../processes.js'
+import { Callers, type CallCounts } from './callers.js'
 import { kitaboshiConfig } from './kitaboshi.js'
+import { Site } from './site.js'
 
-const DATA_CENTRES = ['sapporo', 'otaru', 'chitose', 'ebetsu']
-const DAEMON_COUNT = 8
-const IN_FORCE_LIMIT_MS = 15_000
+/** Time that the two moves get; the shortest ramp takes about 17 s. */
+const MOVE_MS = 30_000
+const HOLD = '4s'
+const END_LIMIT_MS = 45_000
+/** Share of orders that the bad version fails. */
+const BAD_SHARE = 0.3
 
-async function startDaemons (group: ProcessGroup, platformUrl: string): Promise<StartedDaemon[]> {
-  const ports = await freePorts(DAEMON_COUNT * 4)
-  const seeds = [3, 7, 11].map((i) => `127.0.0.1:${ports[i]!}`)
-  return Array.from({ length: DAEMON_COUNT }, (_, i) => {
-    const [proxy, admin, target, mesh] = ports.slice(i * 4, i * 4 + 4) as [number, number, number, number]
-    const settings = { dataCentre: DATA_CENTRES[i % 4], platform: { url: platformUrl }, seeds, meshKey: 'demo-key-on-loopback', log: 'off' }
-    return group.startDaemon(`d${i + 1}`, settings, { proxy, admin, target, mesh })
+interface MoveRow {
+  id: string
+  outcome?: string
+}
+
+class DemoFailed extends Error {}
+
+function check (holds: boolean, what: string): void {
+  if (!holds) throw new DemoFailed(what)
+}
+
+/** The shipped configuration, with a good move of the showroom and a bad one of the orders service. */
+function withMoves (now: number): string {
+  const by = new Date(now + MOVE_MS).toISOString()
+  const input = kitaboshiConfig().toInput()
+  return stringify({
+    ...input,
+    moves: {
+      showroomV2: { service: 'showroom', from: 'v1', to: 'v2', by, hold: HOLD },
+      ordersV2: { service: 'orders', from: 'v1', to: 'v2', by, hold: HOLD }
+    }
   })
 }
 
+function failSome (target: TargetServer): void {
+  let count = 0
+  target.answerStatus = () => ++count % 10 < BAD_SHARE * 10 ? 500 : 200
+}
+
+async function startAll (site: Site): Promise<void> {
+  await site.start()
+  for (const service of ['showroom', 'orders', 'workroom']) await site.startTargets(service, 'v1')
+  await site.startTargets('showroom', 'v2')
+  await site.startTargets('orders', 'v2', failSome)
+  for (const service of ['showroom', 'orders']) await site.waitForTargets(service, 'v2')
+}
+
+/** Applies the configuration and makes one call by it. */
+async function bringIntoForce (site: Site): Promise<void> {
+  const file = join(site.group.dir, 'kitaboshi.yaml')
+  writeFileSync(file, kitaboshiConfig().toYaml())
+  check((await site.cli('check', file)).code === 0, 'check refused the configuration')
+  check((await site.cli('apply', file)).code === 0, 'apply did not bring the configuration into force')
+  const res = await request(`http://127.0.0.1:${site.daemons[0]!.ports.proxy}/catalogue/wigs`)
+  console.log(`\ncall through d1: ${res.statusCode} ${await res.body.text()}`)
+  check(res.statusCode === 200, 'the call was not answered')
+  check((await site.cli('explain', 'placeOrder')).code === 0, 'explain failed')
+}
+
+async function refuseBroken (site: Site): Promise<void> {
+  const file = join(site.group.dir, 'broken.yaml')
+  writeFileSync(file, kitaboshiConfig().toYaml().replace('service: orders', 'service: order'))
+  check((await site.cli('apply', file)).code === 1, 'a configuration with a route to a missing service was accepted')
+}
+
+/** Runs both moves to their end under load. */
+async function runMoves (site: Site): Promise<CallCounts> {
+  const file = join(site.group.dir, 'moves.yaml')
+  writeFileSync(file, withMoves(Date.now()))
+  const callers = new Callers(site.daemons)
+  callers.start()
+  try {
+    check((await site.cli('apply', file)).code === 0, 'apply did not bring the moves into force')
+    await waitFor('both moves to end', async () => {
+      const rows = await readMoves(site)
+      return rows.length === 2 && rows.every((row) => row.outcome !== undefined)
+    }, END_LIMIT_MS)
+  } finally {
+    await callers.stop()
+  }
+  return callers.counts
+}
+
+async function readMoves (site: Site): Promise<MoveRow[]> {
+  const admin = `127.0.0.1:${site.daemons[0]!.ports.admin}`
+  const res = await request(`http://${admin}/status?scope=fleet`)
+  return (await res.body.json() as { moves: MoveRow[] }).moves
+}
+
+/** Runs of non-idempotent requests beyond the first. */
+function countDuplicates (targets: readonly TargetServer[]): number {
+  const runs = new Map<string, number>()
+  for (const target of targets) {
+    for (const [id, n] of target.runs) runs.set(id, (runs.get(id) ?? 0) + n)
+  }
+  return [...runs.values()].filter((n) => n > 1).length
+}
+
 async function runDemo (): Promise<void> {
-  const platform = new PlatformServer()
-  const group = new ProcessGroup()
-  const targets: TargetServer[] = []
+  const site = new Site()
   try {
-    const platformUrl = await platform.listen()
-    const daemons = await startDaemons(group, platformUrl)
-    const config = join(group.dir, 'kitaboshi.yaml')
-    writeFileSync(config, kitaboshiConfig().toYaml())
-    const applied = await group.runCli(['apply', config, '--platform', platformUrl])
-    process.stdout.write(applied.stdout + applied.stderr)
-    if (applied.code !== 0) throw new Error('apply failed')
-    for (const daemon of daemons) {
-      const ready = async (): Promise<boolean> =>
-        (await request(`http://127.0.0.1:${daemon.ports.admin}/readyz`)).statusCode === 200
-      await waitFor(`${daemon.id} to be ready`, ready, IN_FORCE_LIMIT_MS)
-    }
-    const first = daemons[0]!
-    const target = new TargetServer({
-      service: 'showroom', version: 'v1', daemonUrl: `http://127.0.0.1:${first.ports.target}`
-    })
-    await target.start()
-    targets.push(target)
-    const res = await request(`http://127.0.0.1:${first.ports.proxy}/catalogue/wigs`)
-    const body = await res.body.text()
-    console.log(`call through ${first.id}: ${res.statusCode} ${body}`)
-    if (res.statusCode !== 200) throw new Error('the call was not answered')
-    const status = await group.runCli(['status', '--platform', platformUrl])
-    process.stdout.write(status.stdout + status.stderr)
+    await startAll(site)
+    await bringIntoForce(site)
+    await refuseBroken(site)
+    const counts = await runMoves(site)
+    const outcomes = Object.fromEntries((await readMoves(site)).map((row) => [row.id, row.outcome]))
+    await site.cli('status')
+    await site.cli('moves')
+    await site.cli('timeline', '--daemon', `127.0.0.1:${site.daemons[0]!.ports.admin}`, '--move', 'ordersV2')
+    const duplicates = countDuplicates(site.targets)
+    console.log(`\ncalls: ${JSON.stringify({ ...counts, duplicates })}`)
+    check(outcomes['showroomV2'] === 'done', `the good move ended as ${outcomes['showroomV2']}`)
+    check(outcomes['ordersV2'] === 'takenBack', `the bad move ended as ${outcomes['ordersV2']}`)
+    check(duplicates === 0, `${duplicates} requests ran more than once`)
+    check(counts.wrongAnswer + counts.broken === 0, 'some callers got a wrong or broken answer')
   } finally {
-    await Promise.all(targets.map((target) => target.stop().catch(() => {})))
-    await group.stopAll()
-    await platform.close()
+    await site.stop()
   }
 }
 
