Push a version before the proxy takes it, and test announce-before-hold with one relay

The test for announcing passed without the announcement, since all relays read the head; now only one relay reaches the platform and it dies cut off. With the announcement removed, the restarted daemon is ready with the older version and the test fails. Starting daemons ask their own data centre first.

--- a/packages/mesh/src/__tests__/fakes/platform.ts
+++ b/packages/mesh/src/__tests__/fakes/platform.ts
@@ -11,6 +11,8 @@
 export class FakePlatform {
   readonly store = new PlatformStore()
   isDown = false
+  /** Hosts that can't reach the platform. */
+  isBlocked: (host: FakeHost) => boolean = () => false
   delayMs = 2
   /** Writes that take effect without an answer. */
   loseAnswers = 0
@@ -63,7 +65,7 @@
       this.#timers.after(this.delayMs, () => {
         let settle: () => void
         try {
-          if (this.isDown) throw new PlatformUnreachable('down')
+          if (this.isDown || this.isBlocked(host)) throw new PlatformUnreachable('down')
           const value = act()
           settle = () => resolve(value)
         } catch (err) {
@@ -83,7 +85,7 @@
         host.run(settle)
       }
       const stop = this.store.listen((changed) => {
-        if (changed === key && !this.isDown) finish(() => resolve(this.#get(key)))
+        if (changed === key && !this.isDown && !this.isBlocked(host)) finish(() => resolve(this.#get(key)))
       })
       const cancel = this.#timers.after(WATCH_MS, () => finish(() => resolve(undefined)))
       const abort = (): void => finish(() => reject(new PlatformUnreachable('aborted')))
--- a/packages/mesh/src/__tests__/safety.spec.ts
+++ b/packages/mesh/src/__tests__/safety.spec.ts
@@ -40,29 +40,32 @@
   for (const [name, change, ready] of rows) t.is(startRule({ ...view, ...change }).ready, ready, name)
 })
 
-/** Guards "announce before hold": the relay that takes a version first dies at once, and the platform with it. */
+/**
+ * Guards "announce before hold": one relay alone reads a version, takes it into force, and is cut off and dies before
+ * anything that it sends then arrives. Restarted, it must not serve the version before.
+ */
 test('a version served by one relay only is not forgotten by the others', async (t) => {
-  const fleet = await Fleet.ready({ daemons: 12 })
-  const first = new Promise<number>((resolve) => {
-    for (const { index, mesh, host } of fleet.members) {
-      mesh.on({
-        onSnapshot: () => {
-          fleet.platform.isDown = true
-          fleet.network.isCut = (from, to) => [from, to].includes(addressOf(index))
-          host.timers.after(0, () => resolve(index))
-        }
-      })
+  const fleet = await Fleet.ready({ daemons: 4, dataCentres: 1 })
+  const { host, mesh, address, index } = fleet.relays()[0]!
+  const hosts = new Set(fleet.members.map((member) => member.host))
+  fleet.platform.isBlocked = (other) => hosts.has(other) && other !== host
+  mesh.on({
+    onSnapshot: () => {
+      fleet.platform.isDown = true
+      fleet.network.isCut = (from, to) => [from, to].includes(address)
     }
   })
   await fleet.apply(2)
-  const holder = await fleet.settle(first)
-  fleet.kill(holder)
-  const again = fleet.start(holder)
+  await fleet.until(() => mesh.snapshot().version === 2, 10_000, 'held by the relay')
+  t.true(fleet.members.every((member) => member.host === host || member.mesh.snapshot().version === 1))
+  fleet.kill(index)
+  const again = fleet.start(index)
   fleet.network.isCut = () => false
   await fleet.run(5_000)
-  t.false(again.mesh.readiness().ready && again.mesh.snapshot().version < 2)
+  t.false(again.mesh.readiness().ready)
   t.is(fleet.reverts, 0)
   fleet.platform.isDown = false
+  fleet.platform.isBlocked = () => false
   await fleet.inForce(2)
   await fleet.until(() => again.mesh.readiness().ready, 5_000, 'ready')
 })
--- a/packages/mesh/src/floor/starter.ts
+++ b/packages/mesh/src/floor/starter.ts
@@ -8,6 +8,7 @@
 import type { MeshContext } from '../context.js'
 import type { Exchanger } from '../membership/exchanger.js'
 import type { Header } from '../gen/mesh_pb.js'
+import type { Member } from '../membership/table.js'
 import type { Readiness } from '../types.js'
 import { meshAddress, type MeshAddress } from '../wire/address.js'
 import { startRule } from './startRule.js'
@@ -150,12 +151,19 @@
     const unasked = table.members().filter((member) => {
       return !this.#answered.has(member.record.id) && table.status(member) !== 'unreachable'
     })
-    for (const member of shuffled(unasked, opts.random).slice(0, START_ASKS)) {
+    for (const member of this.#nearestFirst(shuffled(unasked, opts.random)).slice(0, START_ASKS)) {
       const request = messenger.request(member.address, { case: 'ping', value: {} }, ASK_TIMEOUT_MS)
       this.#ctx.detach(request.then(() => this.check()))
     }
   }
 
+  /** A version reaches the own data centre first, so its members know the floor best. */
+  #nearestFirst (members: readonly Member[]): Member[] {
+    const { dataCentre } = this.#ctx.table.self
+    const isNear = (member: Member): boolean => member.record.dataCentre === dataCentre
+    return [...members.filter(isNear), ...members.filter((member) => !isNear(member))]
+  }
+
   /** Facts must come from a ready peer, since others may have missed some. */
   #loadFacts (): void {
     if (this.#factsLoaded || this.#isJoining || this.#ready.size === 0) return
--- a/packages/mesh/src/meshNode.ts
+++ b/packages/mesh/src/meshNode.ts
@@ -194,12 +194,13 @@
   }
 
   #snapshotHeld (snapshot: Snapshot, source: SnapshotSource): void {
-    this.#emit((listener) => listener.onSnapshot?.(snapshot))
-    this.#reporter.held(snapshot.version)
-    this.#starter.check()
     const isPusher = source === 'notice' || source === 'head' || (source === 'pull' && this.#relay.isFirst)
+    // Before the proxy takes it: a version that kills this process at once is on its way to the others.
     if (isPusher) this.#state.pushConfig()
     if (source === 'head') this.#state.notifyOthers()
+    this.#emit((listener) => listener.onSnapshot?.(snapshot))
+    this.#reporter.held(snapshot.version)
+    this.#starter.check()
   }
 
   /** A fault of one listener must not stop the mesh or the other listeners. */
