--- a/packages/mesh/src/dispatcher.ts
+++ b/packages/mesh/src/dispatcher.ts
@@ -42,7 +42,7 @@
     const { body, seq, header } = datagram
     switch (body.case) {
       case 'ping':
-        return ctx.messenger.ack(from, seq)
+        return ctx.messenger.pong(from, seq)
       case 'pingReq':
         ctx.detach(prober.probeFor(from, datagram))
         return
--- a/packages/mesh/src/membership/exchanger.ts
+++ b/packages/mesh/src/membership/exchanger.ts
@@ -46,6 +46,7 @@
   /** Compares the digests that came with a message; probes go to random members, so these are random peers. */
   observe (header: Header, from: MeshAddress): void {
     const { table, facts, opts } = this.#ctx
+    if (header.recordsDigest === 0) return
     if (header.recordsDigest !== table.digest) this.#differing = from
     if (header.factsDigest === facts.digest || this.#factsPending) return
     this.#factsPending = true
--- a/packages/mesh/src/wire/messenger.ts
+++ b/packages/mesh/src/wire/messenger.ts
@@ -33,6 +33,13 @@
   onCall (method: MeshMethod, req: MessageShape<DescMessage>): Promise<MessageInitShape<DescMessage>>
 }
 
+interface StampOptions {
+  /** Digests are compared between random peers, so only probes and their answers carry them. */
+  withDigests?: boolean
+  /** Floor to announce, when it is above the one known. */
+  floor?: number | undefined
+}
+
 interface Waiting {
   done (header: Header | undefined): void
   cancel: Cancel
@@ -82,8 +89,8 @@
   }
 
   /** Sends a datagram that needs no answer. */
-  send (to: MeshAddress, body: DatagramBody, floor?: number): void {
-    this.#sendWith(to, body, ++this.#seq, floor)
+  send (to: MeshAddress, body: DatagramBody): void {
+    this.#sendWith(to, body, ++this.#seq)
   }
 
   /** Sends a datagram and waits for its acknowledgement; undefined when none comes in time. */
@@ -93,7 +100,7 @@
     return await new Promise((resolve) => {
       const cancel = this.#timers.after(timeoutMs, () => this.#settle(seq, undefined))
       this.#waiting.set(seq, { done: resolve, cancel })
-      this.#sendWith(to, body, seq, floor)
+      this.#sendWith(to, body, seq, { withDigests: body.case === 'ping', floor })
     })
   }
 
@@ -101,6 +108,11 @@
     this.send(to, { case: 'ack', value: { seq } })
   }
 
+  /** Acknowledges a ping, with the digests that probes compare. */
+  pong (to: MeshAddress, seq: number): void {
+    this.#sendWith(to, { case: 'ack', value: { seq } }, ++this.#seq, { withDigests: true })
+  }
+
   async call<I extends DescMessage, O extends DescMessage> (
     to: MeshAddress, method: DescMethodUnary<I, O>, req: MessageInitShape<I>, timeoutMs = RPC_TIMEOUT_MS
   ): Promise<MessageShape<O>> {
@@ -114,15 +126,16 @@
     return MAC_BYTES + toBinary(DatagramSchema, this.#datagram(body, this.#seq)).length
   }
 
-  #datagram (body: DatagramBody, seq: number, floor?: number): Datagram {
+  #datagram (body: DatagramBody, seq: number, opts: StampOptions = {}): Datagram {
     const header = this.#hooks.header()
-    if (floor !== undefined) header.floor = Math.max(header.floor, floor)
+    header.floor = Math.max(header.floor, opts.floor ?? 0)
+    if (!opts.withDigests) header.recordsDigest = header.factsDigest = 0
     return create(DatagramSchema, { header, seq, body })
   }
 
-  #sendWith (to: MeshAddress, body: DatagramBody, seq: number, floor?: number): void {
+  #sendWith (to: MeshAddress, body: DatagramBody, seq: number, opts: StampOptions = {}): void {
     if (this.#closed) return
-    const datagram = this.#datagram(body, seq, floor)
+    const datagram = this.#datagram(body, seq, opts)
     let bytes = toBinary(DatagramSchema, datagram)
     const news = this.#hooks.piggyback(to, MAX_DATAGRAM_BYTES - MAC_BYTES - bytes.length)
     if (news.records.length > 0 || news.suspicions.length > 0) {
