--- a/packages/proxy/src/constants.ts
+++ b/packages/proxy/src/constants.ts
@@ -18,8 +18,6 @@
 export const MAX_HELD_BODY_BYTES = 64 * 1024
 /** Rest of a body that is read and dropped to keep a caller's connection. */
 export const MAX_DISCARDED_BODY_BYTES = 1024 * 1024
-/** Answer bodies up to this size are sent in one write with their head; copying larger ones would cost more. */
-export const MAX_JOINED_BODY_BYTES = 16 * 1024
 export const MAX_HEADER_BYTES = 16 * 1024
 /** Bounds the time in which a caller sends a request's head. */
 export const CALLER_HEADERS_TIMEOUT_MS = 10_000
--- a/packages/proxy/src/nodeCall.ts
+++ b/packages/proxy/src/nodeCall.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici'
 import type { Cancel } from '@lentilwheel/core'
 import { mayHaveRun, mayRetry, type AttemptOutcome } from './attempts/outcome.js'
-import { ATTEMPT_HEADER, DEADLINE_HEADER, MAX_DISCARDED_BODY_BYTES, MAX_HELD_BODY_BYTES, MAX_JOINED_BODY_BYTES, NOT_RUN_HEADER } from './constants.js'
+import { ATTEMPT_HEADER, DEADLINE_HEADER, MAX_DISCARDED_BODY_BYTES, MAX_HELD_BODY_BYTES, NOT_RUN_HEADER } from './constants.js'
 import { Attempt, type AttemptOwner } from './nodeAttempt.js'
 import { BodyTooLarge, CallerBody, type BodyProgress } from './nodeCallerBody.js'
 import { refuse, type ProxyCore } from './nodeProxyCore.js'
@@ -39,10 +39,6 @@
   #ended = false
   #awaitsContinue: boolean
   #sendsTrailers = false
-  /** Declared length of the answer's body; -1 when there is none. */
-  #answerLength = -1
-  /** A small body that came in one piece, held until its end so that it goes out with the head. */
-  #wholeBody: Buffer | undefined
   #cancelDeadline: Cancel
 
   constructor (
@@ -110,10 +106,6 @@
   }
 
   answerData (chunk: Buffer): boolean {
-    if (chunk.length === this.#answerLength && chunk.length <= MAX_JOINED_BODY_BYTES) {
-      this.#wholeBody = chunk
-      return true
-    }
     if (this.#res.write(chunk)) return true
     this.#res.once('drain', () => this.#attempt?.resume())
     return false
@@ -125,9 +117,7 @@
       attempt.answeredAt)
     if (attempt.status !== OVERLOADED_STATUS) this.#observe(attempt, ok, attempt.answeredAt)
     if (this.#sendsTrailers) this.#res.addTrailers(trailers as Record<string, string>)
-    // Node joins a head and a string body into one write; a buffer would be a second part.
-    if (this.#wholeBody) this.#res.end(this.#wholeBody.toString('latin1'), 'latin1')
-    else this.#res.end()
+    this.#res.end()
     this.#end()
     if (!this.#req.complete) this.#req.resume()
   }
@@ -239,14 +229,13 @@
     if (head.hasTrailers && !this.#sendsTrailers) removeHeader(headers, 'trailer')
     if (notRun) headers.push(NOT_RUN_HEADER, '1')
     if (this.#mustClose()) headers.push('connection', 'close')
-    this.#answerLength = head.bodyLength
     this.#res.writeHead(status, statusText, headers)
     // Node holds the head back until the first bytes of the body.
-    if (head.bodyLength < 0) this.#res.flushHeaders()
+    if (!head.hasLength) this.#res.flushHeaders()
   }
 
   #isChunked (status: number, head: ResponseHead): boolean {
-    return head.bodyLength < 0 && this.#req.httpVersionMinor > 0 && this.#req.method !== 'HEAD' &&
+    return !head.hasLength && this.#req.httpVersionMinor > 0 && this.#req.method !== 'HEAD' &&
       status !== 204 && status !== 304
   }
 
--- a/packages/proxy/src/requests/responseHead.ts
+++ b/packages/proxy/src/requests/responseHead.ts
@@ -10,14 +10,13 @@
   headers: string[]
   /** The target says that it has not run the request. */
   notRun: boolean
-  /** Declared length of the body; -1 when there is none. */
-  bodyLength: number
+  hasLength: boolean
   hasTrailers: boolean
 }
 
 /** Reads raw header names and values as they came from the target. */
 export function readResponseHead (raw: readonly (Buffer | string)[]): ResponseHead {
-  const head: ResponseHead = { headers: [], notRun: false, bodyLength: -1, hasTrailers: false }
+  const head: ResponseHead = { headers: [], notRun: false, hasLength: false, hasTrailers: false }
   for (let i = 0; i < raw.length; i += 2) {
     const key = text(raw[i]!).toLowerCase()
     if (HOP_BY_HOP.has(key)) continue
@@ -26,7 +25,7 @@
       if (key === NOT_RUN_HEADER) head.notRun = value === '1'
       continue
     }
-    if (key === 'content-length') head.bodyLength = Number(value)
+    if (key === 'content-length') head.hasLength = true
     else if (key === 'trailer') head.hasTrailers = true
     head.headers.push(key, value)
   }
