--- a/packages/proxy/src/nodeAttempt.ts
+++ b/packages/proxy/src/nodeAttempt.ts
@@ -1,3 +1,4 @@
+import type { Dispatcher } from 'undici'
 import type { AttemptOutcome } from './attempts/outcome.js'
 import type { Connection, Target } from './nodeTarget.js'
 import { readResponseHead, type ResponseHead } from './requests/responseHead.js'
@@ -8,8 +9,7 @@
   answerStarted (attempt: Attempt, status: number, statusText: string, head: ResponseHead): boolean
   /** Returns false to pause the target. */
   answerData (chunk: Buffer): boolean
-  /** Trailers are names and values, flat. */
-  answerEnded (attempt: Attempt, trailers: readonly (Buffer | string)[] | null): void
+  answerEnded (attempt: Attempt, trailers: Readonly<Record<string, string | string[] | undefined>>): void
   attemptFailed (attempt: Attempt, outcome: AttemptOutcome, err: Error): void
   /** The connection is free again; called for each attempt, cancelled ones included. */
   attemptReleased (attempt: Attempt, answered: boolean): void
@@ -26,11 +26,8 @@
 /** Rest of a dropped answer that is read to keep the connection. */
 const MAX_DROPPED_BYTES = 64 * 1024
 
-/**
- * One attempt: a request on one connection to one target, as undici's handler of it. It has undici's older handler
- * methods: the newer ones parse each answer's headers into an object that the proxy doesn't need.
- */
-export class Attempt {
+/** One attempt: a request on one connection to one target, as undici's handler of it. */
+export class Attempt implements Dispatcher.DispatchHandler {
   readonly target: Target
   readonly connection: Connection
   readonly startedAt: number
@@ -38,8 +35,7 @@
   answeredAt = 0
   status = 0
   readonly #owner: AttemptOwner
-  #abort: ((err?: Error) => void) | undefined
-  #resume: (() => void) | undefined
+  #controller: Dispatcher.DispatchController | undefined
   #forwarding = false
   #cancelled = false
   #dropped = 0
@@ -53,47 +49,49 @@
 
   /** Whether a byte of the request may have been written. */
   get sent (): boolean {
-    return this.#abort !== undefined
+    return this.#controller !== undefined
   }
 
   /** Ends the attempt without a report; its connection is destroyed, or never used when it is still opening. */
   cancel (): void {
     if (this.#cancelled) return
     this.#cancelled = true
-    this.#abort?.(CANCELLED)
+    this.#controller?.abort(CANCELLED)
   }
 
   resume (): void {
-    this.#resume?.()
+    this.#controller?.resume()
   }
 
-  onConnect (abort: (err?: Error) => void): void {
-    if (this.#cancelled) return abort(CANCELLED)
-    this.#abort = abort
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    if (this.#cancelled) return controller.abort(CANCELLED)
+    this.#controller = controller
   }
 
-  /** Returns false to pause the target. */
-  onHeaders (status: number, rawHeaders: Buffer[], resume: () => void, statusText: string): boolean {
-    if (status < 200 || this.#cancelled) return true
+  onResponseStart (
+    controller: Dispatcher.DispatchController, status: number, _headers: unknown, statusText?: string
+  ): void {
+    if (status < 200 || this.#cancelled) return
     this.status = status
-    this.#resume = resume
-    this.#forwarding = this.#owner.answerStarted(this, status, statusText, readResponseHead(rawHeaders))
-    return true
+    const raw = controller.rawHeaders as (Buffer | string)[]
+    this.#forwarding = this.#owner.answerStarted(this, status, statusText ?? '', readResponseHead(raw))
   }
 
-  onData (chunk: Buffer): boolean {
-    if (this.#forwarding) return this.#owner.answerData(chunk)
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#forwarding) {
+      if (!this.#owner.answerData(chunk)) controller.pause()
+      return
+    }
     this.#dropped += chunk.length
     if (this.#dropped > MAX_DROPPED_BYTES) this.cancel()
-    return true
   }
 
-  onComplete (trailers: string[] | null): void {
+  onResponseEnd (_controller: Dispatcher.DispatchController, trailers: Record<string, string | string[] | undefined>): void {
     this.#owner.attemptReleased(this, true)
     if (this.#forwarding && !this.#cancelled) this.#owner.answerEnded(this, trailers)
   }
 
-  onError (err: Error): void {
+  onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
     this.#owner.attemptReleased(this, false)
     if (this.#cancelled) return
     const awaited = this.#forwarding || this.status === 0
--- a/packages/proxy/src/nodeCall.ts
+++ b/packages/proxy/src/nodeCall.ts
@@ -9,7 +9,7 @@
 import type { Target } from './nodeTarget.js'
 import { REFUSALS, type Refusal } from './requests/refusal.js'
 import type { RequestHead } from './requests/requestHead.js'
-import { readTrailers, type ResponseHead } from './requests/responseHead.js'
+import type { ResponseHead } from './requests/responseHead.js'
 import type { CompiledRoute } from './routing/router.js'
 import type { ServiceState, WaitingCall } from './service/serviceState.js'
 
@@ -111,12 +111,12 @@
     return false
   }
 
-  answerEnded (attempt: Attempt, trailers: readonly (Buffer | string)[] | null): void {
+  answerEnded (attempt: Attempt, trailers: Readonly<Record<string, string | string[] | undefined>>): void {
     const ok = attempt.status < FIRST_ERROR_STATUS
     attempt.target.observe(ok || attempt.status === OVERLOADED_STATUS, attempt.answeredAt - attempt.startedAt,
       attempt.answeredAt)
     if (attempt.status !== OVERLOADED_STATUS) this.#observe(attempt, ok, attempt.answeredAt)
-    if (this.#sendsTrailers && trailers) this.#res.addTrailers(readTrailers(trailers))
+    if (this.#sendsTrailers) this.#res.addTrailers(trailers as Record<string, string>)
     this.#res.end()
     this.#end()
     if (!this.#req.complete) this.#req.resume()
--- a/packages/proxy/src/requests/responseHead.ts
+++ b/packages/proxy/src/requests/responseHead.ts
@@ -32,13 +32,6 @@
   return head
 }
 
-/** Trailers for the caller as pairs. */
-export function readTrailers (raw: readonly (Buffer | string)[]): [string, string][] {
-  const trailers: [string, string][] = []
-  for (let i = 0; i < raw.length; i += 2) trailers.push([text(raw[i]!), text(raw[i + 1]!)])
-  return trailers
-}
-
 function text (raw: Buffer | string): string {
   return typeof raw === 'string' ? raw : raw.toString('latin1')
 }
