Spare a turn of the event loop after each answer

Cause: with pipelining 1, undici waits for a setImmediate after each answer before the connection may go on, and waits for another one before it writes on an idle connection; the second is the one that notices a closed connection. With 2, and a connection given back after the answer has been handled, only the second is left. No request is pipelined: a connection still carries one at a time.

--- a/packages/proxy/src/nodeAttempt.ts
+++ b/packages/proxy/src/nodeAttempt.ts
@@ -87,7 +87,8 @@
   }
 
   onResponseEnd (_controller: Dispatcher.DispatchController, trailers: Record<string, string | string[] | undefined>): void {
-    this.#owner.attemptReleased(this, true)
+    // Not at once: the client still counts this request as running and would pipeline the next one.
+    queueMicrotask(() => this.#owner.attemptReleased(this, true))
     if (this.#forwarding && !this.#cancelled) this.#owner.answerEnded(this, trailers)
   }
 
--- a/packages/proxy/src/nodeTarget.ts
+++ b/packages/proxy/src/nodeTarget.ts
@@ -12,7 +12,8 @@
 
   constructor (origin: string) {
     this.client = new Client(origin, {
-      pipelining: 1,
+      // Never more than one request at a time; with 1, undici waits another turn of the event loop after each answer.
+      pipelining: 2,
       keepAliveTimeout: IDLE_CONNECTION_MS,
       keepAliveMaxTimeout: IDLE_CONNECTION_MS,
       // Each call has its own deadline.
