Leave slow calls out for 45 s after cold instances take traffic

Cause: a cold start with a time constant of 15 s is still 1.4 times slower after 30 s, which the slow-call test took for a slow version.

--- a/packages/moves/src/constants.ts
+++ b/packages/moves/src/constants.ts
@@ -45,9 +45,9 @@
 export const START_HORIZON_WINDOWS = 1_200
 
 /** Slow calls are not counted this long after cold instances take their first calls. */
-export const WARM_UP_MS = 30_000
+export const WARM_UP_MS = 45_000
 /** Most time left out in one move, so that restarting instances can't hide slowness for good. */
-export const MAX_WARM_UP_MS = 120_000
+export const MAX_WARM_UP_MS = 135_000
 
 /** Unannounced losses of new targets that count as crashing. */
 export const CRASH_LIMIT = 3
