Raise the first share by the calls needed in its time, and need fewer calls per stage

Cause: at 20 calls a second and a tight deadline the first stage yielded 43 of the 50 calls needed, so good moves ended late.

--- a/packages/moves/src/constants.ts
+++ b/packages/moves/src/constants.ts
@@ -4,8 +4,6 @@
 export const STAGE_WEIGHTS: readonly number[] = [0.2, 0.15, 0.3, 0.35]
 /** Most that the first stage is raised to, so that a bad version fails few calls of a quiet service. */
 export const MAX_FIRST_SHARE = 0.1
-/** New-version calls per second that the first stage aims at. */
-export const FIRST_STAGE_CALLS_PER_SECOND = 1
 
 /** Part of the time left that the ramp plans with; the rest absorbs late ticks and spreading of facts. */
 export const PLANNED_TIME_PART = 0.85
--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -1,16 +1,16 @@
 import type { EvidenceReport, EventFields, EventType, MoveFact, MoveFacts, MoveOutcome } from '@lentilwheel/core'
-import { unsureChoice, type Move, type Service } from '@lentilwheel/config'
+import { unsureChoice, type Move, type Service, type UnsureChoice } from '@lentilwheel/config'
 import type { Capacity } from './capacity.js'
 import {
   ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS, SPREAD_MS,
-  WARM_UP_MS
+  STAGE_SHARES, WARM_UP_MS
 } from './constants.js'
 import type { MoveEffect } from './effects.js'
 import { Baseline, Window, type Cell } from './evidence.js'
 import { AlarmTest } from './alarmTest.js'
 import { HoldAlarm, NO_BAD_CALLS, type BadRates } from './holdAlarm.js'
 import { firstShare, SHORTEST_RAMP_MS, stageMs } from './plan.js'
-import { rampStep, type RampStep } from './ramp.js'
+import { callsNeeded, rampStep, type RampStep } from './ramp.js'
 import { VersionTest } from './versionTest.js'
 
 export interface CoordinatorOptions {
@@ -216,14 +216,14 @@
 
   #rampStep (input: CoordinatorInput, leftMs: number): RampStep {
     const { capacity, from, to } = this.#opts
-    const observedSeconds = Math.max(1, (input.now - this.#enteredAt) / 1000)
+    const unsure = unsureChoice(input.cfg, input.service)
     return rampStep({
       share: this.#share,
-      first: this.#share === 0 ? firstShare(this.#observedCalls / observedSeconds) : 0,
+      first: this.#share === 0 ? this.#firstShare(input, leftMs, unsure) : 0,
       elapsedMs: input.now - this.#enteredAt,
       plannedMs: this.#plannedMs,
       leftMs,
-      unsure: unsureChoice(input.cfg, input.service),
+      unsure,
       newCalls: this.#test.newCalls,
       suspicious: this.#test.isSuspicious,
       bound: capacity.bound,
@@ -234,6 +234,11 @@
     })
   }
 
+  #firstShare (input: CoordinatorInput, leftMs: number, unsure: UnsureChoice): number {
+    const observedSeconds = Math.max(1, (input.now - this.#enteredAt) / 1000)
+    return firstShare(this.#observedCalls / observedSeconds, callsNeeded(STAGE_SHARES[0]!, unsure), leftMs)
+  }
+
   * #steerHold (input: CoordinatorInput): Generator<MoveEffect> {
     const alarm = this.#hold.alarm
     if (!alarm) {
--- a/packages/moves/src/plan.ts
+++ b/packages/moves/src/plan.ts
@@ -1,6 +1,6 @@
 import { unsureChoice, type Move, type Service } from '@lentilwheel/config'
 import {
-  FIRST_STAGE_CALLS_PER_SECOND, MAX_FIRST_SHARE, MAX_STAGE_MS, MIN_STAGE_MS, OBSERVE_MS, PLANNED_TIME_PART, SPREAD_MS,
+  MAX_FIRST_SHARE, MAX_STAGE_MS, MIN_STAGE_MS, OBSERVE_MS, PLANNED_TIME_PART, SPREAD_MS,
   STAGE_SHARES, STAGE_WEIGHTS
 } from './constants.js'
 
@@ -29,9 +29,10 @@
   return [{ code: 'deadline-impossible', message }]
 }
 
-/** Share of the first stage: raised for a quiet service until it yields evidence. */
-export function firstShare (callsPerSecond: number): number {
-  const wanted = FIRST_STAGE_CALLS_PER_SECOND / Math.max(callsPerSecond, 1e-9)
+/** Share of the first stage: raised for a quiet service until it yields the calls needed in its planned time. */
+export function firstShare (callsPerSecond: number, callsNeeded: number, leftMs: number): number {
+  const seconds = stageMs(STAGE_SHARES[0]!, leftMs) / 1000
+  const wanted = callsNeeded / Math.max(callsPerSecond * seconds, 1e-9)
   return Math.min(MAX_FIRST_SHARE, Math.max(STAGE_SHARES[0]!, wanted))
 }
 
--- a/packages/moves/src/ramp.ts
+++ b/packages/moves/src/ramp.ts
@@ -4,8 +4,8 @@
 
 /** New-version calls, over all stages, needed to leave a share; in the order of STAGE_SHARES. */
 const CALLS_NEEDED: Readonly<Record<UnsureChoice, readonly number[]>> = {
-  keepOld: [20, 50, 110, 200],
-  finish: [10, 25, 55, 100]
+  keepOld: [15, 30, 70, 130],
+  finish: [8, 15, 35, 65]
 }
 /** A bounded share is raised only in steps of at least this factor. */
 const MIN_GROWTH = 1.2
