--- a/packages/moves/src/constants.ts
+++ b/packages/moves/src/constants.ts
@@ -21,10 +21,8 @@
 
 /** Chance of rolling back an equal version through errors, and again through slowness. */
 export const ALPHA = 0.001
-/** Evidence (e-value) above which a move waits instead of going on. */
+/** Evidence (e-value) above which a move waits instead of going on, and is taken back if its deadline comes first. */
 export const SUSPICION = 20
-/** Evidence at which a move that must end at its deadline is taken back instead of ending late. */
-export const STRONG_SUSPICION = 100
 /** Evidence at which the hold alarm asks for a concurrent test; a false alarm costs only time. */
 export const HOLD_ALARM = 200
 
--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -205,7 +205,7 @@
       case 'advance':
         return yield * this.#publishStage(input, step.share)
       case 'late':
-        if (this.#test.isStronglySuspicious) return yield * this.#rollBack(input, step.reason)
+        if (this.#test.isSuspicious) return yield * this.#rollBack(input, step.reason)
         return yield * this.#end(input, 'late', step.reason)
       case 'wait':
         if (input.now - this.#enteredAt >= this.#plannedMs && step.reason !== undefined) {
--- a/packages/moves/src/versionTest.ts
+++ b/packages/moves/src/versionTest.ts
@@ -1,4 +1,4 @@
-import { ALPHA, ERROR_ODDS, SLOW_ODDS, SLOW_QUANTILES, STRONG_SUSPICION, SUSPICION } from './constants.js'
+import { ALPHA, ERROR_ODDS, SLOW_ODDS, SLOW_QUANTILES, SUSPICION } from './constants.js'
 import { Comparison } from './comparison.js'
 import { errorTable, slowTable, type Baseline, type Cell } from './evidence.js'
 import type { Table } from './hypergeometric.js'
@@ -66,10 +66,6 @@
     return Math.max(this.errorEvidence, this.slowEvidence) >= SUSPICION
   }
 
-  get isStronglySuspicious (): boolean {
-    return Math.max(this.errorEvidence, this.slowEvidence) >= STRONG_SUSPICION
-  }
-
   /** Why the new version is bad, in a sentence, or undefined while the evidence is short of that. */
   get verdict (): string | undefined {
     if (this.errorEvidence >= 1 / ALPHA) return this.#errorReason()
