--- a/packages/bench/src/moves/fleet.ts
+++ b/packages/bench/src/moves/fleet.ts
@@ -83,8 +83,11 @@
   }
 
   #report (report: EvidenceReport): void {
-    const coordinator = [...this.coordinators].find((i) => !this.stopped.has(i))
-    if (coordinator !== undefined) this.engines[coordinator]!.onEvidence(report)
+    for (const coordinator of this.coordinators) {
+      if (this.stopped.has(coordinator)) continue
+      this.engines[coordinator]!.onEvidence(report)
+      return
+    }
   }
 
   #spread (fact: MoveFact, from: number): void {
--- a/packages/moves/src/counters.ts
+++ b/packages/moves/src/counters.ts
@@ -6,6 +6,8 @@
   calls = 0
   errors = 0
   readonly buckets = new Uint32Array(BUCKET_COUNT)
+  /** Number of buckets up to the last one that has calls. */
+  #used = 0
 
   add (ok: boolean, latencyMs: number, n: number): void {
     this.calls += n
@@ -15,12 +17,21 @@
     }
     const bucket = latencyBucket(latencyMs)
     this.buckets[bucket] = this.buckets[bucket]! + n
+    if (bucket >= this.#used) this.#used = bucket + 1
   }
 
   reset (): void {
     this.calls = 0
     this.errors = 0
-    this.buckets.fill(0)
+    this.buckets.fill(0, 0, this.#used)
+    this.#used = 0
+  }
+
+  /** The buckets without the zeros at the end. */
+  usedBuckets (): number[] {
+    const used = new Array<number>(this.#used)
+    for (let i = 0; i < this.#used; i++) used[i] = this.buckets[i]!
+    return used
   }
 }
 
@@ -44,7 +55,7 @@
     for (const [route, counter] of this.#byRoute) {
       if (counter.calls === 0) continue
       const { calls, errors } = counter
-      rows.push({ route, version: this.version, calls, errors, buckets: withoutTrailingZeros(counter.buckets) })
+      rows.push({ route, version: this.version, calls, errors, buckets: counter.usedBuckets() })
       counter.reset()
     }
     return rows
@@ -55,12 +66,6 @@
   }
 }
 
-function withoutTrailingZeros (buckets: Uint32Array): number[] {
-  let length = buckets.length
-  while (length > 0 && buckets[length - 1] === 0) length--
-  return Array.from(buckets.subarray(0, length))
-}
-
 /** Sums of many rows of one route and version. */
 export class RowSum {
   calls = 0
@@ -89,9 +94,13 @@
 /** True when a report's numbers can be counted; a damaged or hostile one is dropped whole. */
 export function isSoundReport (report: EvidenceReport): boolean {
   return report.rows.every((row) => {
-    const successes = row.buckets.reduce((sum, n) => sum + n, 0)
-    return isCount(row.calls) && isCount(row.errors) && row.buckets.every(isCount) &&
-      row.buckets.length <= BUCKET_COUNT && row.errors + successes === row.calls
+    if (row.buckets.length > BUCKET_COUNT || !isCount(row.calls) || !isCount(row.errors)) return false
+    let sum = row.errors
+    for (const n of row.buckets) {
+      if (!isCount(n)) return false
+      sum += n
+    }
+    return sum === row.calls
   })
 }
 
