--- a/packages/moves/src/constants.ts
+++ b/packages/moves/src/constants.ts
@@ -4,8 +4,6 @@
 export const STAGE_WEIGHTS: readonly number[] = [0.2, 0.15, 0.3, 0.35]
 /** Most that the first stage is raised to, so that a bad version fails few calls of a quiet service. */
 export const MAX_FIRST_SHARE = 0.1
-/** New-version calls per second that the first stage aims at. */
-export const FIRST_STAGE_CALLS_PER_SECOND = 1
 
 /** Part of the time left that the ramp plans with; the rest absorbs late ticks and spreading of facts. */
 export const PLANNED_TIME_PART = 0.85
@@ -23,10 +21,8 @@
 
 /** Chance of rolling back an equal version through errors, and again through slowness. */
 export const ALPHA = 0.001
-/** Evidence (e-value) above which a move waits instead of going on. */
+/** Evidence (e-value) above which a move waits instead of going on, and is taken back if its deadline comes first. */
 export const SUSPICION = 20
-/** Evidence at which a move that must end at its deadline is taken back instead of ending late. */
-export const STRONG_SUSPICION = 100
 /** Evidence at which the hold alarm asks for a concurrent test; a false alarm costs only time. */
 export const HOLD_ALARM = 200
 
@@ -45,9 +41,9 @@
 export const START_HORIZON_WINDOWS = 1_200
 
 /** Slow calls are not counted this long after cold instances take their first calls. */
-export const WARM_UP_MS = 30_000
+export const WARM_UP_MS = 45_000
 /** Most time left out in one move, so that restarting instances can't hide slowness for good. */
-export const MAX_WARM_UP_MS = 120_000
+export const MAX_WARM_UP_MS = 135_000
 
 /** Unannounced losses of new targets that count as crashing. */
 export const CRASH_LIMIT = 3
