Store the head compressed and count bundles as they are encoded

A configuration within its limits (2,000 services, 20,000 routes) could not be accepted: the platform answered 413, since bundles counted the text of objects without hash, key and escapes, and the head took 1.7 MB as JSON where the platform takes 1 MB a value. Change records of older versions lose what they replaced beyond 10,000 objects; such versions are no base for a merge any more.

--- a/packages/cli/src/__tests__/reports.spec.ts
+++ b/packages/cli/src/__tests__/reports.spec.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { unpackHead } from '@lentilwheel/config'
 import { account, Desk, LAGGING, MESH, NOW, RECORD, REFUSAL } from './harness.js'
 
 async function fullDesk (): Promise<Desk> {
@@ -98,7 +99,7 @@
   desk.platform.beforeHeadWrite = () => {
     if (raced) return
     raced = true
-    const head = JSON.parse(new TextDecoder().decode(desk.platform.store.get('config/head')!.value))
+    const head = unpackHead(desk.platform.store.get('config/head')!.value)
     head.version++
     head.objects['move/ordersV2'] = 'other'
     head.changes.push({ id: 'theirs', version: head.version, acceptedAt: NOW, author: 'mari', replaced: { 'move/ordersV2': 'x' } })
--- a/packages/cli/src/apply/apply.ts
+++ b/packages/cli/src/apply/apply.ts
@@ -61,8 +61,8 @@
     if (!mayHaveTakenEffect(err)) throw err
     const version = await settle(client, change.id, timers)
     if (version !== undefined) return version
-    throw new PlatformOutcomeUnknown(`it is unknown whether change ${change.id} was accepted: the platform did not ` +
-      `answer. Applying the same file with --change-id ${change.id} is safe: it is accepted at most once`)
+    throw new PlatformOutcomeUnknown(`it is unknown whether change ${change.id} was accepted: ${(err as Error).message}. ` +
+      `Applying the same file with --change-id ${change.id} is safe: it is accepted at most once`)
   }
 }
 
--- a/packages/cli/src/reports/rows.ts
+++ b/packages/cli/src/reports/rows.ts
@@ -44,7 +44,7 @@
       at: change.acceptedAt,
       author: change.author,
       changeId: change.id,
-      count: keys.length,
+      count: keys.length === 0 ? undefined : keys.length,
       objects: keys.join(', ')
     }
   })
--- a/packages/config/src/__tests__/merge.spec.ts
+++ b/packages/config/src/__tests__/merge.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { BaseVersionNotKept, ChangeConflict } from '../errors.js'
-import { applyChange, changeAgainst, EMPTY_HEAD, MAX_HEAD_CHANGES, touchedKeys, type Head } from '../index.js'
+import { applyChange, changeAgainst, EMPTY_HEAD, MAX_HEAD_CHANGES, packHead, touchedKeys, unpackHead, type Head } from '../index.js'
 import { changeOnto, objectsAt } from '../merge.js'
 import { makeObject, type ConfigObject } from '../objects.js'
 
@@ -48,3 +48,16 @@
     t.throws(() => changeOnto(head, version, objects('a:9'), INFO), { any: true, instanceOf: BaseVersionNotKept })
   }
 })
+
+/** Guards against a configuration within its limits whose head the platform does not take (1 MB a value). */
+test('the head of the largest configuration fits, even after two changes of every object', (t) => {
+  const names = Array.from({ length: 22_500 }, (_, i) => `regionalWarehouse${i}`)
+  let head = EMPTY_HEAD
+  for (const version of ['1', '2', '3']) head = grow(head, objects(...names.map((name) => `${name}:${version}`)))
+  const bytes = packHead(head)
+  t.true(bytes.length < 1024 * 1024, `${bytes.length} bytes`)
+  t.deepEqual(unpackHead(bytes), head)
+  t.deepEqual(head.changes.map(({ id }) => id), ['c1', 'c2', 'c3'])
+  t.deepEqual(Object.keys(objectsAt(head, 2)).length, names.length)
+  t.throws(() => objectsAt(head, 1), { any: true, instanceOf: BaseVersionNotKept })
+})
--- a/packages/config/src/head.ts
+++ b/packages/config/src/head.ts
@@ -1,7 +1,8 @@
+import { gunzipSync, gzipSync } from 'node:zlib'
 import { z } from 'zod'
 import { ChangeConflict } from './errors.js'
 import { rootHash, type ConfigObject } from './objects.js'
-import { MAX_HEAD_CHANGES } from './constants.js'
+import { MAX_HEAD_CHANGES, MAX_HEAD_REPLACED, MAX_HEAD_TEXT_BYTES } from './constants.js'
 
 /** An accepted change as the head remembers it. */
 export const changeRecordSchema = z.object({
@@ -9,7 +10,10 @@
   version: z.int(),
   acceptedAt: z.number(),
   author: z.string(),
-  /** Hash that each touched object had before; empty when it is new. */
+  /**
+   * Hash that each touched object had before; empty text when it is new. Older records lose theirs when the head would
+   * grow too large, so a record without any stands for a change that cannot be undone.
+   */
   replaced: z.record(z.string(), z.string())
 })
 
@@ -79,6 +83,27 @@
     rootHash: rootHash(Object.entries(objects).map(([key, hash]) => ({ key, hash }))),
     objects,
     bundles: [...new Set([...head.bundles, ...bundles])],
-    changes: [...head.changes, record].slice(-MAX_HEAD_CHANGES)
+    changes: boundRecords([...head.changes, record].slice(-MAX_HEAD_CHANGES))
   }
 }
+
+/** Keeps every change id, and what the newest changes replaced up to a bound. */
+function boundRecords (records: readonly ChangeRecord[]): ChangeRecord[] {
+  let kept = 0
+  return records.toReversed().map((record, i) => {
+    kept += Object.keys(record.replaced).length
+    return i === 0 || kept <= MAX_HEAD_REPLACED ? record : { ...record, replaced: {} }
+  }).reverse()
+}
+
+/** The head as it is stored. It is compressed: 22,000 objects take 1.7 MB as JSON and the platform takes 1 MB. */
+export function packHead (head: Head): Uint8Array {
+  return gzipSync(JSON.stringify(head))
+}
+
+/** Reads a stored head, compressed or as plain JSON; throws when it is neither or not a head. */
+export function unpackHead (bytes: Uint8Array): Head {
+  const isCompressed = bytes[0] === 0x1f && bytes[1] === 0x8b
+  const text = isCompressed ? gunzipSync(bytes, { maxOutputLength: MAX_HEAD_TEXT_BYTES }) : bytes
+  return headSchema.parse(JSON.parse(new TextDecoder().decode(text)))
+}
--- a/packages/config/src/merge.ts
+++ b/packages/config/src/merge.ts
@@ -4,7 +4,8 @@
 
 /** Hashes of all objects at an older version, rebuilt by undoing the head's change records. */
 export function objectsAt (head: Head, version: number): Record<string, string> {
-  const oldest = (head.changes[0]?.version ?? head.version + 1) - 1
+  const complete = head.changes.findLastIndex((record) => Object.keys(record.replaced).length === 0) + 1
+  const oldest = (head.changes[complete]?.version ?? head.version + 1) - 1
   if (version > head.version || version < oldest) {
     throw new BaseVersionNotKept(`version ${version} cannot be a base: the head can go back from version ` +
       `${head.version} to version ${oldest}; give one of these, or apply without a base`)
--- a/packages/platform/src/configStore.ts
+++ b/packages/platform/src/configStore.ts
@@ -1,8 +1,8 @@
 import {
-  applyChange, buildSnapshot, canonicalJson, checkRebase, EMPTY_HEAD, HashMismatch, hashText, headSchema,
-  MAX_BUNDLE_BYTES, MAX_HEAD_BUNDLES, verifyObject, type Change, type ConfigObject, type Head, type Snapshot
+  applyChange, buildSnapshot, canonicalJson, checkRebase, EMPTY_HEAD, HashMismatch, hashText,
+  MAX_BUNDLE_BYTES, MAX_HEAD_BUNDLES, packHead, unpackHead, verifyObject, type Change, type ConfigObject, type Head, type Snapshot
 } from '@lentilwheel/config'
-import { encodeJson, type PlatformClient } from './client.js'
+import type { PlatformClient } from './client.js'
 import { PlatformBadAnswer, PlatformConflict, PlatformOutcomeUnknown } from './errors.js'
 
 export const HEAD_KEY = 'config/head'
@@ -27,7 +27,7 @@
 
 export function decodeHead (value: Uint8Array): Head {
   try {
-    return headSchema.parse(JSON.parse(new TextDecoder().decode(value)))
+    return unpackHead(value)
   } catch (err) {
     throw new PlatformBadAnswer('the head object is not a configuration head', err)
   }
@@ -51,7 +51,7 @@
     await checkResult(client, current.head, change)
     const head = await writeBundles(client, current.head, change)
     try {
-      await client.put(HEAD_KEY, encodeJson(head), { ifRevision: current.revision })
+      await client.put(HEAD_KEY, packHead(head), { ifRevision: current.revision })
       return { version: head.version, settled: false }
     } catch (err) {
       if (!(err instanceof PlatformConflict) && !(err instanceof PlatformOutcomeUnknown)) throw err
@@ -109,17 +109,19 @@
   }
 }
 
+/** Counts objects as they are encoded: hash, key and escaped quotes double the text of a small one. */
 function * packBundles (objects: readonly ConfigObject[]): Generator<string> {
   let bundle: ConfigObject[] = []
   let bytes = 0
   for (const object of objects) {
-    if (bytes + object.text.length > MAX_BUNDLE_BYTES && bundle.length > 0) {
+    const size = Buffer.byteLength(canonicalJson(object)) + 1
+    if (bytes + size > MAX_BUNDLE_BYTES && bundle.length > 0) {
       yield canonicalJson(bundle)
       bundle = []
       bytes = 0
     }
     bundle.push(object)
-    bytes += object.text.length
+    bytes += size
   }
   if (bundle.length > 0) yield canonicalJson(bundle)
 }
