Bound what the head keeps of replaced objects for the newest change too

A change of all 22,000 objects left a packed head of 970 KB of the 1 MB that the platform takes, too close with longer names. A conflict with a change whose record is dropped names that change.

--- a/packages/config/src/constants.ts
+++ b/packages/config/src/constants.ts
@@ -7,7 +7,7 @@
 export const MAX_BUNDLE_BYTES = 512 * 1024
 /** Change ids that the head keeps, by which a lost answer is settled. */
 export const MAX_HEAD_CHANGES = 64
-/** Hashes of replaced objects that the head keeps over all its change records, beyond those of the newest. */
+/** Hashes of replaced objects that the head keeps over all its change records; hashes hardly compress. */
 export const MAX_HEAD_REPLACED = 10_000
 /** Bounds the memory that a damaged or hostile head can take when it is unpacked. */
 export const MAX_HEAD_TEXT_BYTES = 16 * 1024 * 1024
--- a/packages/config/src/head.ts
+++ b/packages/config/src/head.ts
@@ -11,8 +11,8 @@
   acceptedAt: z.number(),
   author: z.string(),
   /**
-   * Hash that each touched object had before; empty text when it is new. Older records lose theirs when the head would
-   * grow too large, so a record without any stands for a change that cannot be undone.
+   * Hash that each touched object had before; empty text when it is new. Records lose theirs, oldest first, when the
+   * head would grow too large, so a record without any stands for a change that cannot be undone.
    */
   replaced: z.record(z.string(), z.string())
 })
@@ -60,7 +60,8 @@
   const touched = new Set(touchedKeys(change))
   const moved = [...touched].filter((key) => base.objects[key] !== head.objects[key])
   if (moved.length === 0) return
-  const other = head.changes.findLast((record) => moved.some((key) => Object.hasOwn(record.replaced, key)))
+  const other = head.changes.findLast((record) =>
+    isUndoLost(record) || moved.some((key) => Object.hasOwn(record.replaced, key)))
   throw new ChangeConflict(other ?? { id: 'unknown', author: 'unknown', version: head.version }, moved)
 }
 
@@ -90,12 +91,17 @@
 /** Keeps every change id, and what the newest changes replaced up to a bound. */
 function boundRecords (records: readonly ChangeRecord[]): ChangeRecord[] {
   let kept = 0
-  return records.toReversed().map((record, i) => {
+  return records.toReversed().map((record) => {
     kept += Object.keys(record.replaced).length
-    return i === 0 || kept <= MAX_HEAD_REPLACED ? record : { ...record, replaced: {} }
+    return kept <= MAX_HEAD_REPLACED ? record : { ...record, replaced: {} }
   }).reverse()
 }
 
+/** Whether the record no longer says what its change replaced. */
+export function isUndoLost (record: ChangeRecord): boolean {
+  return Object.keys(record.replaced).length === 0
+}
+
 /** The head as it is stored. It is compressed: 22,000 objects take 1.7 MB as JSON and the platform takes 1 MB. */
 export function packHead (head: Head): Uint8Array {
   return gzipSync(JSON.stringify(head))
--- a/packages/config/src/merge.ts
+++ b/packages/config/src/merge.ts
@@ -1,10 +1,10 @@
-import { checkRebase, type Change, type Head } from './head.js'
+import { checkRebase, isUndoLost, type Change, type Head } from './head.js'
 import { BaseVersionNotKept } from './errors.js'
 import type { ConfigObject } from './objects.js'
 
 /** Hashes of all objects at an older version, rebuilt by undoing the head's change records. */
 export function objectsAt (head: Head, version: number): Record<string, string> {
-  const complete = head.changes.findLastIndex((record) => Object.keys(record.replaced).length === 0) + 1
+  const complete = head.changes.findLastIndex(isUndoLost) + 1
   const oldest = (head.changes[complete]?.version ?? head.version + 1) - 1
   if (version > head.version || version < oldest) {
     throw new BaseVersionNotKept(`version ${version} cannot be a base: the head can go back from version ` +
