--- a/packages/cli/src/commands/completion.ts
+++ b/packages/cli/src/commands/completion.ts
@@ -23,8 +23,9 @@
     COMPREPLY=($(compgen -W "${names.join(' ')} --help --version" -- "$current"))
     return
   fi
-  case "$previous" in
-    --layout|--html|check|apply) COMPREPLY=($(compgen -f -- "$current")); return ;;
+  case "$previous$current" in
+    check-*|apply-*) ;;
+    --layout*|--html*|check*|apply*) COMPREPLY=($(compgen -f -- "$current")); return ;;
   esac
   case "\${COMP_WORDS[1]}" in
 ${cases.join('\n')}
