--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -20,6 +20,12 @@
   changeId?: unknown
 }
 
+/** The version to wait for, and how it came about. */
+interface Accepted {
+  version: number
+  sentence: string
+}
+
 type Phase = 'preparing' | 'accepting' | 'waiting'
 
 /** Follows Ctrl-C through the phases of an apply, because in each it means something else. */
@@ -70,11 +76,12 @@
       const prepared = await prepareChange(client, {
         bytes, file, author: ctx.userName(), changeId, now: ctx.timers.wallNow(), baseVersion
       })
-      const version = await acceptPrepared(ctx, reporter, client, prepared, guard)
+      const accepted = await acceptPrepared(ctx, reporter, client, prepared, guard)
       guard.phase = 'waiting'
-      const result = opts.wait === false ? undefined : await waitOrStop(ctx, client, version, timeoutMs, guard)
-      reporter.json(applyReport(prepared, version, result))
-      concludeApply(reporter, version, changeId, result, guard)
+      const isAwaited = opts.wait !== false && accepted.version > 0
+      const result = isAwaited ? await waitOrStop(ctx, client, accepted.version, timeoutMs, guard) : undefined
+      reporter.json(applyReport(prepared, accepted.version, result))
+      concludeApply(reporter, accepted, result, guard)
     })
   } finally {
     guard.stop()
@@ -91,22 +98,23 @@
 
 async function acceptPrepared (
   ctx: CommandContext, reporter: Reporter, client: PlatformClient, prepared: PreparedChange, guard: InterruptGuard
-): Promise<number> {
+): Promise<Accepted> {
   const { base, change, differences, acceptedBefore } = prepared
+  const conclude = (version: number, sentence: string): Accepted => {
+    reporter.say(sentence)
+    return { version, sentence }
+  }
   if (acceptedBefore !== undefined) {
-    reporter.say(`Change ${change.id} was already accepted as version ${acceptedBefore}.`)
-    return acceptedBefore
+    return conclude(acceptedBefore, `Change ${change.id} was already accepted as version ${acceptedBefore}.`)
   }
   if (touchedKeys(change).length === 0) {
-    reporter.say(`Nothing to change: version ${base.head.version} already has this configuration.`)
-    return base.head.version
+    return conclude(base.head.version, `Nothing to change: version ${base.head.version} already has this configuration.`)
   }
   for (const line of differenceLines(differences)) reporter.say(line)
   reporter.notices(deadlineWarnings(change, ctx.timers.wallNow()))
   guard.checkBeforeSending()
   const version = await acceptOrSettle(client, prepared, ctx.timers)
-  reporter.say(`Accepted as version ${version} (change ${change.id}).`)
-  return version
+  return conclude(version, `Accepted as version ${version} (change ${change.id}).`)
 }
 
 async function waitOrStop (
@@ -136,12 +144,12 @@
 }
 
 function concludeApply (
-  reporter: Reporter, version: number, changeId: string, result: WaitResult | undefined, guard: InterruptGuard
+  reporter: Reporter, { version, sentence }: Accepted, result: WaitResult | undefined, guard: InterruptGuard
 ): void {
-  if (!result) {
-    if (guard.interrupted) throw new Interrupted(interruptedText(version, changeId))
-    return
+  if (result ? result.end === 'interrupted' : guard.interrupted) {
+    throw new Interrupted(`interrupted, but the version comes into force without this command. ${sentence}`)
   }
+  if (!result) return
   const { holding, members } = reachOf(result.accounts, version)
   if (result.end === 'everywhere') {
     reporter.say(`Version ${version} is in force on all ${counted(members, 'daemon')}.`, 'green')
@@ -151,13 +159,8 @@
     reporter.say('No daemon has reported to the platform yet, so nothing is known about what is in force.')
     return
   }
-  if (result.end === 'interrupted') throw new Interrupted(interruptedText(version, changeId))
   const lacking = lackingSentences(result.accounts, version).map((sentence) => `\n  ${sentence}`).join('')
   const stale = result.isFresh ? '' : ' at the last answer of the platform, which does not answer now'
   throw new NotInForceEverywhere(
     `version ${version} is in force on ${holding} of ${counted(members, 'daemon')}${stale}${lacking}`)
 }
-
-function interruptedText (version: number, changeId: string): string {
-  return `interrupted: change ${changeId} was accepted as version ${version} and comes into force without this command`
-}
--- a/packages/config/src/__tests__/parse.spec.ts
+++ b/packages/config/src/__tests__/parse.spec.ts
@@ -32,6 +32,7 @@
   'broken YAML': 'services: [a\n',
   'unknown section': 'servces: {}\n',
   'unknown field': GOOD.replace('current:', 'curent:'),
+  'an empty file': '# nothing\n',
   'a key that occurs twice': GOOD + 'services: {}\n',
   'nesting without end': '['.repeat(100_000),
   'wrong type': GOOD.replace('[v1, v2]', '3'),
--- a/packages/config/src/parse.ts
+++ b/packages/config/src/parse.ts
@@ -15,7 +15,7 @@
   const syntax = (message: string, offset: number): ConfigIssue =>
     ({ code: 'syntax', path: '', message, line: lines.linePos(offset).line })
   const broken = doc.errors.map((err) => syntax(plainMessage(err), err.pos[0]))
-  const issues = [...broken, ...doubled.map(({ key, offset }) => syntax(`key "${key}" occurs twice`, offset))]
+  const issues = [...withoutRepeats(broken), ...doubled.map(({ key, offset }) => syntax(`key "${key}" occurs twice`, offset))]
   if (issues.length > 0) throw new ConfigInvalid(file, issues.slice(0, MAX_REPORTED_ISSUES))
   const lineOf = (path: readonly PropertyKey[]): number => lineOfPath(doc, lines, path)
   return checkConfig(toPlain(doc, file), file, lineOf)
@@ -72,9 +72,23 @@
   return message.startsWith('Maximum call stack') ? 'is nested too deeply' : message
 }
 
+/** A fault in nesting is reported once for each level that it leaves open. */
+function withoutRepeats (issues: readonly ConfigIssue[]): ConfigIssue[] {
+  return [...new Map(issues.map((issue) => [`${issue.line} ${issue.message}`, issue])).values()]
+}
+
+/** Nothing in the file, such as the output of a program that failed, must not remove the whole configuration. */
 function toPlain (doc: Document, file: string): unknown {
+  const value = expandAliases(doc, file)
+  if (value !== null && value !== undefined) return value
+  throw new ConfigInvalid(file, [{
+    code: 'bad-value', path: '', message: 'is empty; to remove everything, write "services: {}"'
+  }])
+}
+
+function expandAliases (doc: Document, file: string): unknown {
   try {
-    return doc.toJS({ maxAliasCount: MAX_ALIASES }) ?? {}
+    return doc.toJS({ maxAliasCount: MAX_ALIASES })
   } catch (err) {
     throw new ConfigInvalid(file, [{ code: 'syntax', path: '', message: plainMessage(err as Error) }])
   }
