Check a request about a move against the head that its write is conditional on

A pause that was checked against an older head overwrote a take-back accepted in between; a test on the commands shows it. An unknown outcome now says how to repeat the command at hand.

--- a/packages/cli/src/__tests__/harness.ts
+++ b/packages/cli/src/__tests__/harness.ts
@@ -23,6 +23,9 @@
   lostAnswers: { takesEffect: boolean }[] = []
   /** Called before each write of the head. */
   beforeHeadWrite: () => void = () => {}
+  /** Change ids are unique over all desks of one platform. */
+  lastChangeId = 0
+  beforeList: () => Promise<void> = async () => {}
 
   async get (key: string): Promise<StoredObject | undefined> {
     this.#check()
@@ -44,6 +47,7 @@
 
   async list (prefix: string): Promise<StoredObject[]> {
     this.#check()
+    await this.beforeList()
     return this.store.list(prefix).map(([key, object]) => ({ key, ...object }))
   }
 
@@ -90,7 +94,7 @@
 
 /** One operator's machine: files, a platform, a daemon and a terminal. */
 export class Desk {
-  readonly platform = new FakePlatform()
+  readonly platform: FakePlatform
   readonly daemon = new FakeDaemon()
   readonly timers = new VirtualTimers(NOW)
   readonly files = new Map<string, string>()
@@ -99,7 +103,9 @@
   streams: Partial<Streams> = {}
   user = 'ayana'
   interrupt: (() => void) | undefined
-  #ids = 0
+  constructor (platform = new FakePlatform()) {
+    this.platform = platform
+  }
 
   /** Runs one command to its end, moving the clock until it is there. */
   async run (...args: string[]): Promise<RunResult> {
@@ -137,7 +143,7 @@
         return new TextEncoder().encode(text)
       },
       writeFile: (path, text) => { this.files.set(path, text) },
-      newId: () => `change-${++this.#ids}`,
+      newId: () => `change-${++this.platform.lastChangeId}`,
       userName: () => this.user,
       openPlatform: () => this.platform,
       openDaemon: () => this.daemon,
--- a/packages/cli/src/__tests__/reports.spec.ts
+++ b/packages/cli/src/__tests__/reports.spec.ts
@@ -109,6 +109,19 @@
   desk.platform.beforeHeadWrite = other
 })
 
+/** Guards against a request that was checked against an older head and undoes a take-back made since. */
+test('a take-back that comes between the check and the write stays', async (t) => {
+  const desk = await fullDesk()
+  const other = new Desk(desk.platform)
+  desk.platform.beforeList = async () => {
+    desk.platform.beforeList = async () => {}
+    t.is((await other.run('moves', 'take-back', 'ordersV2')).code, 0)
+  }
+  t.snapshot(await desk.run('moves', 'pause', 'ordersV2'))
+  const { moves } = JSON.parse((await desk.run('moves', '--json')).out) as { moves: { control: string }[] }
+  t.deepEqual(moves.map(({ control }) => control), ['takeBack'])
+})
+
 test('a take-back through a daemon needs no platform', async (t) => {
   const desk = new Desk()
   desk.platform.mode = 'down'
--- a/packages/cli/src/apply/apply.ts
+++ b/packages/cli/src/apply/apply.ts
@@ -51,9 +51,12 @@
 const SETTLE_READS = 5
 const SETTLE_PAUSE_MS = 1_000
 
-/** Has a change accepted; when the answer is lost for good, reads the head for the change id a few times more. */
+/**
+ * Has a change accepted; when the answer is lost for good, reads the head for the change id a few times more.
+ * `howToRepeat` ends the message of an outcome that stays unknown.
+ */
 export async function acceptOrSettle (
-  client: PlatformClient, { base, change }: PreparedChange, timers: Timers
+  client: PlatformClient, { base, change }: Pick<PreparedChange, 'base' | 'change'>, timers: Timers, howToRepeat: string
 ): Promise<number> {
   try {
     return (await acceptChange(client, base, change)).version
@@ -61,8 +64,8 @@
     if (!mayHaveTakenEffect(err)) throw err
     const version = await settle(client, change.id, timers)
     if (version !== undefined) return version
-    throw new PlatformOutcomeUnknown(`it is unknown whether change ${change.id} was accepted: ${(err as Error).message}. ` +
-      `Applying the same file with --change-id ${change.id} is safe: it is accepted at most once`)
+    throw new PlatformOutcomeUnknown(
+      `it is unknown whether change ${change.id} was accepted: ${(err as Error).message}. ${howToRepeat}`)
   }
 }
 
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -113,7 +113,8 @@
   for (const line of differenceLines(differences)) reporter.say(line)
   reporter.notices(deadlineWarnings(change, ctx.timers.wallNow()))
   guard.checkBeforeSending()
-  const version = await acceptOrSettle(client, prepared, ctx.timers)
+  const howToRepeat = `Applying the same file with --change-id ${change.id} is safe: it is accepted at most once`
+  const version = await acceptOrSettle(client, prepared, ctx.timers, howToRepeat)
   return conclude(version, `Accepted as version ${version} (change ${change.id}).`)
 }
 
--- a/packages/cli/src/commands/moveControl.ts
+++ b/packages/cli/src/commands/moveControl.ts
@@ -1,4 +1,6 @@
-import { ChangeConflict, fromObjects, makeObject, splitKey, suggestion, type Change, type Move } from '@lentilwheel/config'
+import {
+  ChangeConflict, fromObjects, makeObject, suggestion, type Change, type Head, type Move
+} from '@lentilwheel/config'
 import { loadObjects, readHead, type PlatformClient } from '@lentilwheel/platform'
 import { acceptOrSettle } from '../apply/apply.js'
 import { readPlatformView } from '../account/platformSource.js'
@@ -59,13 +61,14 @@
   if (!move) throw new MoveNotFound(`there is no move "${id}"${suggestion(id, moves.map((known) => known.id))}`)
   if (!needsChange(move, action)) return undefined
   const base = await readHead(client)
-  const held = (await loadObjects(client, base.head)).get(`move/${id}`)
-  if (!held) throw new MoveNotFound(`move "${id}" was removed from the configuration`)
-  const object = makeObject(held.key, withControl(fromObjects([held]).moves[splitKey(held.key).name]!, action))
+  const declared = await declaredMove(client, base.head, id)
+  // The change is conditional on this head, which may be newer than the one that the view was made of.
+  if (!needsChange({ ...move, control: declared.control }, action)) return undefined
+  const object = makeObject(`move/${id}`, { ...declared, control: MOVE_ACTIONS[action] })
   const info = { id: ctx.newId(), author: ctx.userName(), acceptedAt: ctx.timers.wallNow() }
   const change: Change = { ...info, put: [object], remove: [] }
   try {
-    return await acceptOrSettle(client, { base, change, differences: [] }, ctx.timers)
+    return await acceptOrSettle(client, { base, change }, ctx.timers, 'Repeating the command is safe')
   } catch (err) {
     if (!(err instanceof ChangeConflict)) throw err
     const { author, version } = err.other
@@ -74,8 +77,10 @@
   }
 }
 
-function withControl (move: Move, action: MoveAction): Move {
-  return { ...move, control: MOVE_ACTIONS[action] }
+async function declaredMove (client: PlatformClient, head: Head, id: string): Promise<Move> {
+  const held = (await loadObjects(client, head)).get(`move/${id}`)
+  if (!held) throw new MoveNotFound(`move "${id}" was removed from the configuration`)
+  return fromObjects([held]).moves[id]!
 }
 
 async function takeBackByDaemon (
