--- a/packages/cli/src/__tests__/reports.spec.ts
+++ b/packages/cli/src/__tests__/reports.spec.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { decodeHead } from '@lentilwheel/platform'
 import { account, Desk, LAGGING, MESH, NOW, RECORD, REFUSAL } from './harness.js'
 
 async function fullDesk (): Promise<Desk> {
@@ -98,7 +99,7 @@
   desk.platform.beforeHeadWrite = () => {
     if (raced) return
     raced = true
-    const head = JSON.parse(new TextDecoder().decode(desk.platform.store.get('config/head')!.value))
+    const head = decodeHead(desk.platform.store.get('config/head')!.value)
     head.version++
     head.objects['move/ordersV2'] = 'other'
     head.changes.push({ id: 'theirs', version: head.version, acceptedAt: NOW, author: 'mari', replaced: { 'move/ordersV2': 'x' } })
@@ -108,6 +109,19 @@
   desk.platform.beforeHeadWrite = other
 })
 
+/** Guards against a request that was checked against an older head and undoes a take-back made since. */
+test('a take-back that comes between the check and the write stays', async (t) => {
+  const desk = await fullDesk()
+  const other = new Desk(desk.platform)
+  desk.platform.beforeList = async () => {
+    desk.platform.beforeList = async () => {}
+    t.is((await other.run('moves', 'take-back', 'ordersV2')).code, 0)
+  }
+  t.snapshot(await desk.run('moves', 'pause', 'ordersV2'))
+  const { moves } = JSON.parse((await desk.run('moves', '--json')).out) as { moves: { control: string }[] }
+  t.deepEqual(moves.map(({ control }) => control), ['takeBack'])
+})
+
 test('a take-back through a daemon needs no platform', async (t) => {
   const desk = new Desk()
   desk.platform.mode = 'down'
--- a/packages/config/src/head.ts
+++ b/packages/config/src/head.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
 import { ChangeConflict } from './errors.js'
 import { rootHash, type ConfigObject } from './objects.js'
-import { MAX_HEAD_CHANGES } from './constants.js'
+import { MAX_HEAD_CHANGES, MAX_HEAD_REPLACED } from './constants.js'
 
 /** An accepted change as the head remembers it. */
 export const changeRecordSchema = z.object({
@@ -9,7 +9,10 @@
   version: z.int(),
   acceptedAt: z.number(),
   author: z.string(),
-  /** Hash that each touched object had before; empty when it is new. */
+  /**
+   * Hash that each touched object had before; empty text when it is new. Records lose theirs, oldest first, when the
+   * head would grow too large, so a record without any stands for a change that cannot be undone.
+   */
   replaced: z.record(z.string(), z.string())
 })
 
@@ -56,7 +59,8 @@
   const touched = new Set(touchedKeys(change))
   const moved = [...touched].filter((key) => base.objects[key] !== head.objects[key])
   if (moved.length === 0) return
-  const other = head.changes.findLast((record) => moved.some((key) => Object.hasOwn(record.replaced, key)))
+  const other = head.changes.findLast((record) =>
+    isUndoLost(record) || moved.some((key) => Object.hasOwn(record.replaced, key)))
   throw new ChangeConflict(other ?? { id: 'unknown', author: 'unknown', version: head.version }, moved)
 }
 
@@ -79,6 +83,20 @@
     rootHash: rootHash(Object.entries(objects).map(([key, hash]) => ({ key, hash }))),
     objects,
     bundles: [...new Set([...head.bundles, ...bundles])],
-    changes: [...head.changes, record].slice(-MAX_HEAD_CHANGES)
+    changes: boundRecords([...head.changes, record].slice(-MAX_HEAD_CHANGES))
   }
 }
+
+/** Keeps every change id, and what the newest changes replaced up to a bound. */
+function boundRecords (records: readonly ChangeRecord[]): ChangeRecord[] {
+  let kept = 0
+  return records.toReversed().map((record) => {
+    kept += Object.keys(record.replaced).length
+    return kept <= MAX_HEAD_REPLACED ? record : { ...record, replaced: {} }
+  }).reverse()
+}
+
+/** Whether the record no longer says what its change replaced. */
+export function isUndoLost (record: ChangeRecord): boolean {
+  return Object.keys(record.replaced).length === 0
+}
--- a/packages/platform/src/__tests__/nodeHttpClient.spec.ts
+++ b/packages/platform/src/__tests__/nodeHttpClient.spec.ts
@@ -34,7 +34,7 @@
 /** Guards against a lost answer that is taken for a failure, and an outage that is taken for an answer. */
 test('faults are told apart', async (t) => {
   const { client, server } = await prepared({ timeoutMs: 2_000 })
-  server.loseAnswers = 1
+  server.loseNextAnswer.add('a')
   await t.throwsAsync(client.put('a', value, { ifRevision: 0 }), { any: true, code: 'platform-outcome-unknown' })
   t.truthy(await client.get('a'))
   server.mode = 'html'
--- a/packages/testkit/src/platformServer.ts
+++ b/packages/testkit/src/platformServer.ts
@@ -21,8 +21,8 @@
   readonly counts: PlatformCounts = { reads: 0, writes: 0, watching: 0 }
   mode: PlatformMode = 'up'
   slowMs = 2_000
-  /** Writes that will take effect without an answer; the connection is closed instead. */
-  loseAnswers = 0
+  /** Keys whose next write takes effect without an answer; the connection is closed instead. */
+  readonly loseNextAnswer = new Set<string>()
   readonly #server: Server
 
   constructor (store = new PlatformStore()) {
@@ -80,10 +80,7 @@
     const ifRevision = readCondition(req)
     if (ifRevision === undefined) return answer(res, 428)
     const revision = this.store.put(key, value, ifRevision)
-    if (this.loseAnswers > 0) {
-      this.loseAnswers--
-      return drop(res)
-    }
+    if (this.loseNextAnswer.delete(key)) return drop(res)
     if (revision === undefined) return answer(res, 412)
     res.writeHead(200, { etag: `"${revision}"` }).end()
   }
