Keep what operators asked of a move when a file is applied again

A file without a control counted as control: run, so that applying an unrelated edit resumed a paused move and dropped a take-back from the configuration.

--- a/packages/cli/src/__tests__/apply.spec.ts
+++ b/packages/cli/src/__tests__/apply.spec.ts
@@ -107,3 +107,26 @@
   t.snapshot(await deskWith(late).run('check', 'mesh.yaml'))
   t.snapshot(await deskWith(late.replace('09:00:00', '10:00:30')).run('apply', 'mesh.yaml', '--no-wait'))
 })
+
+/** Guards against an apply of an unrelated edit that resumes a paused move or undoes a take-back. */
+test('an apply keeps what operators asked of a move unless the file states otherwise', async (t) => {
+  const desk = deskWith()
+  const controls = async (): Promise<string[]> => {
+    const { moves } = JSON.parse((await desk.run('moves', '--json')).out) as { moves: { control: string }[] }
+    return moves.map(({ control }) => control)
+  }
+  const applyWith = async (control: string) => {
+    desk.files.set('mesh.yaml', MESH.replace('18:00:00Z', `18:00:00Z${control}`).replace('current: v1', 'current: v1, slots: 9'))
+    return await desk.run('apply', 'mesh.yaml', '--no-wait')
+  }
+  await desk.run('apply', 'mesh.yaml', '--no-wait')
+  await desk.run('moves', 'pause', 'ordersV2')
+  t.snapshot((await applyWith('')).out)
+  t.deepEqual(await controls(), ['paused'])
+  t.snapshot((await applyWith(', control: run')).out)
+  t.deepEqual(await controls(), ['run'])
+  await desk.run('moves', 'take-back', 'ordersV2')
+  t.snapshot(await applyWith(', control: run'))
+  t.snapshot((await applyWith('')).out)
+  t.deepEqual(await controls(), ['takeBack'])
+})
--- a/packages/cli/src/apply/apply.ts
+++ b/packages/cli/src/apply/apply.ts
@@ -1,11 +1,12 @@
 import {
-  changeAgainst, changeOnto, parseConfig, toObjects, touchedKeys, type Change, type Head
+  changeAgainst, changeOnto, parseConfigFile, toObjects, touchedKeys, type Change, type Head
 } from '@lentilwheel/config'
 import type { Timers } from '@lentilwheel/core'
 import {
   acceptChange, loadObjects, PlatformBadAnswer, PlatformOutcomeUnknown, readHead, type PlatformClient, type StoredHead
 } from '@lentilwheel/platform'
 import { differencesOf, type Difference } from './difference.js'
+import { keepHeldControls } from './heldControls.js'
 
 /** A change that has been compared with the version in force but not yet sent. */
 export interface PreparedChange {
@@ -28,13 +29,14 @@
 
 /** Checks a configuration file and finds what it changes. */
 export async function prepareChange (client: PlatformClient, opts: PrepareOptions): Promise<PreparedChange> {
-  const wanted = toObjects(parseConfig(opts.bytes, opts.file))
+  const parsed = parseConfigFile(opts.bytes, opts.file)
   const base = await readHead(client)
   const info = { id: opts.changeId, author: opts.author, acceptedAt: opts.now }
   const earlier = acceptedVersion(base.head, opts.changeId)
   if (earlier !== undefined) {
     return { base, change: { ...info, put: [], remove: [] }, differences: [], acceptedBefore: earlier }
   }
+  const wanted = toObjects(await keepHeldControls(client, base.head, parsed))
   const change = opts.baseVersion === undefined
     ? changeAgainst(base.head, wanted, info)
     : changeOnto(base.head, opts.baseVersion, wanted, info)
--- a/packages/config/src/parse.ts
+++ b/packages/config/src/parse.ts
@@ -3,12 +3,24 @@
 import { checkClosure } from './closure.js'
 import { MAX_MOVES, MAX_REPORTED_ISSUES, MAX_ROUTES, MAX_SERVICES, MAX_TEXT_BYTES } from './constants.js'
 import { ConfigInvalid, type ConfigIssue } from './errors.js'
-import { configSchema, moveSchema, routeSchema, serviceSchema, type Config } from './schema.js'
+import { configSchema, moveSchema, routeSchema, serviceSchema, type Config, type ConfigInput } from './schema.js'
 import { suggestion } from './suggest.js'
 import { duplicateKeys, lineOfPath, type DuplicateKey } from './yamlDocument.js'
 
+/** A configuration as read from a file. */
+export interface ParsedFile {
+  config: Config
+  /** Moves whose `control` the file states; for the others it has the default only. */
+  controlledMoves: ReadonlySet<string>
+}
+
 /** Reads a configuration in YAML or JSON, or throws ConfigInvalid with every issue found. */
 export function parseConfig (bytes: Uint8Array, file = 'configuration'): Config {
+  return parseConfigFile(bytes, file).config
+}
+
+/** Like parseConfig, and also says which moves' control the file states. */
+export function parseConfigFile (bytes: Uint8Array, file = 'configuration'): ParsedFile {
   const text = decodeText(bytes, file)
   const lines = new LineCounter()
   const { doc, doubled } = parseYaml(text, file, lines)
@@ -18,7 +30,10 @@
   const issues = [...withoutRepeats(broken), ...doubled.map(({ key, offset }) => syntax(`key "${key}" occurs twice`, offset))]
   if (issues.length > 0) throw new ConfigInvalid(file, issues.slice(0, MAX_REPORTED_ISSUES))
   const lineOf = (path: readonly PropertyKey[]): number => lineOfPath(doc, lines, path)
-  return checkConfig(toPlain(doc, file), file, lineOf)
+  const value = toPlain(doc, file)
+  const config = checkConfig(value, file, lineOf)
+  const moves = (value as ConfigInput).moves ?? {}
+  return { config, controlledMoves: new Set(Object.keys(moves).filter((id) => moves[id]!.control !== undefined)) }
 }
 
 /** Checks a configuration value that did not come from a file. */
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -61,7 +61,7 @@
   hold: duration(0, 24 * HOUR).default(60 * SECOND).describe('Time to watch at 100% before the move is done'),
   whenUnsure: z.enum(UNSURE_CHOICES).optional()
     .describe('What wins when evidence is thin near the deadline; the profile decides when absent'),
-  control: z.enum(MOVE_CONTROLS).default('run').describe('run, paused, takeBack or finish')
+  control: z.enum(MOVE_CONTROLS).default('run').describe('What operators ask of the move; when absent, what `lentilwheel moves` asked last stays')
 })
 
 export const configSchema = z.strictObject({
