--- a/packages/cli/src/__tests__/harness.ts
+++ b/packages/cli/src/__tests__/harness.ts
@@ -114,7 +114,6 @@
       out: (text) => { result.out += text },
       err: (text) => { result.err += text },
       columns: Infinity,
-      outIsTerminal: false,
       errIsTerminal: false,
       colours: false,
       ...this.streams
--- a/packages/cli/src/__tests__/reports.spec.ts
+++ b/packages/cli/src/__tests__/reports.spec.ts
@@ -38,7 +38,7 @@
 
 test('a terminal gets colours and its whole width', async (t) => {
   const desk = await fullDesk()
-  desk.streams = { columns: 100, colours: true, outIsTerminal: true }
+  desk.streams = { columns: 100, colours: true }
   t.snapshot((await desk.run('moves')).out)
 })
 
--- a/packages/cli/src/account/view.ts
+++ b/packages/cli/src/account/view.ts
@@ -144,6 +144,7 @@
 }
 
 function fromRecord (record: MoveRecord, view: FleetView): MoveView {
+  if (record.outcome) return { ...record, state: OUTCOME_STATES[record.outcome] }
   const isRemoved = view.accepted?.config !== undefined
-  return { ...record, state: record.outcome ? OUTCOME_STATES[record.outcome] : isRemoved ? 'removed' : 'running' }
+  return { ...record, state: isRemoved ? 'removed' : 'running' }
 }
--- a/packages/cli/src/apply/apply.ts
+++ b/packages/cli/src/apply/apply.ts
@@ -7,6 +7,7 @@
 } from '@lentilwheel/platform'
 import { differencesOf, type Difference } from './difference.js'
 import { keepHeldControls } from './heldControls.js'
+import { sleep } from '../utils.js'
 
 /** A change that has been compared with the version in force but not yet sent. */
 export interface PreparedChange {
@@ -79,7 +80,7 @@
 /** A head that is readable and lacks the change proves nothing: the write may still be on its way. */
 async function settle (client: PlatformClient, changeId: string, timers: Timers): Promise<number | undefined> {
   for (let i = 0; i < SETTLE_READS; i++) {
-    await new Promise<void>((resolve) => timers.after(SETTLE_PAUSE_MS, resolve))
+    await sleep(timers, SETTLE_PAUSE_MS)
     const version = await readHead(client).then(({ head }) => acceptedVersion(head, changeId), () => undefined)
     if (version !== undefined) return version
   }
--- a/packages/cli/src/apply/waiting.ts
+++ b/packages/cli/src/apply/waiting.ts
@@ -4,6 +4,7 @@
 import type { Account } from '../account/schema.js'
 import { isEverywhere, laggingBehind, reachOf, unnamedLagging, type Reach } from '../account/view.js'
 import { counted } from '../output/text.js'
+import { sleep } from '../utils.js'
 
 const POLL_MS = 1_000
 /** Relays write accounts at most every 2 s; a fleet that has none after this time has no relay yet. */
@@ -36,7 +37,7 @@
     const end = waitEnd(accounts, opts, opts.timers.now() - startedAt)
     if (end) return { end, accounts, isFresh: read !== undefined }
     opts.onProgress(read && reachOf(accounts, opts.version))
-    await new Promise<void>((resolve) => opts.timers.after(POLL_MS, resolve))
+    await sleep(opts.timers, POLL_MS)
   }
 }
 
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -1,5 +1,6 @@
 import { parseDuration, touchedKeys } from '@lentilwheel/config'
 import type { PlatformClient } from '@lentilwheel/platform'
+import { match } from 'ts-pattern'
 import { acceptOrSettle, prepareChange, type PreparedChange } from '../apply/apply.js'
 import { deadlineWarnings } from '../apply/deadlines.js'
 import { differenceLines } from '../apply/difference.js'
@@ -147,21 +148,27 @@
 function concludeApply (
   reporter: Reporter, { version, sentence }: Accepted, result: WaitResult | undefined, guard: InterruptGuard
 ): void {
-  if (result ? result.end === 'interrupted' : guard.interrupted) {
-    throw new Interrupted(`interrupted, but the version comes into force without this command. ${sentence}`)
-  }
-  if (!result) return
-  const { holding, members } = reachOf(result.accounts, version)
-  if (result.end === 'everywhere') {
-    reporter.say(`Version ${version} is in force on all ${counted(members, 'daemon')}.`, 'green')
-    return
-  }
-  if (result.end === 'noDaemons') {
-    reporter.say('No daemon has reported to the platform yet, so nothing is known about what is in force.')
-    return
-  }
-  const lacking = lackingSentences(result.accounts, version).map((sentence) => `\n  ${sentence}`).join('')
-  const stale = result.isFresh ? '' : ' at the last answer of the platform, which does not answer now'
-  throw new NotInForceEverywhere(
+  const end = result?.end ?? (guard.interrupted ? 'interrupted' : 'notAwaited')
+  match(end)
+    .with('notAwaited', () => {})
+    .with('everywhere', () => {
+      const { members } = reachOf(result!.accounts, version)
+      reporter.say(`Version ${version} is in force on all ${counted(members, 'daemon')}.`, 'green')
+    })
+    .with('noDaemons', () => {
+      reporter.say('No daemon has reported to the platform yet, so nothing is known about what is in force.')
+    })
+    .with('interrupted', () => {
+      throw new Interrupted(`interrupted, but the version comes into force without this command. ${sentence}`)
+    })
+    .with('timeout', 'refused', () => { throw notEverywhere(version, result!) })
+    .exhaustive()
+}
+
+function notEverywhere (version: number, { accounts, isFresh }: WaitResult): NotInForceEverywhere {
+  const { holding, members } = reachOf(accounts, version)
+  const lacking = lackingSentences(accounts, version).map((sentence) => `\n  ${sentence}`).join('')
+  const stale = isFresh ? '' : ' at the last answer of the platform, which does not answer now'
+  return new NotInForceEverywhere(
     `version ${version} is in force on ${holding} of ${counted(members, 'daemon')}${stale}${lacking}`)
 }
--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -70,7 +70,3 @@
   const address = textOption(opts.daemon, 'daemon')
   return address === undefined ? undefined : ctx.openDaemon(address)
 }
-
-export async function sleep (timers: Timers, ms: number): Promise<void> {
-  await new Promise<void>((resolve) => timers.after(ms, resolve))
-}
--- a/packages/cli/src/nodeContext.ts
+++ b/packages/cli/src/nodeContext.ts
@@ -48,7 +48,6 @@
     out: (text) => stdout.write(text),
     err: (text) => stderr.write(text),
     columns: terminalColumns(),
-    outIsTerminal: stdout.isTTY === true,
     errIsTerminal: stderr.isTTY === true,
     colours: stdout.isTTY === true && (process.env['NO_COLOR'] ?? '') === '' && process.env['TERM'] !== 'dumb'
   })
--- a/packages/cli/src/output/screen.ts
+++ b/packages/cli/src/output/screen.ts
@@ -5,7 +5,6 @@
   out (text: string): void
   err (text: string): void
   columns: number
-  outIsTerminal: boolean
   errIsTerminal: boolean
   colours: boolean
 }
