--- a/packages/cli/src/__tests__/badInput.spec.ts
+++ b/packages/cli/src/__tests__/badInput.spec.ts
@@ -82,7 +82,8 @@
 })
 
 test('settings are refused with their line or accepted', (t) => {
-  for (const text of ['platfrom: http://a', 'platform: ftp://a', 'layout: 3', '[', 'a: &a [*a]', '- 1']) {
+  for (const text of ['platfrom: http://a', 'platform: ftp://a', 'layout: 3', '[', 'a: &a [*a]', '- 1', 'layout: x\n\nplatfrom: http://a',
+    `a: &a [1,1,1,1,1,1,1,1,1]\nb: &b [${'*a,'.repeat(9)}]\nc: &c [${'*b,'.repeat(9)}]\nd: [${'*c,'.repeat(9)}]`]) {
     const err = t.throws(() => parseCliSettings(text), { any: true }) as unknown as Error
     t.snapshot(err.message, text)
   }
