--- a/packages/cli/src/apply/apply.ts
+++ b/packages/cli/src/apply/apply.ts
@@ -1,11 +1,13 @@
 import {
-  changeAgainst, changeOnto, parseConfig, toObjects, touchedKeys, type Change, type Head
+  changeAgainst, changeOnto, parseConfigFile, toObjects, touchedKeys, type Change, type Head
 } from '@lentilwheel/config'
 import type { Timers } from '@lentilwheel/core'
 import {
   acceptChange, loadObjects, PlatformBadAnswer, PlatformOutcomeUnknown, readHead, type PlatformClient, type StoredHead
 } from '@lentilwheel/platform'
 import { differencesOf, type Difference } from './difference.js'
+import { keepHeldControls } from './heldControls.js'
+import { sleep } from '../utils.js'
 
 /** A change that has been compared with the version in force but not yet sent. */
 export interface PreparedChange {
@@ -28,13 +30,14 @@
 
 /** Checks a configuration file and finds what it changes. */
 export async function prepareChange (client: PlatformClient, opts: PrepareOptions): Promise<PreparedChange> {
-  const wanted = toObjects(parseConfig(opts.bytes, opts.file))
+  const parsed = parseConfigFile(opts.bytes, opts.file)
   const base = await readHead(client)
   const info = { id: opts.changeId, author: opts.author, acceptedAt: opts.now }
   const earlier = acceptedVersion(base.head, opts.changeId)
   if (earlier !== undefined) {
     return { base, change: { ...info, put: [], remove: [] }, differences: [], acceptedBefore: earlier }
   }
+  const wanted = toObjects(await keepHeldControls(client, base.head, parsed))
   const change = opts.baseVersion === undefined
     ? changeAgainst(base.head, wanted, info)
     : changeOnto(base.head, opts.baseVersion, wanted, info)
@@ -77,7 +80,7 @@
 /** A head that is readable and lacks the change proves nothing: the write may still be on its way. */
 async function settle (client: PlatformClient, changeId: string, timers: Timers): Promise<number | undefined> {
   for (let i = 0; i < SETTLE_READS; i++) {
-    await new Promise<void>((resolve) => timers.after(SETTLE_PAUSE_MS, resolve))
+    await sleep(timers, SETTLE_PAUSE_MS)
     const version = await readHead(client).then(({ head }) => acceptedVersion(head, changeId), () => undefined)
     if (version !== undefined) return version
   }
--- a/packages/core/src/nodeSettings.ts
+++ b/packages/core/src/nodeSettings.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs'
-import { isMap, isNode, isScalar, LineCounter, parseDocument } from 'yaml'
+import { isMap, isNode, isScalar, LineCounter, parseDocument, type Document } from 'yaml'
 import type { z } from 'zod'
 import { SettingsInvalid } from './errors.js'
 
@@ -21,7 +21,7 @@
   if (broken) {
     throw new SettingsInvalid(`${file}:${lines.linePos(broken.pos[0]).line}: ${broken.message.split('\n')[0]!.replace(/ at line \d+, column \d+:?$/, '')}`)
   }
-  const parsed = schema.safeParse(doc.toJS() ?? {})
+  const parsed = schema.safeParse(toPlain(doc, file))
   if (parsed.success) return parsed.data
   const lineOf = (path: readonly string[]): number => {
     const key = path.at(-1)
@@ -35,6 +35,15 @@
     `${file}:${lineOf(path)}: ${path.join('.') || 'settings'}: ${message}`).join('\n'))
 }
 
+/** Expanding aliases fails when they multiply. */
+function toPlain (doc: Document, file: string): unknown {
+  try {
+    return doc.toJS() ?? {}
+  } catch (err) {
+    throw new SettingsInvalid(`${file}: ${(err as Error).message}`)
+  }
+}
+
 interface LocatedIssue {
   path: string[]
   message: string
