Retry what a new version failed on the old one; judge targets that callers give up on

Deadlines that pass while an answer streams no longer count against the target, and a refusal passed on to the caller counts once as evidence.

--- a/packages/proxy/src/__tests__/exchanges.spec.ts
+++ b/packages/proxy/src/__tests__/exchanges.spec.ts
@@ -165,9 +165,11 @@
   t.deepEqual([...seen], [['v1', 1]])
   rig.proxy.setEndpoints([viewOf(rig.targets[0]!, 0), viewOf(rig.targets[1]!, 1, { version: 'v2' })])
   t.is((await rig.call()).status, 200)
+  rig.targets[1]!.faultOf = () => 'shedUnrun'
+  t.is((await rig.call()).status, 200, 'what the new version refuses goes to the old one')
   share.share = 0
   t.is((await rig.call()).status, 200)
-  t.deepEqual([...seen], [['v1', 2], ['v2', 1]])
+  t.deepEqual([...seen], [['v1', 3], ['v2', 2]])
   await rig.stop()
 })
 
--- a/packages/proxy/src/balance/targetState.ts
+++ b/packages/proxy/src/balance/targetState.ts
@@ -84,6 +84,11 @@
     this.consecutiveFailures = ok ? 0 : this.consecutiveFailures + 1
   }
 
+  /** Records that a caller gave up after a time; a target that hangs must not look as fast as before. */
+  observeNoAnswer (waitedMs: number): void {
+    if (waitedMs > this.latencyMs) this.latencyMs += (waitedMs - this.latencyMs) * LATENCY_ALPHA
+  }
+
   /** Records that the target shed a call: it is full, which is no failure and no reason to eject it. */
   observeShed (): void {
     this.limit = Math.max(1, Math.floor(this.limit * SHED_FACTOR))
--- a/packages/proxy/src/nodeAttempt.ts
+++ b/packages/proxy/src/nodeAttempt.ts
@@ -34,6 +34,8 @@
   /** Time of the answer's head; 0 before it. */
   answeredAt = 0
   status = 0
+  /** The target answered that it is full. */
+  shed = false
   readonly #owner: AttemptOwner
   #controller: Dispatcher.DispatchController | undefined
   #forwarding = false
--- a/packages/proxy/src/nodeCall.ts
+++ b/packages/proxy/src/nodeCall.ts
@@ -85,17 +85,12 @@
     this.#admit()
   }
 
-  /** Closes the caller's connection because it broke off or sent garbage. */
-  destroy (): void {
-    this.#res.socket?.destroy()
-  }
-
   answerStarted (attempt: Attempt, status: number, statusText: string, head: ResponseHead): boolean {
     const now = this.#core.timers.now()
     attempt.answeredAt = now
     const outcome: AttemptOutcome = head.notRun && status >= 400 ? 'refusedUnrun' : 'answered'
-    const shed = outcome === 'refusedUnrun' || status === OVERLOADED_STATUS
-    if (shed) {
+    attempt.shed = outcome === 'refusedUnrun' || status === OVERLOADED_STATUS
+    if (attempt.shed) {
       attempt.target.observeShed()
       this.#observe(attempt, false, now)
       if (this.#tryAgain(attempt, outcome, now)) return false
@@ -113,9 +108,8 @@
 
   answerEnded (attempt: Attempt, trailers: Readonly<Record<string, string | string[] | undefined>>): void {
     const ok = attempt.status < FIRST_ERROR_STATUS
-    attempt.target.observe(ok || attempt.status === OVERLOADED_STATUS, attempt.answeredAt - attempt.startedAt,
-      attempt.answeredAt)
-    if (attempt.status !== OVERLOADED_STATUS) this.#observe(attempt, ok, attempt.answeredAt)
+    attempt.target.observe(ok || attempt.shed, attempt.answeredAt - attempt.startedAt, attempt.answeredAt)
+    if (!attempt.shed) this.#observe(attempt, ok, attempt.answeredAt)
     if (this.#sendsTrailers) this.#res.addTrailers(trailers as Record<string, string>)
     this.#res.end()
     this.#end()
@@ -157,6 +151,12 @@
     }
   }
 
+  /** A call that the new version of a move failed, or has no target for, goes on to the old one. */
+  #fallBack (): void {
+    this.#version = this.#fallback ?? this.#version
+    this.#fallback = undefined
+  }
+
   /** Waits for the whole of a small body, so that each attempt can send it and no slot waits for the caller. */
   #holdBody (): void {
     const chunks: Buffer[] = []
@@ -170,7 +170,7 @@
   }
 
   #admit (): void {
-    if (this.#fallback !== undefined && !this.#service.hasTargets(this.#version)) this.#version = this.#fallback
+    if (!this.#service.hasTargets(this.#version)) this.#fallBack()
     const target = this.#service.choose(this.#version, this.#tried)
     if (target) return this.begin(target)
     if (!this.#service.hasTargets(this.#version)) return this.#refuse(REFUSALS.noTarget)
@@ -210,7 +210,6 @@
       remainingMs: this.deadline - now
     })
     if (!allowed) return false
-    if (!this.#service.hasTargets(this.#version) && this.#fallback === undefined) return false
     if (!this.#service.budget.tryTake()) {
       this.#core.counters.retriesDenied++
       return false
@@ -219,6 +218,7 @@
     this.#core.counters.retries++
     this.#tried.push(attempt.target)
     this.#attempt = undefined
+    this.#fallBack()
     this.#admit()
     return true
   }
@@ -278,9 +278,10 @@
     if (this.#ended) return
     const attempt = this.#attempt
     this.#core.counters.timeouts++
-    if (attempt) {
+    if (attempt?.sent) this.#mayHaveRun = true
+    // A head that came in time makes it the caller or the size of the body that was slow.
+    if (attempt && attempt.answeredAt === 0) {
       const now = this.#core.timers.now()
-      if (attempt.sent) this.#mayHaveRun = true
       attempt.target.observe(false, now - attempt.startedAt, now)
       this.#observe(attempt, false, now)
     }
@@ -291,7 +292,10 @@
     if (this.#ended) return
     this.#core.counters.callerAborts++
     this.#end()
-    this.#attempt?.cancel()
+    const attempt = this.#attempt
+    if (!attempt) return
+    if (attempt.answeredAt === 0) attempt.target.observeNoAnswer(this.#core.timers.now() - attempt.startedAt)
+    attempt.cancel()
   }
 
   /** The call takes part in nothing from here on. */
