--- a/packages/proxy/src/limits/__tests__/limits.spec.ts
+++ b/packages/proxy/src/limits/__tests__/limits.spec.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { DeadlineQueue, expectedWaitMs, type Waiting } from '../deadlineQueue.js'
+import { IdleConnections } from '../idleConnections.js'
 import { RetryBudget } from '../retryBudget.js'
 
 type Item = Waiting & { id: number }
@@ -38,3 +39,18 @@
   t.true(retries >= 100 && retries <= 110, String(retries))
   t.false(new RetryBudget(0).tryTake())
 })
+
+/** Guards against connections that are kept for ever, and against closing one that is in use. */
+test('idle connections are closed, busy ones and ones that read are kept', (t) => {
+  const closed: string[] = []
+  const socket = (name: string) => ({ bytesRead: 0, destroy: () => { closed.push(name) } })
+  const [idle, busy, reading] = [socket('idle'), socket('busy'), socket('reading')]
+  const connections = new IdleConnections<typeof idle>(100)
+  for (const each of [idle, busy, reading]) connections.add(each, 0)
+  for (let now = 50; now <= 200; now += 50) {
+    reading.bytesRead += 10
+    connections.sweep(now, (each) => each === busy)
+    if (closed.length > 0) connections.remove(idle)
+  }
+  t.deepEqual(closed, ['idle'])
+})
--- a/packages/proxy/src/nodeProxyServer.ts
+++ b/packages/proxy/src/nodeProxyServer.ts
@@ -7,6 +7,7 @@
   REFUSAL_HEADER, UPKEEP_MS
 } from './constants.js'
 import { ProxyCounters } from './counters.js'
+import { IdleConnections } from './limits/idleConnections.js'
 import { Call } from './nodeCall.js'
 import { refuse, type ProxyCore } from './nodeProxyCore.js'
 import { Target } from './nodeTarget.js'
@@ -39,6 +40,7 @@
 }
 
 const METRICS_PERIOD_MS = 1_000
+const IDLE_SWEEP_MS = 5_000
 
 /** Forwards calls to targets by the snapshot in force. */
 export class ProxyServer {
@@ -48,6 +50,7 @@
   readonly #core: ProxyCore
   readonly #services = new Map<string, ServiceState<Target>>()
   readonly #calls = new Map<Socket, Call>()
+  readonly #idle = new IdleConnections<Socket>(CALLER_KEEP_ALIVE_MS)
   readonly #ejected = new Set<Target>()
   readonly #cancels: Cancel[]
   #router: Router | undefined
@@ -69,6 +72,7 @@
     this.#server = this.#createServer()
     this.#cancels = [
       opts.timers.every(UPKEEP_MS, () => this.#upkeep()),
+      opts.timers.every(IDLE_SWEEP_MS, () => this.#idle.sweep(opts.timers.now(), (socket) => this.#calls.has(socket))),
       opts.timers.every(METRICS_PERIOD_MS, () => this.#sendMetrics())
     ]
   }
@@ -143,13 +147,18 @@
     const server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: CALLER_HEADERS_TIMEOUT_MS,
-      keepAliveTimeout: CALLER_KEEP_ALIVE_MS,
+      // Idle connections are swept, which costs a call nothing.
+      keepAliveTimeout: 0,
       // Each call has its own deadline.
       requestTimeout: 0,
       // Checked with the rest of the head, so that the refusal says that nothing was run.
       requireHostHeader: false,
       noDelay: true
     })
+    server.on('connection', (socket) => {
+      this.#idle.add(socket, this.#opts.timers.now())
+      socket.once('close', () => this.#idle.remove(socket))
+    })
     server.on('request', (req, res) => this.#serve(req, res, false))
     server.on('checkContinue', (req, res) => this.#serve(req, res, true))
     server.on('checkExpectation', (_req, res) => this.#refuse(res, REFUSALS.expectation, true))
