--- a/packages/bench/src/path/compare.ts
+++ b/packages/bench/src/path/compare.ts
@@ -5,13 +5,14 @@
 const RATES = [350, 1_000]
 const SECONDS = 4
 const WARMUP_SECONDS = 1
-const REPEATS = 3
+/** Each repeat starts new processes: equal builds differ by up to 15% between processes, however long they run. */
+const REPEATS = 4
 /** Rate at which the CPU time of a call is compared; most of one core. */
 const BUSY_RATE = 4_000
 /** Short slices in turn see the same disturbances, so that the ratios of pairs vary less than those of long runs. */
 const BUSY_SECONDS = 0.5
 const BUSY_WARMUP_SECONDS = 0.1
-const BUSY_PAIRS = 24
+const BUSY_PAIRS = 5
 
 interface Sample { baseline: number, current: number }
 
@@ -20,19 +21,19 @@
  * different runs on a shared machine don't compare. Reports the median and the range of the ratios of single runs.
  */
 export async function compare (baselineDir: string, seed: number, report: Report): Promise<BenchResult> {
-  const fleet = new Fleet(baselineDir)
   const samples = new Map<string, Sample[]>()
   const add = (key: string, sample: Sample): void => { samples.set(key, [...samples.get(key) ?? [], sample]) }
-  try {
-    await fleet.start()
-    await fleet.warmUp(seed)
-    for (let i = 0; i < REPEATS; i++) {
+  for (let i = 0; i < REPEATS; i++) {
+    const fleet = new Fleet(baselineDir)
+    try {
+      await fleet.start()
+      await fleet.warmUp(seed + i)
       for (const rate of RATES) await compareLatency(fleet, rate, seed + i, add)
-      report(`repeat ${i + 1} of ${REPEATS} done`)
+      for (let pair = 0; pair < BUSY_PAIRS; pair++) await compareBusy(fleet, seed + pair, add)
+    } finally {
+      await fleet.stop()
     }
-    for (let i = 0; i < BUSY_PAIRS; i++) await compareBusy(fleet, seed + i, add)
-  } finally {
-    await fleet.stop()
+    report(`repeat ${i + 1} of ${REPEATS} done`)
   }
   return Object.fromEntries([...samples].map(([key, list]) => [key, summary(list)]))
 }
