Judge hold alarms by the route and rate that raised them, and know bursts under way

Cause: a test after an alarm pooled all routes and took a diluted rate, so it cleared a bad rare route; a burst that had begun before 100% alarmed at once; a lucky streak overstated the rate, so that 20% failures were cleared at a low rate.

--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -6,9 +6,9 @@
   STAGE_SHARES, WARM_UP_MS
 } from './constants.js'
 import type { MoveEffect } from './effects.js'
-import { Baseline, Window, type Cell } from './evidence.js'
+import { Baseline, maxRates, NO_BAD_CALLS, Window, type BadRates, type Cell } from './evidence.js'
 import { AlarmTest } from './alarmTest.js'
-import { HoldAlarm, NO_BAD_CALLS, type BadRates } from './holdAlarm.js'
+import { HoldAlarm } from './holdAlarm.js'
 import { firstShare, SHORTEST_RAMP_MS, stageMs } from './plan.js'
 import { callsNeeded, rampStep, type RampStep } from './ramp.js'
 import { VersionTest } from './versionTest.js'
@@ -45,7 +45,10 @@
   #hold: HoldAlarm
   #alarm: AlarmTest | undefined
   readonly #alarms = { errors: 0, slow: 0 }
+  /** Rates that concurrent tests have shown to be common to both versions. */
   #tolerated: BadRates = NO_BAD_CALLS
+  /** Rates of the old version just before all traffic left it. */
+  #ratesBefore: BadRates = NO_BAD_CALLS
   #stage = -1
   #share = 0
   #enteredAt = 0
@@ -62,7 +65,7 @@
     this.#opts = opts
     this.#window = new Window(opts.from, opts.to)
     this.#test = this.#newTest()
-    this.#hold = new HoldAlarm(opts.routes, NO_BAD_CALLS)
+    this.#hold = new HoldAlarm(opts.routes)
     for (const cell of past) this.#baseline.add(cell)
   }
 
@@ -128,14 +131,10 @@
     this.#share = share
     this.#enteredAt = input.now
     this.#plannedMs = share === 0 ? observeMs(this.#leftMs(input)) : stageMs(share, this.#leftMs(input))
-    if (returning) this.#hold = new HoldAlarm(this.#opts.routes, this.#tolerated)
-    if (this.#phase !== 'alarm') {
-      this.#alarm = undefined
-      return
-    }
-    this.#test = this.#newTest()
-    this.#alarm ??= new AlarmTest()
-    this.#alarm.start(input.now)
+    if (returning) this.#hold = new HoldAlarm(this.#opts.routes)
+    if (share === 1) this.#ratesBefore = this.#baseline.recentRates
+    if (this.#phase !== 'alarm') this.#alarm = undefined
+    else this.#alarm ??= new AlarmTest(undefined, this.#newTest(), input.now)
   }
 
   get #phase (): Phase {
@@ -149,9 +148,16 @@
       for (const cell of cells) this.#observedCalls += cell.old.calls
     } else {
       this.#test.update(cells, this.#baseline, countSlow)
-      if (this.#phase === 'hold') this.#hold.update(cells, this.#baseline, countSlow)
+      this.#alarm?.test.update(cells, this.#baseline, countSlow)
+      if (this.#phase === 'hold') this.#hold.update(cells, this.#baseline, this.#toleratedAt(input.now), countSlow)
     }
-    for (const cell of cells) this.#baseline.add(cell)
+    this.#baseline.addWindow(cells)
+  }
+
+  /** A burst that already hurt the old version when its last calls ended may still go on for a while. */
+  #toleratedAt (now: number): BadRates {
+    if (now - this.#enteredAt > BURST_MS) return this.#tolerated
+    return maxRates(this.#tolerated, this.#ratesBefore)
   }
 
   /** Cold instances are slow at first; restarting ones may claim this only for a bounded time in all. */
@@ -171,7 +177,7 @@
     if (this.#phase !== 'observe' && lostNew >= CRASH_LIMIT && lostNew >= CRASH_LIMIT * (lostOld + 1)) {
       return `${lostNew} targets of ${this.#opts.to} were lost during the move, and ${lostOld} of ${this.#opts.from}`
     }
-    return this.#phase === 'observe' ? undefined : this.#test.verdict
+    return this.#phase === 'observe' ? undefined : this.#test.verdict ?? this.#alarm?.test.verdict
   }
 
   * #steer (input: CoordinatorInput, gap: number): Generator<MoveEffect> {
@@ -252,27 +258,22 @@
       return yield * this.#rollBack(input, `${what}, again after ${count - 1} concurrent tests at smaller shares found nothing`)
     }
     yield this.#event('moveAlarm', { share: 1, reason: what })
-    this.#alarm = new AlarmTest(alarm)
+    this.#alarm = new AlarmTest(alarm, this.#newTest(), input.now)
     yield * this.#publishStage(input, ALARM_SHARES[Math.min(count, ALARM_SHARES.length) - 1]!)
   }
 
   * #steerAlarm (input: CoordinatorInput): Generator<MoveEffect> {
-    const result = this.#alarm!.result(input.now, this.#test)
+    const { test, alarm } = this.#alarm!
+    const result = this.#alarm!.result(input.now)
     if (result === 'wait') return
-    if (result === 'cleared') this.#tolerate()
-    if (result === 'cleared' || !this.#test.isSuspicious) return yield * this.#publishStage(input, 1)
-    yield * this.#rollBack(input, `an alarm at 100% could not be cleared by ${this.#test.newCalls} calls at a share ` +
-      `of ${formatShare(this.#share)}`)
-  }
-
-  /** A test near full load shows that the rate which raised the alarm comes from something both versions use. */
-  #tolerate (): void {
-    const peaks = this.#alarm?.alarm.peaks
-    if (!peaks || this.#share <= ALARM_SHARES[0]!) return
-    this.#tolerated = {
-      errors: Math.max(this.#tolerated.errors, peaks.errors),
-      slow: Math.max(this.#tolerated.slow, peaks.slow)
+    if (result === 'worse' || (result === 'doubtful' && unsureChoice(input.cfg, input.service) === 'keepOld')) {
+      return yield * this.#rollBack(input, `an alarm at 100% could not be cleared by ${test.newCalls} calls at a ` +
+        `share of ${formatShare(this.#share)}`)
     }
+    // A test near full load shows that what raised the alarm comes from something that both versions use.
+    const nearFullLoad = this.#share > ALARM_SHARES[0]!
+    if (result === 'cleared' && nearFullLoad) this.#tolerated = maxRates(this.#tolerated, alarm.peaks)
+    yield * this.#publishStage(input, 1)
   }
 
   * #publishStage (input: CoordinatorInput, share: number): Generator<MoveEffect> {
@@ -334,6 +335,9 @@
   return Math.max(OBSERVE_MS, Math.min(leftMs * OBSERVE_PART, 10_000))
 }
 
+/** Time for which a burst under way at the change to 100% is expected to go on. */
+const BURST_MS = 10_000
+
 function formatShare (share: number): string {
   return `${Number((share * 100).toPrecision(3))}%`
 }
--- a/packages/moves/src/evidence.ts
+++ b/packages/moves/src/evidence.ts
@@ -53,9 +53,26 @@
 /** Past calls above which the older half of the baseline's weight is dropped. */
 const BASELINE_CALLS = 100_000
 
+/** Parts of calls that failed or were slow. */
+export interface BadRates {
+  errors: number
+  slow: number
+}
+
+export const NO_BAD_CALLS: BadRates = { errors: 0, slow: 0 }
+
+export function maxRates (a: BadRates, b: BadRates): BadRates {
+  return { errors: Math.max(a.errors, b.errors), slow: Math.max(a.slow, b.slow) }
+}
+
+const RECENT_WINDOWS = 5
+const RECENT_MIN_CALLS = 8
+
 /** What the old version did until now: fixes slow-call bounds before each window, and the hold time's reference. */
 export class Baseline {
   readonly service = new RowSum()
+  /** Bad rates of the last few windows that had enough calls. */
+  #recent: BadRates[] = []
   readonly #routes = new Map<string, RowSum>()
 
   add (cell: Pick<Cell, 'route' | 'old'>): void {
@@ -65,6 +82,29 @@
     for (const sum of [this.service, this.route(cell.route)]) if (sum.calls > BASELINE_CALLS) sum.scale(0.5)
   }
 
+  /** Takes in a whole window. */
+  addWindow (cells: readonly Cell[]): void {
+    const sums = { calls: 0, errors: 0, successes: 0, slow: 0 }
+    for (const cell of cells) {
+      const bound = this.slowBounds(cell.route)[0]
+      sums.calls += cell.old.calls
+      sums.errors += cell.old.errors
+      if (bound !== undefined) {
+        sums.successes += cell.old.successes
+        sums.slow += countAbove(cell.old.buckets, bound)
+      }
+      this.add(cell)
+    }
+    if (sums.calls < RECENT_MIN_CALLS) return
+    const slow = sums.successes === 0 ? 0 : sums.slow / sums.successes
+    this.#recent = [...this.#recent.slice(1 - RECENT_WINDOWS), { errors: sums.errors / sums.calls, slow }]
+  }
+
+  /** Highest bad rates of the last few windows. */
+  get recentRates (): BadRates {
+    return this.#recent.reduce(maxRates, NO_BAD_CALLS)
+  }
+
   route (name: string): RowSum {
     let sum = this.#routes.get(name)
     if (!sum) {
--- a/packages/moves/src/holdAlarm.ts
+++ b/packages/moves/src/holdAlarm.ts
@@ -1,6 +1,6 @@
 import { HOLD_ALARM, SLOW_QUANTILES, SLOW_TOLERANCE_BUCKETS } from './constants.js'
 import { EProcess } from './eProcess.js'
-import type { Baseline, Cell } from './evidence.js'
+import type { BadRates, Baseline, Cell } from './evidence.js'
 import { countAbove } from './latency.js'
 
 /** Ratios to the old version's past rate that the alarm looks for. */
@@ -12,8 +12,8 @@
 const DRIFT = 1.3
 /** Past calls that an estimate needs. */
 const MIN_PAST_CALLS = 100
-/** Calls of the alarm's rate estimate. */
-const RECENT_CALLS = 200
+/** Evidence up to this means that nothing is wrong; the rate of an alarm counts from the last such window. */
+const AT_REST = 2
 /** Calls that a window needs before its rate counts as a peak. */
 const MIN_PEAK_CALLS = 10
 
@@ -21,8 +21,8 @@
 class RateWatch {
   readonly #process = new EProcess(RATE_RATIOS.length)
   readonly #logs = new Float64Array(RATE_RATIOS.length)
-  #recentCalls = 0
-  #recentBad = 0
+  #risingCalls = 0
+  #risingBad = 0
   #peakRate = 0
 
   update (calls: number, bad: number, past: number): void {
@@ -32,75 +32,77 @@
     })
     this.#process.update(this.#logs)
     if (calls >= MIN_PEAK_CALLS) this.#peakRate = Math.max(this.#peakRate, bad / calls)
-    const keep = Math.min(1, RECENT_CALLS / (this.#recentCalls + 1))
-    this.#recentCalls = this.#recentCalls * keep + calls
-    this.#recentBad = this.#recentBad * keep + bad
+    if (this.#process.value <= AT_REST) {
+      this.#risingCalls = 0
+      this.#risingBad = 0
+      return
+    }
+    this.#risingCalls += calls
+    this.#risingBad += bad
   }
 
   get value (): number {
     return this.#process.value
   }
 
-  get recentRate (): number {
-    return this.#recentCalls === 0 ? 0 : this.#recentBad / this.#recentCalls
+  /** Rate since the evidence began to rise. */
+  get risingRate (): number {
+    return this.#risingCalls === 0 ? 0 : this.#risingBad / this.#risingCalls
   }
 
   /** Highest rate of a single window that had enough calls. */
   get peakRate (): number {
-    return Math.max(this.#peakRate, this.recentRate)
+    return Math.max(this.#peakRate, this.risingRate)
   }
 }
 
 export interface Alarm {
   kind: 'errors' | 'slow'
+  /** Route whose failures raised it; absent when all routes together did. */
+  route?: string
   /** Rate of bad calls that raised it. */
   rate: number
   /** Highest rates of one window. */
   peaks: BadRates
 }
 
-export interface BadRates {
-  errors: number
-  slow: number
-}
-
-export const NO_BAD_CALLS: BadRates = { errors: 0, slow: 0 }
-
 /** Asks for a concurrent test when the new version at 100% does worse than the old version did before. */
 export class HoldAlarm {
   readonly #errors = new Map<string, RateWatch>()
   readonly #slow = new RateWatch()
   readonly #allErrors = new RateWatch()
 
-  readonly #tolerated: BadRates
-
-  /** `tolerated` are rates that a concurrent test has shown to be common to both versions. */
-  constructor (routes: Iterable<string>, tolerated: BadRates) {
-    this.#tolerated = tolerated
+  constructor (routes: Iterable<string>) {
     for (const route of routes) this.#errors.set(route, new RateWatch())
   }
 
-  update (cells: readonly Cell[], baseline: Baseline, countSlow: boolean): void {
+  /** `tolerated` are rates known to be common to both versions. */
+  update (cells: readonly Cell[], baseline: Baseline, tolerated: BadRates, countSlow: boolean): void {
     let calls = 0
     let errors = 0
     for (const cell of cells) {
       calls += cell.new.calls
       errors += cell.new.errors
-      const past = Math.max(pastErrorRate(baseline, cell.route), this.#tolerated.errors)
+      const past = Math.max(pastErrorRate(baseline, cell.route), tolerated.errors)
       this.#errors.get(cell.route)?.update(cell.new.calls, cell.new.errors, past)
     }
-    this.#allErrors.update(calls, errors, Math.max(pastErrorRate(baseline), this.#tolerated.errors))
-    if (countSlow) this.#updateSlow(cells, baseline)
+    this.#allErrors.update(calls, errors, Math.max(pastErrorRate(baseline), tolerated.errors))
+    if (countSlow) this.#updateSlow(cells, baseline, tolerated.slow)
   }
 
   get alarm (): Alarm | undefined {
-    const routes = [...this.#errors.values()]
-    const routeMean = routes.reduce((sum, watch) => sum + watch.value, 0) / Math.max(1, routes.length)
-    if ((this.#allErrors.value + routeMean) / 2 >= HOLD_ALARM) {
-      return { kind: 'errors', rate: this.#allErrors.recentRate, peaks: this.#peaks() }
-    }
+    const watches = [...this.#errors.values()]
+    const routeMean = watches.reduce((sum, watch) => sum + watch.value, 0) / Math.max(1, watches.length)
+    if ((this.#allErrors.value + routeMean) / 2 >= HOLD_ALARM) return this.#errorAlarm()
     if (this.#slow.value < HOLD_ALARM) return undefined
-    return { kind: 'slow', rate: this.#slow.recentRate, peaks: this.#peaks() }
+    return { kind: 'slow', rate: this.#slow.risingRate, peaks: this.#peaks() }
+  }
+
+  #errorAlarm (): Alarm {
+    const peaks = this.#peaks()
+    const [route, watch] = [...this.#errors].reduce((a, b) => (b[1].value > a[1].value ? b : a))
+    if (watch.value <= this.#allErrors.value) return { kind: 'errors', rate: this.#allErrors.risingRate, peaks }
+    return { kind: 'errors', route, rate: watch.risingRate, peaks }
   }
 
   #peaks (): BadRates {
@@ -108,7 +110,7 @@
   }
 
   /** Slowness is watched at the lowest quantile only, over all routes. */
-  #updateSlow (cells: readonly Cell[], baseline: Baseline): void {
+  #updateSlow (cells: readonly Cell[], baseline: Baseline, tolerated: number): void {
     let calls = 0
     let slow = 0
     for (const cell of cells) {
@@ -117,7 +119,7 @@
       calls += cell.new.successes
       slow += countAbove(cell.new.buckets, bound + SLOW_TOLERANCE_BUCKETS)
     }
-    this.#slow.update(calls, slow, Math.max((1 - SLOW_QUANTILES[0]!) * DRIFT, this.#tolerated.slow))
+    this.#slow.update(calls, slow, Math.max((1 - SLOW_QUANTILES[0]!) * DRIFT, tolerated))
   }
 }
 
