--- a/packages/moves/src/constants.ts
+++ b/packages/moves/src/constants.ts
@@ -19,6 +19,9 @@
 /** A gap between ticks above this means that the process was paused; what it measured is stale. */
 export const MAX_TICK_GAP_MS = 5_000
 
+/** Time that a coordinator watches a stage before it goes on, when it took over in the middle of it. */
+export const OWN_WATCH_MS = 10_000
+
 /** Chance of rolling back an equal version through errors, and again through slowness. */
 export const ALPHA = 0.001
 /** Evidence (e-value) above which a move waits instead of going on, and is taken back if its deadline comes first. */
--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -2,7 +2,7 @@
 import { unsureChoice, type Move, type Service, type UnsureChoice } from '@lentilwheel/config'
 import type { Capacity } from './capacity.js'
 import {
-  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS, SPREAD_MS,
+  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS, OWN_WATCH_MS, SPREAD_MS,
   STAGE_SHARES, WARM_UP_MS
 } from './constants.js'
 import type { MoveEffect } from './effects.js'
@@ -29,6 +29,8 @@
   cfg: Move
   service: Service
   facts: MoveFacts
+  /** When this daemon heard of the stage in force. */
+  stageSeenAt: number
 }
 
 type Phase = 'observe' | 'ramp' | 'hold' | 'alarm'
@@ -92,11 +94,18 @@
   * #start (input: CoordinatorInput): Generator<MoveEffect> {
     this.#startedAt = input.now
     this.#follow(input)
-    if (input.facts.stage || input.facts.outcome) return
+    if (input.facts.stage || input.facts.outcome) return this.#takeOver(input)
     const { from, to } = this.#opts
     yield this.#event('moveStarted', { service: input.cfg.service, from, to, by: input.cfg.by })
   }
 
+  /** Counts the time that the stage has lasted, but watches for a while itself before it goes on. */
+  #takeOver (input: CoordinatorInput): void {
+    const planned = this.#phase === 'hold' ? input.cfg.hold : this.#plannedMs
+    const credit = Math.max(0, planned - OWN_WATCH_MS)
+    this.#enteredAt = Math.max(input.stageSeenAt, input.now - credit)
+  }
+
   /** Ends the move when a rollback, an outcome or an operator has already decided it. */
   * #endIfDecided (input: CoordinatorInput): Generator<MoveEffect, boolean> {
     const { rollback, outcome } = input.facts
--- a/packages/moves/src/engine.ts
+++ b/packages/moves/src/engine.ts
@@ -125,7 +125,7 @@
 
   * #coordinate (move: LocalMove, now: number, wallNow: number): Generator<MoveEffect> {
     const { cfg, serviceCfg: service } = move
-    const input = { now, wallNow, cfg, service, facts: this.factsOf(move.id) }
+    const input = { now, wallNow, cfg, service, facts: this.factsOf(move.id), stageSeenAt: move.stageSeenAt }
     yield * this.#publish(this.#coordinatorOf(move).tick(input))
   }
 
--- a/packages/moves/src/localMove.ts
+++ b/packages/moves/src/localMove.ts
@@ -34,6 +34,8 @@
   readonly shares: { from: string, to: string, share: number }
   cfg: Move
   serviceCfg: Service
+  /** When this daemon heard of the stage in force, on its monotonic clock; a coordinator that takes over counts from it. */
+  stageSeenAt = 0
   readonly #old: VersionCounters
   readonly #new: VersionCounters
   readonly #past = new Map<string, RowSum>()
@@ -54,6 +56,7 @@
     this.serviceCfg = opts.service
     this.routes = opts.routes
     this.#facts = opts.facts
+    this.stageSeenAt = opts.timers.now()
     const { from, to } = opts.cfg
     this.shares = { from, to, share: 0 }
     this.capacity = new Capacity(this.service, from, to)
@@ -80,7 +83,10 @@
   }
 
   setFacts (facts: MoveFacts): void {
-    if (facts.stage !== this.#facts.stage) this.#capped = false
+    if (facts.stage !== this.#facts.stage) {
+      this.#capped = false
+      this.stageSeenAt = this.#timers.now()
+    }
     this.#facts = facts
     this.#updateShare()
   }
