Warn of impossible deadlines from package config, and group endpoints by service once

Acceptance and the command line may not import package moves, so planWarnings stands in config; a test in moves keeps its figure equal to the shortest ramp.

--- a/packages/moves/src/__tests__/engine.spec.ts
+++ b/packages/moves/src/__tests__/engine.spec.ts
@@ -1,10 +1,13 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { collectEffects, MOVE_OUTCOMES, type EndpointView, type MoveFact } from '@lentilwheel/core'
-import { buildSnapshot, checkConfig, rootHash, toObjects, type MoveControl } from '@lentilwheel/config'
+import {
+  buildSnapshot, checkConfig, planWarnings, rootHash, SHORTEST_RAMP_MS, toObjects, type MoveControl
+} from '@lentilwheel/config'
 import { createMoveEngine, type MoveEngine } from '../engine.js'
 import { LocalDefence } from '../localDefence.js'
-import { firstShare, planWarnings, SHORTEST_RAMP_MS, stageMs } from '../plan.js'
+import { OBSERVE_MS } from '../constants.js'
+import { firstShare, shortestMs, stageMs } from '../plan.js'
 import { rampStep, type RampState } from '../ramp.js'
 
 const BY = '2026-12-04T18:00:00Z'
@@ -122,6 +125,7 @@
   const { moves, services } = snapshot().config
   const warn = (msLeft: number, control: MoveControl = 'run') =>
     planWarnings({ ...moves['m']!, control }, services['orders']!, Date.parse(BY) - msLeft).map((warning) => warning.code)
+  t.is(SHORTEST_RAMP_MS, OBSERVE_MS + shortestMs(0))
   t.deepEqual(warn(SHORTEST_RAMP_MS), [])
   t.deepEqual(warn(SHORTEST_RAMP_MS - 1), ['deadline-impossible'])
   t.deepEqual(warn(-1), ['deadline-past'])
--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -1,5 +1,5 @@
 import type { EvidenceReport, EventFields, EventType, MoveFact, MoveFacts, MoveOutcome } from '@lentilwheel/core'
-import { unsureChoice, type Move, type Service, type UnsureChoice } from '@lentilwheel/config'
+import { SHORTEST_RAMP_MS, unsureChoice, type Move, type Service, type UnsureChoice } from '@lentilwheel/config'
 import type { Capacity } from './capacity.js'
 import {
   ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS, OWN_WATCH_MS, SPREAD_MS,
@@ -9,7 +9,7 @@
 import { Baseline, maxRates, NO_BAD_CALLS, Window, type BadRates, type Cell } from './evidence.js'
 import { AlarmTest } from './alarmTest.js'
 import { HoldAlarm } from './holdAlarm.js'
-import { firstShare, SHORTEST_RAMP_MS, stageMs } from './plan.js'
+import { firstShare, stageMs } from './plan.js'
 import { callsNeeded, rampStep, type RampStep } from './ramp.js'
 import { VersionTest } from './versionTest.js'
 
--- a/packages/moves/src/engine.ts
+++ b/packages/moves/src/engine.ts
@@ -43,7 +43,7 @@
   readonly #moves = new Map<string, LocalMove>()
   readonly #byService = new Map<string, LocalMove>()
   readonly #coordinators = new Map<string, Coordinator>()
-  #endpoints: readonly EndpointView[] = []
+  #endpoints: ReadonlyMap<string, EndpointView[]> = new Map()
 
   constructor (opts: MoveEngineOptions) {
     this.#opts = opts
@@ -63,7 +63,7 @@
       this.#drop(id)
       const { timers } = this.#opts
       const move = new LocalMove({ id, cfg, service, routes: names, facts: this.factsOf(id), timers })
-      move.setEndpoints(this.#endpoints)
+      move.setEndpoints(this.#endpoints.get(move.service) ?? [])
       this.#moves.set(id, move)
     }
     this.#byService.clear()
@@ -71,8 +71,8 @@
   }
 
   setEndpoints (endpoints: readonly EndpointView[]): void {
-    this.#endpoints = endpoints
-    for (const move of this.#moves.values()) move.setEndpoints(endpoints)
+    this.#endpoints = byService(endpoints)
+    for (const move of this.#moves.values()) move.setEndpoints(this.#endpoints.get(move.service) ?? [])
   }
 
   shareOf (service: string): Shares | undefined {
@@ -163,4 +163,15 @@
   }
 }
 
+/** One pass over all endpoints, whatever the number of moves. */
+function byService (endpoints: readonly EndpointView[]): Map<string, EndpointView[]> {
+  const groups = new Map<string, EndpointView[]>()
+  for (const endpoint of endpoints) {
+    const group = groups.get(endpoint.service)
+    if (group) group.push(endpoint)
+    else groups.set(endpoint.service, [endpoint])
+  }
+  return groups
+}
+
 const NO_FACTS: MoveFacts = {}
--- a/packages/moves/src/holdAlarm.ts
+++ b/packages/moves/src/holdAlarm.ts
@@ -100,9 +100,14 @@
 
   #errorAlarm (): Alarm {
     const peaks = this.#peaks()
-    const [route, watch] = [...this.#errors].reduce((a, b) => (b[1].value > a[1].value ? b : a))
-    if (watch.value <= this.#allErrors.value) return { kind: 'errors', rate: this.#allErrors.risingRate, peaks }
-    return { kind: 'errors', route, rate: watch.risingRate, peaks }
+    let worst: Alarm = { kind: 'errors', rate: this.#allErrors.risingRate, peaks }
+    let most = this.#allErrors.value
+    for (const [route, watch] of this.#errors) {
+      if (watch.value <= most) continue
+      most = watch.value
+      worst = { kind: 'errors', route, rate: watch.risingRate, peaks }
+    }
+    return worst
   }
 
   #peaks (): BadRates {
--- a/packages/moves/src/localMove.ts
+++ b/packages/moves/src/localMove.ts
@@ -59,7 +59,7 @@
     this.stageSeenAt = opts.timers.now()
     const { from, to } = opts.cfg
     this.shares = { from, to, share: 0 }
-    this.capacity = new Capacity(this.service, from, to)
+    this.capacity = new Capacity(from, to)
     this.#old = new VersionCounters(from, opts.routes)
     this.#new = new VersionCounters(to, opts.routes)
     this.#updateShare()
--- a/packages/moves/src/plan.ts
+++ b/packages/moves/src/plan.ts
@@ -1,34 +1,8 @@
-import { unsureChoice, type Move, type Service } from '@lentilwheel/config'
 import {
-  MAX_FIRST_SHARE, MAX_STAGE_MS, MIN_STAGE_MS, OBSERVE_MS, PLANNED_TIME_PART, SPREAD_MS,
+  MAX_FIRST_SHARE, MAX_STAGE_MS, MIN_STAGE_MS, PLANNED_TIME_PART, SPREAD_MS,
   STAGE_SHARES, STAGE_WEIGHTS
 } from './constants.js'
 
-/** Something about a move that acceptance should tell the operator. */
-export interface PlanWarning {
-  code: 'deadline-past' | 'deadline-impossible'
-  message: string
-}
-
-/** Time that the shortest ramp needs until every daemon sends everything to the new version. */
-export const SHORTEST_RAMP_MS = OBSERVE_MS + (STAGE_SHARES.length - 1) * MIN_STAGE_MS + SPREAD_MS
-
-/** Warns of a deadline that no ramp can meet; `now` is Unix milliseconds. */
-export function planWarnings (move: Move, service: Service, now: number): PlanWarning[] {
-  if (move.control === 'takeBack' || move.control === 'finish') return []
-  const left = Date.parse(move.by) - now
-  const then = unsureChoice(move, service) === 'keepOld'
-    ? 'the move would end late at once, with all traffic on the old version'
-    : 'the move would take every stage as fast as it can and be done after its deadline'
-  if (left <= 0) {
-    return [{ code: 'deadline-past', message: `the deadline ${move.by} has passed; ${then}` }]
-  }
-  if (left >= SHORTEST_RAMP_MS) return []
-  const message = `the deadline ${move.by} is ${Math.floor(left / 1000)} s away and the shortest ramp takes ` +
-    `${SHORTEST_RAMP_MS / 1000} s; ${then}`
-  return [{ code: 'deadline-impossible', message }]
-}
-
 /** Share of the first stage: raised for a quiet service until it yields the calls needed in its planned time. */
 export function firstShare (callsPerSecond: number, callsNeeded: number, leftMs: number): number {
   const seconds = stageMs(STAGE_SHARES[0]!, leftMs) / 1000
