Keep the hold alarm finite after total failures, and wait for lost targets at the end of the hold

Cause: a tolerated rate of 1 made the likelihood infinite, after which no alarm could be raised; a hold time could end done while the new version had lost targets.

--- a/packages/moves/src/__tests__/evidence.spec.ts
+++ b/packages/moves/src/__tests__/evidence.spec.ts
@@ -2,6 +2,9 @@
 import fc from 'fast-check'
 import { SeededRandom } from '@lentilwheel/core'
 import { Comparison } from '../comparison.js'
+import { RowSum } from '../counters.js'
+import { Baseline, NO_BAD_CALLS, Window, type Cell } from '../evidence.js'
+import { HoldAlarm } from '../holdAlarm.js'
 import { addLogRatios } from '../hypergeometric.js'
 import { bucketUpperMs, latencyBucket } from '../latency.js'
 
@@ -45,6 +48,35 @@
   t.true(alarms <= 10, `${alarms} of 200`)
 })
 
+/** Guards against a likelihood without a finite value, after which no alarm would ever be raised. */
+test('the hold alarm still works after a time in which every call of the old version failed', (t) => {
+  const cell = (route: string, calls: number, errors: number): Cell => {
+    const sum = new RowSum()
+    sum.add({ calls, errors, buckets: [calls - errors] })
+    return { route, new: sum, old: new RowSum() }
+  }
+  const hold = new HoldAlarm(['a'])
+  const baseline = new Baseline()
+  for (let i = 0; i < 5; i++) hold.update([cell('a', 10, 10)], baseline, { errors: 1, slow: 1 }, true)
+  t.is(hold.alarm, undefined)
+  for (let i = 0; i < 20; i++) hold.update([cell('a', 10, 8)], baseline, NO_BAD_CALLS, true)
+  t.like(hold.alarm, { kind: 'errors' })
+})
+
+/** Guards against damaged reports that would spoil every later comparison. */
+test('a report whose numbers do not add up is dropped whole', (t) => {
+  const row = { route: 'a', version: 'v1', calls: 3, errors: 1, buckets: [0, 2] }
+  const counted = (change: Partial<typeof row>): number => {
+    const window = new Window('v1', 'v2')
+    window.add({ move: 'm', daemon: 'd', rows: [row, { ...row, ...change }] }, 1)
+    return [...window.cells()].reduce((sum, cell) => sum + cell.old.calls, 0)
+  }
+  t.is(counted({}), 6)
+  for (const change of [{ calls: 4 }, { errors: -1 }, { calls: Number.NaN }, { buckets: [0.5, 1.5] }, { calls: 1e308 }]) {
+    t.is(counted(change), 0)
+  }
+})
+
 test('a latency falls in the bucket whose bounds hold it', (t) => {
   fc.assert(fc.property(fc.double({ min: 0.51, max: 60_000, noNaN: true }), (ms) => {
     const bucket = latencyBucket(ms)
--- a/packages/moves/src/constants.ts
+++ b/packages/moves/src/constants.ts
@@ -51,6 +51,9 @@
 /** Unannounced losses of new targets that count as crashing. */
 export const CRASH_LIMIT = 3
 
+/** Time after the hold time in which lost targets of the new version may come back. */
+export const LOST_SLOTS_WAIT_MS = 60_000
+
 /** Shares of the concurrent tests after the first hold alarm and after later ones. */
 export const ALARM_SHARES: readonly number[] = [0.2, 0.8]
 /** Alarms in the hold after which the move is taken back even though concurrent tests found nothing. */
--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -2,8 +2,8 @@
 import { SHORTEST_RAMP_MS, unsureChoice, type Move, type Service, type UnsureChoice } from '@lentilwheel/config'
 import type { Capacity } from './capacity.js'
 import {
-  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS, OWN_WATCH_MS, SPREAD_MS,
-  STAGE_SHARES, WARM_UP_MS
+  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, LOST_SLOTS_WAIT_MS, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS,
+  OWN_WATCH_MS, SPREAD_MS, STAGE_SHARES, WARM_UP_MS
 } from './constants.js'
 import type { MoveEffect } from './effects.js'
 import { Baseline, maxRates, NO_BAD_CALLS, Window, type BadRates, type Cell } from './evidence.js'
@@ -192,9 +192,9 @@
   * #steer (input: CoordinatorInput, gap: number): Generator<MoveEffect> {
     if (input.cfg.control === 'paused') {
       this.#enteredAt += gap
-      return yield * this.#tell('movePaused', 'an operator paused the move')
+      return yield * this.#tell('movePaused', OPERATOR_PAUSE)
     }
-    if (this.#told !== '' && this.#told.startsWith('an operator')) {
+    if (this.#told === OPERATOR_PAUSE) {
       this.#told = ''
       yield this.#event('moveResumed', { share: this.#share })
     }
@@ -256,10 +256,7 @@
 
   * #steerHold (input: CoordinatorInput): Generator<MoveEffect> {
     const alarm = this.#hold.alarm
-    if (!alarm) {
-      if (input.now - this.#enteredAt < input.cfg.hold + SPREAD_MS) return
-      return yield * this.#end(input, 'done', this.#doneReason(input))
-    }
+    if (!alarm) return yield * this.#endHold(input)
     const what = `${this.#opts.to} has more ${alarm.kind === 'errors' ? 'failed' : 'slow'} calls at 100% than ` +
       `${this.#opts.from} had before (${(alarm.rate * 100).toPrecision(2)}%)`
     const count = ++this.#alarms[alarm.kind]
@@ -271,6 +268,20 @@
     yield * this.#publishStage(input, ALARM_SHARES[Math.min(count, ALARM_SHARES.length) - 1]!)
   }
 
+  /** Ends the hold time, but first waits for a while for lost targets of the new version to come back. */
+  * #endHold (input: CoordinatorInput): Generator<MoveEffect> {
+    const { capacity, to, from } = this.#opts
+    const over = input.now - this.#enteredAt - input.cfg.hold - SPREAD_MS
+    if (over < 0) return
+    if (capacity.bound >= 1) return yield * this.#end(input, 'done', this.#doneReason(input))
+    const missing = `${to} has ${capacity.readySlots} slots ready and ${from} had ${capacity.neededSlots}`
+    if (over < LOST_SLOTS_WAIT_MS) return yield * this.#tell('movePaused', missing)
+    if (unsureChoice(input.cfg, input.service) === 'finish' && capacity.readySlots > 0) {
+      return yield * this.#end(input, 'done', `${this.#doneReason(input)}, though ${missing}`)
+    }
+    yield * this.#end(input, 'late', `${missing} at the end of the hold time, so all traffic stays on ${from}`)
+  }
+
   * #steerAlarm (input: CoordinatorInput): Generator<MoveEffect> {
     const { test, alarm } = this.#alarm!
     const result = this.#alarm!.result(input.now)
@@ -337,6 +348,8 @@
   }
 }
 
+const OPERATOR_PAUSE = 'an operator paused the move'
+
 /** Part of the time left that is spent on measuring the old version first. */
 const OBSERVE_PART = 0.05
 
--- a/packages/moves/src/holdAlarm.ts
+++ b/packages/moves/src/holdAlarm.ts
@@ -25,9 +25,11 @@
   #risingBad = 0
   #peakRate = 0
 
-  update (calls: number, bad: number, past: number): void {
+  /** A past rate of 1 would leave no room for a worse one and no finite likelihood. */
+  update (calls: number, bad: number, pastRate: number): void {
+    const past = Math.min(MAX_RATE, pastRate)
     RATE_RATIOS.forEach((ratio, i) => {
-      const rate = Math.max(past, Math.min(MAX_RATE, past * ratio))
+      const rate = Math.min(MAX_RATE, past * ratio)
       this.#logs[i] = bad * Math.log(rate / past) + (calls - bad) * Math.log((1 - rate) / (1 - past))
     })
     this.#process.update(this.#logs)
