--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -1,15 +1,15 @@
 import type { EvidenceReport, EventFields, EventType, MoveFact, MoveFacts, MoveOutcome } from '@lentilwheel/core'
-import { unsureChoice, type Move, type Service, type UnsureChoice } from '@lentilwheel/config'
+import { SHORTEST_RAMP_MS, unsureChoice, type Move, type Service, type UnsureChoice } from '@lentilwheel/config'
 import type { Capacity } from './capacity.js'
 import {
-  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS, SPREAD_MS,
-  STAGE_SHARES, WARM_UP_MS
+  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, LOST_SLOTS_WAIT_MS, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS,
+  OWN_WATCH_MS, SPREAD_MS, STAGE_SHARES, WARM_UP_MS
 } from './constants.js'
 import type { MoveEffect } from './effects.js'
-import { Baseline, Window, type Cell } from './evidence.js'
+import { Baseline, maxRates, NO_BAD_CALLS, Window, type BadRates, type Cell } from './evidence.js'
 import { AlarmTest } from './alarmTest.js'
-import { HoldAlarm, NO_BAD_CALLS, type BadRates } from './holdAlarm.js'
-import { firstShare, SHORTEST_RAMP_MS, stageMs } from './plan.js'
+import { HoldAlarm } from './holdAlarm.js'
+import { firstShare, stageMs } from './plan.js'
 import { callsNeeded, rampStep, type RampStep } from './ramp.js'
 import { VersionTest } from './versionTest.js'
 
@@ -29,6 +29,8 @@
   cfg: Move
   service: Service
   facts: MoveFacts
+  /** When this daemon heard of the stage in force. */
+  stageSeenAt: number
 }
 
 type Phase = 'observe' | 'ramp' | 'hold' | 'alarm'
@@ -45,7 +47,10 @@
   #hold: HoldAlarm
   #alarm: AlarmTest | undefined
   readonly #alarms = { errors: 0, slow: 0 }
+  /** Rates that concurrent tests have shown to be common to both versions. */
   #tolerated: BadRates = NO_BAD_CALLS
+  /** Rates of the old version just before all traffic left it. */
+  #ratesBefore: BadRates = NO_BAD_CALLS
   #stage = -1
   #share = 0
   #enteredAt = 0
@@ -62,7 +67,7 @@
     this.#opts = opts
     this.#window = new Window(opts.from, opts.to)
     this.#test = this.#newTest()
-    this.#hold = new HoldAlarm(opts.routes, NO_BAD_CALLS)
+    this.#hold = new HoldAlarm(opts.routes)
     for (const cell of past) this.#baseline.add(cell)
   }
 
@@ -89,11 +94,18 @@
   * #start (input: CoordinatorInput): Generator<MoveEffect> {
     this.#startedAt = input.now
     this.#follow(input)
-    if (input.facts.stage || input.facts.outcome) return
+    if (input.facts.stage || input.facts.outcome) return this.#takeOver(input)
     const { from, to } = this.#opts
     yield this.#event('moveStarted', { service: input.cfg.service, from, to, by: input.cfg.by })
   }
 
+  /** Counts the time that the stage has lasted, but watches for a while itself before it goes on. */
+  #takeOver (input: CoordinatorInput): void {
+    const planned = this.#phase === 'hold' ? input.cfg.hold : this.#plannedMs
+    const credit = Math.max(0, planned - OWN_WATCH_MS)
+    this.#enteredAt = Math.max(input.stageSeenAt, input.now - credit)
+  }
+
   /** Ends the move when a rollback, an outcome or an operator has already decided it. */
   * #endIfDecided (input: CoordinatorInput): Generator<MoveEffect, boolean> {
     const { rollback, outcome } = input.facts
@@ -128,14 +140,10 @@
     this.#share = share
     this.#enteredAt = input.now
     this.#plannedMs = share === 0 ? observeMs(this.#leftMs(input)) : stageMs(share, this.#leftMs(input))
-    if (returning) this.#hold = new HoldAlarm(this.#opts.routes, this.#tolerated)
-    if (this.#phase !== 'alarm') {
-      this.#alarm = undefined
-      return
-    }
-    this.#test = this.#newTest()
-    this.#alarm ??= new AlarmTest()
-    this.#alarm.start(input.now)
+    if (returning) this.#hold = new HoldAlarm(this.#opts.routes)
+    if (share === 1) this.#ratesBefore = this.#baseline.recentRates
+    if (this.#phase !== 'alarm') this.#alarm = undefined
+    else this.#alarm ??= new AlarmTest(undefined, this.#newTest(), input.now)
   }
 
   get #phase (): Phase {
@@ -149,9 +157,16 @@
       for (const cell of cells) this.#observedCalls += cell.old.calls
     } else {
       this.#test.update(cells, this.#baseline, countSlow)
-      if (this.#phase === 'hold') this.#hold.update(cells, this.#baseline, countSlow)
+      this.#alarm?.test.update(cells, this.#baseline, countSlow)
+      if (this.#phase === 'hold') this.#hold.update(cells, this.#baseline, this.#toleratedAt(input.now), countSlow)
     }
-    for (const cell of cells) this.#baseline.add(cell)
+    this.#baseline.addWindow(cells)
+  }
+
+  /** A burst that already hurt the old version when its last calls ended may still go on for a while. */
+  #toleratedAt (now: number): BadRates {
+    if (now - this.#enteredAt > BURST_MS) return this.#tolerated
+    return maxRates(this.#tolerated, this.#ratesBefore)
   }
 
   /** Cold instances are slow at first; restarting ones may claim this only for a bounded time in all. */
@@ -171,15 +186,15 @@
     if (this.#phase !== 'observe' && lostNew >= CRASH_LIMIT && lostNew >= CRASH_LIMIT * (lostOld + 1)) {
       return `${lostNew} targets of ${this.#opts.to} were lost during the move, and ${lostOld} of ${this.#opts.from}`
     }
-    return this.#phase === 'observe' ? undefined : this.#test.verdict
+    return this.#phase === 'observe' ? undefined : this.#test.verdict ?? this.#alarm?.test.verdict
   }
 
   * #steer (input: CoordinatorInput, gap: number): Generator<MoveEffect> {
     if (input.cfg.control === 'paused') {
       this.#enteredAt += gap
-      return yield * this.#tell('movePaused', 'an operator paused the move')
+      return yield * this.#tell('movePaused', OPERATOR_PAUSE)
     }
-    if (this.#told !== '' && this.#told.startsWith('an operator')) {
+    if (this.#told === OPERATOR_PAUSE) {
       this.#told = ''
       yield this.#event('moveResumed', { share: this.#share })
     }
@@ -241,10 +256,7 @@
 
   * #steerHold (input: CoordinatorInput): Generator<MoveEffect> {
     const alarm = this.#hold.alarm
-    if (!alarm) {
-      if (input.now - this.#enteredAt < input.cfg.hold + SPREAD_MS) return
-      return yield * this.#end(input, 'done', this.#doneReason(input))
-    }
+    if (!alarm) return yield * this.#endHold(input)
     const what = `${this.#opts.to} has more ${alarm.kind === 'errors' ? 'failed' : 'slow'} calls at 100% than ` +
       `${this.#opts.from} had before (${(alarm.rate * 100).toPrecision(2)}%)`
     const count = ++this.#alarms[alarm.kind]
@@ -252,27 +264,36 @@
       return yield * this.#rollBack(input, `${what}, again after ${count - 1} concurrent tests at smaller shares found nothing`)
     }
     yield this.#event('moveAlarm', { share: 1, reason: what })
-    this.#alarm = new AlarmTest(alarm)
+    this.#alarm = new AlarmTest(alarm, this.#newTest(), input.now)
     yield * this.#publishStage(input, ALARM_SHARES[Math.min(count, ALARM_SHARES.length) - 1]!)
   }
 
-  * #steerAlarm (input: CoordinatorInput): Generator<MoveEffect> {
-    const result = this.#alarm!.result(input.now, this.#test)
-    if (result === 'wait') return
-    if (result === 'cleared') this.#tolerate()
-    if (result === 'cleared' || !this.#test.isSuspicious) return yield * this.#publishStage(input, 1)
-    yield * this.#rollBack(input, `an alarm at 100% could not be cleared by ${this.#test.newCalls} calls at a share ` +
-      `of ${formatShare(this.#share)}`)
+  /** Ends the hold time, but first waits for a while for lost targets of the new version to come back. */
+  * #endHold (input: CoordinatorInput): Generator<MoveEffect> {
+    const { capacity, to, from } = this.#opts
+    const over = input.now - this.#enteredAt - input.cfg.hold - SPREAD_MS
+    if (over < 0) return
+    if (capacity.bound >= 1) return yield * this.#end(input, 'done', this.#doneReason(input))
+    const missing = `${to} has ${capacity.readySlots} slots ready and ${from} had ${capacity.neededSlots}`
+    if (over < LOST_SLOTS_WAIT_MS) return yield * this.#tell('movePaused', missing)
+    if (unsureChoice(input.cfg, input.service) === 'finish' && capacity.readySlots > 0) {
+      return yield * this.#end(input, 'done', `${this.#doneReason(input)}, though ${missing}`)
+    }
+    yield * this.#end(input, 'late', `${missing} at the end of the hold time, so all traffic stays on ${from}`)
   }
 
-  /** A test near full load shows that the rate which raised the alarm comes from something both versions use. */
-  #tolerate (): void {
-    const peaks = this.#alarm?.alarm.peaks
-    if (!peaks || this.#share <= ALARM_SHARES[0]!) return
-    this.#tolerated = {
-      errors: Math.max(this.#tolerated.errors, peaks.errors),
-      slow: Math.max(this.#tolerated.slow, peaks.slow)
+  * #steerAlarm (input: CoordinatorInput): Generator<MoveEffect> {
+    const { test, alarm } = this.#alarm!
+    const result = this.#alarm!.result(input.now)
+    if (result === 'wait') return
+    if (result === 'worse' || (result === 'doubtful' && unsureChoice(input.cfg, input.service) === 'keepOld')) {
+      return yield * this.#rollBack(input, `an alarm at 100% could not be cleared by ${test.newCalls} calls at a ` +
+        `share of ${formatShare(this.#share)}`)
     }
+    // A test near full load shows that what raised the alarm comes from something that both versions use.
+    const nearFullLoad = this.#share > ALARM_SHARES[0]!
+    if (result === 'cleared' && nearFullLoad) this.#tolerated = maxRates(this.#tolerated, alarm.peaks)
+    yield * this.#publishStage(input, 1)
   }
 
   * #publishStage (input: CoordinatorInput, share: number): Generator<MoveEffect> {
@@ -327,6 +348,8 @@
   }
 }
 
+const OPERATOR_PAUSE = 'an operator paused the move'
+
 /** Part of the time left that is spent on measuring the old version first. */
 const OBSERVE_PART = 0.05
 
@@ -334,6 +357,9 @@
   return Math.max(OBSERVE_MS, Math.min(leftMs * OBSERVE_PART, 10_000))
 }
 
+/** Time for which a burst under way at the change to 100% is expected to go on. */
+const BURST_MS = 10_000
+
 function formatShare (share: number): string {
   return `${Number((share * 100).toPrecision(3))}%`
 }
