--- a/packages/mesh/src/__tests__/safety.spec.ts
+++ b/packages/mesh/src/__tests__/safety.spec.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check'
 import type { MoveFact } from '@lentilwheel/core'
 import { checkConfig, rootHash, toObjects, type Delta } from '@lentilwheel/config'
-import { moveKey } from '@lentilwheel/platform'
+import { decodeMoveRecord, moveKey } from '@lentilwheel/platform'
 import { ConfigHolder } from '../dissemination/holder.js'
 import { splitParts } from '../dissemination/tree.js'
 import { FactStore } from '../facts/factStore.js'
@@ -172,8 +172,10 @@
     fleet.members[9]!.mesh.publishFact(rollback)
     const known = (): boolean => fleet.live().every((member) => member.mesh.facts().get('m')?.rollback !== undefined)
     t.true(await fleet.until(known, 2_000, 'known') <= 2_000)
-    await fleet.until(() => fleet.platform.store.get(moveKey('m')) !== undefined, 10_000, 'recorded')
-    t.is(JSON.parse(new TextDecoder().decode(fleet.platform.store.get(moveKey('m'))!.value)).rollback.reason, 'errors')
+    const stored = () => fleet.platform.store.get(moveKey('m'))
+    const recorded = () => stored() && decodeMoveRecord(stored()!.value)?.rollback
+    await fleet.until(() => recorded() !== undefined, 10_000, 'recorded')
+    t.is(recorded()!.reason, 'errors')
   })
 }
 
--- a/packages/mesh/src/meshState.ts
+++ b/packages/mesh/src/meshState.ts
@@ -67,6 +67,7 @@
     this.messenger = new Messenger({
       auth: new MeshAuth(opts.meshKey),
       timers: opts.timers,
+      random: opts.random,
       metrics: opts.metrics,
       transport,
       hooks: {
--- a/packages/mesh/src/wire/messenger.ts
+++ b/packages/mesh/src/wire/messenger.ts
@@ -1,6 +1,6 @@
 import { create, toBinary } from '@bufbuild/protobuf'
 import type { DescMessage, DescMethodUnary, MessageInitShape, MessageShape } from '@bufbuild/protobuf'
-import { TokenBucket, type Cancel, type Metrics, type Timers } from '@lentilwheel/core'
+import { TokenBucket, type Cancel, type Metrics, type Random, type Timers } from '@lentilwheel/core'
 import { MAX_CALLS_PER_SECOND, MAX_DATAGRAM_BYTES, MAX_DATAGRAMS_PER_SECOND, RPC_TIMEOUT_MS } from '../constants.js'
 import { MeshBadMessage, MeshOverloaded } from '../errors.js'
 import { DatagramSchema, type Datagram, type Header, type Record as MemberRecord, type Suspicion } from '../gen/mesh_pb.js'
@@ -53,19 +53,23 @@
   readonly #transport: MeshTransport
   readonly #hooks: MessengerHooks
   readonly #waiting = new Map<number, Waiting>()
+  /** Sender and sequence of the last pushes, oldest first. */
+  readonly #pushesSeen = new Set<string>()
   readonly #datagramRate: TokenBucket
   readonly #callRate: TokenBucket
-  #seq = 0
+  #seq: number
   #closed = false
 
   constructor (opts: {
-    auth: MeshAuth, timers: Timers, metrics: Metrics, transport: MeshTransport, hooks: MessengerHooks
+    auth: MeshAuth, timers: Timers, random: Random, metrics: Metrics, transport: MeshTransport, hooks: MessengerHooks
   }) {
     this.#auth = opts.auth
     this.#timers = opts.timers
     this.#metrics = opts.metrics
     this.#transport = opts.transport
     this.#hooks = opts.hooks
+    // Not from 0: peers that remember pushes of an earlier run would take the first ones for repeats.
+    this.#seq = opts.random.int(FIRST_SEQUENCES)
     const now = opts.timers.now()
     this.#datagramRate = new TokenBucket({ perSecond: MAX_DATAGRAMS_PER_SECOND, burst: MAX_DATAGRAMS_PER_SECOND, now })
     this.#callRate = new TokenBucket({ perSecond: MAX_CALLS_PER_SECOND, burst: MAX_CALLS_PER_SECOND, now })
@@ -97,10 +101,12 @@
   async request (to: MeshAddress, body: DatagramBody, timeoutMs: number, floor?: number): Promise<Header | undefined> {
     if (this.#closed) return undefined
     const seq = ++this.#seq
+    const send = (): void => this.#sendWith(to, body, seq, { withDigests: body.case === 'ping', floor })
     return await new Promise((resolve) => {
-      const cancel = this.#timers.after(timeoutMs, () => this.#settle(seq, undefined))
-      this.#waiting.set(seq, { done: resolve, cancel })
-      this.#sendWith(to, body, seq, { withDigests: body.case === 'ping', floor })
+      const cancels = [this.#timers.after(timeoutMs, () => this.#settle(seq, undefined))]
+      if (body.case === 'push') cancels.push(...RESEND_MS.map((ms) => this.#timers.after(ms, send)))
+      this.#waiting.set(seq, { done: resolve, cancel: () => cancels.forEach((cancel) => cancel()) })
+      send()
     })
   }
 
@@ -161,7 +167,7 @@
     this.#observe(datagram, from)
     this.#hooks.absorb(datagram)
     if (datagram.body.case === 'ack') this.#settle(datagram.body.value.seq, datagram.header)
-    else this.#hooks.onDatagram(from, datagram)
+    else if (!this.#isRepeated(from, datagram)) this.#hooks.onDatagram(from, datagram)
   }
 
   async #answer (method: MeshMethod, req: MessageShape<DescMessage>): Promise<MessageInitShape<DescMessage>> {
@@ -175,6 +181,19 @@
     if (message.header) this.#hooks.observe(message.header, from)
   }
 
+  /** A push that came before is acknowledged again, but not passed on again. */
+  #isRepeated (from: MeshAddress, datagram: Datagram): boolean {
+    if (datagram.body.case !== 'push') return false
+    const key = `${from} ${datagram.header!.from} ${datagram.seq}`
+    if (this.#pushesSeen.has(key)) {
+      this.ack(from, datagram.seq)
+      return true
+    }
+    this.#pushesSeen.add(key)
+    if (this.#pushesSeen.size > MAX_PUSHES_SEEN) this.#pushesSeen.delete(this.#pushesSeen.values().next().value!)
+    return false
+  }
+
   #settle (seq: number, header: Header | undefined): void {
     const waiting = this.#waiting.get(seq)
     if (!waiting) return
@@ -188,5 +207,11 @@
   }
 }
 
+/** A push that isn't acknowledged is sent again after these times; answers within a region take milliseconds. */
+const RESEND_MS = [120, 300]
+/** Pushes remembered to tell repeats; a repeat comes within half a second. */
+const MAX_PUSHES_SEEN = 500
+/** Sequences are 32 bits wide and never wrap within a run. */
+const FIRST_SEQUENCES = 2 ** 31
 /** IPv4 and UDP headers of a datagram. */
 const UDP_OVERHEAD_BYTES = 28
