Repeat lost pushes in one place, and record daemonStarted in the fake fleet

The messenger repeats a push that is not acknowledged and the spreader repeats it to a silent child; the spreader now leaves the short repeats to the messenger, and three of its own cover 2 s. A test counted on versionInForce, which the daemon records and no longer the mesh; its fake daemons now record their start as real ones do.

--- a/packages/mesh/src/__tests__/fakes/fleet.ts
+++ b/packages/mesh/src/__tests__/fakes/fleet.ts
@@ -70,6 +70,7 @@
     const address = addressOf(index)
     const host = new FakeHost(this.timers)
     const events = new EventLog({ daemon: identity.id, timers: host })
+    events.record('daemonStarted')
     const metrics = new MemoryMetrics()
     const opts: MeshOptions = {
       identity,
--- a/packages/mesh/src/constants.ts
+++ b/packages/mesh/src/constants.ts
@@ -5,10 +5,8 @@
 export const FAN_OUT = 4
 /** Time after which the next member of a part is taken when the first does not answer. */
 export const CHILD_TIMEOUT_MS = 500
-/** Repeats of a push to a child that did not answer; with 10% loss one in a million receives none of them. */
-export const MAX_RESENDS = 5
-/** All repeats fit into the 3 s in which a leaving target has to be known everywhere. */
-export const RESEND_TIMEOUT_MS = 250
+/** Repeats of a push to a child that did not answer; all fit into the 3 s in which a leaving target must be known. */
+export const MAX_RESENDS = 3
 export const RPC_TIMEOUT_MS = 3_000
 
 export const PROBE_PERIOD_MS = 1_000
--- a/packages/mesh/src/dissemination/spreader.ts
+++ b/packages/mesh/src/dissemination/spreader.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import type { Metrics, Random } from '@lentilwheel/core'
-import { CHILD_TIMEOUT_MS, MAX_DATAGRAM_BYTES, MAX_RESENDS, RESEND_TIMEOUT_MS } from '../constants.js'
+import { CHILD_TIMEOUT_MS, MAX_DATAGRAM_BYTES, MAX_RESENDS } from '../constants.js'
 import { MeshService, PushSchema, type Fact, type Packed, type Push, type Record as MemberRecord } from '../gen/mesh_pb.js'
 import type { Member, MemberTable } from '../membership/table.js'
 import { packAddresses, packedAddressBytes, unpackAddresses, type MeshAddress } from '../wire/address.js'
@@ -69,17 +69,15 @@
   /** Repeats a push until it is answered. After a lost repeat only gossip would be left, which takes several seconds. */
   async #resend (content: PushContent, child: MeshAddress, fits: boolean): Promise<void> {
     for (let i = 0; i < MAX_RESENDS; i++) {
-      if (await this.#send(content, child, [], fits, RESEND_TIMEOUT_MS)) return
+      if (await this.#send(content, child, [], fits)) return
     }
   }
 
-  async #send (
-    content: PushContent, child: MeshAddress, rest: Part, fits: boolean, timeoutMs = CHILD_TIMEOUT_MS
-  ): Promise<boolean> {
+  async #send (content: PushContent, child: MeshAddress, rest: Part, fits: boolean): Promise<boolean> {
     const push = create(PushSchema, { ...content as PushFields, delegated: packAddresses(rest) })
-    if (fits) return await this.#messenger.request(child, { case: 'push', value: push }, timeoutMs) !== undefined
+    if (fits) return await this.#messenger.request(child, { case: 'push', value: push }, CHILD_TIMEOUT_MS) !== undefined
     try {
-      await this.#messenger.call(child, MeshService.method.push, { push }, timeoutMs)
+      await this.#messenger.call(child, MeshService.method.push, { push }, CHILD_TIMEOUT_MS)
       return true
     } catch {
       return false
