Read accounts and move records by the schemas of the platform package

Cause: the command line and the relays each had a schema of the account object. A relay counted the daemons that refused a version and the command line expected their names, so an account with a refusal would have been left out of every report. Relays now name up to ten refusing daemons.

--- a/packages/cli/src/account/platformSource.ts
+++ b/packages/cli/src/account/platformSource.ts
@@ -1,13 +1,12 @@
 import { splitKey, type Config, type Head } from '@lentilwheel/config'
 import { errorCode } from '@lentilwheel/core'
-import { loadSnapshot, readHead, type PlatformClient, type StoredObject } from '@lentilwheel/platform'
+import {
+  ACCOUNT_PREFIX, accountSchema, loadSnapshot, MOVE_PREFIX, moveRecordSchema, readHead, type Account,
+  type PlatformClient, type StoredObject
+} from '@lentilwheel/platform'
 import type { z } from 'zod'
-import { accountSchema, moveRecordSchema, type Account } from './schema.js'
 import type { FleetView } from './view.js'
 
-const ACCOUNT_PREFIX = 'account/'
-const MOVE_PREFIX = 'move/'
-
 /** Reads all that the platform keeps about the fleet; one damaged object costs only itself. */
 export async function readPlatformView (client: PlatformClient): Promise<FleetView> {
   const notices: string[] = []
--- a/packages/cli/src/account/schema.ts
+++ b/packages/cli/src/account/schema.ts
@@ -1,4 +1,5 @@
 import { EVENT_TYPES, MOVE_OUTCOMES } from '@lentilwheel/core'
+import { accountSchema, moveRecordSchema, refusalSchema } from '@lentilwheel/platform'
 import { z } from 'zod'
 
 /** Version of the JSON shapes that daemons serve on their admin side; raised when a change is not additive. */
@@ -11,51 +12,6 @@
 
 const count = z.int().min(0)
 const unixMs = z.number().min(0)
-const share = z.number().min(0).max(1)
-
-/** A daemon that does not hold the newest version, and why. */
-export const laggingDaemonSchema = z.object({
-  daemon: z.string(),
-  /** Version that the daemon holds; 0 when it holds none. */
-  version: count,
-  reason: z.string()
-})
-
-/** A version that daemons refused whole. */
-export const refusalSchema = z.object({
-  version: count,
-  changeId: z.string(),
-  reason: z.string(),
-  at: unixMs,
-  /** Daemons that refused it for this reason. */
-  daemons: z.array(z.string())
-})
-
-/** Status of one data centre: the object `account/<dataCentre>` on the platform. */
-export const accountSchema = z.object({
-  dataCentre: z.string(),
-  at: unixMs,
-  members: count,
-  /** Number of daemons that hold each version. */
-  inForce: z.record(z.string().regex(/^\d+$/, 'not a version number'), count),
-  lagging: z.array(laggingDaemonSchema),
-  refusals: z.array(refusalSchema)
-})
-
-/** Progress of a move: the object `move/<id>` on the platform. */
-export const moveRecordSchema = z.object({
-  id: z.string(),
-  service: z.string(),
-  from: z.string(),
-  to: z.string(),
-  /** Deadline as the configuration gives it (ISO 8601). */
-  by: z.string(),
-  stage: count,
-  share,
-  outcome: z.enum(MOVE_OUTCOMES).optional(),
-  reason: z.string().optional(),
-  at: unixMs
-})
 
 /** An event as a daemon reports it; types of newer daemons pass as plain strings. */
 export const timelineEventSchema = z.object({
@@ -122,10 +78,7 @@
   reason: z.string().optional()
 })
 
-export type LaggingDaemon = z.output<typeof laggingDaemonSchema>
-export type Refusal = z.output<typeof refusalSchema>
-export type Account = z.output<typeof accountSchema>
-export type MoveRecord = z.output<typeof moveRecordSchema>
+export type { Account, MoveRecord, AccountRefusal as Refusal } from '@lentilwheel/platform'
 export type ReportedEvent = z.output<typeof timelineEventSchema>
 export type TargetCount = z.output<typeof targetCountSchema>
 export type DaemonStatus = z.output<typeof daemonStatusSchema>
--- a/packages/cli/src/commands/reports.ts
+++ b/packages/cli/src/commands/reports.ts
@@ -46,7 +46,7 @@
     version,
     ...(change && { acceptedAt: change.acceptedAt, author: change.author, changeId: change.id }),
     ...reachOf(view.accounts, version),
-    dataCentres: view.accounts,
+    dataCentres: view.accounts.map(({ token: _token, ...account }) => account),
     lagging: laggingBehind(view.accounts, version),
     unnamedLagging: unnamedLagging(view.accounts, version),
     refusals: refusalsOf(view),
--- a/packages/mesh/src/constants.ts
+++ b/packages/mesh/src/constants.ts
@@ -58,6 +58,8 @@
 export const LEASE_BUSY_MS = 2_000
 export const ACCOUNT_PERIOD_MS = 2_000
 export const MAX_LAGGING_NAMED = 50
+/** Refusing daemons that an account names for each refusal. */
+export const MAX_REFUSING_NAMED = 10
 export const MAX_REFUSALS = 50
 /** Other relays of the data centre wait this long for the push of the first before they read the platform. */
 export const SECOND_RELAY_DELAY_MS = 300
--- a/packages/mesh/src/status/collector.ts
+++ b/packages/mesh/src/status/collector.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import type { Account, AccountRefusal } from '@lentilwheel/platform'
-import { MAX_LAGGING_NAMED, MAX_REFUSALS } from '../constants.js'
+import { MAX_LAGGING_NAMED, MAX_REFUSALS, MAX_REFUSING_NAMED } from '../constants.js'
 import { StatusSchema, type Status } from '../gen/mesh_pb.js'
 
 export interface AccountInput {
@@ -22,7 +22,8 @@
     const before = this.#statuses.get(daemon)?.status
     this.#statuses.set(daemon, { version, status })
     if (status.refusedVersion === 0 || status.refusedVersion === before?.refusedVersion) return
-    this.refuse({ version: status.refusedVersion, changeId: status.refusedChange, reason: status.refusedReason }, now)
+    const { refusedVersion, refusedChange: changeId, refusedReason: reason } = status
+    this.refuse({ version: refusedVersion, changeId, reason }, daemon, now)
   }
 
   /** Takes the version from a message of any kind; its report may have been lost. */
@@ -31,11 +32,11 @@
     this.#statuses.set(daemon, { version, status })
   }
 
-  /** Counts a refusal of a daemon, or of the relay itself. */
-  refuse (refusal: Pick<AccountRefusal, 'version' | 'changeId' | 'reason'>, now: number): void {
+  /** Notes a refusal of a daemon, or of the relay itself. */
+  refuse (refusal: Pick<AccountRefusal, 'version' | 'changeId' | 'reason'>, daemon: string, now: number): void {
     const known = this.#refusals.find((other) => other.version === refusal.version && other.reason === refusal.reason)
-    if (known) known.daemons++
-    else this.#refusals.push({ ...refusal, at: now, daemons: 1 })
+    if (!known) this.#refusals.push({ ...refusal, at: now, daemons: [daemon] })
+    else if (known.daemons.length < MAX_REFUSING_NAMED && !known.daemons.includes(daemon)) known.daemons.push(daemon)
     this.#refusals = this.#refusals.slice(-MAX_REFUSALS)
   }
 
--- a/packages/platform/src/account.ts
+++ b/packages/platform/src/account.ts
@@ -1,5 +1,15 @@
 import { z } from 'zod'
 
+/** A version that daemons refused whole. */
+export const refusalSchema = z.object({
+  version: z.int(),
+  changeId: z.string(),
+  reason: z.string(),
+  at: z.number(),
+  /** Names of the first daemons that refused it. */
+  daemons: z.array(z.string())
+})
+
 /** Status summary of a data centre as its relay stores it. */
 export const accountSchema = z.object({
   dataCentre: z.string(),
@@ -11,13 +21,7 @@
   /** Daemons by the version that they hold. */
   inForce: z.record(z.string(), z.int()),
   lagging: z.array(z.object({ daemon: z.string(), version: z.int(), reason: z.string() })),
-  refusals: z.array(z.object({
-    version: z.int(),
-    changeId: z.string(),
-    reason: z.string(),
-    at: z.number(),
-    daemons: z.int()
-  }))
+  refusals: z.array(refusalSchema)
 })
 
 export type Account = z.output<typeof accountSchema>
