Keep platform calls of a full restart constant, and notice dead relays within two periods

- Daemons that had just joined knew few others and took themselves for relays.
They now wait 1 s after joining, and the fallback that reads the platform without being relay is bounded to 16 daemons of the fleet a second.
- Those next in line and the fellow relay probe the relays in every period.

--- a/packages/mesh/src/__tests__/cost.spec.ts
+++ b/packages/mesh/src/__tests__/cost.spec.ts
@@ -36,3 +36,24 @@
   t.true(idlePerSecond < 2_048)
   t.true(perDaemon < 3 * difference)
 })
+
+/** Guards the platform's limit of 2,000 reads a second when a whole fleet starts, and the standing load after it. */
+test('platform calls do not grow with the number of daemons', async (t) => {
+  const counts = []
+  for (const daemons of [20, 80]) {
+    const fleet = new Fleet({ daemons, dataCentres: 2 })
+    await fleet.apply(1)
+    for (let i = 0; i < daemons; i++) fleet.start(i)
+    await fleet.until(() => fleet.live().every((member) => member.mesh.readiness().ready), 30_000, 'ready')
+    await fleet.run(30_000)
+    const start = { ...fleet.platform.counts }
+    await fleet.run(60_000)
+    counts.push({ start, reads: fleet.platform.counts.reads - start.reads, writes: fleet.platform.counts.writes - start.writes })
+  }
+  const [few, many] = counts
+  // Four times the daemons: calls of each daemon would be four times as many; chance among the relays stays below two.
+  t.true(many!.start.reads < few!.start.reads * 2, JSON.stringify(counts))
+  t.true(many!.start.writes < few!.start.writes * 2, JSON.stringify(counts))
+  t.true(many!.reads < few!.reads * 2, JSON.stringify(counts))
+  t.true(many!.writes < few!.writes * 2, JSON.stringify(counts))
+})
--- a/packages/mesh/src/constants.ts
+++ b/packages/mesh/src/constants.ts
@@ -44,9 +44,12 @@
 export const START_ASKS = 5
 /** Time that a starting daemon gives its seeds before it becomes relay or asks the platform itself. */
 export const JOIN_GRACE_MS = 1_500
-/** Growth of the cap of the platform backoff at start with each known member. */
-export const START_BACKOFF_PER_MEMBER_MS = 10
+/** Time that a daemon that joined waits to hear of the others before it may become relay. */
+export const SETTLE_MS = 1_000
+/** Daemons of the whole fleet that read the platform by themselves in a second while they can't start otherwise. */
+export const START_READERS_PER_SECOND = 16
 export const START_BACKOFF_MS = 5_000
+export const START_BACKOFF_CAP_MS = 30_000
 
 export const RELAYS_PER_DATA_CENTRE = 2
 export const RELAY_PERIOD_MS = 500
--- a/packages/mesh/src/floor/starter.ts
+++ b/packages/mesh/src/floor/starter.ts
@@ -3,7 +3,7 @@
   decodeHead, decodeLease, decodeMoveRecord, factsOfRecord, HEAD_KEY, LEASE_PREFIX, MOVE_PREFIX
 } from '@lentilwheel/platform'
 import {
-  JOIN_GRACE_MS, START_ASKS, START_BACKOFF_MS, START_BACKOFF_PER_MEMBER_MS, START_PERIOD_MS
+  JOIN_GRACE_MS, SETTLE_MS, START_ASKS, START_BACKOFF_CAP_MS, START_BACKOFF_MS, START_PERIOD_MS, START_READERS_PER_SECOND
 } from '../constants.js'
 import type { MeshContext } from '../context.js'
 import type { Exchanger } from '../membership/exchanger.js'
@@ -30,7 +30,7 @@
   #readiness: Readiness = { ready: false, reason: 'starting' }
   #headKnown = false
   #factsLoaded = false
-  #isJoined = false
+  #joinedAt: number | undefined
   #isJoining = false
   #joinAttempt = 0
   #joinDueAt = 0
@@ -69,8 +69,9 @@
 
   /** Whether this daemon knows the mesh well enough to become relay; seeds that don't answer end the wait. */
   get mayLead (): boolean {
-    if (this.#isJoined || this.#seeds.length === 0) return true
-    return this.#ctx.opts.timers.now() - this.#startedAt >= JOIN_GRACE_MS
+    const now = this.#ctx.opts.timers.now()
+    if (this.#joinedAt !== undefined) return now - this.#joinedAt >= SETTLE_MS
+    return this.#seeds.length === 0 || now - this.#startedAt >= JOIN_GRACE_MS
   }
 
   /** The head or a push that comes from it told the version in force. */
@@ -110,8 +111,9 @@
   }
 
   #tick (): void {
-    if (this.#readiness.ready && this.#isJoined) return this.#cancel()
-    if (!this.#isJoined) this.#ctx.detach(this.#join())
+    const isJoined = this.#joinedAt !== undefined
+    if (this.#readiness.ready && isJoined) return this.#cancel()
+    if (!isJoined) this.#ctx.detach(this.#join())
     if (!this.#readiness.ready) {
       this.#askPeers()
       this.#loadFacts()
@@ -141,8 +143,8 @@
     if (outcome.kind === 'retry') return
     this.answered(outcome.header)
     if (outcome.header.ready) this.sawFacts()
-    if (this.#isJoined) return
-    this.#isJoined = true
+    if (this.#joinedAt !== undefined) return
+    this.#joinedAt = this.#ctx.opts.timers.now()
     this.#ctx.changeSelf({})
   }
 
@@ -173,14 +175,18 @@
   }
 
   /**
-   * Reads the platform itself when the mesh does not help. The delay grows with the fleet, so that a restart of all
-   * daemons leaves this to the relays.
+   * Reads the platform itself when the mesh does not help. Only a few daemons of the fleet do so in any second, so
+   * that a restart of all leaves this to the relays.
    */
   async #askPlatform (): Promise<void> {
     const { platform, timers, random } = this.#ctx.opts
     if (timers.now() < this.#platformDueAt) return
+    if (random.next() > START_READERS_PER_SECOND / this.#ctx.table.size) {
+      this.#platformDueAt = timers.now() + 1_000
+      return
+    }
     this.#platformDueAt = timers.now() + backoffMs(this.#platformAttempt++, {
-      baseMs: START_BACKOFF_MS, capMs: 4 * START_BACKOFF_MS + this.#ctx.table.size * START_BACKOFF_PER_MEMBER_MS
+      baseMs: START_BACKOFF_MS, capMs: START_BACKOFF_CAP_MS
     }, random)
     if (this.#ctx.table.size === 1) await this.#findMesh()
     const stored = await platform.get(HEAD_KEY)
@@ -203,7 +209,7 @@
       const lease = decodeLease(object)
       if (!lease || lease.holder === own || lease.holder === '') continue
       await this.#exchange(lease.address).catch(() => {})
-      if (this.#isJoined) return
+      if (this.#joinedAt !== undefined) return
     }
   }
 
--- a/packages/mesh/src/membership/prober.ts
+++ b/packages/mesh/src/membership/prober.ts
@@ -3,6 +3,7 @@
 import type { MeshContext } from '../context.js'
 import type { Datagram } from '../gen/mesh_pb.js'
 import { splitAddress, ipToNumber, meshAddress, type MeshAddress } from '../wire/address.js'
+import { watchedRelays } from '../relay/election.js'
 import { ProbeOrder, pickReachable, pickUnreachable } from './probing.js'
 import type { Member } from './table.js'
 
@@ -37,9 +38,14 @@
   #tick (): void {
     const { table, opts } = this.#ctx
     const next = this.#order.next(table)
-    if (next) this.#ctx.detach(this.#probe(next))
+    const due = new Set(next ? [next] : [])
+    for (const relay of watchedRelays(table)) {
+      const member = table.get(relay.id)
+      if (member) due.add(member)
+    }
+    for (const member of due) this.#ctx.detach(this.#probe(member))
     const unreachable = pickUnreachable(table, opts.random)
-    if (unreachable && unreachable !== next) this.#ctx.detach(this.#ping(unreachable.address))
+    if (unreachable && !due.has(unreachable)) this.#ctx.detach(this.#ping(unreachable.address))
   }
 
   async #probe (member: Member): Promise<void> {
--- a/packages/mesh/src/relay/election.ts
+++ b/packages/mesh/src/relay/election.ts
@@ -37,6 +37,19 @@
   return slots[index]
 }
 
+/**
+ * Relays that this daemon probes in every period. Those who would replace them and their fellow relays do, so that
+ * dead relays are noticed within two periods whatever the size of the fleet.
+ */
+export function watchedRelays (table: MemberTable): MemberRecord[] {
+  const { self } = table
+  const others = liveRelays(table, self.dataCentre).filter((record) => record.id !== self.id)
+  if (others.length === 0 || self.relay > 0) return others
+  const own = rank(self)
+  const before = liveRecords(table, self.dataCentre).filter((record) => record.relay === 0 && rank(record) < own)
+  return before.length < RELAYS_PER_DATA_CENTRE ? others : []
+}
+
 function rank (record: MemberRecord): number {
   return hash32(`${record.dataCentre}\n${record.id}`)
 }
