--- a/packages/proxy/src/nodeCallerBody.ts
+++ b/packages/proxy/src/nodeCallerBody.ts
@@ -6,9 +6,6 @@
   readonly code = 'body-too-large'
 }
 
-/** Bytes held for a slow target; the default of 16 KB is less than one read from a socket. */
-const BUFFER_BYTES = 256 * 1024
-
 /** Counts what was taken from a caller's body, over all attempts of the call. */
 export interface BodyProgress {
   taken: number
@@ -25,7 +22,7 @@
   #attached = false
 
   constructor (req: IncomingMessage, progress: BodyProgress) {
-    super({ highWaterMark: BUFFER_BYTES })
+    super()
     this.#req = req
     this.#progress = progress
   }
