--- a/packages/proxy/src/__tests__/exchanges.spec.ts
+++ b/packages/proxy/src/__tests__/exchanges.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import type { IncomingHttpHeaders } from 'node:http'
+import { readResponseHead } from '../requests/responseHead.js'
 import { ordersConfig, Rig, snapshotOf, viewOf } from './rig.js'
 
 const SHAPES: Readonly<Record<string, string>> = {
@@ -116,6 +117,30 @@
   await rig.stop()
 })
 
+/** Guards against answers in the wrong order, and calls that are never ended, when a caller pipelines requests. */
+test('pipelined requests are answered in order, and cancelled with their connection', async (t) => {
+  const rig = await new Rig().start(1)
+  const target = rig.targets[0]!
+  target.delayMs = (req) => req.url === '/1' ? 20 : 0
+  const request = (path: string, more = ''): string => `GET ${path} HTTP/1.1\r\nhost: a\r\nx-request-id: ${path}\r\n${more}\r\n`
+  const answers = await rig.raw(request('/1') + request('/2', 'connection: close\r\n'))
+  t.deepEqual(answers.match(/"id":"[^"]*"/g), ['"id":"/1"', '"id":"/2"'])
+  target.faultOf = (req) => req.url === '/3' ? 'hang' : 'dieBeforeBody'
+  t.is(await rig.raw(request('/3') + 'garbage\r\n\r\n'), '')
+  await rig.proxy.drain({ lingerMs: 0, limitMs: 60_000 })
+  await rig.stop()
+})
+
+/** Guards against headers of the target's connection, and of our own, that reach a caller. */
+test('answer heads', (t) => {
+  const head = readResponseHead([
+    'Connection', 'X-Hop, close', 'X-Hop', '1', 'X-Lentilwheel-Not-Run', '1', 'Set-Cookie', 'a', 'Set-Cookie', 'b',
+    'Content-Length', '3', 'Keep-Alive', 'timeout=5'
+  ])
+  t.deepEqual(head.headers, ['set-cookie', 'a', 'set-cookie', 'b', 'content-length', '3'])
+  t.true(head.notRun && head.hasLength)
+})
+
 /** Guards against a planned stop that cuts off a call, and against new work on a target that leaves. */
 test('the proxy and a target drain with calls in flight', async (t) => {
   const rig = await new Rig().start(2)
--- a/packages/proxy/src/nodeCall.ts
+++ b/packages/proxy/src/nodeCall.ts
@@ -57,7 +57,6 @@
     const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs)
     this.deadline = core.timers.now() + timeoutMs
     this.#cancelDeadline = core.timers.after(timeoutMs, () => this.#onDeadline())
-    res.once('close', () => this.#onCallerClose())
   }
 
   start (): void {
@@ -139,6 +138,18 @@
     this.#service.release(attempt.target, now - attempt.startedAt)
   }
 
+  /** The caller's connection has closed, or the answer has been sent whole. */
+  closed (): void {
+    this.#cancelDeadline()
+    if (this.#ended) return
+    this.#core.counters.callerAborts++
+    this.#end()
+    const attempt = this.#attempt
+    if (!attempt) return
+    if (attempt.answeredAt === 0) attempt.target.observeNoAnswer(this.#core.timers.now() - attempt.startedAt)
+    attempt.cancel()
+  }
+
   #chooseVersion (): void {
     const share = this.#core.shareOf(this.#route.serviceName)
     if (!share) {
@@ -275,7 +286,8 @@
   }
 
   #onDeadline (): void {
-    if (this.#ended) return
+    // The answer is given, but the caller doesn't take it.
+    if (this.#ended) return this.#breakAnswer()
     const attempt = this.#attempt
     this.#core.counters.timeouts++
     if (attempt?.sent) this.#mayHaveRun = true
@@ -288,20 +300,9 @@
     this.#refuse(REFUSALS.deadline)
   }
 
-  #onCallerClose (): void {
-    if (this.#ended) return
-    this.#core.counters.callerAborts++
-    this.#end()
-    const attempt = this.#attempt
-    if (!attempt) return
-    if (attempt.answeredAt === 0) attempt.target.observeNoAnswer(this.#core.timers.now() - attempt.startedAt)
-    attempt.cancel()
-  }
-
   /** The call takes part in nothing from here on. */
   #end (): void {
     this.#ended = true
-    this.#cancelDeadline()
     this.#service.abandon(this.#version, this)
   }
 }
--- a/packages/proxy/src/nodeProxyServer.ts
+++ b/packages/proxy/src/nodeProxyServer.ts
@@ -175,19 +175,26 @@
     if (!route) return this.#refuse(res, REFUSALS.noRoute, awaitsContinue)
     const service = this.#services.get(route.serviceName)!
     const call = new Call(this.#core, req, res, head, route, service, awaitsContinue)
-    this.#track(call, res)
+    this.#track(call, req, res)
     call.start()
   }
 
-  #track (call: Call, res: ServerResponse): void {
-    const socket = res.socket!
+  #track (call: Call, req: IncomingMessage, res: ServerResponse): void {
+    const socket = req.socket
+    let isOpen = true
     this.#active++
     this.#calls.set(socket, call)
-    res.once('close', () => {
+    const onClose = (): void => {
+      if (!isOpen) return
+      isOpen = false
       this.#active--
       if (this.#calls.get(socket) === call) this.#calls.delete(socket)
+      call.closed()
       if (this.#active === 0) this.#onIdle?.()
-    })
+    }
+    res.once('close', onClose)
+    // An answer that waits behind others on its connection has no socket yet and isn't told when that closes.
+    if (!res.socket) socket.once('close', onClose)
   }
 
   #refuse (res: ServerResponse, refusal: Refusal, close: boolean): void {
