--- a/packages/moves/src/localMove.ts
+++ b/packages/moves/src/localMove.ts
@@ -125,6 +125,7 @@
     return undefined
   }
 
+  /** Rows of one route stand together, so that a transport that splits a report keeps both versions in one part. */
   takeReport (daemon: string): EvidenceReport | undefined {
     const stage = this.#reportedStage
     this.#reportedStage = this.#facts.stage?.stage
@@ -132,7 +133,8 @@
     const newRows = this.#new.take()
     if (this.#facts.outcome || oldRows.length + newRows.length === 0) return undefined
     for (const row of oldRows) this.#pastOf(row.route).add(row)
-    return { move: this.id, daemon, ...(stage === undefined ? {} : { stage }), rows: [...oldRows, ...newRows] }
+    const rows = [...oldRows, ...newRows].sort((a, b) => (a.route < b.route ? -1 : Number(a.route > b.route)))
+    return { move: this.id, daemon, ...(stage === undefined ? {} : { stage }), rows }
   }
 
   /** What this daemon saw of the old version; a coordinator that takes over starts from it. */
