Stretch timeouts with the answer times seen, and let relays change only after two ticks

On a starved machine (load 44) 60 real daemons sent 26 KB/s each while idle: answers came after the child and probe timeouts, pushes were repeated, relays were taken for dead and replaced each second. With the stretch off, the new case with 350 ms links fails.

--- a/packages/mesh/src/__tests__/membership.spec.ts
+++ b/packages/mesh/src/__tests__/membership.spec.ts
@@ -146,3 +146,14 @@
   await fleet.run(100)
   t.true(fleet.live().every((member) => member.mesh.endpoints().length === 0 && member.mesh.members().length === 11))
 })
+
+/** Guards against a storm on starved hosts: timeouts too short for slow answers multiply the work that slows them. */
+test('slow answers stretch timeouts instead of multiplying messages', async (t) => {
+  const fleet = await Fleet.ready({ daemons: 24 })
+  fleet.network.delayMs = 350
+  await fleet.run(60_000)
+  const before = fleet.network.bytes.datagrams
+  await fleet.run(20_000)
+  t.true((fleet.network.bytes.datagrams - before) / 24 / 20 < 1_000)
+  t.true(fleet.live().every((member) => member.mesh.members().every((other) => other.status === 'alive')))
+})
--- a/packages/mesh/src/relay/relayRole.ts
+++ b/packages/mesh/src/relay/relayRole.ts
@@ -27,6 +27,9 @@
   isLeasing: boolean
 }
 
+/** A place must be free for this many ticks, so that one slow answer of a relay changes nothing. */
+const TICKS_BEFORE_TERM = 2
+
 /**
  * The relay's duties, while membership says that this daemon is one. The lease bounds the writers; reading starts at
  * once, so that a data centre whose relays all died waits for no lease to end.
@@ -36,6 +39,7 @@
   readonly #collector: StatusCollector
   readonly #hooks: RelayHooks
   #term: Term | undefined
+  #wantedTicks = 0
   #cancel: Cancel = () => {}
 
   constructor (ctx: MeshContext, collector: StatusCollector, hooks: RelayHooks) {
@@ -74,7 +78,9 @@
       this.#ctx.detach(this.#end())
       return
     }
+    this.#wantedTicks = slot === undefined ? 0 : this.#wantedTicks + 1
     if (slot === undefined) return
+    if (!this.#term && this.#wantedTicks < TICKS_BEFORE_TERM) return
     if (!this.#term) this.#begin(slot)
     this.#work(this.#term!)
   }
--- a/packages/mesh/src/wire/messenger.ts
+++ b/packages/mesh/src/wire/messenger.ts
@@ -8,6 +8,7 @@
 import type { MeshAddress } from './address.js'
 import { MAC_BYTES, type MeshAuth } from './auth.js'
 import { decode } from './codec.js'
+import { Pace } from './pace.js'
 
 export type DatagramBody = NonNullable<MessageInitShape<typeof DatagramSchema>['body']>
 export type BodyKind = NonNullable<Datagram['body']['case']>
@@ -41,6 +42,7 @@
 }
 
 interface Waiting {
+  sentAt: number
   done (header: Header | undefined): void
   cancel: Cancel
 }
@@ -53,6 +55,7 @@
   readonly #transport: MeshTransport
   readonly #hooks: MessengerHooks
   readonly #waiting = new Map<number, Waiting>()
+  readonly #pace = new Pace()
   /** Sender and sequence of the last pushes, oldest first. */
   readonly #pushesSeen = new Set<string>()
   readonly #datagramRate: TokenBucket
@@ -97,15 +100,17 @@
     this.#sendWith(to, body, ++this.#seq)
   }
 
-  /** Sends a datagram and waits for its acknowledgement; undefined when none comes in time. */
+  /** Sends a datagram and waits for its acknowledgement; undefined when none comes in time, which stretches with the pace. */
   async request (to: MeshAddress, body: DatagramBody, timeoutMs: number, floor?: number): Promise<Header | undefined> {
     if (this.#closed) return undefined
     const seq = ++this.#seq
     const send = (): void => this.#sendWith(to, body, seq, { withDigests: body.case === 'ping', floor })
     return await new Promise((resolve) => {
-      const cancels = [this.#timers.after(timeoutMs, () => this.#settle(seq, undefined))]
-      if (body.case === 'push') cancels.push(...RESEND_MS.map((ms) => this.#timers.after(ms, send)))
-      this.#waiting.set(seq, { done: resolve, cancel: () => cancels.forEach((cancel) => cancel()) })
+      const { factor } = this.#pace
+      const cancels = [this.#timers.after(timeoutMs * factor, () => this.#settle(seq, undefined))]
+      if (body.case === 'push') cancels.push(...RESEND_MS.map((ms) => this.#timers.after(ms * factor, send)))
+      const cancel = (): void => cancels.forEach((one) => one())
+      this.#waiting.set(seq, { done: resolve, cancel, sentAt: this.#timers.now() })
       send()
     })
   }
@@ -122,7 +127,8 @@
   async call<I extends DescMessage, O extends DescMessage> (
     to: MeshAddress, method: DescMethodUnary<I, O>, req: MessageInitShape<I>, timeoutMs = RPC_TIMEOUT_MS
   ): Promise<MessageShape<O>> {
-    const res = await this.#transport.call(to, method, { ...req, header: this.#hooks.header() }, timeoutMs)
+    const limitMs = timeoutMs * this.#pace.factor
+    const res = await this.#transport.call(to, method, { ...req, header: this.#hooks.header() }, limitMs)
     this.#observe(res as Headed, undefined)
     return res
   }
@@ -196,7 +202,10 @@
 
   #settle (seq: number, header: Header | undefined): void {
     const waiting = this.#waiting.get(seq)
-    if (!waiting) return
+    const now = this.#timers.now()
+    if (!waiting) return this.#pace.answeredLate(seq, now)
+    if (header) this.#pace.answered(now - waiting.sentAt)
+    else this.#pace.timedOut(seq, waiting.sentAt)
     this.#waiting.delete(seq)
     waiting.cancel()
     waiting.done(header)
