Refuse bodies at the admin side, and end lentilwheeld with one line when it cannot start

A port that was taken left the process running after the message for the admin and mesh sides, or crashed with a stack. A second SIGTERM while draining ended the daemon at once and cut calls off. PUT /targets took bodies above the limit, and bodies without a stated length had none. An alias in the settings put its name, which may be the mesh key, into the error message.

--- a/packages/core/src/nodeSettings.ts
+++ b/packages/core/src/nodeSettings.ts
@@ -35,12 +35,12 @@
     `${file}:${lineOf(path)}: ${path.join('.') || 'settings'}: ${message}`).join('\n'))
 }
 
-/** Expanding aliases fails when they multiply. */
+/** Expanding aliases fails when they multiply or have no anchor; the message leaves out the alias, as a key may look like one. */
 function toPlain (doc: Document, file: string): unknown {
   try {
     return doc.toJS() ?? {}
   } catch (err) {
-    throw new SettingsInvalid(`${file}: ${(err as Error).message}`)
+    throw new SettingsInvalid(`${file}: ${(err as Error).message.split(': ')[0]}`)
   }
 }
 
--- a/packages/daemon/src/admin/__tests__/app.spec.ts
+++ b/packages/daemon/src/admin/__tests__/app.spec.ts
@@ -37,3 +37,14 @@
     t.snapshot({ status: res.status, body: await res.text() })
   })
 }
+
+/** Guards against a caller that fills the memory of a daemon through its operators' side. */
+test('requests with a body are refused, however it is framed', async (t) => {
+  const headers: Record<string, string>[] = [
+    { 'content-length': '1' }, { 'content-length': '99999999999' }, { 'transfer-encoding': 'chunked' }, { 'content-length': 'x' }
+  ]
+  for (const header of headers) {
+    const res = await createAdminApp(sources).request('/moves/m1/take-back', { method: 'POST', headers: header })
+    t.is(res.status, 413)
+  }
+})
--- a/packages/daemon/src/admin/app.ts
+++ b/packages/daemon/src/admin/app.ts
@@ -1,4 +1,4 @@
-import { Hono } from 'hono'
+import { Hono, type Context } from 'hono'
 import type { MoveOutcome, TimelineEvent } from '@lentilwheel/core'
 
 /** Version of the JSON that the admin side answers; the command line refuses another one. */
@@ -65,6 +65,10 @@
 /** Operators' side of a daemon: health, readiness, status, events and counters. */
 export function createAdminApp (sources: AdminSources): Hono {
   const app = new Hono()
+  app.use(async (ctx, next) => {
+    if (hasBody(ctx)) return ctx.text('this side takes no request body\n', 413, { connection: 'close' })
+    await next()
+  })
   app.get('/healthz', (ctx) => ctx.text('ok\n'))
   app.get('/readyz', (ctx) => {
     const { ready, reason } = sources.status()
@@ -91,3 +95,8 @@
   })
   return app
 }
+
+/** The connection is closed after such a request, so that its body is not read. */
+function hasBody (ctx: Context): boolean {
+  return ctx.req.header('transfer-encoding') !== undefined || Number(ctx.req.header('content-length') ?? 0) !== 0
+}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,34 +1,70 @@
-import { cac } from 'cac'
+import { cac, type CAC } from 'cac'
 import { randomBytes } from 'node:crypto'
+import { readFileSync } from 'node:fs'
 import { stringify } from 'yaml'
 import { errorCode } from '@lentilwheel/core'
 import { Daemon } from './nodeDaemon.js'
 import { resolveSettings } from './settings/nodeResolve.js'
 import { maskSecrets } from './settings/schema.js'
 
+const NAME = 'lentilwheeld'
+const DEFAULT_SETTINGS = 'lentilwheeld.yaml'
+const EXIT_FAILED = 1
+const EXIT_USAGE = 2
+
 /** Runs `lentilwheeld`. */
 export async function main (argv: string[]): Promise<void> {
-  const cli = cac('lentilwheeld')
-  cli.command('[settings]', 'Run the daemon with a settings file')
-    .option('--check', 'Print the resolved settings and end')
-    .action(async (file: string | undefined, opts: { check?: boolean }) => {
-      const cfg = resolveSettings(file ?? 'lentilwheeld.yaml')
-      if (opts.check) {
-        console.log(stringify(maskSecrets(cfg)).trimEnd())
-        return
-      }
-      const daemon = new Daemon(cfg, randomBytes(4).readInt32LE())
-      await daemon.start()
-      const stop = (): void => { daemon.stop().then(() => process.exit(0), () => process.exit(1)) }
-      process.once('SIGTERM', stop)
-      process.once('SIGINT', stop)
-    })
-  cli.help()
   try {
+    const cli = makeCli()
     cli.parse(argv, { run: false })
+    if (cli.options['help'] || cli.options['version']) return
     await cli.runMatchedCommand()
   } catch (err) {
-    console.error(`lentilwheeld: ${errorCode(err)}: ${(err as Error).message}`)
-    process.exitCode = 1
+    fail(err)
   }
 }
+
+function makeCli (): CAC {
+  const cli = cac(NAME)
+  cli.command('[settings]', `Run the daemon with a settings file, ${DEFAULT_SETTINGS} if not given`)
+    .option('--check', 'Print the resolved settings and end')
+    .example(`  $ ${NAME} --check otaru-4.yaml`)
+    .example(`  $ ${NAME} otaru-4.yaml`)
+    .action(async (file: string | undefined, opts: { check?: boolean }) => {
+      if (cli.args.length > 1) throw new UsageError(`one settings file expected, "${cli.args[1]}" is too many`)
+      const cfg = resolveSettings(file ?? DEFAULT_SETTINGS)
+      if (opts.check) console.log(stringify(maskSecrets(cfg)).trimEnd())
+      else await run(new Daemon(cfg, randomBytes(4).readInt32LE()))
+    })
+  cli.version(readVersion())
+  cli.help()
+  return cli
+}
+
+/** Repeated signals change nothing: the default action of a second one would cut calls off. */
+async function run (daemon: Daemon): Promise<void> {
+  await daemon.start()
+  let isStopping = false
+  const stop = (): void => {
+    if (isStopping) return
+    isStopping = true
+    daemon.stop().then(() => process.exit(0), fail)
+  }
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
+}
+
+class UsageError extends Error {}
+
+/** Ends the process even when some of the ports are open; the reason takes one line, as supervisors log by line. */
+function fail (err: unknown): never {
+  const isUsage = err instanceof UsageError || (err instanceof Error && err.name === 'CACError')
+  const message = (err as Error).message.replaceAll(/\s*\n\s*/g, ' ')
+  console.error(`${NAME}: ${isUsage ? 'usage' : errorCode(err)}: ${message}`)
+  process.exit(isUsage ? EXIT_USAGE : EXIT_FAILED)
+}
+
+function readVersion (): string {
+  const text = readFileSync(new URL('../package.json', import.meta.url), 'utf8')
+  return (JSON.parse(text) as { version: string }).version
+}
--- a/packages/proxy/src/targets/__tests__/targetApp.spec.ts
+++ b/packages/proxy/src/targets/__tests__/targetApp.spec.ts
@@ -84,3 +84,17 @@
   t.is((await send('POST', '/targets')).status, 400)
   t.deepEqual(states(), [])
 })
+
+/** Guards against a target that fills its daemon's memory, with a stated length or without one. */
+test('bodies above 16 KB are refused and change nothing', async (t) => {
+  const { targets, send, states } = setUp()
+  await send('POST', '/targets', ANNOUNCED)
+  const text = JSON.stringify({ ...ANNOUNCED, name: 'other', padding: 'x'.repeat(16 * 1024) })
+  for (const [method, path] of [['POST', '/targets'], ['PUT', '/targets/d1/orders']] as const) {
+    const stated = await targets.app.request(path, { method, body: text, headers: { 'content-length': String(text.length) } })
+    t.is(stated.status, 413)
+    const streamed = await targets.app.request(path, { method, body: new Blob([text]).stream(), duplex: 'half' } as RequestInit)
+    t.is(streamed.status, 413)
+  }
+  t.deepEqual(states(), ['d1/orders ready'])
+})
--- a/packages/proxy/src/targets/targetApp.ts
+++ b/packages/proxy/src/targets/targetApp.ts
@@ -1,4 +1,5 @@
 import { Hono, type Context } from 'hono'
+import { bodyLimit } from 'hono/body-limit'
 import { runEffects, type Endpoint, type Timers } from '@lentilwheel/core'
 import { announcementSchema, parseLoad, renewalSchema } from './announcement.js'
 import { LEASE_MS, LEAVE_MS, RENEW_MS, TargetRegistry, type TargetEvent } from './targetRegistry.js'
@@ -62,6 +63,10 @@
   const app = new Hono()
   const idOf = (ctx: Context): string => `${ctx.req.param('daemon')}/${ctx.req.param('name')}`
   const unknown = (ctx: Context): Response => ctx.json({ error: 'not known here; announce it with POST /targets' }, 404)
+  app.use(bodyLimit({
+    maxSize: MAX_BODY_BYTES,
+    onError: (ctx) => ctx.json({ error: `the body is larger than ${MAX_BODY_BYTES} bytes` }, 413, { connection: 'close' })
+  }))
   app.get('/targets', (ctx) => ctx.json(registry.endpoints()))
   app.post('/targets', async (ctx) => {
     const parsed = announcementSchema.safeParse(await readJson(ctx))
@@ -80,9 +85,8 @@
   return app
 }
 
-/** The JSON body of a request; undefined when it is empty, too large or broken. */
+/** The JSON body of a request; undefined when it is empty or broken. */
 async function readJson (ctx: Context): Promise<unknown> {
-  if (Number(ctx.req.header('content-length') ?? 0) > MAX_BODY_BYTES) return undefined
   const text = await ctx.req.text()
   try {
     return text === '' ? undefined : JSON.parse(text)
