--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -16,7 +16,7 @@
     .option('--seconds <n>', 'Length of the run')
     .option('--rate <n>', 'Calls a second')
     .option('--seed <n>', 'Seed of random choices', { default: 1 })
-    .option('--baseline <dir>', 'Compare the path with an earlier build in this directory')
+    .option('--baseline <dir>', 'Compare the path with an earlier build in this directory, or with "plain", a bare hop')
     .action(async (name: string, opts: BenchOptions & { json?: boolean }) => {
       const load = Object.hasOwn(BENCHES, name) ? BENCHES[name] : undefined
       if (!load) {
--- a/packages/bench/src/path/fleet.ts
+++ b/packages/bench/src/path/fleet.ts
@@ -5,6 +5,7 @@
 import { CommandProcess, LOAD_PROGRAM, TARGET_PROGRAM, type LoadRequest, type StreamResult } from '@lentilwheel/testkit'
 
 const PROXY_PROGRAM = fileURLToPath(new URL('./proxyMain.js', import.meta.url))
+const PLAIN_PROGRAM = fileURLToPath(new URL('./plainHopMain.js', import.meta.url))
 export const TARGET_COUNT = 6
 
 const WARM_RATE = 1_500
@@ -31,10 +32,11 @@
   baselinePort = 0
   #sent = 0
 
-  /** `baselineDir` is a built checkout of an earlier version. */
-  constructor (baselineDir?: string) {
-    if (baselineDir === undefined) return
-    this.baseline = new CommandProcess(join(baselineDir, 'packages/bench/dist/path/proxyMain.js'))
+  /** The baseline is `plain`, the least that forwards a call, or a built checkout of an earlier version. */
+  constructor (baseline?: string) {
+    if (baseline === undefined) return
+    this.baseline = new CommandProcess(
+      baseline === 'plain' ? PLAIN_PROGRAM : join(baseline, 'packages/bench/dist/path/proxyMain.js'))
   }
 
   async start (): Promise<void> {
