--- a/packages/proxy/src/__tests__/exchanges.spec.ts
+++ b/packages/proxy/src/__tests__/exchanges.spec.ts
@@ -1,5 +1,7 @@
 import test from 'ava'
+import { once } from 'node:events'
 import type { IncomingHttpHeaders } from 'node:http'
+import { connect } from 'node:net'
 import { readResponseHead } from '../requests/responseHead.js'
 import { ordersConfig, Rig, snapshotOf, viewOf } from './rig.js'
 
@@ -109,6 +111,23 @@
   await rig.stop()
 })
 
+/** Guards against callers that hold a slot or memory for ever by not sending or not reading. */
+test('callers that stall end with their deadline', async (t) => {
+  const rig = await new Rig().start(1, ordersConfig('200ms'))
+  const unsent = await rig.raw('POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab')
+  t.regex(unsent, /^HTTP\/1\.1 504 .*x-lentilwheel-not-run: 1/s)
+  t.is(rig.targets[0]!.received, 0)
+  rig.targets[0]!.answerBytes = 30_000_000
+  const socket = connect({ port: rig.port, host: '127.0.0.1' })
+  socket.on('error', () => {})
+  socket.write('GET /x HTTP/1.1\r\nhost: a\r\n\r\n')
+  await once(socket, 'readable')
+  // Ends when no call is left; the limit lies beyond the time-out of the test run.
+  await rig.proxy.drain({ lingerMs: 0, limitMs: 600_000 })
+  socket.destroy()
+  await rig.stop()
+})
+
 /** Guards against a parse error whose answer a caller would take for that of its call in progress. */
 test('garbage after a request gives no second answer', async (t) => {
   const rig = await new Rig().start(1)
--- a/packages/proxy/src/nodeCall.ts
+++ b/packages/proxy/src/nodeCall.ts
@@ -272,7 +272,9 @@
     if (this.#res.headersSent) return this.#breakAnswer()
     this.#core.counters.refused++
     this.#end()
-    refuse(this.#res, refusal, { notRun: !this.#mayHaveRun, close: this.#mustClose() })
+    // A caller that took until the deadline to send its body isn't waited for any longer.
+    const stalled = refusal === REFUSALS.deadline && !this.#req.complete
+    refuse(this.#res, refusal, { notRun: !this.#mayHaveRun, close: stalled || this.#mustClose() })
     if (!this.#req.complete) this.#req.resume()
   }
 
--- a/packages/proxy/src/service/serviceState.ts
+++ b/packages/proxy/src/service/serviceState.ts
@@ -185,7 +185,7 @@
   }
 }
 
-/** A target that comes back at another address is another target. */
+/** A target that comes back at another address or with another version is another target. */
 function targetKey (endpoint: EndpointView): string {
-  return `${endpoint.id} ${endpoint.address}:${endpoint.port}`
+  return `${endpoint.id} ${endpoint.version} ${endpoint.address}:${endpoint.port}`
 }
--- a/packages/proxy/src/targets/__tests__/targetApp.spec.ts
+++ b/packages/proxy/src/targets/__tests__/targetApp.spec.ts
@@ -71,6 +71,22 @@
   healthy = false
   for (let i = 0; i < 3; i++) await step()
   t.deepEqual([states()[0], targets.endpoints()[0]!.load], ['d1/orders ready', 1])
+  healthy = true
+  await step()
+  t.not(targets.endpoints()[0]!.load, 1)
+})
+
+/** Guards against loads whose every change travels to every daemon. */
+test('loads are announced in steps and seldom', async (t) => {
+  const { timers, send, targets } = setUp()
+  await send('POST', '/targets', ANNOUNCED)
+  const loads: (number | undefined)[] = []
+  for (const load of [0.3, 0.9, 0.9, 0.9, 0.9, 0.9, 0.9]) {
+    await send('PUT', '/targets/d1/orders', { load })
+    loads.push(targets.endpoints()[0]!.load)
+    timers.advance(2_000)
+  }
+  t.deepEqual(loads, [0.25, 0.25, 0.25, 0.25, 0.25, 1, 1])
 })
 
 /** Guards against announcements that would enter the fleet's records unchecked. */
--- a/packages/proxy/src/targets/targetApp.ts
+++ b/packages/proxy/src/targets/targetApp.ts
@@ -43,7 +43,7 @@
     return result
   }
   const now = (): number => opts.timers.now()
-  const poller = new HintPoller(registry, opts.probe, run, publish)
+  const poller = new HintPoller(registry, { probe: opts.probe, run, publish, now })
   const cancels = [
     opts.timers.every(POLL_MS, () => run(registry.tick(now()))),
     opts.timers.every(POLL_MS, () => poller.poll(), { jitter: 0.1 })
@@ -101,13 +101,17 @@
   readonly #probe: Probe
   readonly #run: Run
   readonly #publish: () => void
+  readonly #now: () => number
   readonly #asking = new Set<string>()
 
-  constructor (registry: TargetRegistry, probe: Probe, run: Run, publish: () => void) {
+  constructor (
+    registry: TargetRegistry, opts: { probe: Probe, run: Run, publish: () => void, now: () => number }
+  ) {
     this.#registry = registry
-    this.#probe = probe
-    this.#run = run
-    this.#publish = publish
+    this.#probe = opts.probe
+    this.#run = opts.run
+    this.#publish = opts.publish
+    this.#now = opts.now
   }
 
   poll (): void {
@@ -138,7 +142,7 @@
       const answer = await this.#probe(endpoint, path)
       const load = answer.status === 200 ? parseLoad(answer.body) : undefined
       if (load === undefined) return
-      this.#registry.loadReported(endpoint.id, load)
+      this.#registry.loadReported(endpoint.id, load, this.#now())
       this.#publish()
     }
   }
--- a/packages/proxy/src/targets/targetRegistry.ts
+++ b/packages/proxy/src/targets/targetRegistry.ts
@@ -10,6 +10,9 @@
 const STARTING_LIMIT_MS = 30_000
 /** Failed health checks in a row before a ready target is reported as fully loaded. */
 const UNHEALTHY_CHECKS = 3
+/** Loads are announced in quarters and seldom: each change of them travels to every daemon. */
+const LOAD_STEPS = 4
+const LOAD_PERIOD_MS = 10_000
 /** How long a target that is gone stays listed, so that other daemons see it leave. */
 const GONE_MS = 3_000
 
@@ -24,6 +27,8 @@
   /** When it began to drain or was gone. */
   endedAt: number
   failedChecks: number
+  /** When its announced load last changed. */
+  loadAt: number
 }
 
 /** The targets beside one daemon, each with a lease; a pure state machine that is told the time. */
@@ -51,7 +56,7 @@
       held.renewedAt = now
       return endpoint.id
     }
-    const entry = { announced, endpoint, announcedAt: now, renewedAt: now, endedAt: 0, failedChecks: 0 }
+    const entry = { announced, endpoint, announcedAt: now, renewedAt: now, endedAt: 0, failedChecks: 0, loadAt: -LOAD_PERIOD_MS }
     this.#entries.set(endpoint.id, entry)
     yield { kind: 'announced', endpoint, reason: 'it announced itself' }
     if (announced.healthPath === undefined) yield * this.#setReady(entry, 'it has no health endpoint')
@@ -63,7 +68,7 @@
     const entry = this.#entries.get(id)
     if (!entry || entry.endpoint.state === 'gone') return false
     entry.renewedAt = now
-    if (renewal.load !== undefined) entry.endpoint = { ...entry.endpoint, load: renewal.load }
+    if (renewal.load !== undefined) setLoad(entry, renewal.load, now)
     if (renewal.draining) yield * this.#setLeaving(entry, 'it says that it drains', now)
     return true
   }
@@ -84,6 +89,7 @@
   * checked (id: string, healthy: boolean): Generator<TargetEvent> {
     const entry = this.#entries.get(id)
     if (!entry) return
+    if (healthy && entry.failedChecks >= UNHEALTHY_CHECKS) entry.endpoint = { ...entry.endpoint, load: 0 }
     entry.failedChecks = healthy ? 0 : entry.failedChecks + 1
     if (healthy && entry.endpoint.state === 'starting') yield * this.#setReady(entry, 'its health endpoint says so')
     if (entry.failedChecks === UNHEALTHY_CHECKS && entry.endpoint.state === 'ready') {
@@ -92,10 +98,9 @@
   }
 
   /** Takes in the answer of a load endpoint. */
-  loadReported (id: string, load: number): void {
+  loadReported (id: string, load: number, now: number): void {
     const entry = this.#entries.get(id)
-    if (!entry || entry.failedChecks >= UNHEALTHY_CHECKS) return
-    entry.endpoint = { ...entry.endpoint, load }
+    if (entry) setLoad(entry, load, now)
   }
 
   /** Ends leases and drains that are over. */
@@ -137,6 +142,14 @@
   return entry.endpoint.state === 'starting' || entry.endpoint.state === 'ready'
 }
 
+function setLoad (entry: Entry, load: number, now: number): void {
+  const step = Math.round(load * LOAD_STEPS) / LOAD_STEPS
+  const isUnhealthy = entry.failedChecks >= UNHEALTHY_CHECKS
+  if (isUnhealthy || step === entry.endpoint.load || now - entry.loadAt < LOAD_PERIOD_MS) return
+  entry.loadAt = now
+  entry.endpoint = { ...entry.endpoint, load: step }
+}
+
 function setState (entry: Entry, state: EndpointState): void {
   entry.endpoint = { ...entry.endpoint, state }
 }
