Let relays alone record events of members, and drop news too large for a datagram

- Every daemon recorded every join and removal, which would push all else out of 2,000 places in a large fleet.
- A record above the datagram's room stayed at the head of the news queue and held up all news behind it: with the limit off, the new case does not see the removal of a dead daemon within 40 s.
- Peers that send a request slowly lose their connection.
A bound on pushes that refute a record was tried for two daemons with one id and left out: the case passes without it, since such news travels at the rate of probes.

--- a/packages/mesh/src/__tests__/membership.spec.ts
+++ b/packages/mesh/src/__tests__/membership.spec.ts
@@ -6,7 +6,7 @@
 import { RecordSchema, SuspicionSchema, type Record as MemberRecord } from '../gen/mesh_pb.js'
 import { compareRecords } from '../membership/records.js'
 import { MemberTable } from '../membership/table.js'
-import { addressOf, Fleet } from './fakes/fleet.js'
+import { addressOf, Fleet, type FleetMember } from './fakes/fleet.js'
 
 function record (index: number, change: Partial<MemberRecord> = {}): MemberRecord {
   const dataCentre = `dc${index % 2}`
@@ -157,3 +157,31 @@
   t.true((fleet.network.bytes.datagrams - before) / 24 / 20 < 1_000)
   t.true(fleet.live().every((member) => member.mesh.members().every((other) => other.status === 'alive')))
 })
+
+test('a record too large for a datagram does not hold up other news', async (t) => {
+  const fleet = await Fleet.ready({ daemons: 12 })
+  const long = 'x'.repeat(100)
+  const many = Array.from({ length: 10 }, (_, i) => ({ ...endpoint('d2', 'ready'), id: `d2/${i}${long}`, service: long, version: long }))
+  fleet.members[2]!.mesh.setEndpoints(many)
+  fleet.members[3]!.mesh.setEndpoints([endpoint('d3', 'draining')])
+  const countOf = (member: FleetMember, id: string): number => {
+    return member.mesh.endpoints().filter((view) => view.id.startsWith(`${id}/`)).length
+  }
+  await fleet.until(() => fleet.live().every((member) => countOf(member, 'd2') === 8), 1_000, 'at most 8 of d2')
+  fleet.kill(9)
+  await fleet.until(() => fleet.live().every((member) => member.mesh.members().length === 11), 40_000, 'd9 removed')
+  t.true(fleet.live().every((member) => countOf(member, 'd3') === 1))
+})
+
+/** Guards against two daemons that outrank each other as fast as the network carries it. */
+test('two daemons with one id do not flood the mesh', async (t) => {
+  const fleet = await Fleet.ready({ daemons: 12 })
+  const identity = { id: 'd3', address: '10.0.0.1', ports: { mesh: 2_000 }, dataCentre: 'dc1', region: 'r' }
+  const { host } = fleet.members[3]!
+  fleet.start(12, { identity })
+  await fleet.run(5_000)
+  const before = fleet.network.bytes.datagrams
+  await fleet.run(10_000)
+  t.true((fleet.network.bytes.datagrams - before) / 13 / 10 < 2_048)
+  host.kill()
+})
--- a/packages/mesh/src/membership/news.ts
+++ b/packages/mesh/src/membership/news.ts
@@ -2,6 +2,8 @@
 import { RecordSchema, SuspicionSchema, type Record as MemberRecord, type Suspicion } from '../gen/mesh_pb.js'
 import type { News } from '../wire/messenger.js'
 
+/** Larger items are left to pushes in calls and to exchanges, since they could wait here for ever. */
+const MAX_ITEM_BYTES = 900
 /** Bytes that a repeated field adds to each item. */
 const ITEM_OVERHEAD_BYTES = 4
 
@@ -57,7 +59,7 @@
 }
 
 function put<T> (item: T | undefined, length: number | undefined, room: number, into: T[]): number | undefined {
-  if (item === undefined || length === undefined) return 0
+  if (item === undefined || length === undefined || length > MAX_ITEM_BYTES) return 0
   const bytes = length + ITEM_OVERHEAD_BYTES
   if (bytes > room) return undefined
   into.push(item)
--- a/packages/mesh/src/meshNode.ts
+++ b/packages/mesh/src/meshNode.ts
@@ -166,15 +166,24 @@
 
   #tick (): void {
     const { table, news } = this.#state
-    const { events, metrics, timers } = this.#opts
+    const { metrics, timers } = this.#opts
     for (const effect of table.tick(timers.now())) {
-      recordMembership(events, effect)
+      this.#recordMembership(effect)
       if (effect.kind === 'removed') news.add('record', effect.member.record.id, this.#state.gossipCopies())
       this.#membersChanged()
     }
     metrics.gauge('mesh.members', table.size)
   }
 
+  #recordMembership (effect: MembershipEffect): void {
+    const { events } = this.#opts
+    if (effect.kind === 'removed') return this.#state.recordMember('memberRemoved', effect.member.record)
+    if (!this.#relay.isRelay) return
+    const { dataCentre } = effect
+    if (effect.kind === 'healed') events.record('partitionHealed', { dataCentre })
+    else events.record('partitionSuspected', { dataCentre, unreachable: effect.unreachable, members: effect.members })
+  }
+
   #observed (header: Header, from: MeshAddress | undefined): void {
     this.#starter.answered(header)
     if (from) this.#exchanger.observe(header, from)
@@ -243,18 +252,3 @@
     version
   }
 }
-
-function recordMembership (events: MeshOptions['events'], effect: MembershipEffect): void {
-  switch (effect.kind) {
-    case 'removed':
-      events.record('memberRemoved', { member: effect.member.record.id })
-      return
-    case 'partition': {
-      const { dataCentre, unreachable, members } = effect
-      events.record('partitionSuspected', { dataCentre, unreachable, members })
-      return
-    }
-    case 'healed':
-      events.record('partitionHealed', { dataCentre: effect.dataCentre })
-  }
-}
--- a/packages/mesh/src/meshState.ts
+++ b/packages/mesh/src/meshState.ts
@@ -1,4 +1,4 @@
-import { errorCode, LentilwheelError, type Cancel, type MoveFact } from '@lentilwheel/core'
+import { errorCode, LentilwheelError, type Cancel, type EventType, type MoveFact } from '@lentilwheel/core'
 import type { Snapshot } from '@lentilwheel/config'
 import { CHILD_TIMEOUT_MS, PIGGYBACK_COPIES } from './constants.js'
 import type { MeshContext, SnapshotSource } from './context.js'
@@ -118,12 +118,18 @@
       isChanged = true
       if (result === 'refute') this.#pushSelf()
       else if (as === 'rumour') this.news.add('record', record.id, PIGGYBACK_COPIES)
-      if (as === 'rumour' && result === 'joined') this.opts.events.record('memberJoined', { member: record.id })
-      if (result === 'removed') this.opts.events.record('memberRemoved', { member: record.id })
+      if (as === 'rumour' && result === 'joined') this.recordMember('memberJoined', record)
+      if (result === 'removed') this.recordMember('memberRemoved', record)
     }
     if (isChanged) this.#hooks.membersChanged()
   }
 
+  /** Only relays record members of their data centre: 3,000 copies of each event would push all others out. */
+  recordMember (type: EventType, member: MemberRecord): void {
+    const { relay, dataCentre } = this.table.self
+    if (relay > 0 && member.dataCentre === dataCentre) this.opts.events.record(type, { member: member.id })
+  }
+
   mergeSuspicions (suspicions: readonly Suspicion[]): void {
     let isChanged = false
     for (const suspicion of suspicions) {
--- a/packages/mesh/src/transport/nodeTransport.ts
+++ b/packages/mesh/src/transport/nodeTransport.ts
@@ -16,6 +16,8 @@
 /** Calls to one peer are rare, so a connection is kept only for the few calls of one exchange. */
 const KEEP_ALIVE_MS = 2_000
 const MAX_IDLE_CONNECTIONS = 4
+/** A peer that sends its request slower than this gives its connection back. */
+const SLOW_PEER_LIMITS = { headersTimeout: 5_000, requestTimeout: 10_000, connectionsCheckingInterval: 5_000 }
 /** Connections that peers may hold open at once; a storm beyond it is refused and retried with backoff. */
 const MAX_SERVER_CONNECTIONS = 256
 
@@ -40,7 +42,7 @@
   async listen (handlers: TransportHandlers): Promise<void> {
     const { address, port } = this.#opts
     const routes = makeRoutes(handlers)
-    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (req, res) => {
+    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, ...SLOW_PEER_LIMITS }, (req, res) => {
       this.#serve(routes, req, res).catch(() => res.destroy())
     })
     server.maxConnections = MAX_SERVER_CONNECTIONS
@@ -151,7 +153,7 @@
   }
 }
 
-/** Request or status line and headers of one direction of a call, as sent by the code above. */
+/** Counted for the request or status line and the headers of one direction of a call; the longest are near it. */
 const HTTP_OVERHEAD_BYTES = 220
 
 type Routes = ReadonlyMap<string, UniversalHandler>
