Survive authenticated messages that can't be handled, and share what slices repeated

A push with a difference that does not inflate, a fact of an unknown kind or a cut list, as a peer of another version may send, threw out of the socket's event and would have ended the process; with the catch off, these three new rows fail. A stopping relay no longer pushes its record a second time.

--- a/packages/mesh/src/__tests__/safety.spec.ts
+++ b/packages/mesh/src/__tests__/safety.spec.ts
@@ -1,4 +1,5 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import type { MessageInitShape } from '@bufbuild/protobuf'
 import test from 'ava'
 import fc from 'fast-check'
 import type { MoveFact } from '@lentilwheel/core'
@@ -19,8 +20,12 @@
 }
 
 function pushOf (delta: Delta, key = 'key'): Uint8Array {
-  const header = create(HeaderSchema, { from: 'd1', floor: delta.to, version: delta.to })
-  const value = create(PushSchema, { delta: packDelta(delta) })
+  return sealedPush({ delta: packDelta(delta) }, delta.to, key)
+}
+
+function sealedPush (content: MessageInitShape<typeof PushSchema>, version = 2, key = 'key'): Uint8Array {
+  const header = create(HeaderSchema, { from: 'd1', floor: version, version })
+  const value = create(PushSchema, content)
   return new MeshAuth(key).seal(toBinary(DatagramSchema, create(DatagramSchema, { header, seq: 1, body: { case: 'push', value } })))
 }
 
@@ -78,6 +83,9 @@
   { name: 'a whole version with a wrong key', sealed: () => pushOf(deltaOf(7), 'other key') },
   { name: 'an older version', sealed: () => pushOf(deltaOf(1, 3)) },
   { name: 'objects that don\'t match the root hash', sealed: () => pushOf({ ...deltaOf(7), changed: deltaOf(7).changed.slice(1) }) },
+  { name: 'a difference that does not inflate', sealed: () => sealedPush({ delta: { content: { case: 'deflated', value: new Uint8Array(9).fill(255) } } }) },
+  { name: 'a fact of an unknown kind', sealed: () => sealedPush({ facts: [{ move: 'm', kind: 9 }] }) },
+  { name: 'a delegated list that is cut short', sealed: () => sealedPush({ delegated: new Uint8Array(7) }) },
   {
     name: 'a version that isn\'t closed',
     sealed: () => {
--- a/packages/mesh/src/context.ts
+++ b/packages/mesh/src/context.ts
@@ -24,7 +24,6 @@
   messenger: Messenger
   spreader: Spreader
   isStopped (): boolean
-  isReady (): boolean
   /** Lets work run by itself; expected failures of peers and the platform are counted, others are logged. */
   detach (work: Promise<unknown>): void
   /** Merges records and suspicions of peers; `rumours` are passed on, transfers aren't. */
--- a/packages/mesh/src/dissemination/puller.ts
+++ b/packages/mesh/src/dissemination/puller.ts
@@ -1,16 +1,22 @@
 import type { MessageInitShape } from '@bufbuild/protobuf'
 import { backoffMs, type Cancel } from '@lentilwheel/core'
-import { FULL_TRANSFER_BYTES, FULL_TRANSFER_MS, MAX_FULL_TRANSFERS, PULL_DELAY_MS, PULL_RETRY_MS } from '../constants.js'
+import { PULL_DELAY_MS, PULL_RETRY_MS } from '../constants.js'
 import type { MeshContext, SnapshotSource } from '../context.js'
 import { MeshService, type PullConfigRequest, type PullConfigResponseSchema } from '../gen/mesh_pb.js'
 import type { MeshAddress } from '../wire/address.js'
 import { packDelta, unpackDelta } from '../wire/codec.js'
+import { TransferSlots } from '../wire/transferSlots.js'
 
 const MAX_RETRY_MS = 10_000
 /** A refused version is fetched again after this time, in case the copy of one peer was at fault. */
 const REFUSED_RETRY_MS = 5_000
 const RETRY_AFTER_MS = 300
 
+/** A notice obliges this daemon to push, also when another message named a newer holder meanwhile. */
+function strongest (as: SnapshotSource, before: SnapshotSource | undefined): SnapshotSource {
+  return before === 'notice' ? before : as
+}
+
 /** Fetches the configuration from a peer that holds a higher version. */
 export class Puller {
   readonly #ctx: MeshContext
@@ -19,10 +25,11 @@
   #attempt = 0
   #source: { address: MeshAddress, version: number, as: SnapshotSource } | undefined
   #refused = { version: 0, until: 0 }
-  #transfers = 0
+  readonly #slots: TransferSlots
 
   constructor (ctx: MeshContext) {
     this.#ctx = ctx
+    this.#slots = new TransferSlots(ctx.opts.timers)
   }
 
   stop (): void {
@@ -33,8 +40,7 @@
   behind (address: MeshAddress, version: number, as: SnapshotSource = 'pull', isUrgent = false): void {
     const { holder, opts } = this.#ctx
     if (version <= holder.snapshot.version || this.#isRefused(version)) return
-    const isUp = this.#source === undefined || version >= this.#source.version
-    if (isUp || as === 'notice') this.#source = { address, version, as: as === 'pull' ? this.#source?.as ?? as : as }
+    if (version >= (this.#source?.version ?? 0)) this.#source = { address, version, as: strongest(as, this.#source?.as) }
     if (isUrgent) this.#schedule(0)
     else if (!this.#cancel) this.#schedule(PULL_DELAY_MS * (1 + opts.random.next()))
   }
@@ -45,14 +51,10 @@
 
   /** Gives the difference to a daemon that lags; whole configurations only to a few at a time. */
   answer (req: PullConfigRequest): MessageInitShape<typeof PullConfigResponseSchema> {
-    const { holder, opts } = this.#ctx
+    const { holder } = this.#ctx
     if (req.version >= holder.snapshot.version) return {}
     const delta = packDelta(holder.deltaFrom(req.version, Buffer.from(req.rootHash).toString('hex')))
-    if ((delta.content.value?.length ?? 0) <= FULL_TRANSFER_BYTES) return { delta }
-    if (this.#transfers >= MAX_FULL_TRANSFERS) return { retryAfterMs: RETRY_AFTER_MS }
-    this.#transfers++
-    opts.timers.after(FULL_TRANSFER_MS, () => { this.#transfers-- })
-    return { delta }
+    return this.#slots.admits(delta) ? { delta } : { retryAfterMs: RETRY_AFTER_MS }
   }
 
   #isRefused (version: number): boolean {
--- a/packages/mesh/src/membership/exchanger.ts
+++ b/packages/mesh/src/membership/exchanger.ts
@@ -1,14 +1,13 @@
 import type { MessageInitShape } from '@bufbuild/protobuf'
 import type { Cancel } from '@lentilwheel/core'
-import {
-  DIGEST_BUCKETS, EXCHANGE_FAST_MS, EXCHANGE_PERIOD_MS, FULL_TRANSFER_BYTES, FULL_TRANSFER_MS, MAX_FULL_TRANSFERS
-} from '../constants.js'
+import { DIGEST_BUCKETS, EXCHANGE_FAST_MS, EXCHANGE_PERIOD_MS } from '../constants.js'
 import type { MeshContext } from '../context.js'
 import {
   MeshService, type ExchangeRequest, type ExchangeResponseSchema, type Header, type Record as MemberRecord
 } from '../gen/mesh_pb.js'
 import type { MeshAddress } from '../wire/address.js'
 import { factFromWire, factToWire, packRecords, unpackRecords } from '../wire/codec.js'
+import { TransferSlots } from '../wire/transferSlots.js'
 import { compareRecords } from './records.js'
 import { pickReachable } from './probing.js'
 
@@ -28,11 +27,12 @@
   #cancel: Cancel = () => {}
   #differing: MeshAddress | undefined
   #factsPending = false
-  #transfers = 0
+  readonly #slots: TransferSlots
   #dueAt = 0
 
   constructor (ctx: MeshContext) {
     this.#ctx = ctx
+    this.#slots = new TransferSlots(ctx.opts.timers)
   }
 
   start (): void {
@@ -104,8 +104,7 @@
     this.#merge(req.records, req.facts)
     const buckets = [...table.buckets]
     const records = packRecords(table.recordsOf(differing(table.buckets, req.buckets)))
-    const size = records.content.value?.length ?? 0
-    if (size > FULL_TRANSFER_BYTES && !this.#takeSlot()) return this.#turnAway()
+    if (!this.#slots.admits(records)) return this.#turnAway()
     const isSame = req.header?.factsDigest === facts.digest
     return { buckets, records, facts: isSame ? [] : facts.list().map(factToWire) }
   }
@@ -115,13 +114,6 @@
     this.#ctx.mergeFacts(facts.map(factFromWire))
   }
 
-  #takeSlot (): boolean {
-    if (this.#transfers >= MAX_FULL_TRANSFERS) return false
-    this.#transfers++
-    this.#ctx.opts.timers.after(FULL_TRANSFER_MS, () => { this.#transfers-- })
-    return true
-  }
-
   #turnAway (): MessageInitShape<typeof ExchangeResponseSchema> {
     const { table, opts } = this.#ctx
     const referrals = pickReachable(table, opts.random, REFERRALS).map((member) => member.record)
--- a/packages/mesh/src/meshState.ts
+++ b/packages/mesh/src/meshState.ts
@@ -76,7 +76,8 @@
         piggyback: (to, room) => this.#piggyback(to, room),
         absorb: (news) => this.#absorb(news),
         onDatagram: hooks.onDatagram,
-        onCall: hooks.onCall
+        onCall: hooks.onCall,
+        failed: (err) => this.#failed(err)
       }
     })
     this.spreader = new Spreader({ messenger: this.messenger, table: this.table, random: opts.random, metrics: opts.metrics })
@@ -87,15 +88,13 @@
   }
 
   detach (work: Promise<unknown>): void {
-    work.catch((err: unknown) => {
-      this.opts.metrics.count('mesh.background_failed', 1, { code: errorCode(err) })
-      if (err instanceof LentilwheelError) return
-      this.opts.log.error('background work of the mesh failed', { err })
-    })
+    work.catch((err: unknown) => this.#failed(err))
   }
 
-  isReady (): boolean {
-    return this.#hooks.isReady()
+  #failed (err: unknown): void {
+    this.opts.metrics.count('mesh.background_failed', 1, { code: errorCode(err) })
+    if (err instanceof LentilwheelError) return
+    this.opts.log.error('background work of the mesh failed', { err })
   }
 
   header (): Header {
--- a/packages/mesh/src/relay/accountWriter.ts
+++ b/packages/mesh/src/relay/accountWriter.ts
@@ -1,5 +1,5 @@
 import {
-  accountKey, accountSchema, encodeJson, PlatformConflict, type Account, type Lease
+  accountKey, decodeAccount, encodeJson, type Account, type Lease
 } from '@lentilwheel/platform'
 import { CHILD_TIMEOUT_MS } from '../constants.js'
 import type { MeshContext } from '../context.js'
@@ -46,8 +46,7 @@
 
   /** One step; called at most every 2 s. */
   async step (): Promise<void> {
-    const token = this.#lease.token
-    if (this.#isWriting || token === undefined) return
+    if (this.#isWriting || !this.#lease.isHeld()) return
     this.#isWriting = true
     try {
       if (this.#revision === undefined) await this.#load()
@@ -67,25 +66,16 @@
       return await this.#ctx.opts.platform.put(key, encodeJson(account), { ifRevision: this.#revision ?? 0 })
     } catch (err) {
       this.#revision = undefined
-      if (err instanceof PlatformConflict) this.#written = ''
+      this.#written = ''
       throw err
     }
   }
 
-  /** A higher token in the stored account means that another relay took over; this one writes no more. */
+  /** Reads the revision for the next write, and takes over the refusals that the relay before gathered. */
   async #load (): Promise<void> {
     const stored = await this.#ctx.opts.platform.get(accountKey(this.#ctx.table.self.dataCentre))
     this.#revision = stored?.revision ?? 0
     if (!stored) return
-    const parsed = accountSchema.safeParse(readJson(stored.value))
-    if (parsed.success) this.#collector.inherit(parsed.data.refusals)
-  }
-}
-
-function readJson (value: Uint8Array): unknown {
-  try {
-    return JSON.parse(new TextDecoder().decode(value))
-  } catch {
-    return undefined
+    this.#collector.inherit(decodeAccount(stored.value)?.refusals ?? [])
   }
 }
--- a/packages/mesh/src/relay/relayRole.ts
+++ b/packages/mesh/src/relay/relayRole.ts
@@ -68,7 +68,9 @@
 
   async stop (): Promise<void> {
     this.#cancel()
-    await this.#end()
+    const term = this.#term
+    this.#term = undefined
+    if (term) await closeTerm(term)
   }
 
   #tick (): void {
@@ -103,9 +105,8 @@
     const term = this.#term
     if (!term) return
     this.#term = undefined
-    term.watch.stop()
-    if (!this.#ctx.isStopped()) this.#ctx.changeSelf({ relay: 0 })
-    await term.lease.release().catch(() => {})
+    this.#ctx.changeSelf({ relay: 0 })
+    await closeTerm(term)
   }
 
   #work (term: Term): void {
@@ -143,3 +144,9 @@
     }
   }
 }
+
+/** A lease that can't be given back now ends by itself. */
+async function closeTerm (term: Term): Promise<void> {
+  term.watch.stop()
+  await term.lease.release().catch(() => {})
+}
--- a/packages/mesh/src/wire/messenger.ts
+++ b/packages/mesh/src/wire/messenger.ts
@@ -32,6 +32,8 @@
   /** Handles a datagram that isn't an answer. */
   onDatagram (from: MeshAddress, datagram: Datagram): void
   onCall (method: MeshMethod, req: MessageShape<DescMessage>): Promise<MessageInitShape<DescMessage>>
+  /** Handling a datagram threw; the process must live on, whatever a peer of another version sends. */
+  failed (err: unknown): void
 }
 
 interface StampOptions {
@@ -170,6 +172,14 @@
     }
     const message = datagram.body.case ?? 'none'
     this.#metrics.count('mesh.bytes_received', sealed.length + UDP_OVERHEAD_BYTES, { message })
+    try {
+      this.#handle(from, datagram)
+    } catch (err) {
+      this.#hooks.failed(err)
+    }
+  }
+
+  #handle (from: MeshAddress, datagram: Datagram): void {
     this.#observe(datagram, from)
     this.#hooks.absorb(datagram)
     if (datagram.body.case === 'ack') this.#settle(datagram.body.value.seq, datagram.header)
--- a/packages/platform/src/account.ts
+++ b/packages/platform/src/account.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { decodeJson } from './client.js'
 
 /** Status summary of a data centre as its relay stores it. */
 export const accountSchema = z.object({
@@ -28,3 +29,7 @@
 export function accountKey (dataCentre: string): string {
   return `${ACCOUNT_PREFIX}${dataCentre}`
 }
+
+export function decodeAccount (value: Uint8Array): Account | undefined {
+  return decodeJson(accountSchema, value)
+}
--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -1,3 +1,5 @@
+import type { z } from 'zod'
+
 /** A value kept by the platform; the revision changes with every write. */
 export interface StoredObject {
   key: string
@@ -16,6 +18,15 @@
   watch (key: string, afterRevision: number, signal: AbortSignal): Promise<StoredObject | undefined>
 }
 
+/** Reads a stored JSON value; undefined when it is not what the schema describes. */
+export function decodeJson<S extends z.ZodType> (schema: S, value: Uint8Array): z.output<S> | undefined {
+  try {
+    return schema.safeParse(JSON.parse(new TextDecoder().decode(value))).data
+  } catch {
+    return undefined
+  }
+}
+
 export function encodeJson (value: unknown): Uint8Array {
   return new TextEncoder().encode(JSON.stringify(value))
 }
--- a/packages/platform/src/configStore.ts
+++ b/packages/platform/src/configStore.ts
@@ -5,7 +5,7 @@
 import type { PlatformClient } from './client.js'
 import { PlatformBadAnswer, PlatformConflict, PlatformOutcomeUnknown } from './errors.js'
 import { decodeHead, encodeHead } from './headCodec.js'
-import { accountSchema, ACCOUNT_PREFIX } from './account.js'
+import { ACCOUNT_PREFIX, decodeAccount } from './account.js'
 
 export const HEAD_KEY = 'config/head'
 
@@ -78,21 +78,11 @@
 async function highestInForce (client: PlatformClient): Promise<number> {
   let highest = 0
   for (const { value } of await client.list(ACCOUNT_PREFIX)) {
-    const account = accountSchema.safeParse(readJson(value))
-    if (!account.success) continue
-    highest = Math.max(highest, ...Object.keys(account.data.inForce).map(Number))
+    highest = Math.max(highest, ...Object.keys(decodeAccount(value)?.inForce ?? {}).map(Number))
   }
   return highest
 }
 
-function readJson (value: Uint8Array): unknown {
-  try {
-    return JSON.parse(new TextDecoder().decode(value))
-  } catch {
-    return undefined
-  }
-}
-
 /** A bundle is missing because another operator's change compacted the bundles meanwhile. */
 async function isSuperseded (client: PlatformClient, current: StoredHead, err: unknown): Promise<boolean> {
   if (!(err instanceof HashMismatch)) return false
--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -1,6 +1,6 @@
 import type { Timers } from '@lentilwheel/core'
 import { z } from 'zod'
-import { encodeJson, type PlatformClient, type StoredObject } from './client.js'
+import { decodeJson, encodeJson, type PlatformClient, type StoredObject } from './client.js'
 import { PlatformConflict } from './errors.js'
 
 /** What a lease object holds; its token rises with every new holder. */
@@ -130,9 +130,5 @@
 
 /** Values that are no lease count as free, since they can't be renewed by anyone. */
 export function decodeLease (stored: StoredObject): LeaseValue | undefined {
-  try {
-    return leaseSchema.parse(JSON.parse(new TextDecoder().decode(stored.value)))
-  } catch {
-    return undefined
-  }
+  return decodeJson(leaseSchema, stored.value)
 }
--- a/packages/platform/src/moveRecord.ts
+++ b/packages/platform/src/moveRecord.ts
@@ -1,5 +1,6 @@
 import { MOVE_OUTCOMES, type MoveFact, type MoveFacts } from '@lentilwheel/core'
 import { z } from 'zod'
+import { decodeJson } from './client.js'
 
 /** Progress of a move as its coordinator stores it. */
 export const moveRecordSchema = z.object({
@@ -61,9 +62,5 @@
 }
 
 export function decodeMoveRecord (value: Uint8Array): MoveRecord | undefined {
-  try {
-    return moveRecordSchema.parse(JSON.parse(new TextDecoder().decode(value)))
-  } catch {
-    return undefined
-  }
+  return decodeJson(moveRecordSchema, value)
 }
