--- a/packages/mesh/src/meshState.ts
+++ b/packages/mesh/src/meshState.ts
@@ -1,4 +1,4 @@
-import { errorCode, LentilwheelError, type Cancel, type MoveFact } from '@lentilwheel/core'
+import { errorCode, LentilwheelError, type Cancel, type EventType, type MoveFact } from '@lentilwheel/core'
 import type { Snapshot } from '@lentilwheel/config'
 import { CHILD_TIMEOUT_MS, PIGGYBACK_COPIES } from './constants.js'
 import type { MeshContext, SnapshotSource } from './context.js'
@@ -76,7 +76,8 @@
         piggyback: (to, room) => this.#piggyback(to, room),
         absorb: (news) => this.#absorb(news),
         onDatagram: hooks.onDatagram,
-        onCall: hooks.onCall
+        onCall: hooks.onCall,
+        failed: (err) => this.#failed(err)
       }
     })
     this.spreader = new Spreader({ messenger: this.messenger, table: this.table, random: opts.random, metrics: opts.metrics })
@@ -87,15 +88,13 @@
   }
 
   detach (work: Promise<unknown>): void {
-    work.catch((err: unknown) => {
-      this.opts.metrics.count('mesh.background_failed', 1, { code: errorCode(err) })
-      if (err instanceof LentilwheelError) return
-      this.opts.log.error('background work of the mesh failed', { err })
-    })
+    work.catch((err: unknown) => this.#failed(err))
   }
 
-  isReady (): boolean {
-    return this.#hooks.isReady()
+  #failed (err: unknown): void {
+    this.opts.metrics.count('mesh.background_failed', 1, { code: errorCode(err) })
+    if (err instanceof LentilwheelError) return
+    this.opts.log.error('background work of the mesh failed', { err })
   }
 
   header (): Header {
@@ -118,12 +117,18 @@
       isChanged = true
       if (result === 'refute') this.#pushSelf()
       else if (as === 'rumour') this.news.add('record', record.id, PIGGYBACK_COPIES)
-      if (as === 'rumour' && result === 'joined') this.opts.events.record('memberJoined', { member: record.id })
-      if (result === 'removed') this.opts.events.record('memberRemoved', { member: record.id })
+      if (as === 'rumour' && result === 'joined') this.recordMember('memberJoined', record)
+      if (result === 'removed') this.recordMember('memberRemoved', record)
     }
     if (isChanged) this.#hooks.membersChanged()
   }
 
+  /** Only relays record members of their data centre: 3,000 copies of each event would push all others out. */
+  recordMember (type: EventType, member: MemberRecord): void {
+    const { relay, dataCentre } = this.table.self
+    if (relay > 0 && member.dataCentre === dataCentre) this.opts.events.record(type, { member: member.id })
+  }
+
   mergeSuspicions (suspicions: readonly Suspicion[]): void {
     let isChanged = false
     for (const suspicion of suspicions) {
--- a/packages/platform/src/account.ts
+++ b/packages/platform/src/account.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { decodeJson } from './client.js'
 
 /** A version that daemons refused whole. */
 export const refusalSchema = z.object({
@@ -32,3 +33,7 @@
 export function accountKey (dataCentre: string): string {
   return `${ACCOUNT_PREFIX}${dataCentre}`
 }
+
+export function decodeAccount (value: Uint8Array): Account | undefined {
+  return decodeJson(accountSchema, value)
+}
