Plan to reach 100% 12 s before the deadline, and cap a suspicious daemon for 6 s

Cause: a burst of a noisy dependency at the change to 100% held some daemons at 20% for 15 s, and a concurrent test after an alarm then overran the deadline.

--- a/packages/moves/src/constants.ts
+++ b/packages/moves/src/constants.ts
@@ -5,8 +5,8 @@
 /** Most that the first stage is raised to, so that a bad version fails few calls of a quiet service. */
 export const MAX_FIRST_SHARE = 0.1
 
-/** Part of the time left that the ramp plans with; the rest absorbs late ticks and spreading of facts. */
-export const PLANNED_TIME_PART = 0.85
+/** Time before the deadline at which the ramp plans to reach 100%: room for one concurrent test after an alarm. */
+export const ALARM_ROOM_MS = 12_000
 /** Shortest stage: evidence of one second needs up to two more to be merged and acted on. */
 export const MIN_STAGE_MS = 3_000
 /** Longest stage; a deadline hours away must not stretch a move for hours. */
@@ -67,7 +67,7 @@
 export const LOCAL_TRIP = Math.log(1e7)
 /** Share to which one daemon falls when nearly all of its calls go to a failing new version. */
 export const LOCAL_CAP_SHARE = 0.2
-export const LOCAL_CAP_MS = 15_000
+export const LOCAL_CAP_MS = 6_000
 /** With `finish`, time after the deadline in which a suspicion may still settle before the move ends late. */
 export const UNSURE_GRACE_MS = 15_000
 /** Numbers of the stages from the first one with all traffic on; a new coordinator tells a test after an alarm by it. */
--- a/packages/moves/src/plan.ts
+++ b/packages/moves/src/plan.ts
@@ -1,6 +1,5 @@
 import {
-  MAX_FIRST_SHARE, MAX_STAGE_MS, MIN_STAGE_MS, PLANNED_TIME_PART, SPREAD_MS,
-  STAGE_SHARES, STAGE_WEIGHTS
+  ALARM_ROOM_MS, MAX_FIRST_SHARE, MAX_STAGE_MS, MIN_STAGE_MS, SPREAD_MS, STAGE_SHARES, STAGE_WEIGHTS
 } from './constants.js'
 
 /** Share of the first stage: raised for a quiet service until it yields the calls needed in its planned time. */
@@ -22,7 +21,7 @@
   const weights = STAGE_WEIGHTS.slice(index)
   const sum = weights.reduce((total, weight) => total + weight, 0)
   const part = sum === 0 ? 0 : weights[0]! / sum
-  const planned = (leftMs - SPREAD_MS) * PLANNED_TIME_PART * part
+  const planned = (leftMs - SPREAD_MS - ALARM_ROOM_MS) * part
   return Math.min(MAX_STAGE_MS, Math.max(MIN_STAGE_MS, planned))
 }
 
