Estimate the old version's past failure rate less cautiously in the hold alarm

Cause: with few past calls the upper estimate was so high that 3% failing at 20 calls a second raised no alarm.

--- a/packages/moves/src/holdAlarm.ts
+++ b/packages/moves/src/holdAlarm.ts
@@ -135,6 +135,6 @@
   const own = route === undefined ? baseline.service : baseline.route(route)
   const sum = own.calls >= MIN_PAST_CALLS ? own : baseline.service
   if (sum.calls < MIN_PAST_CALLS) return UNKNOWN_RATE
-  const upper = (sum.errors + 2 * Math.sqrt(sum.errors + 1) + 1) / sum.calls * DRIFT
+  const upper = (sum.errors + Math.sqrt(sum.errors + 1) + 0.5) / sum.calls * DRIFT
   return Math.min(MAX_RATE / 2, upper)
 }
