--- /dev/null
+++ b/packages/bench/src/docs/__tests__/metrics.spec.ts
@@ -0,0 +1,10 @@
+import test from 'ava'
+import { findMetrics, metricsInTable } from '../metricTable.js'
+import { packagesDir, readPage } from '../pages.js'
+
+/** Guards against dashboards on metrics that no longer exist, and against metrics that nobody can look up. */
+test('the table of metrics has the names, types and tags that the code sends', (t) => {
+  const sent = findMetrics(packagesDir)
+  t.true(sent.length >= 20)
+  t.deepEqual(metricsInTable(readPage('operators.md')), sent)
+})
--- a/packages/mesh/src/transport/nodeTransport.ts
+++ b/packages/mesh/src/transport/nodeTransport.ts
@@ -6,7 +6,7 @@
 import type { UniversalClientRequest, UniversalClientResponse, UniversalHandler } from '@connectrpc/connect/protocol'
 import type { Metrics } from '@lentilwheel/core'
 import { MAX_DATAGRAM_BYTES, MAX_RPC_BYTES } from '../constants.js'
-import { MeshMessageTooLarge, MeshPeerUnreachable } from '../errors.js'
+import { MeshMessageTooLarge, MeshPeerUnreachable, MeshUnauthenticated } from '../errors.js'
 import { MeshService } from '../gen/mesh_pb.js'
 import { splitAddress, type MeshAddress } from '../wire/address.js'
 import type { MeshAuth } from '../wire/auth.js'
@@ -41,7 +41,10 @@
     const { address, port } = this.#opts
     const routes = makeRoutes(handlers)
     const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (req, res) => {
-      this.#serve(routes, req, res).catch(() => res.destroy())
+      this.#serve(routes, req, res).catch((err) => {
+        if (err instanceof MeshUnauthenticated) this.#opts.metrics.count('mesh.dropped', 1, { reason: 'unauthenticated' })
+        res.destroy()
+      })
     })
     server.maxConnections = MAX_SERVER_CONNECTIONS
     await new Promise<void>((resolve, reject) => server.once('error', reject).listen(port, address, resolve))
