Read refusals as counts, as relays write them

Relays store the number of daemons that refused a version, the command line expected their names. One refusal made it leave out every account: status and refusals showed nothing, and apply did not end when daemons refused its version. The reports now have the count and the data centres; daemons that lack the version are still named by status.

--- /dev/null
+++ b/packages/bench/src/__tests__/daemonStop.spec.ts
@@ -0,0 +1,93 @@
+import { PassThrough } from 'node:stream'
+import test from 'ava'
+import { Agent, request } from 'undici'
+import { TargetServer } from '@lentilwheel/testkit'
+import { waitFor } from '../processes.js'
+import { FleetRig, LIMIT_MS } from './fleetRig.js'
+
+const CALLERS = 20
+const RUN_MS = 20
+
+const rig = new FleetRig({ drainSeconds: 300 })
+test.before(async () => await rig.start())
+test.after.always(async () => await rig.stop())
+
+async function startTarget (daemon: number): Promise<TargetServer> {
+  const { ports } = rig.fleet.daemons[daemon]!
+  const target = new TargetServer({
+    service: 'service0', version: 'v1', slots: 1_000, daemonUrl: `http://127.0.0.1:${ports.target}`
+  })
+  target.delayMs = () => RUN_MS
+  await target.start()
+  return target
+}
+
+async function readyTargets (daemon: number): Promise<number> {
+  const { targets } = await rig.fleet.status(daemon)
+  return targets.reduce((sum, { ready }) => sum + ready, 0)
+}
+
+type Outcome = 'answered' | 'notRun' | 'notConnected' | 'broken'
+
+/** Sends non-idempotent calls on a kept connection until the daemon takes no more. */
+async function callUntilClosed (caller: number, url: string, outcomes: Map<string, Outcome>): Promise<void> {
+  const agent = new Agent({ connections: 1 })
+  for (let i = 0; ; i++) {
+    const id = `c${caller}-${i}`
+    const outcome = await callOnce(agent, url, id)
+    outcomes.set(id, outcome)
+    if (outcome === 'notConnected' || outcome === 'broken') break
+  }
+  await agent.close()
+}
+
+async function callOnce (dispatcher: Agent, url: string, id: string): Promise<Outcome> {
+  try {
+    const res = await request(url, { dispatcher, method: 'POST', headers: { 'x-request-id': id }, body: 'order' })
+    const text = await res.body.text()
+    if (res.headers['x-lentilwheel-not-run'] === '1') return 'notRun'
+    return res.statusCode === 200 && (JSON.parse(text) as { id: string }).id === id ? 'answered' : 'broken'
+  } catch (err) {
+    return (err as NodeJS.ErrnoException).code === 'ECONNREFUSED' ? 'notConnected' : 'broken'
+  }
+}
+
+/** Guards against calls that are cut off or run twice by a planned stop, also when it is asked for twice. */
+test.serial('SIGTERM under load cuts no call off, and the targets beside the daemon leave first', async (t) => {
+  t.is((await rig.apply()).code, 0)
+  const targets = [await startTarget(0), await startTarget(1)]
+  await waitFor('both targets on every daemon', async () =>
+    (await Promise.all(rig.fleet.daemons.map(async (_, i) => await readyTargets(i)))).every((n) => n === 2), LIMIT_MS)
+  const { ports, process } = rig.fleet.daemons[0]!
+  const url = `http://127.0.0.1:${ports.proxy}/service0/0/x`
+  const exited = new Promise<number | null>((resolve) => process.once('exit', resolve))
+
+  const body = new PassThrough()
+  const held = request(url, { method: 'POST', headers: { 'x-request-id': 'held' }, body })
+  body.write('first half')
+  const outcomes = new Map<string, Outcome>()
+  const callers = Array.from({ length: CALLERS }, async (_, i) => await callUntilClosed(i, url, outcomes))
+  await waitFor('calls to be answered', async () => outcomes.size > 10 * CALLERS, LIMIT_MS)
+
+  process.kill('SIGTERM')
+  await waitFor('the target beside it to leave', async () => await readyTargets(1) === 1, LIMIT_MS)
+  t.is(process.exitCode, null, 'the held call keeps the daemon')
+  await Promise.all(callers)
+  process.kill('SIGTERM')
+  await rig.fleet.status(1)
+  t.is(process.exitCode, null)
+  t.is(process.signalCode, null)
+  body.end('second half')
+  const answer = await held
+  t.is(answer.statusCode, 200)
+  t.is((await answer.body.json() as { id: string }).id, 'held')
+  t.is(await exited, 0)
+
+  const runs = (id: string): number => targets.reduce((sum, target) => sum + (target.runs.get(id) ?? 0), 0)
+  t.is(runs('held'), 1)
+  for (const [id, outcome] of outcomes) {
+    t.not(outcome, 'broken', id)
+    t.is(runs(id), outcome === 'answered' ? 1 : 0, `${id} ${outcome}`)
+  }
+  await Promise.all(targets.map(async (target) => await target.kill()))
+})
--- a/packages/cli/src/account/schema.ts
+++ b/packages/cli/src/account/schema.ts
@@ -27,8 +27,8 @@
   changeId: z.string(),
   reason: z.string(),
   at: unixMs,
-  /** Daemons that refused it for this reason. */
-  daemons: z.array(z.string())
+  /** Number of daemons that refused it for this reason. */
+  daemons: count
 })
 
 /** Status of one data centre: the object `account/<dataCentre>` on the platform. */
--- a/packages/cli/src/account/view.ts
+++ b/packages/cli/src/account/view.ts
@@ -74,6 +74,8 @@
 }
 
 export interface RefusalView extends Refusal {
+  /** Data centres whose daemons refused it. */
+  dataCentres: readonly string[]
   /** Who made the change; known only from the platform. */
   author?: string
 }
@@ -81,14 +83,16 @@
 /** Refusals of all data centres, newest first; the same refusal in several becomes one. */
 export function refusalsOf (view: FleetView): RefusalView[] {
   const merged = new Map<string, RefusalView>()
-  for (const refusal of view.accounts.flatMap((account) => account.refusals)) {
+  const refusals = view.accounts.flatMap(({ dataCentre, refusals }) => refusals.map((refusal) => ({ dataCentre, ...refusal })))
+  for (const { dataCentre, ...refusal } of refusals) {
     const key = JSON.stringify([refusal.version, refusal.changeId, refusal.reason])
     const known = merged.get(key)
     const author = view.accepted?.changes.find((change) => change.id === refusal.changeId)?.author
     merged.set(key, {
       ...refusal,
       at: Math.min(refusal.at, known?.at ?? Infinity),
-      daemons: [...new Set([...known?.daemons ?? [], ...refusal.daemons])].sort(),
+      daemons: (known?.daemons ?? 0) + refusal.daemons,
+      dataCentres: [...new Set([...known?.dataCentres ?? [], dataCentre])].sort(),
       ...(author === undefined ? {} : { author })
     })
   }
--- a/packages/cli/src/apply/waiting.ts
+++ b/packages/cli/src/apply/waiting.ts
@@ -70,6 +70,6 @@
     `${counted(count, 'further daemon')} in ${dataCentre}, which its account does not name`)
   const refused = accounts.flatMap((account) => account.refusals)
     .filter((refusal) => refusal.version === version)
-    .map((refusal) => `refused by ${refusal.daemons.join(', ')}: ${refusal.reason}`)
+    .map((refusal) => `refused by ${counted(refusal.daemons, 'daemon')}: ${refusal.reason}`)
   return [...new Set([...refused, ...named, ...unnamed])]
 }
--- a/packages/cli/src/reports/fields.ts
+++ b/packages/cli/src/reports/fields.ts
@@ -2,7 +2,7 @@
 export const REPORT_FIELDS = {
   dataCentres: ['dataCentre', 'members', 'holding', 'share', 'versions', 'at'],
   lagging: ['daemon', 'dataCentre', 'version', 'reason'],
-  refusals: ['version', 'changeId', 'author', 'at', 'count', 'daemons', 'reason'],
+  refusals: ['version', 'changeId', 'author', 'at', 'count', 'dataCentres', 'reason'],
   moves: ['id', 'service', 'from', 'to', 'by', 'state', 'control', 'stage', 'share', 'reason', 'at'],
   history: ['version', 'at', 'author', 'changeId', 'count', 'objects'],
   timeline: ['at', 'daemon', 'type', 'what', 'service', 'move', 'version', 'cause', 'id']
--- a/packages/cli/src/reports/rows.ts
+++ b/packages/cli/src/reports/rows.ts
@@ -25,8 +25,8 @@
 }
 
 export function refusalRows (refusals: readonly RefusalView[]): Row<'refusals'>[] {
-  return refusals.map(({ daemons, ...refusal }) => ({
-    ...refusal, count: daemons.length, daemons: daemons.join(', ')
+  return refusals.map(({ daemons, dataCentres, ...refusal }) => ({
+    ...refusal, count: daemons, dataCentres: dataCentres.join(', ')
   }))
 }
 
--- a/packages/cli/src/timeline/fromPlatform.ts
+++ b/packages/cli/src/timeline/fromPlatform.ts
@@ -15,7 +15,7 @@
   const refused = refusalsOf(view).map((refusal, i) => event('refused', `${refusal.version}-${i}`, {
     wallMs: refusal.at,
     type: 'versionRefused',
-    fields: { version: refusal.version, daemons: refusal.daemons.join(' '), reason: refusal.reason },
+    fields: { version: refusal.version, daemons: refusal.daemons, reason: refusal.reason },
     cause: refusal.changeId
   }))
   const moves = view.records.map((record) => event('move', record.id, {
