--- a/packages/mesh/src/wire/messenger.ts
+++ b/packages/mesh/src/wire/messenger.ts
@@ -11,7 +11,6 @@
 import { Pace } from './pace.js'
 
 export type DatagramBody = NonNullable<MessageInitShape<typeof DatagramSchema>['body']>
-export type BodyKind = NonNullable<Datagram['body']['case']>
 /** Message with the header that every one carries. */
 type Headed = { header?: Header }
 
