--- a/packages/bench/src/path/index.ts
+++ b/packages/bench/src/path/index.ts
@@ -138,6 +138,10 @@
   return { minMs: round(added[0]!), medianMs: round(added[added.length >> 1]!), maxMs: round(added.at(-1)!) }
 }
 
+function p99ToDirect (row: Row): number {
+  return row.proxied.p99Ms / row.direct.p99Ms
+}
+
 function round (value: number): number {
   return Math.round(value * 1000) / 1000
 }
@@ -207,6 +211,8 @@
     duplicateRuns: sum((row) => row.duplicateRuns),
     untruthfulRefusals: sum((row) => row.untruthfulRefusals),
     slowTargetP99Ratio: round(slow.proxied.p99Ms / main.proxied.p99Ms),
+    // The two rows run at different times; each one's direct calls show how disturbed it was.
+    slowTargetP99RatioToDirect: round(p99ToDirect(slow) / p99ToDirect(main)),
     rows
   }
 }
