--- a/packages/proxy/src/nodeCall.ts
+++ b/packages/proxy/src/nodeCall.ts
@@ -2,7 +2,9 @@
 import type { Dispatcher } from 'undici'
 import type { Cancel } from '@lentilwheel/core'
 import { mayHaveRun, mayRetry, type AttemptOutcome } from './attempts/outcome.js'
-import { ATTEMPT_HEADER, DEADLINE_HEADER, MAX_DISCARDED_BODY_BYTES, MAX_HELD_BODY_BYTES, NOT_RUN_HEADER } from './constants.js'
+import {
+  ATTEMPT_HEADER, DEADLINE_HEADER, MAX_DISCARDED_BODY_BYTES, MAX_HELD_BODY_BYTES, NOT_RUN_HEADER
+} from './constants.js'
 import { Attempt, type AttemptOwner } from './nodeAttempt.js'
 import { BodyTooLarge, CallerBody, type BodyProgress } from './nodeCallerBody.js'
 import { refuse, type ProxyCore } from './nodeProxyCore.js'
@@ -13,6 +15,7 @@
 import type { CompiledRoute } from './routing/router.js'
 import type { ServiceState, WaitingCall } from './service/serviceState.js'
 
+/** Undici's refusals of a request before it is sent; they say nothing about the target. */
 const NO_ATTEMPT_ERROR_CODES: ReadonlySet<string> = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED'])
 const OVERLOADED_STATUS = 503
 const FIRST_ERROR_STATUS = 500
@@ -39,7 +42,7 @@
   #ended = false
   #awaitsContinue: boolean
   #sendsTrailers = false
-  #cancelDeadline: Cancel
+  readonly #cancelDeadline: Cancel
 
   constructor (
     core: ProxyCore, req: IncomingMessage, res: ServerResponse, head: RequestHead, route: CompiledRoute,
