Announce versions to peers that are no relays first

With all relays killed at once, a restarted relay served version 6 after it had served 7: both peers that it had told of 7 were relays and died with it, so the three peers that answered knew only 6.

--- a/packages/mesh/src/__tests__/safety.spec.ts
+++ b/packages/mesh/src/__tests__/safety.spec.ts
@@ -70,6 +70,37 @@
   await fleet.until(() => again.mesh.readiness().ready, 5_000, 'ready')
 })
 
+/**
+ * Guards against peers of an announcement that die together with the announcer: all relays are cut off when one of them
+ * serves a new version, and killed. Restarted, none of them may serve the version before.
+ */
+for (const seed of [1, 2, 3, 4, 5, 6]) {
+  test(`a version that only relays served is not forgotten when all relays die, seed ${seed}`, async (t) => {
+    const fleet = await Fleet.ready({ daemons: 8, dataCentres: 2, seed })
+    const relays = fleet.relays()
+    const addresses = new Set(relays.map(({ address }) => address))
+    let isServed = false
+    for (const { mesh } of relays) {
+      mesh.on({
+        onSnapshot: () => {
+          isServed = true
+          fleet.platform.isDown = true
+          fleet.network.isCut = (from, to) => addresses.has(from) || addresses.has(to)
+        }
+      })
+    }
+    await fleet.apply(2)
+    await fleet.until(() => isServed, 10_000, 'served by a relay')
+    fleet.kill(...relays.map(({ index }) => index))
+    fleet.network.isCut = () => false
+    for (const { index } of relays) fleet.start(index)
+    await fleet.run(10_000)
+    t.is(fleet.reverts, 0)
+    fleet.platform.isDown = false
+    await fleet.inForce(2)
+  })
+}
+
 const attacks: { name: string, sealed: () => Uint8Array }[] = [
   { name: 'garbage', sealed: () => new Uint8Array(200).fill(7) },
   { name: 'nothing', sealed: () => new Uint8Array() },
--- a/packages/mesh/src/floor/announce.ts
+++ b/packages/mesh/src/floor/announce.ts
@@ -5,13 +5,15 @@
 
 /**
  * Tells two peers of a version and waits for their answers, so that the floor outlives this daemon when it dies right
- * after it took the version into force. Peers that don't answer are replaced until all were asked once.
+ * after it took the version into force. Peers that are no relays come first, since all relays may die at once. Peers
+ * that don't answer are replaced until all were asked once.
  */
 export async function announceVersion (
   parts: { messenger: Messenger, table: MemberTable, random: Random }, version: number
 ): Promise<number> {
   const { messenger, table, random } = parts
-  const reachable = shuffled(table.members().filter((member) => table.status(member) === 'alive'), random)
+  const alive = shuffled(table.members().filter((member) => table.status(member) === 'alive'), random)
+  const reachable = alive.toSorted((a, b) => Math.sign(a.record.relay) - Math.sign(b.record.relay))
   let answers = 0
   while (answers < ANNOUNCE_PEERS && reachable.length > 0) {
     const asked = reachable.splice(0, ANNOUNCE_PEERS - answers)
