--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -1,5 +1,8 @@
 import { spawn, type ChildProcess } from 'node:child_process'
+import { randomInt } from 'node:crypto'
+import { createSocket } from 'node:dgram'
 import { mkdtempSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -77,12 +80,31 @@
   }
 }
 
-/** Finds free ports by binding them all before any is released. */
+/** Below the range from which the kernel takes ports of outgoing connections, which would race with a daemon's start. */
+const FIRST_PORT = 10_000
+const LAST_PORT = 32_000
+
+/** Finds ports that are free for TCP and UDP, drawn at random so that fleets started side by side don't collide. */
 export async function freePorts (count: number): Promise<number[]> {
-  const { createServer } = await import('node:net')
-  const servers = Array.from({ length: count }, () => createServer())
-  await Promise.all(servers.map((server) => new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))))
-  const ports = servers.map((server) => (server.address() as { port: number }).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
-  return ports
+  const ports = new Set<number>()
+  while (ports.size < count) {
+    const port = randomInt(FIRST_PORT, LAST_PORT)
+    if (!ports.has(port) && await isFree(port)) ports.add(port)
+  }
+  return [...ports]
+}
+
+async function isFree (port: number): Promise<boolean> {
+  const server = createServer()
+  const socket = createSocket('udp4')
+  try {
+    await new Promise<void>((resolve, reject) => server.once('error', reject).listen(port, '127.0.0.1', resolve))
+    await new Promise<void>((resolve, reject) => socket.once('error', reject).bind(port, '127.0.0.1', resolve))
+    return true
+  } catch {
+    return false
+  } finally {
+    if (server.listening) await new Promise((resolve) => server.close(resolve))
+    socket.close()
+  }
 }
