--- a/packages/bench/src/__tests__/daemonStop.spec.ts
+++ b/packages/bench/src/__tests__/daemonStop.spec.ts
@@ -56,6 +56,7 @@
 test.serial('SIGTERM under load cuts no call off, and the targets beside the daemon leave first', async (t) => {
   t.is((await rig.apply()).code, 0)
   const targets = [await startTarget(0), await startTarget(1)]
+  t.teardown(async () => { await Promise.all(targets.map(async (target) => await target.kill())) })
   await waitFor('both targets on every daemon', async () =>
     (await Promise.all(rig.fleet.daemons.map(async (_, i) => await readyTargets(i)))).every((n) => n === 2), LIMIT_MS)
   const { ports, process } = rig.fleet.daemons[0]!
@@ -86,5 +87,4 @@
     t.not(outcome, 'broken', id)
     t.is(runs(id), outcome === 'answered' ? 1 : 0, `${id} ${outcome}`)
   }
-  await Promise.all(targets.map(async (target) => await target.kill()))
 })
