Refuse calls before a stopping daemon closes its listener, and close it in a quiet moment

Cause: closing a listening socket resets the connections that the kernel has queued but the process has not accepted. Callers that came back after connection: close met this: connect ECONNRESET, and once read ECONNRESET after the request was written. Ruled out: calls cut off by the drain limit, and answers of the target. Now a draining proxy refuses new calls as not run after its linger time and closes the listener when no connection came for 100 ms, after 2 s at the latest.

--- a/packages/proxy/src/constants.ts
+++ b/packages/proxy/src/constants.ts
@@ -24,6 +24,10 @@
 export const CALLER_KEEP_ALIVE_MS = 65_000
 /** How long a draining proxy still accepts, so that callers notice `connection: close` first. */
 export const DRAIN_LINGER_MS = 1_000
+/** A draining proxy stops accepting after such a time without a new connection. */
+export const DRAIN_QUIET_MS = 100
+/** Longest wait for such a time; callers that keep coming in spite of refusals don't hold up the stop. */
+export const DRAIN_QUIET_LIMIT_MS = 2_000
 /** Longest wait for calls in flight when draining; longer than any default call timeout. */
 export const DRAIN_LIMIT_MS = 30_000
 
--- a/packages/proxy/src/nodeProxyServer.ts
+++ b/packages/proxy/src/nodeProxyServer.ts
@@ -3,7 +3,7 @@
 import type { Cancel, EndpointView, Metrics, Random, Timers } from '@lentilwheel/core'
 import type { Snapshot } from '@lentilwheel/config'
 import {
-  CALLER_HEADERS_TIMEOUT_MS, CALLER_KEEP_ALIVE_MS, DRAIN_LIMIT_MS, DRAIN_LINGER_MS, MAX_HEADER_BYTES, NOT_RUN_HEADER,
+  CALLER_HEADERS_TIMEOUT_MS, CALLER_KEEP_ALIVE_MS, DRAIN_LIMIT_MS, DRAIN_LINGER_MS, DRAIN_QUIET_LIMIT_MS, DRAIN_QUIET_MS, MAX_HEADER_BYTES, NOT_RUN_HEADER,
   REFUSAL_HEADER, UPKEEP_MS
 } from './constants.js'
 import { ProxyCounters } from './counters.js'
@@ -57,6 +57,9 @@
   #endpoints: readonly EndpointView[] = []
   #callers = 1
   #active = 0
+  /** Connections accepted so far. */
+  #accepted = 0
+  #refusesAll = false
   #onIdle: (() => void) | undefined
 
   constructor (opts: ProxyOptions) {
@@ -118,10 +121,13 @@
     this.setEndpoints(this.#endpoints)
   }
 
-  /** Ends without cutting off a request: callers are told to leave, then nothing new is accepted. */
+  /** Ends without cutting off a request: callers are told to leave, then refused, then nothing new is accepted. */
   async drain (opts: DrainOptions = {}): Promise<void> {
     this.#core.draining = true
-    await this.#sleep(opts.lingerMs ?? DRAIN_LINGER_MS)
+    const lingerMs = opts.lingerMs ?? DRAIN_LINGER_MS
+    await this.#sleep(lingerMs)
+    this.#refusesAll = true
+    if (lingerMs > 0) await this.#waitUntilQuiet()
     const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()))
     await this.#waitUntilIdle(opts.limitMs ?? DRAIN_LIMIT_MS)
     this.#server.closeIdleConnections()
@@ -156,6 +162,7 @@
       noDelay: true
     })
     server.on('connection', (socket) => {
+      this.#accepted++
       this.#idle.add(socket, this.#opts.timers.now())
       socket.once('close', () => this.#idle.remove(socket))
     })
@@ -170,6 +177,7 @@
     this.counters.calls++
     const head = new RequestHead(req.method!, req.url!, req.rawHeaders)
     if (head.refusal) return this.#refuse(res, head.refusal, true)
+    if (this.#refusesAll) return this.#refuse(res, REFUSALS.stopping, true)
     if (!this.#router) return this.#refuse(res, REFUSALS.noConfiguration, awaitsContinue)
     const route = this.#router.match(req.method!, head.host, head.path, req.headers)
     if (!route) return this.#refuse(res, REFUSALS.noRoute, awaitsContinue)
@@ -250,6 +258,15 @@
     this.#opts.metrics.gauge('proxy.active', this.#active)
   }
 
+  /** Closing the listener resets connections that it has not accepted yet, so it is closed when none arrive. */
+  async #waitUntilQuiet (): Promise<void> {
+    for (let waited = 0; waited < DRAIN_QUIET_LIMIT_MS; waited += DRAIN_QUIET_MS) {
+      const before = this.#accepted
+      await this.#sleep(DRAIN_QUIET_MS)
+      if (this.#accepted === before) return
+    }
+  }
+
   async #sleep (ms: number): Promise<void> {
     await new Promise<void>((resolve) => { this.#opts.timers.after(ms, resolve) })
   }
--- a/packages/proxy/src/requests/refusal.ts
+++ b/packages/proxy/src/requests/refusal.ts
@@ -14,6 +14,7 @@
 /** Every refusal by its code. */
 export const REFUSALS = {
   noConfiguration: new Refusal(503, 'no-configuration', 'no configuration is in force yet'),
+  stopping: new Refusal(503, 'stopping', 'the daemon is stopping; call another one'),
   noRoute: new Refusal(404, 'no-route', 'no route matches the request'),
   badTarget: new Refusal(400, 'bad-request-target', 'the request target must be a path that starts with "/"'),
   badHost: new Refusal(400, 'bad-host', 'the request needs exactly one host header'),
