Ask the peers that the last run told of a version before serving again

Cause: a relay tells two peers of a version before it takes it into force, but its next run took any three ready peers' word for the version floor. When the relay died before anything else that it sent arrived, and the two peers had not passed the floor on, it served the version before. Ruled out: telling more peers, which only makes the gap smaller.

--- a/packages/mesh/src/__tests__/safety.spec.ts
+++ b/packages/mesh/src/__tests__/safety.spec.ts
@@ -30,10 +30,11 @@
 }
 
 test('a starting daemon serves only when the floor is known and reached', (t) => {
-  const view: StartView = { version: 5, floor: 5, headKnown: false, readyAnswers: 0, answers: 0, peers: 0, factsLoaded: true }
+  const view: StartView = { version: 5, floor: 5, headKnown: false, readyAnswers: 0, answers: 0, peers: 0, awaitsWitness: false, factsLoaded: true }
   const rows: [string, Partial<StartView>, boolean][] = [
     ['the platform answers', { headKnown: true }, true],
     ['three ready peers answer', { readyAnswers: 3, answers: 3, peers: 9 }, true],
+    ['a peer told by the run before is silent', { readyAnswers: 3, answers: 3, peers: 9, awaitsWitness: true }, false],
     ['two of nine peers answer', { readyAnswers: 2, answers: 2, peers: 9 }, false],
     ['three starting peers of nine answer', { answers: 3, peers: 9 }, false],
     ['all of two peers answer', { readyAnswers: 2, answers: 2, peers: 2 }, true],
@@ -75,6 +76,33 @@
   await fleet.until(() => again.mesh.readiness().ready, 5_000, 'ready')
 })
 
+/**
+ * Guards against a floor that only the two peers of an announcement know: a relay dies right after it took a version into
+ * force, and what its peers heard reaches nobody but the relay's next run.
+ */
+for (const seed of [1, 2, 3, 4, 5, 6]) {
+  test(`a restarted relay asks the peers that it had told of its version, seed ${seed}`, async (t) => {
+    const fleet = await Fleet.ready({ daemons: 24, dataCentres: 2, seed })
+    const { host, mesh, address, index } = fleet.relays()[0]!
+    const hosts = new Set(fleet.members.map((member) => member.host))
+    fleet.platform.isBlocked = (other) => hosts.has(other) && other !== host
+    mesh.on({
+      onSnapshot: () => {
+        fleet.platform.isDown = true
+        fleet.network.isCut = () => true
+      }
+    })
+    await fleet.apply(2)
+    await fleet.until(() => mesh.snapshot().version === 2, 10_000, 'held by the relay')
+    fleet.kill(index)
+    const again = fleet.start(index)
+    fleet.network.isCut = (from, to) => ![from, to].includes(address)
+    await fleet.run(5_000)
+    t.false(again.mesh.readiness().ready)
+    t.is(fleet.reverts, 0)
+  })
+}
+
 /**
  * Guards against peers of an announcement that die together with the announcer: all relays are cut off when one of them
  * serves a new version, and killed. Restarted, none of them may serve the version before.
--- a/packages/mesh/src/floor/announce.ts
+++ b/packages/mesh/src/floor/announce.ts
@@ -1,7 +1,7 @@
-import { shuffled, type Random } from '@lentilwheel/core'
 import { ANNOUNCE_PEERS, CHILD_TIMEOUT_MS } from '../constants.js'
 import type { MemberTable } from '../membership/table.js'
 import type { Messenger } from '../wire/messenger.js'
+import { witnessOrder } from './witnesses.js'
 
 /**
  * Tells two peers of a version and waits for their answers, so that the floor outlives this daemon when it dies right
@@ -9,10 +9,10 @@
  * that don't answer are replaced until all were asked once.
  */
 export async function announceVersion (
-  parts: { messenger: Messenger, table: MemberTable, random: Random }, version: number
+  parts: { messenger: Messenger, table: MemberTable }, version: number
 ): Promise<number> {
-  const { messenger, table, random } = parts
-  const alive = shuffled(table.members().filter((member) => table.status(member) === 'alive'), random)
+  const { messenger, table } = parts
+  const alive = witnessOrder(table).filter((member) => table.status(member) === 'alive')
   const reachable = alive.toSorted((a, b) => Math.sign(a.record.relay) - Math.sign(b.record.relay))
   let answers = 0
   while (answers < ANNOUNCE_PEERS && reachable.length > 0) {
--- a/packages/mesh/src/floor/startRule.ts
+++ b/packages/mesh/src/floor/startRule.ts
@@ -14,19 +14,24 @@
   answers: number
   /** Peers known and not unreachable. */
   peers: number
+  /** A peer that the run before may have told of a version has yet to answer. */
+  awaitsWitness: boolean
   /** Facts came from the platform or from a ready peer. */
   factsLoaded: boolean
 }
 
 /**
  * Whether a starting daemon may serve. It must be at or above the floor, and the floor must come from the platform's
- * head, from three ready peers, or from all known peers. Answers of peers that are starting themselves count only
+ * head, from three ready peers and the peers that its run before told, or from all known peers. Answers of peers that are starting themselves count only
  * when nobody else is left to ask, since they may not know the floor yet.
  */
 export function startRule (view: StartView): Readiness {
   if (view.version === 0) return { ready: false, reason: 'no configuration version is held yet' }
-  const isFloorKnown = view.headKnown || view.readyAnswers >= START_ANSWERS ||
+  const isFloorKnown = view.headKnown || (view.readyAnswers >= START_ANSWERS && !view.awaitsWitness) ||
     (view.peers > 0 && view.answers >= view.peers)
+  if (!isFloorKnown && view.awaitsWitness && view.readyAnswers >= START_ANSWERS) {
+    return { ready: false, reason: 'version floor is unknown: a peer that the last run may have told of a version is silent' }
+  }
   if (!isFloorKnown) {
     return { ready: false, reason: `version floor is unknown: ${view.readyAnswers} of ${START_ANSWERS} ready peers answered and the platform did not` }
   }
--- a/packages/mesh/src/floor/starter.ts
+++ b/packages/mesh/src/floor/starter.ts
@@ -8,15 +8,17 @@
 import type { MeshContext } from '../context.js'
 import type { Exchanger } from '../membership/exchanger.js'
 import type { Header } from '../gen/mesh_pb.js'
-import type { Member } from '../membership/table.js'
 import type { Readiness } from '../types.js'
 import { meshAddress, type MeshAddress } from '../wire/address.js'
 import { startRule } from './startRule.js'
 import { takeHead } from './takeHead.js'
+import { witnessOrder } from './witnesses.js'
 
 /** Seeds asked in each period until one answers. */
 const SEEDS_AT_ONCE = 2
 const ASK_TIMEOUT_MS = 200
+/** A peer that stayed silent this often is given up for a while, so that dead ones don't hold up the start. */
+const MAX_ASKS = 4
 const JOIN_BACKOFF_CAP_MS = 2_000
 
 /** Brings a starting daemon into the mesh and decides when it may serve. */
@@ -27,6 +29,9 @@
   readonly #seeds: readonly MeshAddress[]
   readonly #answered = new Set<string>()
   readonly #ready = new Set<string>()
+  /** Times that each peer was asked. */
+  readonly #asks = new Map<string, number>()
+  readonly #givenUp = new Set<string>()
   #readiness: Readiness = { ready: false, reason: 'starting' }
   #headKnown = false
   #factsLoaded = false
@@ -103,6 +108,7 @@
       readyAnswers: this.#ready.size,
       answers: peers.filter((member) => this.#answered.has(member.record.id)).length,
       peers: peers.length,
+      awaitsWitness: this.#awaitsWitness(),
       factsLoaded: this.#factsLoaded
     })
     const isNew = next.ready !== this.#readiness.ready || next.reason !== this.#readiness.reason
@@ -149,21 +155,26 @@
   }
 
   #askPeers (): void {
-    const { table, messenger, opts } = this.#ctx
-    const unasked = table.members().filter((member) => {
-      return !this.#answered.has(member.record.id) && table.status(member) !== 'unreachable'
+    const { table, messenger } = this.#ctx
+    const unasked = witnessOrder(table).filter(({ record }) => {
+      return !this.#answered.has(record.id) && (this.#asks.get(record.id) ?? 0) < MAX_ASKS
     })
-    for (const member of this.#nearestFirst(shuffled(unasked, opts.random)).slice(0, START_ASKS)) {
-      const request = messenger.request(member.address, { case: 'ping', value: {} }, ASK_TIMEOUT_MS)
-      this.#ctx.detach(request.then(() => this.check()))
+    for (const { address, record } of unasked.slice(0, START_ASKS)) {
+      this.#asks.set(record.id, (this.#asks.get(record.id) ?? 0) + 1)
+      const request = messenger.request(address, { case: 'ping', value: {} }, ASK_TIMEOUT_MS)
+      this.#ctx.detach(request.then(() => {
+        if (this.#asks.get(record.id) === MAX_ASKS) this.#givenUp.add(record.id)
+        this.check()
+      }))
     }
+    if (unasked.length === 0) this.#asks.clear()
   }
 
-  /** A version reaches the own data centre first, so its members know the floor best. */
-  #nearestFirst (members: readonly Member[]): Member[] {
-    const { dataCentre } = this.#ctx.table.self
-    const isNear = (member: Member): boolean => member.record.dataCentre === dataCentre
-    return [...members.filter(isNear), ...members.filter((member) => !isNear(member))]
+  /** Whether a peer that the run before may have told of a version has yet to answer; silent ones are given up. */
+  #awaitsWitness (): boolean {
+    return witnessOrder(this.#ctx.table).slice(0, START_ASKS).some(({ record }) => {
+      return !this.#answered.has(record.id) && !this.#givenUp.has(record.id)
+    })
   }
 
   /** Facts must come from a ready peer, since others may have missed some. */
--- a/packages/mesh/src/floor/takeHead.ts
+++ b/packages/mesh/src/floor/takeHead.ts
@@ -8,6 +8,6 @@
   const { holder, floor, messenger, table, opts } = ctx
   const snapshot = await loadSnapshot(opts.platform, head, holder.snapshot.objects)
   floor.raise(snapshot.version)
-  await announceVersion({ messenger, table, random: opts.random }, snapshot.version)
+  await announceVersion({ messenger, table }, snapshot.version)
   if (holder.hold(snapshot)) ctx.held(snapshot, source)
 }
