Choose subsets anew only for services whose targets changed

Cause: each change of one target recomputed the subsets of all services, which stops the event loop of every daemon for that time.

--- a/packages/proxy/src/service/__tests__/serviceState.spec.ts
+++ b/packages/proxy/src/service/__tests__/serviceState.spec.ts
@@ -90,3 +90,19 @@
   state.tick(500, 250)
   t.is(target.limit, 10)
 })
+
+/** Guards against an update that is taken for unchanged: another state, another order of callers, a target that left. */
+test('an update changes targets exactly when the endpoints or the callers differ', (t) => {
+  const { state, retired } = setUp()
+  const [a, b] = [view('a'), view('b')]
+  state.update([a, b], 1, 0)
+  const before = [...state.targets]
+  state.update([a, b], 1, 1)
+  t.deepEqual([...state.targets], before)
+  state.update([a, { ...b, state: 'draining' }], 1, 2)
+  t.deepEqual(retired, ['d1/b'])
+  state.update([a, b], 1, 3)
+  t.deepEqual([...state.targets].map((target) => target.view.id).sort(), ['d1/a', 'd1/b'])
+  state.update([], 1, 4)
+  t.deepEqual([...state.targets], [])
+})
--- a/packages/proxy/src/service/serviceState.ts
+++ b/packages/proxy/src/service/serviceState.ts
@@ -6,7 +6,7 @@
 import type { TargetState } from '../balance/targetState.js'
 import { DeadlineQueue, expectedWaitMs, type Waiting } from '../limits/deadlineQueue.js'
 import { RetryBudget } from '../limits/retryBudget.js'
-import { groupBy } from '../utils.js'
+import { groupBy, sameItems } from '../utils.js'
 
 /** Smoothing of the run time, about the last 20 calls. */
 const RUN_ALPHA = 0.05
@@ -41,6 +41,8 @@
   #service: Service
   #waiting = 0
   /** Smoothed time for which a call holds a slot. */
+  #endpoints: readonly EndpointView[] = []
+  #callers = 0
   #runMs = 1
 
   constructor (service: Service, opts: ServiceStateOptions<T>) {
@@ -98,8 +100,14 @@
     if (this.#waiting > 0) this.#startWaiting(target.view.version)
   }
 
-  /** Takes over the announced endpoints of this service. */
+  /**
+   * Takes over the announced endpoints of this service. Unchanged endpoints are the same objects, so that a change of one
+   * target costs little for all other services.
+   */
   update (endpoints: readonly EndpointView[], callers: number, now: number): void {
+    if (callers === this.#callers && sameItems(endpoints, this.#endpoints)) return
+    this.#callers = callers
+    this.#endpoints = endpoints
     const warm = this.#targets.size === 0
     const usable = endpoints.filter((endpoint) => endpoint.state === 'ready' || endpoint.state === 'starting')
     const seen = new Set<string>()
--- a/packages/proxy/src/utils.ts
+++ b/packages/proxy/src/utils.ts
@@ -9,3 +9,8 @@
   }
   return groups
 }
+
+/** Whether two lists hold the same objects in the same order. */
+export function sameItems<T> (a: readonly T[], b: readonly T[]): boolean {
+  return a.length === b.length && a.every((item, i) => item === b[i])
+}
