Carry the stage of evidence between daemons

The coordinator keeps reports of different stages apart, since pooling different shares makes a fault of one moment look like one of a version; the message between daemons left the stage out, so it took the stage it knew.

--- a/packages/mesh/src/__tests__/safety.spec.ts
+++ b/packages/mesh/src/__tests__/safety.spec.ts
@@ -277,18 +277,27 @@
 test('evidence reaches the one coordinator, and the next one when that dies', async (t) => {
   const fleet = await Fleet.ready({ daemons: 12 })
   const got: string[] = []
-  for (const { id, mesh } of fleet.members) mesh.on({ onEvidence: (report) => got.push(`${id}<${report.daemon}`) })
+  const stages = new Set<number | undefined>()
+  for (const { id, mesh } of fleet.members) {
+    mesh.on({
+      onEvidence: (report) => {
+        got.push(`${id}<${report.daemon}`)
+        stages.add(report.stage)
+      }
+    })
+  }
   const buckets = Array.from({ length: 200 }, (_, i) => i)
   const rows = Array.from({ length: 9 }, (_, i) => ({ route: `r${i}`, version: 'v2', calls: 5, errors: 1, buckets }))
   const send = async (): Promise<string[]> => {
     got.length = 0
-    for (const { mesh, id } of fleet.live()) mesh.sendEvidence({ move: 'm', daemon: id, rows })
+    for (const { mesh, id } of fleet.live()) mesh.sendEvidence({ move: 'm', daemon: id, stage: 3, rows })
     await fleet.run(500)
     return [...new Set(got.map((entry) => entry.split('<')[0]!))]
   }
   const [first, ...others] = await send()
   t.deepEqual(others, [])
   t.is(new Set(got).size, 12)
+  t.deepEqual([...stages], [3])
   t.deepEqual(fleet.live().filter((member) => member.mesh.isCoordinator('m')).map((member) => member.id), [first])
   fleet.kill(Number(first!.slice(1)))
   await fleet.run(10_000)
--- a/packages/mesh/src/wire/codec.ts
+++ b/packages/mesh/src/wire/codec.ts
@@ -68,7 +68,7 @@
 
 export function evidenceFromWire (wire: Evidence): EvidenceReport {
   const rows = wire.rows.map(({ route, version, calls, errors, buckets }) => ({ route, version, calls, errors, buckets }))
-  return { move: wire.move, daemon: wire.daemon, rows }
+  return { move: wire.move, daemon: wire.daemon, rows, ...(wire.stage === undefined ? {} : { stage: wire.stage }) }
 }
 
 export function packDelta (delta: Delta): Packed {
