Bound the young generation by an option of node instead of a flag set at run time

Conclusion: 2 MB, set in the first line of lentilwheeld, since V8 takes this option only when it starts. The benches start the program by that line too.

--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -42,7 +42,8 @@
       targetPort: ports.target,
       meshPort: ports.mesh
     }))
-    const child = spawn(process.execPath, [DAEMON_PROGRAM, file], { stdio: ['ignore', 'ignore', 'inherit'] })
+    // Started by its first line, which sets options of node.
+    const child = spawn(DAEMON_PROGRAM, [file], { stdio: ['ignore', 'ignore', 'inherit'] })
     this.#track(child)
     return { id, dataCentre: String(settings['dataCentre']), ports, process: child }
   }
--- a/packages/daemon/bin/lentilwheeld.js
+++ b/packages/daemon/bin/lentilwheeld.js
@@ -1,8 +1,5 @@
-#!/usr/bin/env node
-import { setFlagsFromString } from 'node:v8'
+#!/usr/bin/env -S node --max-semi-space-size=2
+// The small young generation keeps a daemon under its memory target; V8 would let it grow to 32 MB and keep it.
+import { main } from '../dist/main.js'
 
-// Keeps the young generation at its initial size; by default it grows to 32 MB and stays resident.
-setFlagsFromString('--semi-space-growth-factor=1')
-
-const { main } = await import('../dist/main.js')
 await main(process.argv)
