--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -85,14 +85,33 @@
 const FIRST_PORT = 10_000
 const LAST_PORT = 32_000
 
-/** Finds ports that are free for TCP and UDP, drawn at random so that fleets started side by side don't collide. */
+/** Ports of a block; its first one is kept open by the process that claimed the block. */
+const BLOCK_SIZE = 100
+const unused: number[] = []
+
+/** Finds ports that are free for TCP and UDP; no other process that uses this function is given the same ones. */
 export async function freePorts (count: number): Promise<number[]> {
-  const ports = new Set<number>()
-  while (ports.size < count) {
-    const port = randomInt(FIRST_PORT, LAST_PORT)
-    if (!ports.has(port) && await isFree(port)) ports.add(port)
+  const ports: number[] = []
+  while (ports.length < count) {
+    if (unused.length === 0) unused.push(...await claimBlock())
+    const port = unused.pop()!
+    if (await isFree(port)) ports.push(port)
+  }
+  return ports
+}
+
+/** Ports that were only found free could be taken by another fleet before the daemons listen on them. */
+async function claimBlock (): Promise<number[]> {
+  for (;;) {
+    const first = FIRST_PORT + BLOCK_SIZE * randomInt((LAST_PORT - FIRST_PORT) / BLOCK_SIZE)
+    const claim = createServer().unref()
+    try {
+      await new Promise<void>((resolve, reject) => claim.once('error', reject).listen(first, '127.0.0.1', resolve))
+      return Array.from({ length: BLOCK_SIZE - 1 }, (_, i) => first + 1 + i)
+    } catch {
+      // Another process has this block.
+    }
   }
-  return [...ports]
 }
 
 async function isFree (port: number): Promise<boolean> {
