Share the hash, the grouping and the pause that stood twice, and rank witnesses once

fnv1a32 and groupBy now stand in core; mesh and proxy keep their own last mixing steps, so ranks and subsets are the same as before. The benches share one sleep. A starting daemon hashed two ids in every comparison of the witness order and did so even after the head had settled the floor; it now hashes each id once and skips the order when the answer cannot matter. No behaviour changes.

--- a/packages/bench/src/convergence/index.ts
+++ b/packages/bench/src/convergence/index.ts
@@ -6,7 +6,7 @@
 import { readForceHistory } from '../fleet/history.js'
 import { quantile, round, summarize } from '../fleet/procStats.js'
 import type { Bench, BenchOptions, BenchResult, Report } from '../options.js'
-import { waitFor } from '../processes.js'
+import { sleep, waitFor } from '../processes.js'
 
 const DEFAULT_DAEMONS = 60
 const DEFAULT_SECONDS = 40
@@ -177,7 +177,3 @@
   })
   return Object.fromEntries(Object.entries(sums).map(([message, n]) => [message, round(n / seconds / daemons, 1)]))
 }
-
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/packages/bench/src/path/index.ts
+++ b/packages/bench/src/path/index.ts
@@ -1,5 +1,6 @@
 import type { LoadStream, StreamResult } from '@lentilwheel/testkit'
 import type { Bench, BenchOptions, Report } from '../options.js'
+import { sleep } from '../processes.js'
 import { compare } from './compare.js'
 import { Fleet, TARGET_COUNT } from './fleet.js'
 
@@ -146,10 +147,6 @@
   return Math.round(value * 1000) / 1000
 }
 
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 async function specialRows (bench: PathBench, rate: number, seconds: number): Promise<Row[]> {
   const { fleet } = bench
   const rows: Row[] = []
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -71,6 +71,10 @@
   }
 }
 
+export async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
+
 /** Polls until the check holds; rejects at the time limit with what was awaited. */
 export async function waitFor (what: string, check: () => Promise<boolean>, limitMs: number): Promise<void> {
   const until = Date.now() + limitMs
--- a/packages/bench/src/recovery/faults.ts
+++ b/packages/bench/src/recovery/faults.ts
@@ -2,6 +2,7 @@
 import type { PlatformServer } from '@lentilwheel/testkit'
 import { applyConfig, fleetConfig, type AcceptedChange } from '../fleet/changes.js'
 import type { Fleet } from '../fleet/fleet.js'
+import { sleep } from '../processes.js'
 
 export interface FaultContext {
   fleet: Fleet
@@ -47,10 +48,6 @@
   return fleet.daemons.map((_, i) => i)
 }
 
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 export const FAULTS: readonly Fault[] = [
   {
     name: 'relaysKilled',
--- a/packages/mesh/src/floor/starter.ts
+++ b/packages/mesh/src/floor/starter.ts
@@ -108,7 +108,7 @@
       readyAnswers: this.#ready.size,
       answers: peers.filter((member) => this.#answered.has(member.record.id)).length,
       peers: peers.length,
-      awaitsWitness: this.#awaitsWitness(),
+      awaitsWitness: !this.#headKnown && this.#awaitsWitness(),
       factsLoaded: this.#factsLoaded
     })
     const isNew = next.ready !== this.#readiness.ready || next.reason !== this.#readiness.reason
--- a/packages/mesh/src/floor/witnesses.ts
+++ b/packages/mesh/src/floor/witnesses.ts
@@ -6,6 +6,8 @@
  * the floor. It depends on ids alone, so that a run that has forgotten everything asks those that the run before told.
  */
 export function witnessOrder (table: MemberTable): Member[] {
-  const rank = (member: Member): number => hash32(`${table.self.id}\n${member.record.id}`)
-  return table.members().toSorted((a, b) => rank(a) - rank(b) || (a.record.id < b.record.id ? -1 : 1))
+  return table.members()
+    .map((member) => ({ member, rank: hash32(`${table.self.id}\n${member.record.id}`) }))
+    .sort((a, b) => a.rank - b.rank || (a.member.record.id < b.member.record.id ? -1 : 1))
+    .map(({ member }) => member)
 }
--- a/packages/mesh/src/membership/records.ts
+++ b/packages/mesh/src/membership/records.ts
@@ -1,3 +1,4 @@
+import { fnv1a32 } from '@lentilwheel/core'
 import type { Record as MemberRecord } from '../gen/mesh_pb.js'
 
 type Stamp = Pick<MemberRecord, 'incarnation' | 'sequence' | 'gone'>
@@ -7,13 +8,9 @@
   return a.incarnation - b.incarnation || a.sequence - b.sequence || Number(a.gone) - Number(b.gone)
 }
 
-const FNV_OFFSET = 0x811c9dc5
-const FNV_PRIME = 0x01000193
-
-/** 32-bit FNV-1a; spreads ids over buckets and ranks, and is no defence against crafted input. */
+/** Spreads ids over buckets and ranks. */
 export function hash32 (text: string): number {
-  let hash = FNV_OFFSET
-  for (let i = 0; i < text.length; i++) hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME)
+  let hash = fnv1a32(text)
   hash ^= hash >>> 16
   hash = Math.imul(hash, 0x85ebca6b)
   hash ^= hash >>> 13
--- a/packages/moves/src/engine.ts
+++ b/packages/moves/src/engine.ts
@@ -1,5 +1,5 @@
 import {
-  mergeMoveFact, type EndpointView, type EvidenceReport, type MoveFact, type MoveFacts, type Timers
+  groupBy, mergeMoveFact, type EndpointView, type EvidenceReport, type MoveFact, type MoveFacts, type Timers
 } from '@lentilwheel/core'
 import type { Snapshot } from '@lentilwheel/config'
 import { Coordinator } from './coordinator.js'
@@ -71,7 +71,7 @@
   }
 
   setEndpoints (endpoints: readonly EndpointView[]): void {
-    this.#endpoints = byService(endpoints)
+    this.#endpoints = groupBy(endpoints, (endpoint) => endpoint.service)
     for (const move of this.#moves.values()) move.setEndpoints(this.#endpoints.get(move.service) ?? [])
   }
 
@@ -164,14 +164,4 @@
 }
 
 /** One pass over all endpoints, whatever the number of moves. */
-function byService (endpoints: readonly EndpointView[]): Map<string, EndpointView[]> {
-  const groups = new Map<string, EndpointView[]>()
-  for (const endpoint of endpoints) {
-    const group = groups.get(endpoint.service)
-    if (group) group.push(endpoint)
-    else groups.set(endpoint.service, [endpoint])
-  }
-  return groups
-}
-
 const NO_FACTS: MoveFacts = {}
--- a/packages/proxy/src/balance/subset.ts
+++ b/packages/proxy/src/balance/subset.ts
@@ -1,4 +1,4 @@
-import type { EndpointView } from '@lentilwheel/core'
+import { fnv1a32, type EndpointView } from '@lentilwheel/core'
 
 /** Targets of one version that a daemon uses when there are more. */
 export const SUBSET_SIZE = 12
@@ -6,8 +6,6 @@
 const MIN_SUBSET_SIZE = 2
 /** Standard deviations above the mean number of daemons that pick one target, which a target must have room for. */
 const PICKERS_MARGIN = 4
-const FNV_OFFSET = 0x811c9dc5
-const FNV_PRIME = 0x01000193
 
 export interface SubsetQuestion {
   daemon: string
@@ -65,9 +63,7 @@
 
 /** FNV-1a over both names with a final mix; equal on every daemon. */
 export function rendezvousRank (daemon: string, target: string): number {
-  let hash = FNV_OFFSET
-  const text = `${daemon}\n${target}`
-  for (let i = 0; i < text.length; i++) hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME)
+  let hash = fnv1a32(`${daemon}\n${target}`)
   hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
   hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
   return (hash ^ (hash >>> 16)) >>> 0
--- a/packages/proxy/src/nodeProxyServer.ts
+++ b/packages/proxy/src/nodeProxyServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import type { Cancel, EndpointView, Metrics, Random, Timers } from '@lentilwheel/core'
+import { groupBy, type Cancel, type EndpointView, type Metrics, type Random, type Timers } from '@lentilwheel/core'
 import type { Snapshot } from '@lentilwheel/config'
 import {
   CALLER_HEADERS_TIMEOUT_MS, CALLER_KEEP_ALIVE_MS, DRAIN_LIMIT_MS, DRAIN_LINGER_MS, DRAIN_QUIET_LIMIT_MS, DRAIN_QUIET_MS, MAX_HEADER_BYTES, NOT_RUN_HEADER,
@@ -16,7 +16,6 @@
 import { RequestHead } from './requests/requestHead.js'
 import { buildRouter, type Router } from './routing/router.js'
 import { ServiceState } from './service/serviceState.js'
-import { groupBy } from './utils.js'
 
 export interface ProxyOptions {
   /** Id of this daemon; decides which subset of targets it uses. */
--- a/packages/proxy/src/service/serviceState.ts
+++ b/packages/proxy/src/service/serviceState.ts
@@ -1,4 +1,4 @@
-import type { EndpointView, Random } from '@lentilwheel/core'
+import { groupBy, type EndpointView, type Random } from '@lentilwheel/core'
 import type { Service } from '@lentilwheel/config'
 import { ejectOutliers } from '../balance/ejection.js'
 import { chooseSubset, type SubsetQuestion } from '../balance/subset.js'
@@ -6,7 +6,7 @@
 import type { TargetState } from '../balance/targetState.js'
 import { DeadlineQueue, expectedWaitMs, type Waiting } from '../limits/deadlineQueue.js'
 import { RetryBudget } from '../limits/retryBudget.js'
-import { groupBy, sameItems } from '../utils.js'
+import { sameItems } from '../utils.js'
 
 /** Smoothing of the run time, about the last 20 calls. */
 const RUN_ALPHA = 0.05
