Carry calls over two daemons on the users' machines

A new package, hop, holds the call path with a daemon on each side: routing, placing, admission, the link between daemons, and how they find each other through the platform's store. platform/ translates settings, heartbeats, store objects and headers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,10 +9,11 @@
   mesh: ['core', 'config', 'platform'],
   proxy: ['core', 'config'],
   moves: ['core', 'config'],
+  hop: ['core', 'moves'],
   daemon: ['core', 'config', 'platform', 'mesh', 'proxy', 'moves'],
   cli: ['core', 'config', 'platform'],
   testkit: ['core', 'config'],
-  bench: ['core', 'config', 'builder', 'platform', 'testkit', 'mesh', 'proxy', 'moves', 'daemon', 'cli']
+  bench: ['core', 'config', 'builder', 'platform', 'testkit', 'mesh', 'proxy', 'moves', 'hop', 'daemon', 'cli']
 }
 
 const importDirection = Object.entries(allowedImports).map(([name, allowed]) => ({
@@ -31,7 +32,7 @@
 }))
 
 const pureDecisions = {
-  files: ['packages/{core,config,builder,platform,mesh,proxy,moves,daemon,cli}/src/**/*.ts'],
+  files: ['packages/{core,config,builder,platform,mesh,proxy,moves,hop,daemon,cli}/src/**/*.ts', 'platform/src/**/*.ts'],
   ignores: ['**/node*.ts', '**/__tests__/**', '**/gen/**'],
   rules: {
     'no-restricted-properties': ['error',
@@ -48,7 +49,7 @@
 }
 
 export default [
-  { ignores: ['**/dist/**', '**/gen/**', 'bench-out/**'] },
+  { ignores: ['**/dist/**', '**/gen/**', 'bench-out/**', 'target/**', 'journal/**'] },
   ...neostandard({ ts: true }),
   { rules: { 'max-lines': ['error', { max: 400 }] } },
   pureDecisions,
--- /dev/null
+++ b/packages/hop/src/fleet/hostTable.ts
@@ -0,0 +1,69 @@
+import { isNewer, type HostRecord, type TargetRecord } from './records.js'
+
+/** Records of all known daemons, the own one included. */
+export class HostTable {
+  readonly #records = new Map<string, HostRecord>()
+  #own: HostRecord
+
+  constructor (own: HostRecord) {
+    this.#own = own
+    this.#records.set(own.host, own)
+  }
+
+  get own (): HostRecord {
+    return this.#own
+  }
+
+  get size (): number {
+    return this.#records.size
+  }
+
+  get (host: string): HostRecord | undefined {
+    return this.#records.get(host)
+  }
+
+  all (): HostRecord[] {
+    return [...this.#records.values()]
+  }
+
+  peers (): HostRecord[] {
+    return this.all().filter((record) => record.host !== this.#own.host)
+  }
+
+  /** Changes the own record and raises its sequence. */
+  update (change: Partial<Pick<HostRecord, 'stopping' | 'configVersion' | 'incarnation'>>): HostRecord {
+    return this.#setOwn({ ...this.#own, ...change })
+  }
+
+  setTarget (target: TargetRecord | undefined): HostRecord {
+    const { target: _, ...rest } = this.#own
+    return this.#setOwn(target ? { ...rest, target } : rest)
+  }
+
+  /**
+   * Merges a record heard from elsewhere and tells whether it changed anything. An older self with a higher incarnation
+   * means that the clock went back between two starts: the own incarnation rises above it.
+   */
+  merge (record: HostRecord): boolean {
+    if (record.host === this.#own.host) {
+      if (record.incarnation <= this.#own.incarnation) return false
+      this.update({ incarnation: record.incarnation + 1 })
+      return true
+    }
+    const held = this.#records.get(record.host)
+    if (held && !isNewer(record, held)) return false
+    this.#records.set(record.host, record)
+    return true
+  }
+
+  /** Forgets a daemon that is known to be gone for good. */
+  remove (host: string): boolean {
+    return host !== this.#own.host && this.#records.delete(host)
+  }
+
+  #setOwn (record: HostRecord): HostRecord {
+    this.#own = { ...record, sequence: record.sequence + 1 }
+    this.#records.set(record.host, this.#own)
+    return this.#own
+  }
+}
--- /dev/null
+++ b/packages/hop/src/fleet/records.ts
@@ -0,0 +1,38 @@
+export const TARGET_STATES = ['ready', 'draining'] as const
+export type TargetState = typeof TARGET_STATES[number]
+
+/** A target as the daemon beside it announces it to its peers. */
+export interface TargetRecord {
+  id: string
+  service: string
+  version: string
+  slots: number
+  state: TargetState
+  /** Milliseconds for which the target stays slow after its start, counted from the announcement. */
+  coldMs: number
+}
+
+/**
+ * What one daemon says about itself. Each record has one writer; a reader keeps the one with the higher incarnation,
+ * then the higher sequence.
+ */
+export interface HostRecord {
+  host: string
+  dataCentre: string
+  /** IP address and port on which peers reach the daemon. */
+  address: string
+  port: number
+  /** Rises with each start of the daemon. */
+  incarnation: number
+  /** Rises with each change of the record. */
+  sequence: number
+  /** True once the daemon has been told to stop. */
+  stopping: boolean
+  /** Configuration version in force on the daemon; 0 for none. */
+  configVersion: number
+  target?: TargetRecord
+}
+
+export function isNewer (a: HostRecord, b: HostRecord): boolean {
+  return a.incarnation !== b.incarnation ? a.incarnation > b.incarnation : a.sequence > b.sequence
+}
--- /dev/null
+++ b/packages/hop/src/inbound/admission.ts
@@ -0,0 +1,149 @@
+/** A request that asks for a slot of the target. */
+export interface Ticket {
+  readonly key: string
+  /** Whether a request that already holds a slot somewhere waits for this one. */
+  readonly nested: boolean
+  readonly priority: number
+  readonly targetLatencyMs: number
+  readonly deadlineAt: number
+  readonly arrivedAt: number
+}
+
+export type Admitted = 'start' | 'queued' | 'busy'
+
+/** Milliseconds assumed for a request before the target has answered any. */
+const UNKNOWN_SERVICE_MS = 200
+/** Part of the target latency assumed for a request before the target has answered any. */
+const UNKNOWN_PACE = 0.4
+/** Weight of a new observation in the moving averages. */
+const SMOOTHING = 0.1
+/** A single slow request says little about the pace, so observations are cut at this part of the target latency. */
+const MAX_PACE_OBSERVED = 4
+
+/**
+ * Decides which requests get the slots of one target. Requests never reach the target beyond its slots, so the order
+ * of those that wait is decided here: calls of running requests first, then by priority, then by arrival. It answers
+ * loads above the capacity of a service: a request that can no longer be served in its target latency is refused while
+ * it can still be served elsewhere or later.
+ */
+export class Admission {
+  #slots = 1
+  #running = 0
+  #queue: Ticket[] = []
+  #serviceMs = UNKNOWN_SERVICE_MS
+  #pace = UNKNOWN_PACE
+
+  get running (): number {
+    return this.#running
+  }
+
+  get queued (): number {
+    return this.#queue.length
+  }
+
+  get slots (): number {
+    return this.#slots
+  }
+
+  get pace (): number {
+    return this.#pace
+  }
+
+  /** Starts over with a new target, of which nothing is known. */
+  reset (slots: number): void {
+    this.#slots = Math.max(1, slots)
+    this.#serviceMs = UNKNOWN_SERVICE_MS
+    this.#pace = UNKNOWN_PACE
+  }
+
+  /** Asks for a slot; `mayWait` lets the request join the queue if all are taken. */
+  offer (ticket: Ticket, mayWait: boolean, now: number): Admitted {
+    if (this.#running < this.#slots && this.#queue.length === 0) {
+      this.#running++
+      return 'start'
+    }
+    if (!mayWait || !this.#fits(ticket, now)) return 'busy'
+    this.#insert(ticket)
+    return 'queued'
+  }
+
+  /** Frees a slot. */
+  finish (): void {
+    this.#running = Math.max(0, this.#running - 1)
+  }
+
+  /** Counts a request that the target answered. */
+  observe (ms: number, targetLatencyMs: number): void {
+    const pace = Math.min(MAX_PACE_OBSERVED, ms / Math.max(1, targetLatencyMs))
+    this.#pace += SMOOTHING * (pace - this.#pace)
+    this.#serviceMs += SMOOTHING * (ms - this.#serviceMs)
+  }
+
+  /** Takes a waiting request out; false if it doesn't wait. */
+  withdraw (key: string): boolean {
+    const index = this.#queue.findIndex((ticket) => ticket.key === key)
+    if (index >= 0) this.#queue.splice(index, 1)
+    return index >= 0
+  }
+
+  /** Requests that can no longer be served in time, taken out of the queue. */
+  takeHopeless (now: number): Ticket[] {
+    const hopeless = this.#queue.filter((ticket) => !this.#isWorthwhile(ticket, now))
+    if (hopeless.length > 0) this.#queue = this.#queue.filter((ticket) => !hopeless.includes(ticket))
+    return hopeless
+  }
+
+  /** Requests that start now, one for each free slot. */
+  takeReady (): Ticket[] {
+    const ready: Ticket[] = []
+    while (this.#running < this.#slots && this.#queue.length > 0) {
+      ready.push(this.#queue.shift()!)
+      this.#running++
+    }
+    return ready
+  }
+
+  /** Empties the queue, for a target that is leaving. */
+  takeAll (): Ticket[] {
+    const all = this.#queue
+    this.#queue = []
+    return all
+  }
+
+  /** Whether a request that would wait behind the more urgent ones would still be served in time. */
+  #fits (ticket: Ticket, now: number): boolean {
+    let ahead = 0
+    for (const other of this.#queue) if (!isMoreUrgent(ticket, other)) ahead++
+    const waitMs = (ahead + 1) * this.#serviceMs / this.#slots
+    return now + waitMs + this.#expectedMs(ticket) <= this.#lastUsefulEnd(ticket)
+  }
+
+  #isWorthwhile (ticket: Ticket, now: number): boolean {
+    return now + this.#expectedMs(ticket) <= this.#lastUsefulEnd(ticket)
+  }
+
+  #expectedMs (ticket: Ticket): number {
+    return this.#pace * ticket.targetLatencyMs
+  }
+
+  /** A nested call is worth its wait until its deadline, as the work of its parent is lost without it. */
+  #lastUsefulEnd (ticket: Ticket): number {
+    if (ticket.nested) return ticket.deadlineAt
+    return Math.min(ticket.deadlineAt, ticket.arrivedAt + Math.max(ticket.targetLatencyMs, MIN_PATIENCE * this.#expectedMs(ticket)))
+  }
+
+  #insert (ticket: Ticket): void {
+    let index = this.#queue.length
+    while (index > 0 && isMoreUrgent(ticket, this.#queue[index - 1]!)) index--
+    this.#queue.splice(index, 0, ticket)
+  }
+}
+
+/** On a target slower than the target latency, requests wait for up to this many times their own duration. */
+const MIN_PATIENCE = 1.5
+
+function isMoreUrgent (a: Ticket, b: Ticket): boolean {
+  if (a.nested !== b.nested) return a.nested
+  if (a.priority !== b.priority) return a.priority < b.priority
+  return a.arrivedAt < b.arrivedAt
+}
--- /dev/null
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -0,0 +1,249 @@
+import type { Timers } from '@lentilwheel/core'
+import type { CallMessage, HopReply, NotRunReason, TargetLoad } from '../link/messages.js'
+import type { CallLog } from '../observe/callLog.js'
+import type { TargetRecord } from '../fleet/records.js'
+import { Admission, type Ticket } from './admission.js'
+import { Ledger } from './ledger.js'
+import type { TargetClient } from './nodeTargetClient.js'
+import { requestBytes } from './requestBytes.js'
+import type { HeaderNames, TargetResult } from './targetResult.js'
+
+export interface InboundOptions {
+  timers: Timers
+  log: CallLog
+  names: HeaderNames
+  client: TargetClient
+  /** The target as it stands now; undefined when there is none. */
+  target (): TargetRecord | undefined
+  incarnation (): number
+  /** Whether the target's version may get traffic. */
+  isVersionOpen (service: string, version: string): boolean
+  /** A target's version got a result; used to judge versions. */
+  onResult (target: TargetRecord, route: string, ok: boolean, ms: number): void
+}
+
+interface Call {
+  message: CallMessage
+  ticket: Ticket
+  state: 'queued' | 'running'
+  startedAt: number
+  giveUp?: () => void
+}
+
+/** Time after the deadline in which the target's own answer to it may still come. */
+const DEADLINE_GRACE_MS = 60
+/** Time for which a repeatable call goes on after its connection broke, waiting to be settled. */
+const ORPHAN_MS = 1_500
+const UPKEEP_MS = 50
+const LEDGER_UPKEEP_MS = 1_000
+const FAILING_SMOOTHING = 0.08
+
+/**
+ * The only way to the target beside this daemon. It knows whether the target is there and takes work, gives out its
+ * slots, and can say of each call whether it was started.
+ */
+export class InboundDesk {
+  readonly #opts: InboundOptions
+  readonly #admission = new Admission()
+  readonly #ledger = new Ledger()
+  readonly #calls = new Map<string, Call>()
+  #targetId = ''
+  #failing = 0
+  #unreachableAt = -Infinity
+
+  constructor (opts: InboundOptions) {
+    this.#opts = opts
+    opts.timers.every(UPKEEP_MS, () => this.#upkeep())
+    opts.timers.every(LEDGER_UPKEEP_MS, () => this.#ledger.prune(opts.timers.now()))
+  }
+
+  /** Calls that have not ended. */
+  get active (): number {
+    return this.#calls.size
+  }
+
+  /** Takes an offered call; `reply` is called once. */
+  offer (message: CallMessage, reply: (reply: HopReply) => void): void {
+    const { key } = message
+    if (!this.#ledger.open(key, reply)) return reply({ kind: 'notRun', reason: 'revoked' })
+    const refusal = this.#refusalOf(message)
+    if (refusal) return this.#endNotRun(message, refusal)
+    const now = this.#opts.timers.now()
+    const ticket: Ticket = {
+      key,
+      nested: message.nested,
+      priority: message.priority,
+      targetLatencyMs: message.targetLatencyMs,
+      deadlineAt: now + message.deadlineMs,
+      arrivedAt: now
+    }
+    const admitted = this.#admission.offer(ticket, message.mode === 'queue', now)
+    if (admitted === 'busy') return this.#endNotRun(message, 'busy')
+    const call: Call = { message, ticket, state: 'queued', startedAt: now }
+    this.#calls.set(key, call)
+    if (admitted === 'start') this.#start(call)
+  }
+
+  /** The sender no longer wants the call. */
+  cancel (key: string): void {
+    const call = this.#calls.get(key)
+    if (!call) return
+    if (call.state === 'queued') return this.#withdraw(call, 'revoked')
+    if (call.message.idempotent) call.giveUp?.()
+  }
+
+  /** The connection on which the call came broke; the sender may ask for it again. */
+  orphan (key: string): void {
+    this.#ledger.detach(key)
+    const call = this.#calls.get(key)
+    if (!call) return
+    this.#opts.timers.after(ORPHAN_MS, () => {
+      if (!this.#ledger.isAwaited(key)) this.cancel(key)
+    })
+  }
+
+  /** Answers a sender that lost the connection of its call. */
+  settle (key: string, incarnation: number, reply: (reply: HopReply) => void): void {
+    if (incarnation !== this.#opts.incarnation()) return reply({ kind: 'failed', reason: 'lost' })
+    const call = this.#calls.get(key)
+    const settlement = this.#ledger.settle(key, reply, this.#opts.timers.now())
+    this.#opts.log.decision('settled', { call: key, settlement })
+    if (call?.state === 'queued') this.#withdraw(call, 'revoked')
+  }
+
+  /** The target changed: what waits for one that no longer takes work is handed back. */
+  targetChanged (): void {
+    const target = this.#opts.target()
+    if (target && target.id !== this.#targetId) {
+      this.#targetId = target.id
+      this.#admission.reset(target.slots)
+      this.#failing = 0
+      this.#unreachableAt = -Infinity
+      this.#opts.client.reset()
+    }
+    if (target?.state === 'ready') return
+    for (const ticket of this.#admission.takeAll()) {
+      const call = this.#calls.get(ticket.key)
+      if (call) this.#endCallNotRun(call, target ? 'draining' : 'noTarget')
+    }
+  }
+
+  /** Time since the target was last found unreachable. */
+  load (): TargetLoad | undefined {
+    const target = this.#opts.target()
+    if (!target) return undefined
+    const { running, queued, slots, pace } = this.#admission
+    return { targetId: target.id, running, queued, slots, pace, failing: this.#failing }
+  }
+
+  #refusalOf (message: CallMessage): NotRunReason | undefined {
+    const target = this.#opts.target()
+    if (message.incarnation !== this.#opts.incarnation()) return 'unsent'
+    if (!target) return 'noTarget'
+    if (target.id !== message.targetId || target.service !== message.service) return 'otherTarget'
+    if (target.state !== 'ready') return 'draining'
+    if (!this.#opts.isVersionOpen(target.service, target.version)) return 'draining'
+    if (this.#opts.timers.now() - this.#unreachableAt < UNREACHABLE_MS) return 'unreachable'
+    return undefined
+  }
+
+  #start (call: Call): void {
+    const { message, ticket } = call
+    const now = this.#opts.timers.now()
+    const leftMs = ticket.deadlineAt - now
+    if (leftMs <= 0) {
+      this.#admission.finish()
+      return this.#endCallNotRun(call, 'expired')
+    }
+    call.state = 'running'
+    call.startedAt = now
+    const bytes = requestBytes(message, leftMs, this.#opts.names)
+    const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: leftMs + DEADLINE_GRACE_MS }
+    call.giveUp = this.#opts.client.send(request, message.idempotent, (result) => this.#onResult(call, result))
+  }
+
+  #onResult (call: Call, result: TargetResult): void {
+    const now = this.#opts.timers.now()
+    const ms = now - call.startedAt
+    this.#admission.finish()
+    this.#calls.delete(call.message.key)
+    this.#learn(call, result, ms)
+    const load = this.load()
+    const { reported: _, ...reply } = result as TargetResult & { reported?: unknown }
+    this.#ledger.end(call.message.key, { ...reply, ...(load ? { load } : {}) } as HopReply, now)
+    this.#logEnd(call, result, ms)
+    this.#startNext()
+  }
+
+  #learn (call: Call, result: TargetResult, ms: number): void {
+    if (result.kind === 'failed' && result.reason === 'cancelled') return
+    const isGood = result.kind === 'response' && result.status < 500
+    if (isGood) this.#admission.observe(ms, call.message.targetLatencyMs)
+    this.#failing += FAILING_SMOOTHING * ((isGood ? 0 : 1) - this.#failing)
+    if (result.kind === 'notRun' && result.reason === 'unreachable') this.#unreachableAt = this.#opts.timers.now()
+    const target = this.#opts.target()
+    if (target?.id === call.message.targetId && result.kind !== 'notRun') {
+      this.#opts.onResult(target, call.message.route, isGood, ms)
+    }
+  }
+
+  #logEnd (call: Call, result: TargetResult, ms: number): void {
+    const { message } = call
+    const outcome = result.kind === 'response' ? result.status : result.reason
+    const isPlain = result.kind === 'response' && result.status < 500
+    this.#opts.log.call(isPlain, 'inbound', {
+      id: message.requestId,
+      call: message.key,
+      route: message.route,
+      target: message.targetId,
+      outcome,
+      ms: Math.round(ms),
+      queuedMs: Math.round(call.startedAt - call.ticket.arrivedAt),
+      running: this.#admission.running,
+      queued: this.#admission.queued
+    })
+  }
+
+  #withdraw (call: Call, reason: NotRunReason): void {
+    this.#admission.withdraw(call.message.key)
+    this.#endCallNotRun(call, reason)
+  }
+
+  #endCallNotRun (call: Call, reason: NotRunReason): void {
+    this.#calls.delete(call.message.key)
+    this.#endNotRun(call.message, reason)
+  }
+
+  #endNotRun (message: CallMessage, reason: NotRunReason): void {
+    const load = this.load()
+    this.#ledger.end(message.key, { kind: 'notRun', reason, ...(load ? { load } : {}) }, this.#opts.timers.now())
+    this.#opts.log.call(reason === 'busy' && message.mode === 'now', 'inbound', {
+      id: message.requestId,
+      call: message.key,
+      route: message.route,
+      target: message.targetId,
+      outcome: reason,
+      running: this.#admission.running,
+      queued: this.#admission.queued
+    })
+  }
+
+  #upkeep (): void {
+    for (const ticket of this.#admission.takeHopeless(this.#opts.timers.now())) {
+      const call = this.#calls.get(ticket.key)
+      if (call) this.#endCallNotRun(call, 'busy')
+    }
+    this.#startNext()
+  }
+
+  #startNext (): void {
+    for (const ticket of this.#admission.takeReady()) {
+      const call = this.#calls.get(ticket.key)
+      if (call) this.#start(call)
+      else this.#admission.finish()
+    }
+  }
+}
+
+/** Time for which a target that refused a connection is left alone. */
+const UNREACHABLE_MS = 300
--- /dev/null
+++ b/packages/hop/src/inbound/localTarget.ts
@@ -0,0 +1,76 @@
+import type { TargetRecord, TargetState } from '../fleet/records.js'
+
+/** What a target says of itself. */
+export interface Announcement {
+  id: string
+  service: string
+  version: string
+  slots: number
+  state: TargetState
+  /** Milliseconds for which the target stays slow after its start. */
+  coldMs: number
+  /** Rises with each announcement of one start of the target. */
+  sequence: number
+  /** Unix milliseconds of the target's start, by its own clock; it tells starts apart. */
+  startedAt: number
+}
+
+export type AnnouncementOutcome = 'taken' | 'stale'
+
+interface Held extends Announcement {
+  heardAt: number
+  left: boolean
+}
+
+/** Leavings remembered, so that a late announcement of one that left doesn't bring it back. */
+const MAX_REMEMBERED_LEAVINGS = 64
+
+/**
+ * The target beside this daemon, from its announcements. They may come late, twice or out of order: an announcement of
+ * an earlier start never replaces a later one, and a target that said it leaves stays leaving until it starts again.
+ */
+export class LocalTarget {
+  readonly #silenceMs: number
+  readonly #left = new Map<string, number>()
+  #held: Held | undefined
+
+  /** `silenceMs`: time without an announcement after which the target counts as gone. */
+  constructor (silenceMs: number) {
+    this.#silenceMs = silenceMs
+  }
+
+  announce (announcement: Announcement, now: number): AnnouncementOutcome {
+    const { id, startedAt } = announcement
+    const leftAt = this.#left.get(id)
+    if (leftAt !== undefined && startedAt <= leftAt) return 'stale'
+    const held = this.#held && now - this.#held.heardAt <= this.#silenceMs ? this.#held : undefined
+    if (held) {
+      const isSameStart = held.id === id && held.startedAt === startedAt
+      if (isSameStart && announcement.sequence <= held.sequence) return 'stale'
+      if (!isSameStart && startedAt < held.startedAt) return 'stale'
+      if (isSameStart && held.state === 'draining') announcement = { ...announcement, state: 'draining' }
+    }
+    this.#held = { ...announcement, heardAt: now, left: false }
+    return 'taken'
+  }
+
+  /** The target says that it has gone; `wallNow` stands for its start when it isn't known. */
+  leave (id: string, wallNow: number): void {
+    const held = this.#held?.id === id ? this.#held : undefined
+    if (held) held.left = true
+    this.#left.delete(id)
+    this.#left.set(id, held?.startedAt ?? wallNow)
+    for (const oldest of this.#left.keys()) {
+      if (this.#left.size <= MAX_REMEMBERED_LEAVINGS) break
+      this.#left.delete(oldest)
+    }
+  }
+
+  /** The target as peers should see it; undefined when there is none or it is gone. */
+  record (now: number): TargetRecord | undefined {
+    const held = this.#held
+    if (!held || held.left || now - held.heardAt > this.#silenceMs) return undefined
+    const { id, service, version, slots, state } = held
+    return { id, service, version, slots, state, coldMs: Math.max(0, held.coldMs - (now - held.heardAt)) }
+  }
+}
--- /dev/null
+++ b/packages/hop/src/link/messages.ts
@@ -0,0 +1,76 @@
+import type { HostRecord } from '../fleet/records.js'
+import type { MoveFact } from '@lentilwheel/core'
+
+/** `now`: only if a slot is free; `queue`: may wait for one. */
+export const OFFER_MODES = ['now', 'queue'] as const
+export type OfferMode = typeof OFFER_MODES[number]
+
+/** A request as the daemon of the caller offers it to the daemon beside a target. */
+export interface CallMessage {
+  /** Unique over all daemons and their incarnations. */
+  key: string
+  /** The caller's id of the request. */
+  requestId: string
+  /** Incarnation of the receiving daemon that the sender knows; settling asks the same one. */
+  incarnation: number
+  mode: OfferMode
+  service: string
+  targetId: string
+  route: string
+  method: string
+  url: string
+  /** Names and values, flat, without those that concern one connection. */
+  headers: string[]
+  body: Uint8Array
+  /** Milliseconds left for the request. */
+  deadlineMs: number
+  targetLatencyMs: number
+  priority: number
+  idempotent: boolean
+  /** Whether the caller is a target itself, with a request of its own that waits for this one. */
+  nested: boolean
+  /** Whether an earlier attempt of the request may have reached a target. */
+  repeat: boolean
+}
+
+/** Load of a target as the daemon beside it sees it. */
+export interface TargetLoad {
+  targetId: string
+  running: number
+  queued: number
+  slots: number
+  /** Typical latency of the target as a part of the routes' target latency. */
+  pace: number
+  /** Share of recent requests that the target failed, 0 to 1. */
+  failing: number
+}
+
+export const NOT_RUN_REASONS = [
+  'busy', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent'
+] as const
+export type NotRunReason = typeof NOT_RUN_REASONS[number]
+
+export const FAILURE_REASONS = ['reset', 'cut', 'garbled', 'timeout', 'lost', 'cancelled'] as const
+export type FailureReason = typeof FAILURE_REASONS[number]
+
+/** How an offered request ended. */
+export type HopReply =
+  | { kind: 'response', status: number, headers: string[], body: Uint8Array, load?: TargetLoad }
+  | { kind: 'notRun', reason: NotRunReason, load?: TargetLoad }
+  /** The target may have run the request. */
+  | { kind: 'failed', reason: FailureReason, load?: TargetLoad }
+
+/** Asks how a call ended whose connection broke; a call that has not started is revoked by it. */
+export interface SettleMessage {
+  key: string
+  incarnation: number
+}
+
+/** Exchange of what two daemons know. */
+export interface SyncMessage {
+  from: string
+  records: HostRecord[]
+  facts: MoveFact[]
+  /** Fingerprint of the sender's whole table; a receiver with another one answers with its table. */
+  digest: string
+}
--- /dev/null
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -0,0 +1,48 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Upper bounds of the latency histogram, in seconds. */
+const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5]
+
+/** Counters and latency histograms of one process, in the text format that common tools read. */
+export interface CallMetrics {
+  request (route: string, outcome: string, ms: number): void
+  count (name: 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput'): void
+  gauge (name: 'configVersion' | 'peersUp' | 'running' | 'queued', value: number): void
+  text (): Promise<string>
+}
+
+export class PromCallMetrics implements CallMetrics {
+  readonly #registry = new Registry()
+  readonly #requests = new Counter({
+    name: 'lentilwheel_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers: [this.#registry]
+  })
+
+  readonly #latency = new Histogram({
+    name: 'lentilwheel_request_seconds', help: 'Time from a request to its answer', labelNames: ['route'], buckets: LATENCY_BUCKETS_S, registers: [this.#registry]
+  })
+
+  readonly #events = new Counter({
+    name: 'lentilwheel_events_total', help: 'Other events by name', labelNames: ['event'], registers: [this.#registry]
+  })
+
+  readonly #state = new Gauge({
+    name: 'lentilwheel_state', help: 'State of the process by name', labelNames: ['name'], registers: [this.#registry]
+  })
+
+  request (route: string, outcome: string, ms: number): void {
+    this.#requests.inc({ route, outcome })
+    this.#latency.observe({ route }, ms / 1000)
+  }
+
+  count (event: 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput'): void {
+    this.#events.inc({ event })
+  }
+
+  gauge (name: 'configVersion' | 'peersUp' | 'running' | 'queued', value: number): void {
+    this.#state.set({ name }, value)
+  }
+
+  async text (): Promise<string> {
+    return await this.#registry.metrics()
+  }
+}
--- /dev/null
+++ b/packages/hop/src/outbound/placer.ts
@@ -0,0 +1,143 @@
+import type { Random, Timers } from '@lentilwheel/core'
+import type { HostRecord } from '../fleet/records.js'
+import type { MeshRoute } from '../routing/meshConfig.js'
+import type { TargetLoad } from '../link/messages.js'
+
+/** A target that a request may be offered to. */
+export interface Candidate {
+  readonly host: string
+  readonly targetId: string
+  readonly version: string
+  /** Estimated time until the response, in milliseconds. */
+  readonly costMs: number
+  /** Whether a slot is thought to be free. */
+  readonly hasRoom: boolean
+}
+
+interface Seen {
+  targetId: string
+  load: TargetLoad | undefined
+  loadAt: number
+  /** Own calls offered and not answered. */
+  pending: number
+  /** No offers before this time. */
+  avoidUntil: number
+  /** When the target was first seen, and for how long it stays slow from then on. */
+  coldUntil: number
+}
+
+/** Part of the target latency that a target of unknown pace takes. */
+const UNKNOWN_PACE = 0.4
+/** A target that has just started is this many times slower. */
+const COLD_FACTOR = 2
+/** Time of a round trip to another data centre and to the own one. */
+const OTHER_DATA_CENTRE_MS = 3
+const OWN_DATA_CENTRE_MS = 1
+/** Large responses stay in the own data centre unless this much time is won elsewhere, as a part of the target latency. */
+const BULKY_PENALTY = 0.6
+/** What a failed request costs the caller, as a multiple of the target latency. */
+const FAILURE_COST = 2
+/** A reported load means less the older it is. */
+const LOAD_HALF_LIFE_MS = 400
+/** Random part of the estimate, so that daemons with the same view don't all choose the same target. */
+const SPREAD = 0.25
+const AVOID_MS = 400
+
+/** Orders the targets of a service by the time that a request would take on each. */
+export class Placer {
+  readonly #timers: Pick<Timers, 'now'>
+  readonly #random: Random
+  readonly #dataCentre: string
+  readonly #seen = new Map<string, Seen>()
+  readonly #byService = new Map<string, HostRecord[]>()
+
+  constructor (opts: { timers: Pick<Timers, 'now'>, random: Random, dataCentre: string }) {
+    this.#timers = opts.timers
+    this.#random = opts.random
+    this.#dataCentre = opts.dataCentre
+  }
+
+  /** Takes in the records of all daemons; those whose target takes no work are left out. */
+  setHosts (records: readonly HostRecord[]): void {
+    this.#byService.clear()
+    const now = this.#timers.now()
+    const hosts = new Set<string>()
+    for (const record of records) {
+      const { target } = record
+      if (!target || target.state !== 'ready' || record.stopping) continue
+      hosts.add(record.host)
+      const list = this.#byService.get(target.service)
+      if (list) list.push(record)
+      else this.#byService.set(target.service, [record])
+      if (this.#seen.get(record.host)?.targetId !== target.id) {
+        this.#seen.set(record.host, {
+          targetId: target.id, load: undefined, loadAt: now, pending: 0, avoidUntil: -Infinity, coldUntil: now + target.coldMs
+        })
+      }
+    }
+    for (const host of this.#seen.keys()) if (!hosts.has(host)) this.#seen.delete(host)
+  }
+
+  /** How many targets of the service are known. */
+  countOf (service: string): number {
+    return this.#byService.get(service)?.length ?? 0
+  }
+
+  /** Targets for a request, the best first. */
+  order (service: string, route: MeshRoute, accepts: (record: HostRecord) => boolean): Candidate[] {
+    const now = this.#timers.now()
+    const candidates: Candidate[] = []
+    for (const record of this.#byService.get(service) ?? []) {
+      if (!accepts(record)) continue
+      candidates.push(this.#estimate(record, route, now))
+    }
+    return candidates.sort((a, b) => a.costMs - b.costMs)
+  }
+
+  offered (host: string): void {
+    const seen = this.#seen.get(host)
+    if (seen) seen.pending++
+  }
+
+  ended (host: string, load: TargetLoad | undefined): void {
+    const seen = this.#seen.get(host)
+    if (!seen) return
+    seen.pending = Math.max(0, seen.pending - 1)
+    if (load && load.targetId === seen.targetId) {
+      seen.load = load
+      seen.loadAt = this.#timers.now()
+    }
+  }
+
+  /** Leaves a target alone for a moment, as its daemon didn't answer or refused. */
+  avoid (host: string, ms = AVOID_MS): void {
+    const seen = this.#seen.get(host)
+    if (seen) seen.avoidUntil = this.#timers.now() + ms
+  }
+
+  #estimate (record: HostRecord, route: MeshRoute, now: number): Candidate {
+    const target = record.target!
+    const seen = this.#seen.get(record.host)!
+    const { load } = seen
+    const slots = load?.slots ?? target.slots
+    const age = now - seen.loadAt
+    const trust = load ? 0.5 ** (age / LOAD_HALF_LIFE_MS) : 0
+    const busy = Math.max(seen.pending, trust * ((load?.running ?? 0) + (load?.queued ?? 0)))
+    const cold = now < seen.coldUntil ? COLD_FACTOR : 1
+    const ownMs = (load?.pace ?? UNKNOWN_PACE) * cold * route.targetLatencyMs
+    const waitMs = busy >= slots ? (busy - slots + 1) / slots * ownMs : 0
+    const crowdedMs = 0.3 * Math.min(1, busy / slots) * ownMs
+    const isNear = record.dataCentre === this.#dataCentre
+    const wayMs = isNear ? OWN_DATA_CENTRE_MS : OTHER_DATA_CENTRE_MS + (route.bulky ? BULKY_PENALTY * route.targetLatencyMs : 0)
+    const failMs = (load?.failing ?? 0) * FAILURE_COST * route.targetLatencyMs
+    const avoidMs = now < seen.avoidUntil ? 10 * route.targetLatencyMs : 0
+    const spread = 1 + SPREAD * (this.#random.next() - 0.5)
+    return {
+      host: record.host,
+      targetId: target.id,
+      version: target.version,
+      costMs: (waitMs + crowdedMs + ownMs + failMs) * spread + wayMs + avoidMs,
+      hasRoom: busy < slots
+    }
+  }
+}
--- /dev/null
+++ b/packages/hop/src/routing/routeTable.ts
@@ -0,0 +1,34 @@
+import type { MeshConfig, MeshRoute } from './meshConfig.js'
+
+/** Finds the route of a request: the longest prefix of its host that begins the path. */
+export class RouteTable {
+  readonly config: MeshConfig
+  readonly #hosts = new Map<string, Map<string, MeshRoute>>()
+
+  constructor (config: MeshConfig) {
+    this.config = config
+    for (const route of config.routes) {
+      const host = route.host.toLowerCase()
+      let prefixes = this.#hosts.get(host)
+      if (!prefixes) this.#hosts.set(host, prefixes = new Map())
+      prefixes.set(route.pathPrefix, route)
+    }
+  }
+
+  match (host: string, path: string): MeshRoute | undefined {
+    const prefixes = this.#hosts.get(host)
+    if (!prefixes) return undefined
+    for (let end = path.lastIndexOf('/'); end >= 0; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
+      const route = prefixes.get(path.slice(0, end + 1))
+      if (route) return route
+    }
+    return undefined
+  }
+}
+
+/** Host header without its port, in lower case; IPv6 literals keep their brackets. */
+export function hostName (value: string): string {
+  const colon = value.lastIndexOf(':')
+  const name = colon > value.lastIndexOf(']') ? value.slice(0, colon) : value
+  return name.toLowerCase()
+}
