Move traffic between versions within seconds, and test the call path

Cause: the engine's shortest ramp takes 17 s and a hold after it, and orders on these machines have 12 to 16 s. A brief move shares the engine's facts, looks for badness with each report and fills one target before all traffic moves.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -74,7 +74,10 @@
       log,
       openLink: (host, address, port) => openPeerLink({ host, address, port, timers, log, onState: (peer, up) => this.#fleet.onLinkState(peer, up) }),
       onChange: () => this.#onFleetChange(),
-      onFact: (fact) => this.#moves.onFact(fact)
+      onFact: (fact) => this.#moves.onFact(fact),
+      orders: () => this.#moves.orders(),
+      onOrder: (order, from) => this.#moves.onOrder(order, from),
+      onReport: (report) => this.#moves.onReport(report)
     })
     this.#moves = new Moves({ fleet: this.#fleet, store, codec, timers, random, log })
     const client = new NodeTargetClient({
@@ -96,7 +99,7 @@
       target: () => this.#local.record(timers.now()),
       incarnation: () => this.#fleet.own.incarnation,
       isVersionOpen: (service, version) => this.#moves.isOpen(service, version),
-      onResult: (target, route, ok, ms) => this.#moves.onResult(target, route, ok, ms)
+      onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundDesk({
       timers, random, log, metrics, names, fleet: this.#fleet, desk: this.#inbound, placer: this.#placer, budget: this.#budget, versions: this.#moves, callerService: () => this.#cfg.service
@@ -192,6 +195,7 @@
     const how = await this.#stopper.done
     log.decision('stopped', { how, outbound: this.#outbound.active, inbound: this.#inbound.active })
     this.#config.stop()
+    this.#moves.stop()
     this.#hopServer.close()
     this.#outboundServer.close()
     this.#fleet.close()
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -2,6 +2,8 @@
 import { errorCode, type MoveFact, type Random, type Timers } from '@lentilwheel/core'
 import type { CallMessage, HopReply, SyncMessage } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
+import type { BriefReport } from '@lentilwheel/moves'
+import type { MoveOrder } from '../rollout/order.js'
 import { FactBook } from './factBook.js'
 import { HostTable } from './hostTable.js'
 import type { HostRecord, TargetRecord } from './records.js'
@@ -25,6 +27,10 @@
   /** Records changed, or a peer was lost or reached again. */
   onChange (): void
   onFact (fact: MoveFact): void
+  /** Orders of moves that this daemon knows. */
+  orders (): MoveOrder[]
+  onOrder (order: MoveOrder, from: string): void
+  onReport (report: BriefReport): void
 }
 
 const EXCHANGE_MS = 1_500
@@ -70,6 +76,18 @@
     return this.live().filter((record) => !record.stopping && record.host < this.own.host).length
   }
 
+  /** The daemon that has the duties that one daemon has. */
+  first (): string {
+    return this.live().filter((record) => !record.stopping).map(({ host }) => host).sort()[0] ?? this.own.host
+  }
+
+  /** Sends evidence to the daemon that coordinates a move. */
+  sendReport (host: string, report: BriefReport): void {
+    this.#links.get(host)?.sync({ ...this.#message([]), reports: [report] }).then((answer) => this.#take(answer), (err) => {
+      this.#opts.log.decision('reportLost', { peer: host, code: errorCode(err) })
+    })
+  }
+
   /** Daemons that were not reached for so long that they are taken as gone. */
   gone (now: number): string[] {
     return [...this.#downSince].filter(([, since]) => now - since > GONE_MS).map(([host]) => host)
@@ -93,7 +111,7 @@
 
   setConfigVersion (configVersion: number): void {
     this.#table.update({ configVersion })
-    this.#pushSoon()
+    this.pushSoon()
   }
 
   /** Takes in records heard from the store or a peer. */
@@ -154,7 +172,8 @@
   digest (): string {
     const lines = this.records().map(({ host, incarnation, sequence }) => `${host} ${incarnation} ${sequence}`).sort()
     const facts = this.facts.all().map((fact) => JSON.stringify(fact)).sort()
-    return createHash('sha1').update([...lines, ...facts].join('\n')).digest('base64')
+    const orders = this.#opts.orders().map(({ id, revision }) => `${id} ${revision}`).sort()
+    return createHash('sha1').update([...lines, ...facts, ...orders].join('\n')).digest('base64')
   }
 
   close (): void {
@@ -164,10 +183,12 @@
   #take (message: SyncMessage): void {
     this.merge(message.records)
     for (const fact of message.facts) if (this.facts.add(fact)) this.#opts.onFact(fact)
+    for (const order of message.orders) this.#opts.onOrder(order, message.from)
+    for (const report of message.reports) this.#opts.onReport(report)
   }
 
   #message (records: HostRecord[]): SyncMessage {
-    return { from: this.own.host, records, facts: this.facts.all(), digest: this.digest() }
+    return { from: this.own.host, records, facts: this.facts.all(), orders: this.#opts.orders(), reports: [], digest: this.digest() }
   }
 
   #keepLink (record: HostRecord): void {
@@ -178,7 +199,8 @@
     this.#links.set(host, this.#opts.openLink(host, address, port))
   }
 
-  #pushSoon (): void {
+  /** Tells peers what has changed, a moment later. */
+  pushSoon (): void {
     if (this.#pushPlanned) return
     this.#pushPlanned = true
     this.#opts.timers.after(GATHER_MS, () => {
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -2,6 +2,7 @@
 import type { CallMessage, HopReply, NotRunReason, TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { TargetRecord } from '../fleet/records.js'
+import type { VersionResult } from '../rollout/moves.js'
 import { Admission, type Ticket } from './admission.js'
 import { Ledger } from './ledger.js'
 import type { TargetClient } from './nodeTargetClient.js'
@@ -19,7 +20,7 @@
   /** Whether the target's version may get traffic. */
   isVersionOpen (service: string, version: string): boolean
   /** A target's version got a result; used to judge versions. */
-  onResult (target: TargetRecord, route: string, ok: boolean, ms: number): void
+  onResult (target: TargetRecord, result: VersionResult): void
 }
 
 interface Call {
@@ -183,7 +184,8 @@
     if (result.kind === 'notRun' && result.reason === 'unreachable') this.#unreachableAt = this.#opts.timers.now()
     const target = this.#opts.target()
     if (target?.id === call.message.targetId && result.kind !== 'notRun') {
-      this.#opts.onResult(target, call.message.route, isGood, ms)
+      const { route, targetLatencyMs } = call.message
+      this.#opts.onResult(target, { route, ok: isGood, ms, targetLatencyMs })
     }
   }
 
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -1,3 +1,5 @@
+import type { BriefReport } from '@lentilwheel/moves'
+import type { MoveOrder } from '../rollout/order.js'
 import type { HostRecord } from '../fleet/records.js'
 import type { MoveFact } from '@lentilwheel/core'
 
@@ -71,6 +73,10 @@
   from: string
   records: HostRecord[]
   facts: MoveFact[]
+  /** Orders of moves, by their revision in the store. */
+  orders: MoveOrder[]
+  /** Results of versions in a move, for the daemon that coordinates it. */
+  reports: BriefReport[]
   /** Fingerprint of the sender's whole table; a receiver with another one answers with its table. */
   digest: string
 }
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -92,7 +92,7 @@
       stream.on('close', () => { if (stream.rstCode === WITHDRAWN) desk.cancel(message.key) })
       desk.settle(message.key, message.incarnation, send)
     } else if (path === PATHS.sync) {
-      send(this.#opts.onSync(decode<SyncMessage>(body, ['from', 'records', 'facts', 'digest'])))
+      send(this.#opts.onSync(decode<SyncMessage>(body, ['from', 'records', 'facts', 'orders', 'reports', 'digest'])))
     } else if (path === PATHS.config) {
       send(this.#opts.onConfigAsked())
     } else {
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -261,7 +261,7 @@
     get isUp () { return link.isUp },
     target: link.target,
     call: (message, reply) => link.call(message, reply),
-    sync: async (message) => decode<SyncMessage>(await link.exchange(PATHS.sync, message), ['from', 'records', 'facts', 'digest']),
+    sync: async (message) => decode<SyncMessage>(await link.exchange(PATHS.sync, message), ['from', 'records', 'facts', 'orders', 'reports', 'digest']),
     config: async () => decode<object>(await link.exchange(PATHS.config, {}), []),
     close: () => link.close()
   }
--- /dev/null
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -0,0 +1,94 @@
+import test from 'ava'
+import type { HopReply } from '../../link/messages.js'
+import type { MeshRoute } from '../../routing/meshConfig.js'
+import { callFlow, type CallCommand, type CallEvent } from '../callFlow.js'
+import type { Candidate } from '../placer.js'
+
+const route: MeshRoute = {
+  name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
+}
+const onceOnly: MeshRoute = { ...route, idempotent: false }
+const good: HopReply = { kind: 'response', status: 200, headers: [], body: new Uint8Array() }
+const failure: HopReply = { kind: 'response', status: 500, headers: [], body: new Uint8Array() }
+const busy: HopReply = { kind: 'notRun', reason: 'busy' }
+
+interface Step { at: number, event: CallEvent }
+interface Play { route?: MeshRoute, targets?: string[], repeats?: number, steps: Step[] }
+
+/** Plays events into the flow of one request and tells what it did, one line per event. */
+function play ({ route: played = route, targets = ['a', 'b', 'c'], repeats = 9, steps }: Play): string[] {
+  let now = 0
+  const candidates: Candidate[] = targets.map((host) => ({ host, targetId: `t-${host}`, version: 'v1', costMs: 1, hasRoom: true }))
+  const flow = callFlow({ route: played, deadlineAt: 1_200, nested: false }, {
+    now: () => now,
+    candidates: (exclude) => candidates.filter(({ host }) => !exclude.has(host)),
+    takeRepeat: () => repeats-- > 0,
+    retryAfterMs: () => 250
+  })
+  const lines = [show(flow.next().value ?? [])]
+  for (const { at, event } of steps) {
+    now = at
+    const result = flow.next(event)
+    lines.push(`${at}: ${show(result.value ?? [])}${result.done ? '(over)' : ''}`)
+  }
+  return lines
+}
+
+function show (commands: readonly CallCommand[]): string {
+  return commands.map(showOne).join('; ')
+}
+
+function showOne (command: CallCommand): string {
+  switch (command.kind) {
+    case 'offer': return `offer ${command.attempt} ${command.candidate.host} ${command.mode}${command.repeat ? ' repeat' : ''}`
+    case 'cancel': return `cancel ${command.attempt}`
+    case 'timer': return `timer ${command.ms}`
+    case 'answer': return `answer ${command.reply.status}`
+    case 'refuse': return `refuse ${command.reason}`
+    case 'fail': return `fail ${command.status} ${command.reason}`
+  }
+}
+
+const reply = (at: number, attempt: number, what: HopReply): Step => ({ at, event: { kind: 'reply', attempt, reply: what } })
+const timer = (at: number): Step => ({ at, event: { kind: 'timer' } })
+
+const plays: Record<string, Play> = {
+  'a request is answered': { steps: [reply(200, 1, good)] },
+  'busy targets are passed over, then the request queues at the best': { steps: [reply(1, 1, busy), reply(2, 2, busy), reply(3, 3, busy), reply(300, 4, good)] },
+  'a full queue refuses at once and truly': { route: onceOnly, steps: [reply(1, 1, busy), reply(2, 2, busy), reply(3, 3, busy), reply(4, 4, busy)] },
+  'a repeatable request goes on after a failure': { steps: [reply(100, 1, failure), reply(200, 2, good)] },
+  'attempts are bounded': { steps: [reply(100, 1, failure), reply(200, 2, failure)] },
+  'without budget the failure is the answer': { repeats: 0, steps: [reply(100, 1, failure)] },
+  'a request that may run once never goes elsewhere after it may have run': { route: onceOnly, steps: [reply(100, 1, { kind: 'failed', reason: 'reset' })] },
+  'a failure of the target is the answer of a request that may run once': { route: onceOnly, steps: [reply(100, 1, failure)] },
+  'a request that may run once goes elsewhere when it surely did not run': { route: onceOnly, steps: [reply(10, 1, { kind: 'notRun', reason: 'draining' }), reply(200, 2, good)] },
+  'one that was shed goes elsewhere as a repeat': { route: onceOnly, steps: [reply(10, 1, { kind: 'notRun', reason: 'shed' }), reply(200, 2, good)] },
+  'one that was shed is refused truly without budget': { route: onceOnly, repeats: 0, steps: [reply(10, 1, { kind: 'notRun', reason: 'shed' })] },
+  'a silent attempt is doubled and the first answer wins': { steps: [timer(540), reply(700, 2, good)] },
+  'a request that may run once is never doubled': { route: onceOnly, steps: [timer(540), timer(1_300)] },
+  'the deadline ends a request that may have run without a promise': { route: onceOnly, steps: [timer(1_300)] },
+  'the caller leaves': { steps: [{ at: 50, event: { kind: 'callerLeft' } }] },
+  'no target for a moment': { targets: [], steps: [timer(60), timer(500)] },
+  'a broken link of a repeatable request': { steps: [reply(700, 1, { kind: 'failed', reason: 'lost' }), reply(900, 2, good)] },
+  'a late failure leaves no time to repeat': { steps: [reply(1_100, 1, { kind: 'failed', reason: 'reset' })] }
+}
+
+for (const [name, played] of Object.entries(plays)) {
+  test(`guards the course of a request: ${name}`, (t) => {
+    t.snapshot(play(played))
+  })
+}
+
+test('guards against a refusal that promises too much: nothing says "not run" after an attempt may have run', (t) => {
+  const outcomes: HopReply[] = [good, failure, busy, { kind: 'notRun', reason: 'shed' }, { kind: 'failed', reason: 'reset' }, { kind: 'failed', reason: 'lost' }]
+  for (const first of outcomes) {
+    for (const second of outcomes) {
+      for (const played of [route, onceOnly]) {
+        const lines = play({ route: played, steps: [reply(10, 1, first), reply(20, 2, second), reply(30, 3, second), reply(40, 4, second), timer(1_300)] }).join(' ')
+        const ran = [first, second].some(({ kind }) => kind !== 'notRun')
+        if (first.kind !== 'notRun') t.false(lines.includes('refuse'), lines)
+        if (!ran && lines.includes('fail 50')) t.fail(lines)
+      }
+    }
+  }
+})
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -78,6 +78,8 @@
   readonly #open = new Map<number, Attempt>()
   /** Hosts whose target the request may have reached. */
   readonly #reached = new Set<string>()
+  /** Hosts whose target could not be reached or took no work when it was last asked. */
+  readonly #away = new Set<string>()
   /** Hosts whose target had no free slot. */
   readonly #busy = new Set<string>()
   #attempts = 0
@@ -128,6 +130,7 @@
     this.#fruitless++
     this.#lastReason = reason
     if (reason === 'busy') this.#busy.add(attempt.candidate.host)
+    else this.#away.add(attempt.candidate.host)
     if (reason === 'shed') {
       this.#reached.add(attempt.candidate.host)
       return this.#repeatOrEnd()
@@ -164,18 +167,23 @@
     const commands = this.#offerNext(false)
     if (commands) return commands
     if (this.#view.now() - this.#startedAt >= SEARCH_MS) return this.#giveUp('noTarget')
+    this.#away.clear()
     return [{ kind: 'timer', ms: REOFFER_MS }]
   }
 
   /** Asks the best target not found busy for a slot; when all are busy, queues at the best. */
   #offerNext (repeat: boolean): CallCommand[] | undefined {
-    const candidates = this.#view.candidates(this.#reached)
+    const candidates = this.#candidates()
     const untried = candidates.find((candidate) => !this.#busy.has(candidate.host))
     if (untried && candidates.length > 1 && this.#busy.size < MAX_NOW_OFFERS) return this.#offer(untried, 'now', repeat)
     const best = candidates[0]
     return best && this.#offer(best, 'queue', repeat)
   }
 
+  #candidates (): Candidate[] {
+    return this.#view.candidates(new Set([...this.#reached, ...this.#away]))
+  }
+
   #offer (candidate: Candidate, mode: OfferMode, repeat: boolean): CallCommand[] {
     const attempt: Attempt = { number: ++this.#attempts, candidate, mode, startedAt: this.#view.now() }
     this.#open.set(attempt.number, attempt)
@@ -202,7 +210,7 @@
     const { route, deadlineAt } = this.#input
     if (this.#reached.size >= route.maxAttempts) return undefined
     if (deadlineAt - this.#view.now() < route.targetLatencyMs * MIN_REPEAT_PART) return undefined
-    if (this.#view.candidates(this.#reached).length === 0 || !this.#view.takeRepeat()) return undefined
+    if (this.#candidates().length === 0 || !this.#view.takeRepeat()) return undefined
     this.#busy.clear()
     return this.#offerNext(true)
   }
--- a/packages/hop/src/outbound/outboundDesk.ts
+++ b/packages/hop/src/outbound/outboundDesk.ts
@@ -12,6 +12,7 @@
 import { callFlow, type CallCommand, type CallEvent, type CallView } from './callFlow.js'
 import type { Placer } from './placer.js'
 import type { OutboundHead } from './requestHead.js'
+import type { VersionChoice } from '../rollout/versionRules.js'
 import type { RetryBudget } from './retryBudget.js'
 
 /** A caller's request, read whole. */
@@ -33,7 +34,7 @@
 /** Which versions of a service may get a request. */
 export interface VersionChooser {
   /** Chooses for one request; undefined when all versions may get it. */
-  choose (service: string): ((version: string) => boolean) | undefined
+  choose (service: string): VersionChoice | undefined
 }
 
 export interface OutboundOptions {
@@ -103,9 +104,10 @@
     const deadlineAt = startedAt + Math.min(req.head.deadlineMs, route.timeoutMs, MAX_DEADLINE_MS)
     const service = this.#splitter.next(route)
     budget.request(service, startedAt)
+    const choice = this.#opts.versions.choose(service)
     const view: CallView = {
       now: () => timers.now(),
-      candidates: (exclude) => this.#opts.placer.order(service, route, this.#acceptor(service, exclude)),
+      candidates: (exclude) => this.#opts.placer.order(service, route, this.#acceptor(choice, exclude), choice?.preferred),
       takeRepeat: () => budget.tryTake(service, fleet.live().length, timers.now()),
       retryAfterMs: () => this.#retryAfterMs()
     }
@@ -221,10 +223,9 @@
     }
   }
 
-  #acceptor (service: string, exclude: ReadonlySet<string>): (record: HostRecord) => boolean {
-    const { fleet, versions } = this.#opts
-    const isVersionFine = versions.choose(service)
-    return (record) => !exclude.has(record.host) && fleet.isUp(record.host) && (isVersionFine?.(record.target!.version) ?? true)
+  #acceptor (choice: VersionChoice | undefined, exclude: ReadonlySet<string>): (record: HostRecord) => boolean {
+    const { fleet } = this.#opts
+    return (record) => !exclude.has(record.host) && fleet.isUp(record.host) && (choice?.accepts(record) ?? true)
   }
 
   #learn (host: string, reply: HopReply): void {
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -83,15 +83,15 @@
     return this.#byService.get(service)?.length ?? 0
   }
 
-  /** Targets for a request, the best first. */
-  order (service: string, route: MeshRoute, accepts: (record: HostRecord) => boolean): Candidate[] {
+  /** Targets for a request, the best first; `preferred` names a host that goes before all others. */
+  order (service: string, route: MeshRoute, accepts: (record: HostRecord) => boolean, preferred?: string): Candidate[] {
     const now = this.#timers.now()
     const candidates: Candidate[] = []
     for (const record of this.#byService.get(service) ?? []) {
       if (!accepts(record)) continue
       candidates.push(this.#estimate(record, route, now))
     }
-    return candidates.sort((a, b) => a.costMs - b.costMs)
+    return candidates.sort((a, b) => Number(b.host === preferred) - Number(a.host === preferred) || a.costMs - b.costMs)
   }
 
   offered (host: string): void {
--- /dev/null
+++ b/packages/hop/src/rollout/__tests__/versionRules.spec.ts
@@ -0,0 +1,62 @@
+import test from 'ava'
+import { SeededRandom, type MoveFacts } from '@lentilwheel/core'
+import type { HostRecord } from '../../fleet/records.js'
+import type { MoveOrder } from '../order.js'
+import { VersionRules } from '../versionRules.js'
+
+function host (name: string, version: string): HostRecord {
+  return {
+    host: name, dataCentre: 'dc', address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, configVersion: 1, target: { id: `t-${name}`, service: 's', version, slots: 6, state: 'ready', coldMs: 0 }
+  }
+}
+
+const hosts = [host('a', 'v1'), host('b', 'v1'), host('c', 'v2'), host('d', 'v2')]
+const order: MoveOrder = { id: 's/v2', service: 's', to: 'v2', durationMs: 16_000, state: 'running', revision: 5 }
+const stage = (number: number, share: number): MoveFacts => ({ stage: { kind: 'stage', move: 's/v2', stage: number, share, at: 1 } })
+const rollback: MoveFacts = { ...stage(2, 0.1), rollback: { kind: 'rollback', move: 's/v2', reason: 'bad', at: 2, daemon: 'a' } }
+const done: MoveFacts = { ...stage(4, 1), outcome: { kind: 'outcome', move: 's/v2', outcome: 'done', reason: 'fine', at: 3 } }
+
+const cases: [name: string, order: MoveOrder | undefined, facts: MoveFacts][] = [
+  ['no order known', undefined, {}],
+  ['ordered, nothing decided', { ...order, state: 'ordered' }, {}],
+  ['first stage', order, stage(1, 0.1)],
+  ['load on one target', order, stage(3, 0.3)],
+  ['all traffic', order, stage(4, 1)],
+  ['rolled back by a fact', order, rollback],
+  ['rolled back in the store', { ...order, state: 'rolledBack' }, {}],
+  ['done by a fact', order, done],
+  ['completed in the store', { ...order, state: 'completed' }, {}]
+]
+
+for (const [name, held, facts] of cases) {
+  test(`guards which versions get traffic: ${name}`, (t) => {
+    const rules = new VersionRules(new SeededRandom(1))
+    rules.setHosts(hosts.slice(0, 2))
+    rules.setHosts(hosts)
+    if (held) rules.setOrder(held)
+    rules.setFacts('s/v2', facts)
+    const counts: Record<string, number> = {}
+    for (let i = 0; i < 100; i++) {
+      const choice = rules.choose('s')
+      const accepted = hosts.filter((record) => choice?.accepts(record) ?? true).map((record) => record.host).join('')
+      const key = choice?.preferred === undefined ? accepted : `${accepted} first ${choice.preferred}`
+      counts[key] = (counts[key] ?? 0) + 1
+    }
+    t.snapshot({ counts, open: { v1: rules.isOpen('s', 'v1'), v2: rules.isOpen('s', 'v2') } })
+  })
+}
+
+test('guards against an older state of an order replacing a later one', (t) => {
+  const rules = new VersionRules(new SeededRandom(1))
+  t.true(rules.setOrder({ ...order, state: 'rolledBack', revision: 9 }))
+  t.false(rules.setOrder({ ...order, revision: 8 }))
+  t.is(rules.phase('s'), 'rolledBack')
+})
+
+test('guards against requests failing because all new targets are gone', (t) => {
+  const rules = new VersionRules(new SeededRandom(1))
+  rules.setOrder(order)
+  rules.setFacts('s/v2', stage(4, 1))
+  rules.setHosts(hosts.slice(0, 2))
+  t.true(rules.choose('s')!.accepts(hosts[0]!))
+})
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -1,7 +1,25 @@
-import type { Random } from '@lentilwheel/core'
+import type { MoveFacts, Random } from '@lentilwheel/core'
+import { FULL_STAGE, LOAD_STAGE } from '@lentilwheel/moves'
 import type { HostRecord } from '../fleet/records.js'
 import type { MoveOrder } from './order.js'
 
+/** Which targets may get one request. */
+export interface VersionChoice {
+  accepts (record: HostRecord): boolean
+  /** The host that goes before all others; undefined when none does. */
+  preferred: string | undefined
+}
+
+/** Where a move stands, by its order and its facts. */
+export type MovePhase = 'waiting' | 'moving' | 'full' | 'completed' | 'rolledBack'
+
+export function phaseOf (order: MoveOrder, facts: MoveFacts): MovePhase {
+  if (order.state === 'rolledBack' || facts.rollback) return 'rolledBack'
+  if (order.state === 'completed' || facts.outcome?.outcome === 'done') return 'completed'
+  if (!facts.stage) return 'waiting'
+  return facts.stage.stage >= FULL_STAGE ? 'full' : 'moving'
+}
+
 /**
  * Which versions of a service may get traffic. A version that differs from what the service runs gets none until an
  * order names it, so that new targets whose order has not been heard of yet are left alone.
@@ -9,10 +27,10 @@
 export class VersionRules {
   readonly #random: Random
   readonly #orders = new Map<string, MoveOrder>()
-  readonly #shares = new Map<string, number>()
-  /** Ready targets by version, for each service. */
-  readonly #targets = new Map<string, Map<string, number>>()
-  /** The version that a service ran when it was first seen with one version only. */
+  readonly #facts = new Map<string, MoveFacts>()
+  /** Ready targets of each service. */
+  readonly #targets = new Map<string, HostRecord[]>()
+  /** The version that a service ran when no order was known. */
   readonly #settled = new Map<string, string>()
 
   constructor (random: Random) {
@@ -23,48 +41,76 @@
     return this.#orders.get(service)
   }
 
-  setOrder (order: MoveOrder): void {
-    const held = this.#orders.get(order.service)
-    if (held && held.revision >= order.revision) return
-    if (held?.id !== order.id) this.#shares.delete(order.service)
-    this.#orders.set(order.service, order)
+  orders (): MoveOrder[] {
+    return [...this.#orders.values()]
+  }
+
+  phase (service: string): MovePhase | undefined {
+    const order = this.#orders.get(service)
+    return order && phaseOf(order, this.#facts.get(order.id) ?? {})
   }
 
-  /** Share of the service's traffic that the new version of its order gets. */
-  setShare (service: string, share: number): void {
-    this.#shares.set(service, share)
+  /** Takes an order in; false if a later state of it is known. */
+  setOrder (order: MoveOrder): boolean {
+    const held = this.#orders.get(order.service)
+    if (held && held.revision >= order.revision) return false
+    this.#orders.set(order.service, order)
+    return true
   }
 
-  share (service: string): number {
-    return this.#shares.get(service) ?? 0
+  setFacts (move: string, facts: MoveFacts): void {
+    this.#facts.set(move, facts)
   }
 
   setHosts (records: readonly HostRecord[]): void {
     this.#targets.clear()
-    for (const { target } of records) {
-      if (target?.state !== 'ready') continue
-      const versions = this.#targets.get(target.service) ?? new Map<string, number>()
-      versions.set(target.version, (versions.get(target.version) ?? 0) + 1)
-      this.#targets.set(target.service, versions)
+    for (const record of records) {
+      const { target } = record
+      if (target?.state !== 'ready' || record.stopping) continue
+      const list = this.#targets.get(target.service)
+      if (list) list.push(record)
+      else this.#targets.set(target.service, [record])
     }
-    for (const [service, versions] of this.#targets) {
+    for (const [service, list] of this.#targets) {
       const held = this.#settled.get(service)
-      if (held !== undefined && versions.has(held)) continue
-      this.#settled.set(service, mostCommon(versions))
+      if (held !== undefined && list.some(({ target }) => target!.version === held)) continue
+      this.#settled.set(service, mostCommonVersion(list))
+    }
+  }
+
+  /** Slots of the ready targets of the order's new version, of all others, and of one new target. */
+  slots (service: string): { newSlots: number, oldSlots: number, slotsPerTarget: number } {
+    const to = this.#orders.get(service)?.to
+    const sums = { newSlots: 0, oldSlots: 0, slotsPerTarget: 1 }
+    for (const { target } of this.#targets.get(service) ?? []) {
+      if (target!.version !== to) {
+        sums.oldSlots += target!.slots
+        continue
+      }
+      sums.newSlots += target!.slots
+      sums.slotsPerTarget = target!.slots
     }
+    return sums
   }
 
-  choose (service: string): ((version: string) => boolean) | undefined {
+  choose (service: string): VersionChoice | undefined {
     const order = this.#orders.get(service)
     if (!order) return this.#onlySettled(service)
-    switch (order.state) {
+    const { to } = order
+    const newHosts = (this.#targets.get(service) ?? []).filter(({ target }) => target!.version === to)
+    const isOld = (record: HostRecord): boolean => record.target!.version !== to
+    const isNew = (record: HostRecord): boolean => record.target!.version === to
+    switch (phaseOf(order, this.#facts.get(order.id) ?? {})) {
       case 'completed':
-        return this.#has(service, order.to) ? (version) => version === order.to : undefined
+        return newHosts.length > 0 ? { accepts: isNew, preferred: undefined } : undefined
       case 'rolledBack':
-        return (version) => version !== order.to
+      case 'waiting':
+        return { accepts: isOld, preferred: undefined }
       default: {
-        const isNew = this.#random.next() < this.share(service)
-        return (version) => (version === order.to) === isNew
+        const { stage, share } = this.#facts.get(order.id)!.stage!
+        if (newHosts.length === 0 || this.#random.next() >= share) return { accepts: isOld, preferred: undefined }
+        const preferred = stage === LOAD_STAGE ? newHosts.map(({ host }) => host).sort()[0] : undefined
+        return { accepts: isNew, preferred }
       }
     }
   }
@@ -72,30 +118,22 @@
   /** Whether a request for the version may still be started. */
   isOpen (service: string, version: string): boolean {
     const order = this.#orders.get(service)
-    if (!order || order.to !== version) return true
-    return order.state === 'completed' || (order.state !== 'rolledBack' && this.share(service) > 0)
+    if (!order) return true
+    const phase = phaseOf(order, this.#facts.get(order.id) ?? {})
+    if (order.to === version) return phase !== 'rolledBack' && phase !== 'waiting'
+    return phase !== 'completed'
   }
 
-  #onlySettled (service: string): ((version: string) => boolean) | undefined {
-    const versions = this.#targets.get(service)
-    if (!versions || versions.size < 2) return undefined
+  #onlySettled (service: string): VersionChoice | undefined {
     const settled = this.#settled.get(service)
-    return (version) => version === settled
-  }
-
-  #has (service: string, version: string): boolean {
-    return this.#targets.get(service)?.has(version) ?? false
+    const targets = this.#targets.get(service) ?? []
+    if (targets.every(({ target }) => target!.version === settled)) return undefined
+    return { accepts: ({ target }) => target!.version === settled, preferred: undefined }
   }
 }
 
-function mostCommon (versions: ReadonlyMap<string, number>): string {
-  let best = ''
-  let most = 0
-  for (const [version, n] of versions) {
-    if (n > most || (n === most && version < best)) {
-      best = version
-      most = n
-    }
-  }
-  return best
+function mostCommonVersion (records: readonly HostRecord[]): string {
+  const counts = new Map<string, number>()
+  for (const { target } of records) counts.set(target!.version, (counts.get(target!.version) ?? 0) + 1)
+  return [...counts].sort(([a, n], [b, m]) => m - n || (a < b ? -1 : 1))[0]?.[0] ?? ''
 }
--- a/packages/hop/src/store/follower.ts
+++ b/packages/hop/src/store/follower.ts
@@ -13,6 +13,8 @@
   waitMs: number
   /** Pause after a change before the next watch, so that changes in quick succession are read together. */
   gatherMs: number
+  /** Whether this daemon follows the kind at present; always if absent. */
+  isWanted? (): boolean
   /** Every object of the kind, after a list. */
   onList (objects: readonly StoredObject[]): void
   onChange (object: StoredObject, deleted: boolean): void
@@ -20,6 +22,8 @@
 
 const MIN_BACKOFF_MS = 150
 const MAX_BACKOFF_MS = 1_500
+/** Period at which a daemon that doesn't follow a kind looks whether it should. */
+const UNWANTED_MS = 500
 
 /** Follows the objects of one kind: lists them, watches from there, and lists again when the history is gone. */
 export class Follower {
@@ -66,7 +70,11 @@
   }
 
   async #step (): Promise<void> {
-    const { store, kind, waitMs, gatherMs } = this.#opts
+    const { store, kind, waitMs, gatherMs, isWanted } = this.#opts
+    if (isWanted && this.#revision !== undefined && !isWanted()) {
+      this.#isBehind = false
+      return await this.#sleep(UNWANTED_MS)
+    }
     if (this.#revision === undefined || this.#isBehind) {
       this.#isBehind = false
       const listing = await store.list(kind)
