Pass on answers without a length as such, and ask for them elsewhere where that is allowed

Ruled out: a reset taken for an end (the log shows an end of the stream, 368 bytes of an answer that was longer). A repeatable request goes to another target; the answer of one that may run once goes on without a length and ends with its connection.

--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -127,6 +127,6 @@
 
 for (const [name, status, headers] of messages) {
   test(`guards against taking a wrong message for an answer: ${name}`, (t) => {
-    t.snapshot(judgeMessage({ status, headers, body: Buffer.alloc(0) }, 'r1', names))
+    t.snapshot(judgeMessage({ status, headers, body: Buffer.alloc(0), unframed: false }, 'r1', names))
   })
 }
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -102,7 +102,7 @@
       this.#reusable = false
       return 0
     }
-    this.#exchange.head = { status: info.statusCode, headers: info.headers.slice(), body: Buffer.alloc(0) }
+    this.#exchange.head = { status: info.statusCode, headers: info.headers.slice(), body: Buffer.alloc(0), unframed: false }
     this.#exchange.chunks = []
     if (!info.shouldKeepAlive) this.#reusable = false
     return this.#exchange.request.method === 'HEAD' ? 1 : 0
@@ -141,6 +141,7 @@
   }
 
   #onEnd (): void {
+    if (this.#exchange?.head) this.#exchange.head.unframed = true
     const outcome: unknown = this.#exchange ? this.#parser.finish() : undefined
     this.#end(outcome instanceof Error && this.#exchange?.head ? 'cut' : 'reset')
   }
--- a/packages/hop/src/inbound/responseCheck.ts
+++ b/packages/hop/src/inbound/responseCheck.ts
@@ -6,6 +6,8 @@
   /** Names and values, flat. */
   headers: string[]
   body: Buffer
+  /** The message ended with its connection, so nothing shows whether it is whole. */
+  unframed: boolean
 }
 
 export type MessageVerdict =
@@ -17,7 +19,7 @@
 
 /** Decides what a message on a target's connection means for the request that waits there. */
 export function judgeMessage (message: TargetMessage, requestId: string, names: HeaderNames): MessageVerdict {
-  const { status, headers, body } = message
+  const { status, headers, body, unframed } = message
   if (status < 200) return { kind: 'skip', why: 'interim' }
   const id = headerOf(headers, names.requestId)
   if (id !== undefined && id !== requestId) return { kind: 'skip', why: 'otherRequest' }
@@ -28,7 +30,7 @@
   if (id === undefined || headerOf(headers, names.signature) === undefined) {
     return { kind: 'result', result: { kind: 'failed', reason: 'garbled' } }
   }
-  return { kind: 'result', result: { kind: 'response', status, headers, body, ...extra } }
+  return { kind: 'result', result: { kind: 'response', status, headers, body, unframed, ...extra } }
 }
 
 /** Value of a header in a flat list; names are compared without case. */
--- a/packages/hop/src/inbound/targetResult.ts
+++ b/packages/hop/src/inbound/targetResult.ts
@@ -9,7 +9,7 @@
 
 /** How a request to the target beside this daemon ended. */
 export type TargetResult =
-  | { kind: 'response', status: number, headers: string[], body: Buffer, reported?: ReportedLoad }
+  | { kind: 'response', status: number, headers: string[], body: Buffer, unframed: boolean, reported?: ReportedLoad }
   | { kind: 'notRun', reason: NotRunReason, reported?: ReportedLoad }
   | { kind: 'failed', reason: FailureReason }
 
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -57,7 +57,8 @@
 
 /** How an offered request ended. */
 export type HopReply =
-  | { kind: 'response', status: number, headers: string[], body: Uint8Array, load?: TargetLoad }
+  /** `unframed`: the target gave no length, so nothing shows whether the body is whole. */
+  | { kind: 'response', status: number, headers: string[], body: Uint8Array, unframed: boolean, load?: TargetLoad }
   | { kind: 'notRun', reason: NotRunReason, load?: TargetLoad }
   /** The target may have run the request. */
   | { kind: 'failed', reason: FailureReason, load?: TargetLoad }
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -8,8 +8,8 @@
   name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
 }
 const onceOnly: MeshRoute = { ...route, idempotent: false }
-const good: HopReply = { kind: 'response', status: 200, headers: [], body: new Uint8Array() }
-const failure: HopReply = { kind: 'response', status: 500, headers: [], body: new Uint8Array() }
+const good: HopReply = { kind: 'response', status: 200, headers: [], body: new Uint8Array(), unframed: false }
+const failure: HopReply = { kind: 'response', status: 500, headers: [], body: new Uint8Array(), unframed: false }
 const busy: HopReply = { kind: 'notRun', reason: 'busy' }
 
 interface Step { at: number, event: CallEvent }
@@ -67,6 +67,8 @@
   'a silent attempt is doubled and the first answer wins': { steps: [timer(540), reply(700, 2, good)] },
   'a request that may run once is never doubled': { route: onceOnly, steps: [timer(540), timer(1_300)] },
   'the deadline ends a request that may have run without a promise': { route: onceOnly, steps: [timer(1_300)] },
+  'an answer without a length is asked for elsewhere': { steps: [reply(100, 1, { ...good, unframed: true }), reply(200, 2, good)] },
+  'an answer without a length is passed on when there is no other': { route: onceOnly, steps: [reply(100, 1, { ...good, unframed: true })] },
   'the caller leaves': { steps: [{ at: 50, event: { kind: 'callerLeft' } }] },
   'no target for a moment': { targets: [], steps: [timer(60), timer(500)] },
   'a broken link of a repeatable request': { steps: [reply(700, 1, { kind: 'failed', reason: 'lost' }), reply(900, 2, good)] },
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -120,10 +120,10 @@
   }
 
   #onResponse (attempt: Attempt, response: Extract<HopReply, { kind: 'response' }>): CallCommand[] {
-    const isFailure = response.status >= 500
+    const isFailure = response.status >= 500 || response.unframed
     if (!isFailure || !this.#input.route.idempotent) return this.#end([{ kind: 'answer', reply: response }])
     this.#lastResponse = response
-    return this.#afterRun(attempt, `status ${response.status}`)
+    return this.#afterRun(attempt, response.unframed ? 'unframed' : `status ${response.status}`)
   }
 
   #onNotRun (attempt: Attempt, reason: NotRunReason): CallCommand[] {
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -139,7 +139,8 @@
         if (res.destroyed) return
         const headers = responseHeaders(reply.headers)
         const isBodiless = reply.status === 204 || reply.status === 304
-        if (!isBodiless && req.method !== 'HEAD') headers.push('Content-Length', String(reply.body.length))
+        if (reply.unframed) endWithConnection(res)
+        else if (!isBodiless && req.method !== 'HEAD') headers.push('Content-Length', String(reply.body.length))
         this.#closeIfStopping(headers)
         res.writeHead(reply.status, headers)
         res.end(isBodiless ? undefined : reply.body)
@@ -181,6 +182,12 @@
   }
 }
 
+/** A body of which nothing shows that it is whole is passed on without a length, too. */
+function endWithConnection (res: ServerResponse): void {
+  res.shouldKeepAlive = false
+  res.useChunkedEncodingByDefault = false
+}
+
 const CLIENT_ERROR_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
