--- a/packages/hop/src/daemon/configKeeper.ts
+++ b/packages/hop/src/daemon/configKeeper.ts
@@ -20,7 +20,7 @@
 const OWN_WATCH_MS = 300
 /** Time that the store gets after that, before the peer is asked. */
 const STORE_MS = 500
-const GATHER_MS = 400
+const GATHER_MS = 600
 const WATCH_MS = 10_000
 
 /**
--- /dev/null
+++ b/packages/hop/src/link/__tests__/codec.spec.ts
@@ -0,0 +1,35 @@
+import test from 'ava'
+import { errorCode } from '@lentilwheel/core'
+import { decode, decodeCall, decodeReply, encode, encodeCall, encodeReply } from '../codec.js'
+import type { CallMessage, HopReply } from '../messages.js'
+
+const call: CallMessage = {
+  key: 'a/1/1', requestId: 'r', incarnation: 1_787_199_927_259, mode: 'queue', service: 's', targetId: 'i', route: 'r', method: 'POST', url: '/x?y=\u00e9', headers: ['Host', 'h'], body: Buffer.from([0, 255]), deadlineMs: 12.5, targetLatencyMs: 600, priority: 1, idempotent: false, nested: true, repeat: false
+}
+
+test('guards against a call changing on its way', (t) => {
+  t.deepEqual(decodeCall(encodeCall(call)), call)
+})
+
+const load = { targetId: 'i', running: 1, queued: 2, slots: 6, pace: 0.25, failing: 0.5 }
+const replies: HopReply[] = [
+  { kind: 'response', status: 200, headers: ['a', 'b'], body: Buffer.from('x'), unframed: false, load },
+  { kind: 'notRun', reason: 'busy', load },
+  { kind: 'failed', reason: 'reset' }
+]
+for (const reply of replies) {
+  test(`guards against a reply changing on its way: ${reply.kind}`, (t) => {
+    t.deepEqual(decodeReply(encodeReply(reply)), reply)
+  })
+}
+
+const bad: [name: string, bytes: Uint8Array][] = [
+  ['nothing', new Uint8Array()], ['noise', Uint8Array.of(0xc1, 0x00)], ['another protocol', encode([2, 'x'])], ['a number', encode([1]).subarray(1)], ['too few fields', encode([1, 'a'])]
+]
+for (const [name, bytes] of bad) {
+  test(`guards against bytes that are no message being taken for one: ${name}`, (t) => {
+    for (const read of [decodeCall, decodeReply, (b: Uint8Array) => decode(b, ['from' as never])]) {
+      t.is(errorCode(t.throws(() => read(bytes), { any: true })), 'bad-message')
+    }
+  })
+}
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -1,24 +1,76 @@
 import { Packr } from 'msgpackr'
 import { BadMessage } from '../errors.js'
+import type { CallMessage, HopReply, TargetLoad } from './messages.js'
 
-/** Plain MessagePack, so that daemons of different builds can read each other. */
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true, int64AsType: 'number' })
 
+/** Raised whenever the fields below change; a peer with another number is not understood. */
+const PROTOCOL = 1
+
+/** Calls and their replies are most of what daemons send, so their fields go by position rather than by name. */
+const CALL_FIELDS = [
+  'key', 'requestId', 'incarnation', 'mode', 'service', 'targetId', 'route', 'method', 'url', 'headers', 'body', 'deadlineMs',
+  'targetLatencyMs', 'priority', 'idempotent', 'nested', 'repeat'
+] as const satisfies readonly (keyof CallMessage)[]
+const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'load'] as const
+const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing'] as const satisfies readonly (keyof TargetLoad)[]
+
+type Fields = Readonly<Record<string, unknown>>
+
 export function encode (message: object): Buffer {
   return packr.pack(message)
 }
 
 /** Decodes a message of the expected shape; peers run the same protocol, so only the fields that must exist are checked. */
 export function decode<T extends object> (bytes: Uint8Array, required: readonly (keyof T & string)[]): T {
-  let value: unknown
-  try {
-    value = packr.unpack(bytes)
-  } catch (err) {
-    throw new BadMessage('a peer sent bytes that are no message', err)
-  }
+  const value = unpack(bytes)
   if (typeof value !== 'object' || value === null) throw new BadMessage('a peer sent a message that is no object')
   for (const field of required) {
     if (!(field in value)) throw new BadMessage(`a peer sent a message without "${field}"`)
   }
   return value as T
 }
+
+export function encodeCall (message: CallMessage): Buffer {
+  return encode([PROTOCOL, ...values(message as unknown as Fields, CALL_FIELDS)])
+}
+
+export function decodeCall (bytes: Uint8Array): CallMessage {
+  return fieldsOf(unpack(bytes), CALL_FIELDS) as unknown as CallMessage
+}
+
+export function encodeReply (reply: HopReply): Buffer {
+  const load = reply.load && values(rounded(reply.load) as unknown as Fields, LOAD_FIELDS)
+  return encode([PROTOCOL, ...values({ ...reply, load }, REPLY_FIELDS)])
+}
+
+export function decodeReply (bytes: Uint8Array): HopReply {
+  const fields = fieldsOf(unpack(bytes), REPLY_FIELDS)
+  const load = Array.isArray(fields['load']) ? { load: fieldsOf([PROTOCOL, ...fields['load'] as unknown[]], LOAD_FIELDS) } : {}
+  const present = Object.entries(fields).filter(([name, value]) => name !== 'load' && value !== null)
+  return { ...Object.fromEntries(present), ...load } as unknown as HopReply
+}
+
+function unpack (bytes: Uint8Array): unknown {
+  try {
+    return packr.unpack(bytes)
+  } catch (err) {
+    throw new BadMessage('a peer sent bytes that are no message', err)
+  }
+}
+
+function values (message: Fields, names: readonly string[]): unknown[] {
+  return names.map((name) => message[name])
+}
+
+function fieldsOf (list: unknown, names: readonly string[]): Record<string, unknown> {
+  if (!Array.isArray(list) || list[0] !== PROTOCOL || list.length !== names.length + 1) {
+    throw new BadMessage('a peer speaks another protocol')
+  }
+  return Object.fromEntries(names.map((name, i) => [name, list[i + 1] as unknown]))
+}
+
+/** Two digits are enough for estimates. */
+function rounded (load: TargetLoad): TargetLoad {
+  return { ...load, pace: Math.round(load.pace * 100) / 100, failing: Math.round(load.failing * 100) / 100 }
+}
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -3,8 +3,8 @@
 import { errorCode } from '@lentilwheel/core'
 import type { CallLog } from '../observe/callLog.js'
 import type { InboundDesk } from '../inbound/inboundDesk.js'
-import { decode, encode } from './codec.js'
-import type { CallMessage, HopReply, SettleMessage, SyncMessage } from './messages.js'
+import { decode, decodeCall, encode, encodeReply } from './codec.js'
+import type { HopReply, SettleMessage, SyncMessage } from './messages.js'
 import { MAX_CONCURRENT_STREAMS, MAX_MESSAGE_BYTES, PATHS, WINDOW_BYTES, WITHDRAWN } from './wire.js'
 
 export interface HopServerOptions {
@@ -71,13 +71,13 @@
 
   #onMessage (stream: ServerHttp2Stream, path: string, body: Buffer): void {
     const { desk } = this.#opts
-    const send = (reply: object): void => {
+    const send = (payload: Buffer): void => {
       if (stream.destroyed || stream.closed) return
-      stream.respond({ ':status': 200 })
-      stream.end(encode(reply))
+      stream.respond({ ':status': 200 }, { sendDate: false } as object)
+      stream.end(payload)
     }
     if (path === PATHS.call) {
-      const message = decode<CallMessage>(body, ['key', 'targetId', 'headers', 'body'])
+      const message = decodeCall(body)
       let replied = false
       stream.on('close', () => {
         if (stream.rstCode === WITHDRAWN) desk.cancel(message.key)
@@ -85,16 +85,16 @@
       })
       desk.offer(message, (reply: HopReply) => {
         replied = true
-        send(reply)
+        send(encodeReply(reply))
       })
     } else if (path === PATHS.settle) {
       const message = decode<SettleMessage>(body, ['key', 'incarnation'])
       stream.on('close', () => { if (stream.rstCode === WITHDRAWN) desk.cancel(message.key) })
-      desk.settle(message.key, message.incarnation, send)
+      desk.settle(message.key, message.incarnation, (reply) => send(encodeReply(reply)))
     } else if (path === PATHS.sync) {
-      send(this.#opts.onSync(decode<SyncMessage>(body, ['from', 'records', 'facts', 'orders', 'reports', 'digest'])))
+      send(encode(this.#opts.onSync(decode<SyncMessage>(body, ['from', 'records', 'facts', 'orders', 'reports', 'digest']))))
     } else if (path === PATHS.config) {
-      send(this.#opts.onConfigAsked())
+      send(encode(this.#opts.onConfigAsked()))
     } else {
       stream.close(WITHDRAWN)
     }
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -3,7 +3,7 @@
 import { errorCode, type Cancel, type Timers } from '@lentilwheel/core'
 import { PeerLost } from '../errors.js'
 import type { CallLog } from '../observe/callLog.js'
-import { decode, encode } from './codec.js'
+import { decode, decodeReply, encode, encodeCall } from './codec.js'
 import type { PeerLink } from '../fleet/fleet.js'
 import type { CallMessage, HopReply, SettleMessage, SyncMessage } from './messages.js'
 import { MAX_CONCURRENT_STREAMS, PATHS, WINDOW_BYTES, WITHDRAWN } from './wire.js'
@@ -87,7 +87,7 @@
         stream?.close(WITHDRAWN)
         reject(new PeerLost(`${this.host} did not answer ${path} in ${SETTLE_TIMEOUT_MS} ms`))
       })
-      const stream = this.#request(path, message, (body) => {
+      const stream = this.#request(path, encode(message), (body) => {
         stop()
         if (body) resolve(body)
         else reject(new PeerLost(`the link to ${this.host} broke`))
@@ -104,7 +104,7 @@
 
   #sendCall (pending: Pending): void {
     let sent = false
-    pending.stream = this.#request(PATHS.call, pending.message, (body) => {
+    pending.stream = this.#request(PATHS.call, encodeCall(pending.message), (body) => {
       if (pending.ended) return
       if (body) return this.#onReply(pending, body)
       if (!sent && !this.#connected) return this.#end(pending, { kind: 'notRun', reason: 'unsent' })
@@ -116,7 +116,7 @@
 
   #onReply (pending: Pending, body: Buffer): void {
     try {
-      this.#end(pending, decode<HopReply>(body, ['kind']))
+      this.#end(pending, decodeReply(body))
     } catch (err) {
       this.#opts.log.decision('badReply', { peer: this.host, code: errorCode(err) })
       this.#end(pending, { kind: 'failed', reason: 'lost' })
@@ -146,7 +146,7 @@
     if (isFutile || this.#closed) return this.#end(pending, { kind: 'failed', reason: 'lost' })
     const again = (): void => { this.#opts.timers.after(SETTLE_RETRY_MS, () => this.#settle(pending)) }
     const settle: SettleMessage = { key: message.key, incarnation: message.incarnation }
-    pending.stream = this.#request(PATHS.settle, settle, (body) => {
+    pending.stream = this.#request(PATHS.settle, encode(settle), (body) => {
       if (pending.ended) return
       if (body) this.#onReply(pending, body)
       else again()
@@ -155,7 +155,7 @@
   }
 
   /** Sends one message; `done` gets the whole reply, or nothing if the link broke before. */
-  #request (path: string, message: object, done: (body: Buffer | undefined) => void, onSent?: () => void): ClientHttp2Stream | undefined {
+  #request (path: string, payload: Buffer, done: (body: Buffer | undefined) => void, onSent?: () => void): ClientHttp2Stream | undefined {
     const session = this.#open()
     if (!session) {
       done(undefined)
@@ -180,7 +180,7 @@
     stream.on('close', () => finish(undefined))
     if (this.#connected) onSent?.()
     else session.once('connect', () => onSent?.())
-    stream.end(encode(message))
+    stream.end(payload)
     return stream
   }
 
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -33,7 +33,9 @@
 /** Time of a round trip to another data centre and to the own one. */
 const OTHER_DATA_CENTRE_MS = 3
 const OWN_DATA_CENTRE_MS = 1
-/** Large responses stay in the own data centre unless this much time is won elsewhere, as a part of the target latency. */
+/** Time that must be won for a response to come from another data centre, as a part of the target latency. */
+const WAY_PENALTY = 0.08
+/** The same for large responses. */
 const BULKY_PENALTY = 0.6
 /** What a failed request costs the caller, as a multiple of the target latency. */
 const FAILURE_COST = 2
@@ -128,7 +130,7 @@
     const waitMs = busy >= slots ? (busy - slots + 1) / slots * ownMs : 0
     const crowdedMs = 0.3 * Math.min(1, busy / slots) * ownMs
     const isNear = record.dataCentre === this.#dataCentre
-    const wayMs = isNear ? OWN_DATA_CENTRE_MS : OTHER_DATA_CENTRE_MS + (route.bulky ? BULKY_PENALTY * route.targetLatencyMs : 0)
+    const wayMs = isNear ? OWN_DATA_CENTRE_MS : OTHER_DATA_CENTRE_MS + (route.bulky ? BULKY_PENALTY : WAY_PENALTY) * route.targetLatencyMs
     const failMs = (load?.failing ?? 0) * FAILURE_COST * route.targetLatencyMs
     const avoidMs = now < seen.avoidUntil ? 10 * route.targetLatencyMs : 0
     const spread = 1 + SPREAD * (this.#random.next() - 0.5)
