--- /dev/null
+++ b/packages/hop/src/__tests__/load.spec.ts
@@ -0,0 +1,77 @@
+import test from 'ava'
+import { ATELIER, LoadPlayer, type ClassResult, type LoadOptions } from './loadPlayer.js'
+
+const SEEDS = [1, 2, 3]
+/** What the users state for a calm day: parts of the requests served, and of the worth earned. */
+const CALM_SERVED = 0.99
+const CALM_WORTH = 0.97
+/** A more urgent kind of request is served at most this much less often than a less urgent one of its service. */
+const INVERSION = 0.05
+
+function play (opts: Omit<LoadOptions, 'seed' | 'seconds'>): Record<string, ClassResult>[] {
+  return SEEDS.map((seed) => new LoadPlayer(ATELIER, { seed, seconds: 20, ...opts }).play())
+}
+
+function total (results: Record<string, ClassResult>): { served: number, worth: number } {
+  let asked = 0
+  let served = 0
+  let earned = 0
+  let owed = 0
+  for (const { name, worth, lateWorth } of ATELIER.classes) {
+    const result = results[name]!
+    asked += result.asked
+    served += result.inTarget + result.late
+    earned += result.inTarget * worth + result.late * lateWorth
+    owed += result.asked * worth
+  }
+  return { served: served / asked, worth: earned / owed }
+}
+
+function servedShare ({ asked, inTarget, late }: ClassResult): number {
+  return (inTarget + late) / asked
+}
+
+test('guards what callers get on a calm day', (t) => {
+  for (const results of play({ rateAt: () => 0.6 })) {
+    const { served, worth } = total(results)
+    t.true(served >= CALM_SERVED && worth >= CALM_WORTH, JSON.stringify(results))
+  }
+})
+
+test('guards against a burst leaving the service overloaded after it has passed', (t) => {
+  for (const seed of SEEDS) {
+    const quietEnd = new LoadPlayer(ATELIER, { seed, seconds: 30, rateAt: (second) => second > 4 && second < 10 ? 2.5 : 0.7 }).play()
+    const without = new LoadPlayer(ATELIER, { seed, seconds: 30, rateAt: () => 0.7 }).play()
+    const failed = quietEnd['browse']!.refused + quietEnd['browse']!.failed
+    // The burst brings 6 s of 1.8 times the usual rate too much; what fails must not exceed that excess.
+    t.true(failed <= 6 * 57 * 1.8, `${failed}`)
+    t.is(without['browse']!.refused + without['browse']!.failed, 0)
+  }
+})
+
+test('guards against requests being held that are refused in the end', (t) => {
+  for (const results of play({ rateAt: () => 1.8 })) {
+    const { refused, lateRefusals, asked } = results['browse']!
+    t.true(refused > 0, 'the load must be too high')
+    t.true(lateRefusals <= 0.05 * asked, `${lateRefusals} of ${asked}`)
+  }
+})
+
+test('guards against urgent requests being served less often than less urgent ones', (t) => {
+  for (const results of play({ rateAt: () => 2 })) {
+    t.true(servedShare(results['lookup']!) >= servedShare(results['sheet']!) - INVERSION)
+    t.true(servedShare(results['order']!) >= servedShare(results['browse']!) - INVERSION)
+  }
+})
+
+test('guards against orders being lost because a target sheds part of its requests', (t) => {
+  for (const results of play({ rateAt: () => 0.7, shedding: (host) => host === 'h05' ? 0.5 : 0 })) {
+    t.true(servedShare(results['order']!) >= CALM_SERVED, JSON.stringify(results['order']))
+  }
+})
+
+test('guards against one slow target making a calm service late', (t) => {
+  for (const results of play({ rateAt: () => 0.6, slowness: (host) => host === 'h02' ? 6 : 1 })) {
+    t.true(total(results).worth >= 0.94, JSON.stringify(results))
+  }
+})
--- /dev/null
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -0,0 +1,332 @@
+import { SeededRandom, VirtualTimers, type Random } from '@lentilwheel/core'
+import { Fleet, type PeerLink } from '../fleet/fleet.js'
+import type { HostRecord, TargetRecord } from '../fleet/records.js'
+import { InboundDesk } from '../inbound/inboundDesk.js'
+import type { TargetClient } from '../inbound/nodeTargetClient.js'
+import type { TargetRequest } from '../inbound/nodeTargetConnection.js'
+import type { HeaderNames, TargetResult } from '../inbound/targetResult.js'
+import { NoCallLog } from '../observe/callLog.js'
+import type { CallMetrics } from '../observe/callMetrics.js'
+import { OutboundDesk } from '../outbound/outboundDesk.js'
+import { Placer } from '../outbound/placer.js'
+import { RetryBudget } from '../outbound/retryBudget.js'
+import type { MeshConfig, MeshRoute } from '../routing/meshConfig.js'
+import { RouteTable } from '../routing/routeTable.js'
+
+const names: HeaderNames = {
+  requestId: 'x-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notRun: 'x-not-run', load: 'x-load', callerService: 'x-caller', signature: 'x-sig'
+}
+
+/** A kind of request as the users' sheets give it. */
+export interface RequestClass {
+  name: string
+  service: string
+  idempotent: boolean
+  bulky?: boolean
+  /** Requests a second over all data centres; 0 for those that only targets make. */
+  perS: number
+  workMs: number
+  targetLatencyMs: number
+  deadlineMs: number
+  timeoutMs: number
+  priority: number
+  worth: number
+  lateWorth: number
+  retries: number
+  /** Calls that a target makes, one after the other, while it runs such a request. */
+  calls?: { class: string, times: number, share: number }
+}
+
+export interface Sheet {
+  dataCentres: string[]
+  services: { name: string, targets: number, slots: number, speeds: number[] }[]
+  classes: RequestClass[]
+}
+
+export interface LoadOptions {
+  seed: number
+  seconds: number
+  /** Multiplies the rate at a time of the play, in seconds. */
+  rateAt (second: number): number
+  /** Multiplies the work of a target at a time of the play. */
+  slowness? (host: string, service: string, second: number): number
+  /** Share of requests that a target sheds at once. */
+  shedding? (host: string, service: string, second: number): number
+}
+
+/** What the callers of one class got. */
+export interface ClassResult {
+  asked: number
+  inTarget: number
+  late: number
+  refused: number
+  failed: number
+  /** Earned part of what was owed. */
+  worth: number
+  /** Refusals that came later than a quarter of the target latency. */
+  lateRefusals: number
+}
+
+const WAY_MS = 1
+const RESPONSE_BYTES = new Uint8Array(100)
+
+interface SimHost {
+  record: HostRecord
+  fleet: Fleet
+  inbound: InboundDesk
+  outbound: OutboundDesk
+  placer: Placer
+}
+
+/** Targets of the sheets: slots, a queue, speeds, and calls of their own. */
+class SimTarget implements TargetClient {
+  readonly #player: LoadPlayer
+  readonly #host: string
+  readonly #service: string
+  readonly #slots: number
+  readonly #speed: number
+  readonly #random: Random
+  running = 0
+
+  constructor (player: LoadPlayer, host: string, service: string, slots: number, speed: number, random: Random) {
+    this.#player = player
+    this.#host = host
+    this.#service = service
+    this.#slots = slots
+    this.#speed = speed
+    this.#random = random
+  }
+
+  reset (): void {}
+
+  send (request: TargetRequest, _idempotent: boolean, done: (result: TargetResult) => void): () => void {
+    const { timers, opts } = this.#player
+    const second = timers.now() / 1000
+    const head = request.bytes.toString('latin1').split('\r\n')
+    const cls = this.#player.classOf(head[0]!.split(' ')[1]!)
+    let isOver = false
+    const end = (result: TargetResult): void => {
+      if (isOver) return
+      isOver = true
+      this.running--
+      stopDeadline()
+      done(result)
+    }
+    this.running++
+    if (this.running > this.#slots) throw new Error(`${this.#host} got more requests than it has slots`)
+    const stopDeadline = timers.after(request.timeoutMs, () => end(response(504)))
+    if (this.#random.next() < (opts.shedding?.(this.#host, this.#service, second) ?? 0)) {
+      timers.after(1, () => end({ kind: 'notRun', reason: 'shed' }))
+    } else {
+      const tail = this.#random.next() < 0.01 ? 4 : 1
+      const slowness = opts.slowness?.(this.#host, this.#service, second) ?? 1
+      const spread = Math.exp(0.35 * gauss(this.#random))
+      const work = cls.workMs * spread * tail * slowness / this.#speed
+      timers.after(work, () => this.#makeCalls(cls, () => isOver, (ok) => end(response(ok ? 200 : 500))))
+    }
+    return () => end({ kind: 'failed', reason: 'cancelled' })
+  }
+
+  #makeCalls (cls: RequestClass, isOver: () => boolean, done: (ok: boolean) => void): void {
+    let left = cls.calls && this.#random.next() < cls.calls.share ? cls.calls.times : 0
+    const next = (): void => {
+      if (isOver()) return
+      if (left-- <= 0) return done(true)
+      this.#player.ask(this.#host, this.#player.classNamed(cls.calls!.class), true, (ok) => ok ? next() : done(false))
+    }
+    next()
+  }
+}
+
+/** Plays the load of a sheet against real desks of many daemons in virtual time, and tells what callers get. */
+export class LoadPlayer {
+  readonly timers = new VirtualTimers()
+  readonly opts: LoadOptions
+  readonly #sheet: Sheet
+  readonly #random: Random
+  readonly #hosts = new Map<string, SimHost>()
+  readonly #results = new Map<string, ClassResult>()
+  #ids = 0
+
+  constructor (sheet: Sheet, opts: LoadOptions) {
+    this.#sheet = sheet
+    this.opts = opts
+    this.#random = new SeededRandom(Math.imul(opts.seed, 0x9e3779b1))
+    for (const cls of sheet.classes) this.#results.set(cls.name, { asked: 0, inTarget: 0, late: 0, refused: 0, failed: 0, worth: 0, lateRefusals: 0 })
+    this.#build()
+  }
+
+  classOf (url: string): RequestClass {
+    return this.classNamed(url.split('/')[1]!)
+  }
+
+  classNamed (name: string): RequestClass {
+    return this.#sheet.classes.find((cls) => cls.name === name)!
+  }
+
+  play (): Record<string, ClassResult> {
+    for (const cls of this.#sheet.classes) if (cls.perS > 0) this.#schedule(cls)
+    this.timers.advance(this.opts.seconds * 1000 + 5_000)
+    const results: Record<string, ClassResult> = {}
+    for (const cls of this.#sheet.classes) {
+      const result = this.#results.get(cls.name)!
+      const owed = result.asked * cls.worth
+      result.worth = owed > 0 ? (result.inTarget * cls.worth + result.late * cls.lateWorth) / owed : 0
+      results[cls.name] = result
+    }
+    return results
+  }
+
+  /** One request from a host; `done` tells whether it was answered with success. */
+  ask (host: string, cls: RequestClass, nested: boolean, done: (ok: boolean, retryAfterMs?: number, refused?: boolean) => void, deadlineMs = cls.deadlineMs): () => void {
+    const id = `r${++this.#ids}`
+    return this.#hosts.get(host)!.outbound.handle({
+      method: cls.idempotent ? 'GET' : 'POST',
+      url: `/${cls.name}/x`,
+      head: { requestId: id, host: 'h', path: `/${cls.name}/x`, headers: [], deadlineMs },
+      body: new Uint8Array(),
+      nested
+    }, {
+      answer: (reply) => done(reply.status === 200),
+      refuse: (status, _reason, retryAfterMs) => done(false, retryAfterMs, status === 503)
+    })
+  }
+
+  #build (): void {
+    const config = this.#config()
+    let n = 0
+    for (const service of this.#sheet.services) {
+      for (let i = 0; i < service.targets; i++) {
+        const host = `h${String(++n).padStart(2, '0')}`
+        const dataCentre = this.#sheet.dataCentres[i % this.#sheet.dataCentres.length]!
+        this.#addHost(host, dataCentre, service, service.speeds[i % service.speeds.length]!)
+      }
+    }
+    const records = [...this.#hosts.values()].map(({ record }) => record)
+    for (const { fleet, placer, outbound } of this.#hosts.values()) {
+      fleet.merge(records)
+      placer.setHosts(records)
+      outbound.setTable(new RouteTable(config))
+    }
+  }
+
+  #addHost (host: string, dataCentre: string, service: Sheet['services'][number], speed: number): void {
+    const { timers } = this
+    const random = new SeededRandom(Math.imul(this.#random.int(1e9), 0x9e3779b1))
+    const log = new NoCallLog()
+    const target: TargetRecord = { id: `t-${host}`, service: service.name, version: 'v1', slots: service.slots, state: 'ready', coldMs: 0 }
+    const record: HostRecord = { host, dataCentre, address: host, port: 1, incarnation: 1, sequence: 1, stopping: false, configVersion: 1, target }
+    const fleet = new Fleet({
+      own: record, timers, random, log, openLink: (peer) => this.#link(peer), onChange: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}
+    })
+    const client = new SimTarget(this, host, service.name, service.slots, speed, random)
+    const inbound = new InboundDesk({
+      timers, log, names, client, target: () => target, incarnation: () => 1, isVersionOpen: () => true, onResult: () => {}
+    })
+    inbound.targetChanged()
+    const placer = new Placer({ timers, random, dataCentre })
+    const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
+    const outbound = new OutboundDesk({
+      timers, random, log, metrics: noMetrics, names, fleet, desk: inbound, placer, budget, versions: { choose: () => undefined }, callerService: () => service.name
+    })
+    this.#hosts.set(host, { record, fleet, inbound, outbound, placer })
+  }
+
+  #link (peer: string): PeerLink {
+    const { timers } = this
+    return {
+      isUp: true,
+      target: { address: peer, port: 1 },
+      call: (message, reply) => {
+        let withdrawn = false
+        const { inbound } = this.#hosts.get(peer)!
+        timers.after(WAY_MS, () => {
+          if (withdrawn) return
+          inbound.offer(message, (answer) => { timers.after(WAY_MS, () => { if (!withdrawn) reply(answer) }) })
+        })
+        return () => {
+          withdrawn = true
+          timers.after(WAY_MS, () => inbound.cancel(message.key))
+        }
+      },
+      sync: async (message) => message,
+      config: async () => ({}),
+      close: () => {}
+    }
+  }
+
+  #config (): MeshConfig {
+    const routes: MeshRoute[] = this.#sheet.classes.map((cls) => ({
+      name: cls.name, host: 'h', pathPrefix: `/${cls.name}/`, parts: [{ service: cls.service, weight: 1 }], idempotent: cls.idempotent, bulky: cls.bulky ?? false, timeoutMs: cls.timeoutMs, targetLatencyMs: cls.targetLatencyMs, priority: cls.priority, maxAttempts: 2
+    }))
+    return { version: 1, routes, services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+  }
+
+  #schedule (cls: RequestClass): void {
+    const perMs = cls.perS * this.opts.rateAt(this.timers.now() / 1000) / 1000
+    const wait = -Math.log(1 - this.#random.next()) / perMs
+    if (this.timers.now() + wait > this.opts.seconds * 1000) return
+    this.timers.after(wait, () => {
+      this.#schedule(cls)
+      const result = this.#results.get(cls.name)!
+      result.asked++
+      this.#attempt(this.#random.pick([...this.#hosts.keys()]), cls, this.timers.now(), cls.retries)
+    })
+  }
+
+  #attempt (host: string, cls: RequestClass, since: number, retries: number): void {
+    const { timers } = this
+    const result = this.#results.get(cls.name)!
+    const startedAt = timers.now()
+    const leftMs = since + cls.deadlineMs - startedAt
+    let isOver = false
+    const giveUp = timers.after(leftMs, () => {
+      if (isOver) return
+      isOver = true
+      result.failed++
+      leave()
+    })
+    const leave = this.ask(host, cls, false, (ok, retryAfterMs, refused) => {
+      if (isOver) return
+      isOver = true
+      giveUp()
+      const ms = timers.now() - since
+      if (refused && timers.now() - startedAt > cls.targetLatencyMs / 4) result.lateRefusals++
+      if (ok) {
+        if (ms <= cls.targetLatencyMs) result.inTarget++
+        else result.late++
+      } else if (retries > 0 && (refused || cls.idempotent)) {
+        const pause = Math.min(retryAfterMs ?? 20, (since + cls.deadlineMs - timers.now()) / 3)
+        timers.after(pause, () => this.#attempt(this.#random.pick([...this.#hosts.keys()]), cls, since, retries - 1))
+      } else if (refused) {
+        result.refused++
+      } else {
+        result.failed++
+      }
+    }, leftMs)
+  }
+}
+
+const noMetrics: CallMetrics = { request: () => {}, count: () => {}, gauge: () => {}, text: async () => '' }
+
+function response (status: number): TargetResult {
+  return { kind: 'response', status, headers: [], body: Buffer.from(RESPONSE_BYTES), unframed: false }
+}
+
+function gauss (random: Random): number {
+  return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
+}
+
+/** The sheet of the wig atelier, with the rates of a busy day. */
+export const ATELIER: Sheet = {
+  dataCentres: ['a', 'b', 'c', 'd'],
+  services: ['showroom', 'orders', 'workroom'].map((name) => ({ name, targets: 4, slots: 6, speeds: [0.5, 1, 1, 1.5] })),
+  classes: [
+    { name: 'browse', service: 'showroom', idempotent: true, perS: 57, workMs: 220, targetLatencyMs: 600, deadlineMs: 2_500, timeoutMs: 1_200, priority: 2, worth: 1, lateWorth: 0.3, retries: 1, calls: { class: 'stock', times: 2, share: 0.7 } },
+    { name: 'order', service: 'orders', idempotent: false, perS: 26.4, workMs: 290, targetLatencyMs: 800, deadlineMs: 3_000, timeoutMs: 1_500, priority: 1, worth: 2, lateWorth: 0.6, retries: 1, calls: { class: 'roster', times: 2, share: 0.7 } },
+    { name: 'sheet', service: 'workroom', idempotent: true, bulky: true, perS: 8, workMs: 180, targetLatencyMs: 600, deadlineMs: 2_500, timeoutMs: 1_200, priority: 2, worth: 1, lateWorth: 0.3, retries: 1 },
+    { name: 'lookup', service: 'workroom', idempotent: true, perS: 23.6, workMs: 88, targetLatencyMs: 300, deadlineMs: 1_200, timeoutMs: 600, priority: 1, worth: 2, lateWorth: 0.6, retries: 1 },
+    { name: 'stock', service: 'orders', idempotent: true, perS: 0, workMs: 55, targetLatencyMs: 200, deadlineMs: 600, timeoutMs: 600, priority: 1, worth: 0, lateWorth: 0, retries: 0 },
+    { name: 'roster', service: 'workroom', idempotent: true, perS: 0, workMs: 55, targetLatencyMs: 200, deadlineMs: 600, timeoutMs: 600, priority: 1, worth: 0, lateWorth: 0, retries: 0 }
+  ]
+}
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -34,7 +34,7 @@
 }
 
 const EXCHANGE_MS = 1_500
-/** Changes of the own record that peers need not know at once are gathered for this long. */
+/** Least time between two pushes of changes that peers need not know at once. */
 const GATHER_MS = 400
 /** Time without a link after which a daemon counts as gone. */
 const GONE_MS = 60_000
@@ -47,6 +47,7 @@
   readonly #links = new Map<string, PeerLink>()
   readonly #downSince = new Map<string, number>()
   #pushPlanned = false
+  #pushedAt = -Infinity
 
   constructor (opts: FleetOptions) {
     this.#opts = opts
@@ -203,13 +204,15 @@
   pushSoon (): void {
     if (this.#pushPlanned) return
     this.#pushPlanned = true
-    this.#opts.timers.after(GATHER_MS, () => {
+    const quietMs = this.#opts.timers.now() - this.#pushedAt
+    this.#opts.timers.after(Math.max(0, GATHER_MS - quietMs), () => {
       this.#pushPlanned = false
       this.#pushNow()
     })
   }
 
   #pushNow (): void {
+    this.#pushedAt = this.#opts.timers.now()
     for (const [host, link] of this.#links) if (link.isUp) this.#sync(host, [this.own])
   }
 
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -115,21 +115,24 @@
     let ahead = 0
     for (const other of this.#queue) if (!isMoreUrgent(ticket, other)) ahead++
     const waitMs = (ahead + 1) * this.#serviceMs / this.#slots
-    return now + waitMs + this.#expectedMs(ticket) <= this.#lastUsefulEnd(ticket)
+    return now + waitMs <= this.#lastUsefulStart(ticket)
   }
 
   #isWorthwhile (ticket: Ticket, now: number): boolean {
-    return now + this.#expectedMs(ticket) <= this.#lastUsefulEnd(ticket)
+    return now <= this.#lastUsefulStart(ticket)
   }
 
-  #expectedMs (ticket: Ticket): number {
-    return this.#pace * ticket.targetLatencyMs
-  }
-
-  /** A nested call is worth its wait until its deadline, as the work of its parent is lost without it. */
-  #lastUsefulEnd (ticket: Ticket): number {
-    if (ticket.nested) return ticket.deadlineAt
-    return Math.min(ticket.deadlineAt, ticket.arrivedAt + Math.max(ticket.targetLatencyMs, MIN_PATIENCE * this.#expectedMs(ticket)))
+  /**
+   * A request should end within its target latency even if it takes longer than most. A nested call is worth its wait
+   * until its deadline, as the work of its parent is lost without it.
+   */
+  #lastUsefulStart (ticket: Ticket): number {
+    const { targetLatencyMs, arrivedAt, deadlineAt, nested } = ticket
+    const expectedMs = this.#pace * targetLatencyMs
+    const lastStart = deadlineAt - expectedMs
+    if (nested) return lastStart
+    const patienceMs = Math.max(MIN_PATIENCE * targetLatencyMs, USED_LATENCY * targetLatencyMs - SLOW_REQUEST * expectedMs)
+    return Math.min(lastStart, arrivedAt + patienceMs)
   }
 
   #insert (ticket: Ticket): void {
@@ -139,8 +142,12 @@
   }
 }
 
-/** On a target slower than the target latency, requests wait for up to this many times their own duration. */
-const MIN_PATIENCE = 1.5
+/** Part of the target latency that waiting and running may use; the rest is for the way. */
+const USED_LATENCY = 0.9
+/** Duration of a slow request, as a multiple of the usual one. */
+const SLOW_REQUEST = 1.6
+/** Part of the target latency for which a request may wait at least, so that short bursts are smoothed. */
+const MIN_PATIENCE = 0.1
 
 function isMoreUrgent (a: Ticket, b: Ticket): boolean {
   if (a.nested !== b.nested) return a.nested
