Link daemons by framed messages, tell nested calls from new work, and ask busy targets less

A nested call is now known by its id, which extends the id of a request that runs on the target. Targets that had no slot 25 ms ago aren't asked, and a request that all queues have just refused is refused at once.

--- a/packages/cli/src/commands/table.ts
+++ b/packages/cli/src/commands/table.ts
@@ -4,6 +4,7 @@
 import { check } from './check.js'
 import { completionScript } from './completion.js'
 import { explain } from './explain.js'
+import { explainRequest } from './explainRequest.js'
 import { controlMove, isMoveAction, MOVE_ACTIONS } from './moveControl.js'
 import { history, listMoves, refusals, status } from './reports.js'
 import { timeline, type TimelineOptions } from './timeline.js'
@@ -100,6 +101,12 @@
     examples: ['explain placeOrder', 'explain placeOrder --daemon 127.0.0.1:8081'],
     run: async (ctx, [route], opts) => await explain(ctx, route!, opts)
   },
+  {
+    usage: 'explain-request <id> [...files]',
+    description: 'The way of one request and the cause of its end, from log lines of daemons',
+    examples: ['explain-request 9c41d07be2a35f68 otaru-1.log otaru-2.log', 'explain-request 9c41d07be2a35f68 --json < all.log'],
+    run: (ctx, [id, ...files], opts) => explainRequest(ctx, id!, files.length > 0 ? files : ['-'], opts)
+  },
   {
     usage: 'completion <shell>',
     description: 'Print a completion script for bash or zsh',
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -59,3 +59,8 @@
 export class Interrupted extends LentilwheelError {
   readonly code = 'interrupted'
 }
+
+/** No log line names the request. */
+export class RequestNotLogged extends LentilwheelError {
+  readonly code = 'request-not-logged'
+}
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -51,11 +51,11 @@
 }
 
 async function runCommand (spec: CommandSpec, ctx: CommandContext, given: unknown[], cli: CAC): Promise<void> {
-  const most = spec.usage.split(' ').length - 1
+  const most = spec.usage.includes('[...') ? Infinity : spec.usage.split(' ').length - 1
   if (cli.args.length > most) {
     throw new UsageError(`${commandName(spec)} takes no argument "${cli.args[most]}"`)
   }
-  const args = given.slice(0, -1).filter((arg) => arg !== undefined).map(String)
+  const args = given.slice(0, -1).flat().filter((arg) => arg !== undefined).map(String)
   await spec.run(ctx, args, given.at(-1) as CommonOptions)
 }
 
--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -237,7 +237,7 @@
     return {
       isUp: true,
       target: { address: peer, port: 1 },
-      call: (message, reply) => {
+      call: (message, _bulky, reply) => {
         let withdrawn = false
         const { inbound } = this.#hosts.get(peer)!
         timers.after(WAY_MS, () => {
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -6,7 +6,7 @@
 import { NodeTargetClient } from '../inbound/nodeTargetClient.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import { NodeHopServer } from '../link/nodeHopServer.js'
-import { openPeerLink } from '../link/nodePeerLink.js'
+import { NodePeerLink } from '../link/nodePeerLink.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
 import { NodeMetricsServer } from '../observe/nodeMetricsServer.js'
@@ -72,7 +72,7 @@
       timers,
       random,
       log,
-      openLink: (host, address, port) => openPeerLink({ host, address, port, timers, log, onState: (peer, up) => this.#fleet.onLinkState(peer, up) }),
+      openLink: (host, address, port) => new NodePeerLink({ host, address, port, timers, log, onState: (peer, up) => this.#fleet.onLinkState(peer, up) }),
       onChange: () => this.#onFleetChange(),
       onFact: (fact) => this.#moves.onFact(fact),
       orders: () => this.#moves.orders(),
@@ -105,7 +105,7 @@
       timers, random, log, metrics, names, fleet: this.#fleet, desk: this.#inbound, placer: this.#placer, budget: this.#budget, versions: this.#moves, callerService: () => this.#cfg.service
     })
     this.#outboundServer = new NodeOutboundServer({
-      ...cfg.outbound, desk: this.#outbound, log, metrics, names, isTarget: (socket) => socket.remoteAddress === this.#cfg.target.address
+      ...cfg.outbound, desk: this.#outbound, log, metrics, names, isNested: (id) => this.#inbound.isCallOfRunning(id)
     })
     this.#config = new ConfigKeeper({
       fleet: this.#fleet,
@@ -122,7 +122,7 @@
     })
     this.#directory = new Directory({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, desk: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onConfigAsked: () => this.#config.held()
+      ...cfg.hop, timers, desk: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onConfigAsked: () => this.#config.held()
     })
     this.#metricsServer = new NodeMetricsServer(cfg.metrics, metrics)
   }
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -12,7 +12,8 @@
 export interface PeerLink {
   readonly isUp: boolean
   readonly target: { address: string, port: number }
-  call (message: CallMessage, reply: (reply: HopReply) => void): () => void
+  /** `bulky`: the response may be large. */
+  call (message: CallMessage, bulky: boolean, reply: (reply: HopReply) => void): () => void
   sync (message: SyncMessage): Promise<SyncMessage>
   config (): Promise<unknown>
   close (): void
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -38,6 +38,7 @@
 const UPKEEP_MS = 50
 const LEDGER_UPKEEP_MS = 1_000
 const FAILING_SMOOTHING = 0.08
+const ID_SEPARATOR = '.'
 
 /**
  * The only way to the target beside this daemon. It knows whether the target is there and takes work, gives out its
@@ -48,6 +49,8 @@
   readonly #admission = new Admission()
   readonly #ledger = new Ledger()
   readonly #calls = new Map<string, Call>()
+  /** Ids of the requests that run on the target. */
+  readonly #runningIds = new Set<string>()
   #targetId = ''
   #failing = 0
   #unreachableAt = -Infinity
@@ -63,6 +66,15 @@
     return this.#calls.size
   }
 
+  /**
+   * Whether a request was made by one that runs on the target now: targets extend the id of the request that they run.
+   * Where they don't, their calls are taken for callers' requests.
+   */
+  isCallOfRunning (requestId: string): boolean {
+    const dot = requestId.lastIndexOf(ID_SEPARATOR)
+    return dot > 0 && this.#runningIds.has(requestId.slice(0, dot))
+  }
+
   /** Takes an offered call; `reply` is called once. */
   offer (message: CallMessage, reply: (reply: HopReply) => void): void {
     const { key } = message
@@ -157,6 +169,7 @@
       return this.#endCallNotRun(call, 'expired')
     }
     call.state = 'running'
+    this.#runningIds.add(message.requestId)
     call.startedAt = now
     const bytes = requestBytes(message, leftMs, this.#opts.names)
     const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: leftMs + DEADLINE_GRACE_MS }
@@ -168,6 +181,7 @@
     const ms = now - call.startedAt
     this.#admission.finish()
     this.#calls.delete(call.message.key)
+    this.#runningIds.delete(call.message.requestId)
     this.#learn(call, result, ms)
     const load = this.load()
     const { reported: _, ...reply } = result as TargetResult & { reported?: unknown }
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -17,13 +17,12 @@
 
 type Fields = Readonly<Record<string, unknown>>
 
-export function encode (message: object): Buffer {
-  return packr.pack(message)
+export function encode (value: unknown): Buffer {
+  return packr.pack(value)
 }
 
-/** Decodes a message of the expected shape; peers run the same protocol, so only the fields that must exist are checked. */
-export function decode<T extends object> (bytes: Uint8Array, required: readonly (keyof T & string)[]): T {
-  const value = unpack(bytes)
+/** Checks a message of the expected shape; peers run the same protocol, so only the fields that must exist are looked at. */
+export function checked<T extends object> (value: unknown, required: readonly (keyof T & string)[]): T {
   if (typeof value !== 'object' || value === null) throw new BadMessage('a peer sent a message that is no object')
   for (const field of required) {
     if (!(field in value)) throw new BadMessage(`a peer sent a message without "${field}"`)
@@ -31,34 +30,26 @@
   return value as T
 }
 
-export function encodeCall (message: CallMessage): Buffer {
-  return encode([PROTOCOL, ...values(message as unknown as Fields, CALL_FIELDS)])
+export function packCall (message: CallMessage): unknown[] {
+  return [PROTOCOL, ...values(message as unknown as Fields, CALL_FIELDS)]
 }
 
-export function decodeCall (bytes: Uint8Array): CallMessage {
-  return fieldsOf(unpack(bytes), CALL_FIELDS) as unknown as CallMessage
+export function unpackCall (value: unknown): CallMessage {
+  return fieldsOf(value, CALL_FIELDS) as unknown as CallMessage
 }
 
-export function encodeReply (reply: HopReply): Buffer {
+export function packReply (reply: HopReply): unknown[] {
   const load = reply.load && values(rounded(reply.load) as unknown as Fields, LOAD_FIELDS)
-  return encode([PROTOCOL, ...values({ ...reply, load }, REPLY_FIELDS)])
+  return [PROTOCOL, ...values({ ...reply, load }, REPLY_FIELDS)]
 }
 
-export function decodeReply (bytes: Uint8Array): HopReply {
-  const fields = fieldsOf(unpack(bytes), REPLY_FIELDS)
+export function unpackReply (value: unknown): HopReply {
+  const fields = fieldsOf(value, REPLY_FIELDS)
   const load = Array.isArray(fields['load']) ? { load: fieldsOf([PROTOCOL, ...fields['load'] as unknown[]], LOAD_FIELDS) } : {}
-  const present = Object.entries(fields).filter(([name, value]) => name !== 'load' && value !== null)
+  const present = Object.entries(fields).filter(([name, field]) => name !== 'load' && field !== null && field !== undefined)
   return { ...Object.fromEntries(present), ...load } as unknown as HopReply
 }
 
-function unpack (bytes: Uint8Array): unknown {
-  try {
-    return packr.unpack(bytes)
-  } catch (err) {
-    throw new BadMessage('a peer sent bytes that are no message', err)
-  }
-}
-
 function values (message: Fields, names: readonly string[]): unknown[] {
   return names.map((name) => message[name])
 }
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -1,15 +1,16 @@
-import type { Socket } from 'node:net'
-import http2, { type Http2Server, type ServerHttp2Session, type ServerHttp2Stream } from 'node:http2'
-import { errorCode } from '@lentilwheel/core'
+import { createServer, type Server, type Socket } from 'node:net'
+import type { Timers } from '@lentilwheel/core'
+import { BadMessage } from '../errors.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { InboundDesk } from '../inbound/inboundDesk.js'
-import { decode, decodeCall, encode, encodeReply } from './codec.js'
+import { checked, packReply, unpackCall } from './codec.js'
 import type { HopReply, SettleMessage, SyncMessage } from './messages.js'
-import { MAX_CONCURRENT_STREAMS, MAX_MESSAGE_BYTES, PATHS, WINDOW_BYTES, WITHDRAWN } from './wire.js'
+import { FRAMES, FrameSocket, type Frame } from './nodeFrameSocket.js'
 
 export interface HopServerOptions {
   address: string
   port: number
+  timers: Timers
   desk: InboundDesk
   log: CallLog
   onSync (message: SyncMessage): SyncMessage
@@ -20,21 +21,12 @@
 /** The side of the daemon that its peers talk to. */
 export class NodeHopServer {
   readonly #opts: HopServerOptions
-  readonly #server: Http2Server
-  readonly #sessions = new Set<ServerHttp2Session>()
+  readonly #server: Server
+  readonly #peers = new Set<FrameSocket>()
 
   constructor (opts: HopServerOptions) {
     this.#opts = opts
-    this.#server = http2.createServer({
-      settings: { initialWindowSize: WINDOW_BYTES, maxConcurrentStreams: MAX_CONCURRENT_STREAMS }
-    })
-    this.#server.on('connection', (socket: Socket) => socket.setNoDelay(true))
-    this.#server.on('session', (session) => {
-      this.#sessions.add(session)
-      session.on('close', () => this.#sessions.delete(session))
-      session.on('error', (err) => opts.log.decision('sessionError', { reason: err.message }))
-    })
-    this.#server.on('stream', (stream, headers) => this.#onStream(stream, String(headers[':path'])))
+    this.#server = createServer({ noDelay: true }, (socket) => this.#onPeer(socket))
   }
 
   async listen (): Promise<void> {
@@ -46,57 +38,57 @@
 
   close (): void {
     this.#server.close()
-    for (const session of this.#sessions) session.close()
+    for (const peer of this.#peers) peer.end()
   }
 
-  #onStream (stream: ServerHttp2Stream, path: string): void {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    stream.on('error', (err) => this.#opts.log.decision('streamError', { path, reason: err.message }))
-    stream.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes > MAX_MESSAGE_BYTES) return stream.close(WITHDRAWN)
-      chunks.push(chunk)
-    })
-    stream.on('end', () => {
-      if (stream.destroyed) return
-      try {
-        this.#onMessage(stream, path, Buffer.concat(chunks))
-      } catch (err) {
-        this.#opts.log.decision('badMessage', { path, code: errorCode(err), reason: (err as Error).message })
-        stream.close(WITHDRAWN)
+  #onPeer (socket: Socket): void {
+    const { desk, log, timers } = this.#opts
+    /** Keys of the calls under way on this connection, by exchange. */
+    const calls = new Map<number, string>()
+    const peer = new FrameSocket(socket, {
+      timers,
+      onFrame: (frame) => this.#onFrame(peer, calls, frame),
+      onClose: (reason) => {
+        this.#peers.delete(peer)
+        if (calls.size > 0) log.decision('peerClosed', { address: socket.remoteAddress, reason, calls: calls.size })
+        for (const key of calls.values()) desk.orphan(key)
       }
     })
+    this.#peers.add(peer)
   }
 
-  #onMessage (stream: ServerHttp2Stream, path: string, body: Buffer): void {
+  #onFrame (peer: FrameSocket, calls: Map<number, string>, [kind, exchange, payload]: Frame): void {
     const { desk } = this.#opts
-    const send = (payload: Buffer): void => {
-      if (stream.destroyed || stream.closed) return
-      stream.respond({ ':status': 200 }, { sendDate: false } as object)
-      stream.end(payload)
+    const reply = (answer: HopReply): void => {
+      calls.delete(exchange)
+      peer.send([FRAMES.reply, exchange, packReply(answer)])
     }
-    if (path === PATHS.call) {
-      const message = decodeCall(body)
-      let replied = false
-      stream.on('close', () => {
-        if (stream.rstCode === WITHDRAWN) desk.cancel(message.key)
-        else if (!replied) desk.orphan(message.key)
-      })
-      desk.offer(message, (reply: HopReply) => {
-        replied = true
-        send(encodeReply(reply))
-      })
-    } else if (path === PATHS.settle) {
-      const message = decode<SettleMessage>(body, ['key', 'incarnation'])
-      stream.on('close', () => { if (stream.rstCode === WITHDRAWN) desk.cancel(message.key) })
-      desk.settle(message.key, message.incarnation, (reply) => send(encodeReply(reply)))
-    } else if (path === PATHS.sync) {
-      send(encode(this.#opts.onSync(decode<SyncMessage>(body, ['from', 'records', 'facts', 'orders', 'reports', 'digest']))))
-    } else if (path === PATHS.config) {
-      send(encode(this.#opts.onConfigAsked()))
-    } else {
-      stream.close(WITHDRAWN)
+    switch (kind) {
+      case FRAMES.call: {
+        const message = unpackCall(payload)
+        calls.set(exchange, message.key)
+        return desk.offer(message, reply)
+      }
+      case FRAMES.settle: {
+        const message = checked<SettleMessage>(payload, ['key', 'incarnation'])
+        calls.set(exchange, message.key)
+        return desk.settle(message.key, message.incarnation, reply)
+      }
+      case FRAMES.withdraw: {
+        const key = calls.get(exchange)
+        if (!calls.delete(exchange)) return
+        return desk.cancel(key!)
+      }
+      case FRAMES.sync: {
+        const message = checked<SyncMessage>(payload, ['from', 'records', 'facts', 'orders', 'reports', 'digest'])
+        return peer.send([FRAMES.reply, exchange, this.#opts.onSync(message)])
+      }
+      case FRAMES.config:
+        return peer.send([FRAMES.reply, exchange, this.#opts.onConfigAsked()])
+      case FRAMES.ping:
+        return peer.send([FRAMES.pong, 0])
+      default:
+        throw new BadMessage(`a peer sent a frame of kind ${kind}`)
     }
   }
 }
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -46,7 +46,7 @@
 }
 
 /** Targets that are asked for a free slot before the request queues at the best of them. */
-const MAX_NOW_OFFERS = 4
+const MAX_NOW_OFFERS = 2
 /** Offers that didn't lead to a target, after which a request is refused. */
 const MAX_OFFERS = 12
 /** Part of the target latency after which a silent attempt of a repeatable request is doubled. */
@@ -166,6 +166,7 @@
     if (this.#fruitless >= MAX_OFFERS) return this.#giveUp(this.#lastReason)
     const commands = this.#offerNext(false)
     if (commands) return commands
+    if (this.#candidates().length > 0) return this.#giveUp('busy')
     if (this.#view.now() - this.#startedAt >= SEARCH_MS) return this.#giveUp('noTarget')
     this.#away.clear()
     return [{ kind: 'timer', ms: REOFFER_MS }]
@@ -174,9 +175,9 @@
   /** Asks the best target not found busy for a slot; when all are busy, queues at the best. */
   #offerNext (repeat: boolean): CallCommand[] | undefined {
     const candidates = this.#candidates()
-    const untried = candidates.find((candidate) => !this.#busy.has(candidate.host))
+    const untried = candidates.find(({ host, isBusy }) => !isBusy && !this.#busy.has(host))
     if (untried && candidates.length > 1 && this.#busy.size < MAX_NOW_OFFERS) return this.#offer(untried, 'now', repeat)
-    const best = candidates[0]
+    const best = candidates.find(({ isFull }) => !isFull)
     return best && this.#offer(best, 'queue', repeat)
   }
 
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -14,8 +14,8 @@
   log: CallLog
   metrics: CallMetrics
   names: HeaderNames
-  /** Whether a connection comes from the target beside this daemon. */
-  isTarget (socket: Socket): boolean
+  /** Whether the request belongs to one that the target beside this daemon runs now. */
+  isNested (requestId: string): boolean
 }
 
 /** Limits in force until the first configuration names others. */
@@ -128,7 +128,7 @@
     }
     const { head } = outcome
     if (this.#refusing) return responder.refuse(503, 'stopping', RETRY_AFTER_STOPPING_MS)
-    const nested = this.#opts.isTarget(req.socket)
+    const nested = this.#opts.isNested(head.requestId)
     const left = this.#opts.desk.handle({ method: req.method!, url: req.url!, head, body, nested }, responder)
     res.on('close', () => { if (!res.writableEnded) left() })
   }
--- a/packages/hop/src/outbound/outboundDesk.ts
+++ b/packages/hop/src/outbound/outboundDesk.ts
@@ -3,14 +3,14 @@
 import type { HostRecord } from '../fleet/records.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import type { InboundDesk } from '../inbound/inboundDesk.js'
-import type { CallMessage, HopReply } from '../link/messages.js'
+import type { CallMessage, HopReply, OfferMode } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
 import { Splitter } from '../routing/splitter.js'
 import { callFlow, type CallCommand, type CallEvent, type CallView } from './callFlow.js'
-import type { Placer } from './placer.js'
+import { NESTED_URGENCY, type Placer } from './placer.js'
 import type { OutboundHead } from './requestHead.js'
 import type { VersionChoice } from '../rollout/versionRules.js'
 import type { RetryBudget } from './retryBudget.js'
@@ -105,9 +105,10 @@
     const service = this.#splitter.next(route)
     budget.request(service, startedAt)
     const choice = this.#opts.versions.choose(service)
+    const urgency = req.nested ? NESTED_URGENCY : route.priority
     const view: CallView = {
       now: () => timers.now(),
-      candidates: (exclude) => this.#opts.placer.order(service, route, this.#acceptor(choice, exclude), choice?.preferred),
+      candidates: (exclude) => this.#opts.placer.order(service, route, urgency, this.#acceptor(choice, exclude), choice?.preferred),
       takeRepeat: () => budget.tryTake(service, fleet.live().length, timers.now()),
       retryAfterMs: () => this.#retryAfterMs()
     }
@@ -132,9 +133,9 @@
           const message = this.#message(req, route, service, command, deadlineAt)
           const { host } = command.candidate
           this.#opts.placer.offered(host)
-          withdrawals.set(command.attempt, this.#send(host, message, (reply) => {
+          withdrawals.set(command.attempt, this.#send(host, message, route.bulky, (reply) => {
             withdrawals.delete(command.attempt)
-            this.#learn(host, reply)
+            this.#learn(host, reply, message.mode, urgency)
             if (reply.kind !== 'response' || reply.status >= 500) this.#logAttempt(req, message, host, reply)
             step({ kind: 'reply', attempt: command.attempt, reply })
           }))
@@ -183,14 +184,14 @@
     }
   }
 
-  #send (host: string, message: CallMessage, reply: (reply: HopReply) => void): () => void {
+  #send (host: string, message: CallMessage, bulky: boolean, reply: (reply: HopReply) => void): () => void {
     const { fleet, desk } = this.#opts
     if (host === fleet.own.host) {
       desk.offer(message, reply)
       return () => desk.cancel(message.key)
     }
     const link = fleet.link(host)
-    if (link) return link.call(message, reply)
+    if (link) return link.call(message, bulky, reply)
     reply({ kind: 'notRun', reason: 'unsent' })
     return () => {}
   }
@@ -228,9 +229,13 @@
     return (record) => !exclude.has(record.host) && fleet.isUp(record.host) && (choice?.accepts(record) ?? true)
   }
 
-  #learn (host: string, reply: HopReply): void {
+  #learn (host: string, reply: HopReply, mode: OfferMode, urgency: number): void {
     const { placer } = this.#opts
     placer.ended(host, reply.load)
+    if (reply.kind === 'notRun' && reply.reason === 'busy') {
+      placer.busy(host)
+      if (mode === 'queue') placer.full(host, urgency)
+    }
     const isAway = (reply.kind === 'notRun' && reply.reason !== 'busy' && reply.reason !== 'shed') ||
       (reply.kind === 'failed' && (reply.reason === 'lost' || reply.reason === 'timeout'))
     if (isAway) placer.avoid(host)
@@ -252,7 +257,7 @@
   #refuse (req: OutboundRequest, res: Responder, status: number, reason: string, retryAfterMs?: number): void {
     this.#opts.metrics.request('', String(status), 0)
     this.#opts.log.call(status === 404, 'outbound', {
-      id: req.head.requestId, outcome: status, reason, host: req.head.host, config: this.#table?.config.version ?? 0
+      id: req.head.requestId, outcome: status, reason, authority: req.head.host, config: this.#table?.config.version ?? 0
     })
     res.refuse(status, reason, retryAfterMs)
   }
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -10,8 +10,10 @@
   readonly version: string
   /** Estimated time until the response, in milliseconds. */
   readonly costMs: number
-  /** Whether a slot is thought to be free. */
-  readonly hasRoom: boolean
+  /** Whether the target said a moment ago that it has no free slot. */
+  readonly isBusy: boolean
+  /** Whether it said a moment ago that its queue is too long for a request of this urgency. */
+  readonly isFull: boolean
 }
 
 interface Seen {
@@ -22,6 +24,10 @@
   pending: number
   /** No offers before this time. */
   avoidUntil: number
+  /** Until when the target is taken to have no free slot. */
+  busyUntil: number
+  /** Until when its queue is taken to be too long, by urgency. */
+  fullUntil: Map<number, number>
   /** When the target was first seen, and for how long it stays slow from then on. */
   coldUntil: number
 }
@@ -44,6 +50,12 @@
 /** Random part of the estimate, so that daemons with the same view don't all choose the same target. */
 const SPREAD = 0.25
 const AVOID_MS = 400
+/** Time for which a target without a free slot isn't asked for one again. */
+const BUSY_MS = 25
+/** Time for which a target with a long queue isn't asked to queue more of the same urgency or less. */
+const FULL_MS = 60
+/** Nested calls go before all others. */
+export const NESTED_URGENCY = -1
 
 /** Orders the targets of a service by the time that a request would take on each. */
 export class Placer {
@@ -73,7 +85,7 @@
       else this.#byService.set(target.service, [record])
       if (this.#seen.get(record.host)?.targetId !== target.id) {
         this.#seen.set(record.host, {
-          targetId: target.id, load: undefined, loadAt: now, pending: 0, avoidUntil: -Infinity, coldUntil: now + target.coldMs
+          targetId: target.id, load: undefined, loadAt: now, pending: 0, avoidUntil: -Infinity, busyUntil: -Infinity, fullUntil: new Map(), coldUntil: now + target.coldMs
         })
       }
     }
@@ -86,12 +98,12 @@
   }
 
   /** Targets for a request, the best first; `preferred` names a host that goes before all others. */
-  order (service: string, route: MeshRoute, accepts: (record: HostRecord) => boolean, preferred?: string): Candidate[] {
+  order (service: string, route: MeshRoute, urgency: number, accepts: (record: HostRecord) => boolean, preferred?: string): Candidate[] {
     const now = this.#timers.now()
     const candidates: Candidate[] = []
     for (const record of this.#byService.get(service) ?? []) {
       if (!accepts(record)) continue
-      candidates.push(this.#estimate(record, route, now))
+      candidates.push(this.#estimate(record, route, urgency, now))
     }
     return candidates.sort((a, b) => Number(b.host === preferred) - Number(a.host === preferred) || a.costMs - b.costMs)
   }
@@ -111,13 +123,24 @@
     }
   }
 
+  /** The target had no free slot. */
+  busy (host: string): void {
+    const seen = this.#seen.get(host)
+    if (seen) seen.busyUntil = this.#timers.now() + BUSY_MS
+  }
+
+  /** The queue of the target was too long for a request of this urgency. */
+  full (host: string, urgency: number): void {
+    this.#seen.get(host)?.fullUntil.set(urgency, this.#timers.now() + FULL_MS)
+  }
+
   /** Leaves a target alone for a moment, as its daemon didn't answer or refused. */
   avoid (host: string, ms = AVOID_MS): void {
     const seen = this.#seen.get(host)
     if (seen) seen.avoidUntil = this.#timers.now() + ms
   }
 
-  #estimate (record: HostRecord, route: MeshRoute, now: number): Candidate {
+  #estimate (record: HostRecord, route: MeshRoute, urgency: number, now: number): Candidate {
     const target = record.target!
     const seen = this.#seen.get(record.host)!
     const { load } = seen
@@ -139,7 +162,14 @@
       targetId: target.id,
       version: target.version,
       costMs: (waitMs + crowdedMs + ownMs + failMs) * spread + wayMs + avoidMs,
-      hasRoom: busy < slots
+      isBusy: now < seen.busyUntil,
+      isFull: isFullFor(seen, urgency, now)
     }
   }
 }
+
+/** A queue that is too long for urgent requests is so for less urgent ones. */
+function isFullFor (seen: Seen, urgency: number, now: number): boolean {
+  for (const [other, until] of seen.fullUntil) if (other <= urgency && now < until) return true
+  return false
+}
