Name the peer of an offer in the log, measure a start, and use more of the retry budget

Before: an offer's line named the other daemon as its writer, so explain-request could not tell them apart.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -5,7 +5,8 @@
   convergence: async () => await import('./convergence/index.js'),
   recovery: async () => await import('./recovery/index.js'),
   path: async () => await import('./path/index.js'),
-  moves: async () => await import('./moves/index.js')
+  moves: async () => await import('./moves/index.js'),
+  start: async () => await import('./start/index.js')
 }
 
 const EXIT_USAGE = 2
--- a/packages/hop/src/outbound/outboundDesk.ts
+++ b/packages/hop/src/outbound/outboundDesk.ts
@@ -246,7 +246,7 @@
     this.#opts.log.call(isBusy, 'attempt', {
       id: req.head.requestId,
       call: message.key,
-      host,
+      peer: host,
       target: message.targetId,
       mode: message.mode,
       outcome: reply.kind === 'response' ? reply.status : reply.reason,
--- a/packages/hop/src/outbound/retryBudget.ts
+++ b/packages/hop/src/outbound/retryBudget.ts
@@ -1,7 +1,7 @@
 /** Parts of the window in which requests and repeats are counted. */
 const BUCKETS = 10
 /** Part of the allowance that is used, as calls made by repeated runs count as repeats too. */
-const USED_PART = 0.6
+const USED_PART = 0.75
 
 export interface BudgetBounds {
   /** Repeats allowed as a part of the requests. */
