--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -245,6 +245,7 @@
   }
 
   #upkeep (): void {
+    if (this.#admission.queued === 0) return
     for (const ticket of this.#admission.takeHopeless(this.#opts.timers.now())) {
       const call = this.#calls.get(ticket.key)
       if (call) this.#endCallNotRun(call, 'busy')
--- a/packages/hop/src/link/nodeFrameSocket.ts
+++ b/packages/hop/src/link/nodeFrameSocket.ts
@@ -25,6 +25,7 @@
   readonly #socket: Socket
   readonly #opts: FrameSocketOptions
   #reason = 'closed'
+  #corked = false
   heardAt: number
 
   constructor (socket: Socket, opts: FrameSocketOptions) {
@@ -43,8 +44,18 @@
     socket.on('close', () => opts.onClose(this.#reason))
   }
 
+  /** Frames sent at the same time go out in one write. */
   send (frame: Frame): void {
-    if (!this.#socket.destroyed) this.#socket.write(encode(frame))
+    if (this.#socket.destroyed) return
+    if (!this.#corked) {
+      this.#corked = true
+      this.#socket.cork()
+      process.nextTick(() => {
+        this.#corked = false
+        this.#socket.uncork()
+      })
+    }
+    this.#socket.write(encode(frame))
   }
 
   /** Ends the connection after what has been sent. */
