--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -185,7 +185,7 @@
       url: `/${cls.name}/x`,
       head: { requestId: id, host: 'h', path: `/${cls.name}/x`, headers: [], deadlineMs },
       body: new Uint8Array(),
-      nested
+      origin: nested ? 'run' : 'caller'
     }, {
       answer: (reply) => done(reply.status === 200),
       refuse: (status, _reason, retryAfterMs) => done(false, retryAfterMs, status === 503)
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -105,7 +105,7 @@
       timers, random, log, metrics, names, fleet: this.#fleet, desk: this.#inbound, placer: this.#placer, budget: this.#budget, versions: this.#moves, callerService: () => this.#cfg.service
     })
     this.#outboundServer = new NodeOutboundServer({
-      ...cfg.outbound, desk: this.#outbound, log, metrics, names, isNested: (id) => this.#inbound.isCallOfRunning(id)
+      ...cfg.outbound, desk: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
     })
     this.#config = new ConfigKeeper({
       fleet: this.#fleet,
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -9,6 +9,9 @@
 import { requestBytes } from './requestBytes.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
+/** Who made a request: a caller, a run on the target, or a run that is a repeat. */
+export type RequestOrigin = 'caller' | 'run' | 'repeatedRun'
+
 export interface InboundOptions {
   timers: Timers
   log: CallLog
@@ -49,8 +52,8 @@
   readonly #admission = new Admission()
   readonly #ledger = new Ledger()
   readonly #calls = new Map<string, Call>()
-  /** Ids of the requests that run on the target. */
-  readonly #runningIds = new Set<string>()
+  /** Ids of the requests that run on the target, and whether they are repeats. */
+  readonly #runningIds = new Map<string, boolean>()
   #targetId = ''
   #failing = 0
   #unreachableAt = -Infinity
@@ -67,12 +70,14 @@
   }
 
   /**
-   * Whether a request was made by one that runs on the target now: targets extend the id of the request that they run.
-   * Where they don't, their calls are taken for callers' requests.
+   * Tells a call of the request that the target runs from a caller's request: targets extend the id of the request that
+   * they run. Where they don't, their calls are taken for callers' requests.
    */
-  isCallOfRunning (requestId: string): boolean {
+  originOf (requestId: string): RequestOrigin {
     const dot = requestId.lastIndexOf(ID_SEPARATOR)
-    return dot > 0 && this.#runningIds.has(requestId.slice(0, dot))
+    const repeat = dot > 0 ? this.#runningIds.get(requestId.slice(0, dot)) : undefined
+    if (repeat === undefined) return 'caller'
+    return repeat ? 'repeatedRun' : 'run'
   }
 
   /** Takes an offered call; `reply` is called once. */
@@ -169,7 +174,7 @@
       return this.#endCallNotRun(call, 'expired')
     }
     call.state = 'running'
-    this.#runningIds.add(message.requestId)
+    this.#runningIds.set(message.requestId, message.repeat)
     call.startedAt = now
     const bytes = requestBytes(message, leftMs, this.#opts.names)
     const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: leftMs + DEADLINE_GRACE_MS }
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -19,7 +19,7 @@
 function play ({ route: played = route, targets = ['a', 'b', 'c'], busy = [], full = [], repeats = 9, steps }: Play): string[] {
   let now = 0
   const candidates: Candidate[] = targets.map((host) => ({ host, targetId: `t-${host}`, version: 'v1', costMs: 1, isBusy: busy.includes(host), isFull: full.includes(host) }))
-  const flow = callFlow({ route: played, deadlineAt: 1_200, nested: false }, {
+  const flow = callFlow({ route: played, deadlineAt: 1_200 }, {
     now: () => now,
     candidates: (exclude) => candidates.filter(({ host }) => !exclude.has(host)),
     takeRepeat: () => repeats-- > 0,
--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -98,6 +98,16 @@
   t.is(firstChoices(placer, route)['a'] ?? 0, 0, 'cold')
 })
 
+test('guards against a target that got well never being tried again', (t) => {
+  const timers = new VirtualTimers()
+  const placer = new Placer({ timers, random: new SeededRandom(3), dataCentre: 'dc1' })
+  placer.setHosts([host('a', 'dc1'), host('b', 'dc1')])
+  placer.ended('a', { targetId: 't-a', running: 0, queued: 0, slots: 6, pace: 1.5, failing: 0.5 })
+  t.is(firstChoices(placer, route)['a'] ?? 0, 0)
+  timers.advance(30_000)
+  t.true((firstChoices(placer, route)['a'] ?? 0) > 0)
+})
+
 test('guards against equal targets getting unequal shares', (t) => {
   const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(4), dataCentre: 'dc1' })
   placer.setHosts(['a', 'b', 'c', 'd'].map((name) => host(name, 'dc1')))
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -35,7 +35,6 @@
   route: MeshRoute
   /** When the caller or the route's timeout ends the request. */
   deadlineAt: number
-  nested: boolean
 }
 
 interface Attempt {
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -1,6 +1,7 @@
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { HeaderNames } from '../inbound/targetResult.js'
+import type { RequestOrigin } from '../inbound/inboundDesk.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
 import type { RequestLimits } from '../routing/meshConfig.js'
@@ -14,8 +15,7 @@
   log: CallLog
   metrics: CallMetrics
   names: HeaderNames
-  /** Whether the request belongs to one that the target beside this daemon runs now. */
-  isNested (requestId: string): boolean
+  originOf (requestId: string): RequestOrigin
 }
 
 /** Limits in force until the first configuration names others. */
@@ -128,8 +128,8 @@
     }
     const { head } = outcome
     if (this.#refusing) return responder.refuse(503, 'stopping', RETRY_AFTER_STOPPING_MS)
-    const nested = this.#opts.isNested(head.requestId)
-    const left = this.#opts.desk.handle({ method: req.method!, url: req.url!, head, body, nested }, responder)
+    const origin = this.#opts.originOf(head.requestId)
+    const left = this.#opts.desk.handle({ method: req.method!, url: req.url!, head, body, origin }, responder)
     res.on('close', () => { if (!res.writableEnded) left() })
   }
 
--- a/packages/hop/src/outbound/outboundDesk.ts
+++ b/packages/hop/src/outbound/outboundDesk.ts
@@ -2,7 +2,7 @@
 import type { Fleet } from '../fleet/fleet.js'
 import type { HostRecord } from '../fleet/records.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
-import type { InboundDesk } from '../inbound/inboundDesk.js'
+import type { InboundDesk, RequestOrigin } from '../inbound/inboundDesk.js'
 import type { CallMessage, HopReply, OfferMode } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
@@ -21,8 +21,7 @@
   url: string
   head: OutboundHead
   body: Uint8Array
-  /** Whether it comes from the target beside this daemon. */
-  nested: boolean
+  origin: RequestOrigin
 }
 
 /** The caller's side of a request; one of these is called, once. */
@@ -104,15 +103,17 @@
     const deadlineAt = startedAt + Math.min(req.head.deadlineMs, route.timeoutMs, MAX_DEADLINE_MS)
     const service = this.#splitter.next(route)
     budget.request(service, startedAt)
+    if (req.origin === 'repeatedRun') budget.repeated(service, startedAt)
+    const nested = req.origin !== 'caller'
     const choice = this.#opts.versions.choose(service)
-    const urgency = req.nested ? NESTED_URGENCY : route.priority
+    const urgency = nested ? NESTED_URGENCY : route.priority
     const view: CallView = {
       now: () => timers.now(),
       candidates: (exclude) => this.#opts.placer.order(service, route, urgency, this.#acceptor(choice, exclude), choice?.preferred),
       takeRepeat: () => budget.tryTake(service, fleet.live().length, timers.now()),
       retryAfterMs: () => this.#retryAfterMs()
     }
-    const flow = callFlow({ route, deadlineAt, nested: req.nested }, view)
+    const flow = callFlow({ route, deadlineAt }, view)
     const withdrawals = new Map<number, () => void>()
     let stopTimer: Cancel = () => {}
     let offers = 0
@@ -219,7 +220,7 @@
       targetLatencyMs: route.targetLatencyMs,
       priority: route.priority,
       idempotent: route.idempotent,
-      nested: req.nested,
+      nested: req.origin !== 'caller',
       repeat
     }
   }
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -47,6 +47,8 @@
 const FAILURE_COST = 2
 /** A reported load means less the older it is. */
 const LOAD_HALF_LIFE_MS = 400
+/** Slowness and failures fade without news, so that a target that got well is tried again. */
+const MEMORY_HALF_LIFE_MS = 4_000
 /** Random part of the estimate, so that daemons with the same view don't all choose the same target. */
 const SPREAD = 0.25
 const AVOID_MS = 400
@@ -149,12 +151,14 @@
     const trust = load ? 0.5 ** (age / LOAD_HALF_LIFE_MS) : 0
     const busy = Math.max(seen.pending, trust * ((load?.running ?? 0) + (load?.queued ?? 0)))
     const cold = now < seen.coldUntil ? COLD_FACTOR : 1
-    const ownMs = (load?.pace ?? UNKNOWN_PACE) * cold * route.targetLatencyMs
+    const memory = 0.5 ** (age / MEMORY_HALF_LIFE_MS)
+    const pace = load ? UNKNOWN_PACE + (load.pace - UNKNOWN_PACE) * memory : UNKNOWN_PACE
+    const ownMs = pace * cold * route.targetLatencyMs
     const waitMs = busy >= slots ? (busy - slots + 1) / slots * ownMs : 0
     const crowdedMs = 0.3 * Math.min(1, busy / slots) * ownMs
     const isNear = record.dataCentre === this.#dataCentre
     const wayMs = isNear ? OWN_DATA_CENTRE_MS : OTHER_DATA_CENTRE_MS + (route.bulky ? BULKY_PENALTY : WAY_PENALTY) * route.targetLatencyMs
-    const failMs = (load?.failing ?? 0) * FAILURE_COST * route.targetLatencyMs
+    const failMs = (load?.failing ?? 0) * memory * FAILURE_COST * route.targetLatencyMs
     const avoidMs = now < seen.avoidUntil ? 10 * route.targetLatencyMs : 0
     const spread = 1 + SPREAD * (this.#random.next() - 0.5)
     return {
--- a/packages/hop/src/outbound/retryBudget.ts
+++ b/packages/hop/src/outbound/retryBudget.ts
@@ -1,7 +1,7 @@
 /** Parts of the window in which requests and repeats are counted. */
 const BUCKETS = 10
-/** Part of the allowance that is used, as calls made by repeated runs count as repeats too. */
-const USED_PART = 0.75
+/** Part of the allowance that is used: daemons with more than their share of the repeats leave the others less. */
+const USED_PART = 0.65
 
 export interface BudgetBounds {
   /** Repeats allowed as a part of the requests. */
@@ -38,6 +38,11 @@
     this.#at(service, now).requests[0]!++
   }
 
+  /** Counts a repeat that no budget can prevent: a call made by a run that is a repeat itself. */
+  repeated (service: string, now: number): void {
+    this.#at(service, now).repeats[0]!++
+  }
+
   /** Takes a repeat, if the budget has one left. */
   tryTake (service: string, daemons: number, now: number): boolean {
     const window = this.#at(service, now)
