--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -64,6 +64,10 @@
     return this.#table.all()
   }
 
+  record (host: string): HostRecord | undefined {
+    return this.#table.get(host)
+  }
+
   /** Daemons that are up as far as this one can see, itself included. */
   live (): HostRecord[] {
     return this.records().filter((record) => this.isUp(record.host))
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -45,9 +45,9 @@
 
 export function unpackReply (value: unknown): HopReply {
   const fields = fieldsOf(value, REPLY_FIELDS)
-  const load = Array.isArray(fields['load']) ? { load: fieldsOf([PROTOCOL, ...fields['load'] as unknown[]], LOAD_FIELDS) } : {}
-  const present = Object.entries(fields).filter(([name, field]) => name !== 'load' && field !== null && field !== undefined)
-  return { ...Object.fromEntries(present), ...load } as unknown as HopReply
+  const load = fields['load']
+  if (load !== undefined) fields['load'] = fieldsOf([PROTOCOL, ...Array.isArray(load) ? load as unknown[] : []], LOAD_FIELDS)
+  return fields as unknown as HopReply
 }
 
 function values (message: Fields, names: readonly string[]): unknown[] {
@@ -58,7 +58,12 @@
   if (!Array.isArray(list) || list[0] !== PROTOCOL || list.length !== names.length + 1) {
     throw new BadMessage('a peer speaks another protocol')
   }
-  return Object.fromEntries(names.map((name, i) => [name, list[i + 1] as unknown]))
+  const fields: Record<string, unknown> = {}
+  for (let i = 0; i < names.length; i++) {
+    const field = list[i + 1] as unknown
+    if (field !== null && field !== undefined) fields[names[i]!] = field
+  }
+  return fields
 }
 
 /** Two digits are enough for estimates. */
--- a/packages/hop/src/outbound/outboundDesk.ts
+++ b/packages/hop/src/outbound/outboundDesk.ts
@@ -207,7 +207,7 @@
     return {
       key: `${fleet.own.host}/${fleet.own.incarnation}/${++this.#calls}`,
       requestId: req.head.requestId,
-      incarnation: fleet.records().find((record) => record.host === candidate.host)?.incarnation ?? 0,
+      incarnation: fleet.record(candidate.host)?.incarnation ?? 0,
       mode,
       service,
       targetId: candidate.targetId,
