--- a/packages/cli/src/advice.ts
+++ b/packages/cli/src/advice.ts
@@ -19,6 +19,7 @@
   'move-ended': 'Apply a configuration with a new move to change the traffic again.',
   'move-control-refused': 'See `lentilwheel moves` for the state of each move.',
   'not-in-force-everywhere': 'The version stays accepted and daemons keep fetching it. See `lentilwheel status`.',
+  'request-not-logged': 'Give the logs of all daemons. Lines of requests that went as planned are left out under load.',
   usage: 'See `lentilwheel --help`, or `lentilwheel <command> --help` for an example.'
 }
 
--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -221,7 +221,7 @@
     })
     const client = new SimTarget(this, host, service.name, service.slots, speed, random)
     const inbound = new InboundDesk({
-      timers, log, names, client, target: () => target, incarnation: () => 1, isVersionOpen: () => true, onResult: () => {}
+      timers, log, names, client, target: () => target, isOverdue: () => false, incarnation: () => 1, isVersionOpen: () => true, onResult: () => {}
     })
     inbound.targetChanged()
     const placer = new Placer({ timers, random, dataCentre })
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -33,8 +33,6 @@
   codec: StoreCodec
 }
 
-/** Periods without an announcement after which the target counts as gone. */
-const SILENT_PERIODS = 4
 const TARGET_CHECK_MS = 250
 /** Time after which a daemon that found no peer says that it is ready all the same. */
 const ALONE_READY_MS = 3_000
@@ -64,7 +62,7 @@
     const { cfg, timers, random, log, metrics, names, store, codec } = opts
     this.#opts = opts
     this.#cfg = cfg
-    this.#local = new LocalTarget(cfg.announceMs * SILENT_PERIODS)
+    this.#local = new LocalTarget(cfg.announceMs)
     this.#placer = new Placer({ timers, random, dataCentre: cfg.dataCentre })
     this.#budget = new RetryBudget(cfg.retryBudget)
     this.#fleet = new Fleet({
@@ -97,6 +95,7 @@
       names,
       client,
       target: () => this.#local.record(timers.now()),
+      isOverdue: () => this.#local.isOverdue(timers.now()),
       incarnation: () => this.#fleet.own.incarnation,
       isVersionOpen: (service, version) => this.#moves.isOpen(service, version),
       onResult: (target, result) => this.#moves.onResult(target, result)
--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -103,7 +103,7 @@
 
 for (const { name, steps, at } of localCases) {
   test(`guards the target beside the daemon: ${name}`, (t) => {
-    const local = new LocalTarget(6_000)
+    const local = new LocalTarget(1_500)
     for (const [now, step] of steps) {
       if ('leave' in step) local.leave(step.leave, 1_000 + now)
       else local.announce(announcement(step), now)
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -19,6 +19,8 @@
   client: TargetClient
   /** The target as it stands now; undefined when there is none. */
   target (): TargetRecord | undefined
+  /** Whether an announcement of the target is missing. */
+  isOverdue (): boolean
   incarnation (): number
   /** Whether the target's version may get traffic. */
   isVersionOpen (service: string, version: string): boolean
@@ -57,6 +59,8 @@
   #targetId = ''
   #failing = 0
   #unreachableAt = -Infinity
+  /** When the first request was started after the target's last answer. */
+  #unansweredSince: number | undefined
 
   constructor (opts: InboundOptions) {
     this.#opts = opts
@@ -146,7 +150,7 @@
     }
   }
 
-  /** Time since the target was last found unreachable. */
+  /** Load of the target, for the daemons that choose among targets. */
   load (): TargetLoad | undefined {
     const target = this.#opts.target()
     if (!target) return undefined
@@ -161,10 +165,15 @@
     if (target.id !== message.targetId || target.service !== message.service) return 'otherTarget'
     if (target.state !== 'ready') return 'draining'
     if (!this.#opts.isVersionOpen(target.service, target.version)) return 'draining'
-    if (this.#opts.timers.now() - this.#unreachableAt < UNREACHABLE_MS) return 'unreachable'
+    if (this.#opts.timers.now() - this.#unreachableAt < UNREACHABLE_MS || this.#isSilent()) return 'unreachable'
     return undefined
   }
 
+  /** A target that neither answers nor announces itself gets no more requests; it may be off without its connections showing it. */
+  #isSilent (): boolean {
+    return this.#unansweredSince !== undefined && this.#opts.timers.now() - this.#unansweredSince > SILENT_MS && this.#opts.isOverdue()
+  }
+
   #start (call: Call): void {
     const { message, ticket } = call
     const now = this.#opts.timers.now()
@@ -174,6 +183,7 @@
       return this.#endCallNotRun(call, 'expired')
     }
     call.state = 'running'
+    this.#unansweredSince ??= now
     this.#runningIds.set(message.requestId, message.repeat)
     call.startedAt = now
     const bytes = requestBytes(message, leftMs, this.#opts.names)
@@ -196,6 +206,7 @@
   }
 
   #learn (call: Call, result: TargetResult, ms: number): void {
+    if (result.kind !== 'failed' || this.#calls.size === 0) this.#unansweredSince = undefined
     if (result.kind === 'failed' && result.reason === 'cancelled') return
     const isGood = result.kind === 'response' && result.status < 500
     if (isGood) this.#admission.observe(ms, call.message.targetLatencyMs)
@@ -269,3 +280,5 @@
 
 /** Time for which a target that refused a connection is left alone. */
 const UNREACHABLE_MS = 300
+/** Time without any answer after which a target whose announcement is missing counts as silent. */
+const SILENT_MS = 800
--- a/packages/hop/src/inbound/localTarget.ts
+++ b/packages/hop/src/inbound/localTarget.ts
@@ -22,6 +22,10 @@
   left: boolean
 }
 
+/** Periods without an announcement after which the target counts as gone. */
+const SILENT_PERIODS = 4
+/** Periods after which an announcement is missing rather than late. */
+const OVERDUE_PERIODS = 1.7
 /** Leavings remembered, so that a late announcement of one that left doesn't bring it back. */
 const MAX_REMEMBERED_LEAVINGS = 64
 
@@ -31,12 +35,14 @@
  */
 export class LocalTarget {
   readonly #silenceMs: number
+  readonly #overdueMs: number
   readonly #left = new Map<string, number>()
   #held: Held | undefined
 
-  /** `silenceMs`: time without an announcement after which the target counts as gone. */
-  constructor (silenceMs: number) {
-    this.#silenceMs = silenceMs
+  /** `periodMs`: time between two announcements of a target. */
+  constructor (periodMs: number) {
+    this.#silenceMs = SILENT_PERIODS * periodMs
+    this.#overdueMs = OVERDUE_PERIODS * periodMs
   }
 
   announce (announcement: Announcement, now: number): AnnouncementOutcome {
@@ -66,6 +72,11 @@
     }
   }
 
+  /** Whether the target should have announced itself again by now; late announcements alone don't mean that it is gone. */
+  isOverdue (now: number): boolean {
+    return this.#held !== undefined && now - this.#held.heardAt > this.#overdueMs
+  }
+
   /** The target as peers should see it; undefined when there is none or it is gone. */
   record (now: number): TargetRecord | undefined {
     const held = this.#held
