--- a/packages/bench/src/start/index.ts
+++ b/packages/bench/src/start/index.ts
@@ -48,7 +48,9 @@
 
 async function settings (): Promise<object> {
   const ip = '127.0.0.1'
-  const [outbound, ready, control, hop, app, store] = await freePorts(6)
+  // Ports are handed out downwards, so the metrics port, one above that between daemons, is the one before it.
+  const [outbound, ready, control, app, store, metrics, hop] = await freePorts(7)
+  if (metrics !== hop! + 1) return await settings()
   return {
     node_name: 'bench-1',
     zone: 'bench',
