--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -46,6 +46,16 @@
   t.deepEqual(outcomes, ['start', 'busy', 'busy', 'busy', 'busy'])
 })
 
+test('guards against urgent requests being refused where less urgent ones may wait', (t) => {
+  const admission = new Admission()
+  admission.reset(4)
+  for (const key of ['1', '2', '3', '4']) admission.offer(ticket(key), true, 0)
+  const urgent = { priority: 1, targetLatencyMs: 100 }
+  t.is(admission.offer(ticket('alone', urgent), true, 0), 'busy', 'its own patience is short')
+  t.is(admission.offer(ticket('patient', { priority: 2 }), true, 0), 'queued')
+  t.is(admission.offer(ticket('urgent', urgent), true, 0), 'queued')
+})
+
 test('guards against a request that waited too long still taking a slot', (t) => {
   const admission = new Admission()
   admission.reset(2)
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -32,6 +32,8 @@
   #queue: Ticket[] = []
   #serviceMs = UNKNOWN_SERVICE_MS
   #pace = UNKNOWN_PACE
+  /** Time for which requests of each priority last were allowed to wait. */
+  readonly #patience = new Map<number, number>()
 
   get running (): number {
     return this.#running
@@ -131,8 +133,17 @@
     const expectedMs = this.#pace * targetLatencyMs
     const lastStart = deadlineAt - expectedMs
     if (nested) return lastStart
-    const patienceMs = Math.max(MIN_PATIENCE * targetLatencyMs, USED_LATENCY * targetLatencyMs - SLOW_REQUEST * expectedMs)
-    return Math.min(lastStart, arrivedAt + patienceMs)
+    return Math.min(lastStart, arrivedAt + this.#patienceMs(ticket))
+  }
+
+  /** No request may be more patient than a more urgent one, or it would be served where that one is refused. */
+  #patienceMs ({ targetLatencyMs, priority }: Ticket): number {
+    const expectedMs = this.#pace * targetLatencyMs
+    const own = Math.max(MIN_PATIENCE * targetLatencyMs, USED_LATENCY * targetLatencyMs - SLOW_REQUEST * expectedMs)
+    this.#patience.set(priority, own)
+    let longest = own
+    for (const [other, ms] of this.#patience) if (other > priority && ms > longest) longest = ms
+    return longest
   }
 
   #insert (ticket: Ticket): void {
--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -76,6 +76,7 @@
 test('guards against large responses crossing data centres while the own one has room', (t) => {
   const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(1), dataCentre: 'dc1' })
   placer.setHosts([host('near', 'dc1'), host('far1', 'dc2'), host('far2', 'dc3')])
+  for (const name of ['near', 'far1', 'far2']) placer.ended(name, { targetId: `t-${name}`, running: 0, queued: 0, slots: 6, pace: 0.4, failing: 0 })
   t.deepEqual(firstChoices(placer, { ...route, bulky: true }), { near: 200 })
 })
 
@@ -90,6 +91,7 @@
   for (const [name, apply] of Object.entries(spoil)) {
     const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(2), dataCentre: 'dc1' })
     placer.setHosts([host('a', 'dc1'), host('b', 'dc1')])
+    for (const name of ['a', 'b']) placer.ended(name, { ...load, targetId: `t-${name}` })
     apply(placer)
     t.is(firstChoices(placer, route)['a'] ?? 0, 0, name)
   }
@@ -102,12 +104,28 @@
   const timers = new VirtualTimers()
   const placer = new Placer({ timers, random: new SeededRandom(3), dataCentre: 'dc1' })
   placer.setHosts([host('a', 'dc1'), host('b', 'dc1')])
+  const well = { targetId: 't-b', running: 0, queued: 0, slots: 6, pace: 0.4, failing: 0 }
   placer.ended('a', { targetId: 't-a', running: 0, queued: 0, slots: 6, pace: 1.5, failing: 0.5 })
+  placer.ended('b', well)
   t.is(firstChoices(placer, route)['a'] ?? 0, 0)
   timers.advance(30_000)
+  placer.ended('b', well)
   t.true((firstChoices(placer, route)['a'] ?? 0) > 0)
 })
 
+test('guards against targets that join getting no requests while the others are well', (t) => {
+  const timers = new VirtualTimers()
+  const placer = new Placer({ timers, random: new SeededRandom(5), dataCentre: 'dc1' })
+  placer.setHosts([host('a', 'dc1')])
+  placer.ended('a', { targetId: 't-a', running: 0, queued: 0, slots: 6, pace: 0.2, failing: 0 })
+  placer.setHosts([host('a', 'dc1'), host('new', 'dc2', 3_000)])
+  t.deepEqual(firstChoices(placer, route), { a: 200 }, 'cold')
+  timers.advance(3_100)
+  t.is(placer.order('s', route, 1, () => true)[0]!.host, 'new')
+  placer.offered('new')
+  t.is(placer.order('s', route, 1, () => true)[0]!.host, 'a', 'one request tells enough')
+})
+
 test('guards against equal targets getting unequal shares', (t) => {
   const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(4), dataCentre: 'dc1' })
   placer.setHosts(['a', 'b', 'c', 'd'].map((name) => host(name, 'dc1')))
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -34,6 +34,8 @@
 
 /** Part of the target latency that a target of unknown pace takes. */
 const UNKNOWN_PACE = 0.4
+/** A target that this daemon has not used yet, once it is warm, is tried before equal ones. */
+const NEWCOMER_FACTOR = 0.3
 /** A target that has just started is this many times slower. */
 const COLD_FACTOR = 2
 /** Time of a round trip to another data centre and to the own one. */
@@ -161,11 +163,12 @@
     const failMs = (load?.failing ?? 0) * memory * FAILURE_COST * route.targetLatencyMs
     const avoidMs = now < seen.avoidUntil ? 10 * route.targetLatencyMs : 0
     const spread = 1 + SPREAD * (this.#random.next() - 0.5)
+    const isNewcomer = !load && seen.pending === 0 && now >= seen.coldUntil
     return {
       host: record.host,
       targetId: target.id,
       version: target.version,
-      costMs: (waitMs + crowdedMs + ownMs + failMs) * spread + wayMs + avoidMs,
+      costMs: ((waitMs + crowdedMs + ownMs + failMs) * spread + wayMs) * (isNewcomer ? NEWCOMER_FACTOR : 1) + avoidMs,
       isBusy: now < seen.busyUntil,
       isFull: isFullFor(seen, urgency, now)
     }
