--- a/packages/core/src/nodeTickTimers.ts
+++ b/packages/core/src/nodeTickTimers.ts
@@ -1,6 +1,6 @@
-import { performance } from 'node:perf_hooks'
+import { NodeTimers } from './nodeTimers.js'
 import type { Random } from './random.js'
-import type { Cancel, EveryOptions, Timers } from './timers.js'
+import type { Cancel, EveryOptions } from './timers.js'
 
 /** Timers fire up to this much late, so that those due about the same time share one wake-up of the process. */
 const TICK_MS = 10
@@ -18,30 +18,23 @@
  * Timers of a process with many short waits, most of which are cancelled: a cancelled timer costs no wake-up, and the
  * periodic work of all parts runs on one grid.
  */
-export class TickTimers implements Timers {
+export class TickTimers extends NodeTimers {
   readonly #random: Random
   readonly #ticks = new Map<number, Set<Entry>>()
   #armed: NodeJS.Timeout | undefined
   #armedTick = Infinity
 
   constructor (random: Random) {
+    super(random)
     this.#random = random
   }
 
-  now (): number {
-    return performance.now()
-  }
-
-  wallNow (): number {
-    return Date.now()
-  }
-
-  after (ms: number, fn: () => void): Cancel {
+  override after (ms: number, fn: () => void): Cancel {
     const entry = this.#add(Math.ceil((this.now() + Math.max(0, ms)) / TICK_MS), fn)
     return () => this.#remove(entry)
   }
 
-  every (ms: number, fn: () => void, opts: EveryOptions = {}): Cancel {
+  override every (ms: number, fn: () => void, opts: EveryOptions = {}): Cancel {
     const jitter = opts.jitter ?? 0
     const grid = ms >= COARSE_PERIOD_MS ? COARSE_TICK_MS / TICK_MS : 1
     let entry: Entry
