Mark an offer as a repeat also when a busy target came before it

The load player now takes the origin of nested calls from the desks, as the daemons do; with the mark lost it counts none.

--- a/packages/hop/src/__tests__/load.spec.ts
+++ b/packages/hop/src/__tests__/load.spec.ts
@@ -7,6 +7,8 @@
 const CALM_WORTH = 0.97
 /** A more urgent kind of request is served at most this much less often than a less urgent one of its service. */
 const INVERSION = 0.05
+/** What the users allow over all daemons in 10 s. */
+const BUDGET = { ratio: 0.2, slack: 56 }
 
 function play (opts: Omit<LoadOptions, 'seed' | 'seconds'>): Record<string, ClassResult>[] {
   return SEEDS.map((seed) => new LoadPlayer(ATELIER, { seed, seconds: 20, ...opts }).play())
@@ -70,6 +72,18 @@
   }
 })
 
+test('guards against the calls of repeated runs exceeding the retry budget of the service that they call', (t) => {
+  for (const seed of SEEDS) {
+    // No longer than the window of the budget, so that all repeats fall into one.
+    const player = new LoadPlayer(ATELIER, { seed, seconds: 9, rateAt: () => 0.9, failing: () => 0.4 })
+    player.play()
+    for (const [service, { requests, repeats }] of player.counts) {
+      const allowed = BUDGET.ratio * requests + BUDGET.slack
+      t.true(repeats <= allowed, `${service}, seed ${seed}: ${repeats} of ${requests}, ${allowed} allowed`)
+    }
+  }
+})
+
 test('guards against one slow target making a calm service late', (t) => {
   for (const results of play({ rateAt: () => 0.6, slowness: (host) => host === 'h02' ? 6 : 1 })) {
     t.true(total(results).worth >= 0.94, JSON.stringify(results))
--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -50,6 +50,8 @@
   rateAt (second: number): number
   /** Multiplies the work of a target at a time of the play. */
   slowness? (host: string, service: string, second: number): number
+  /** Share of requests that a target fails. */
+  failing? (host: string, service: string, second: number): number
   /** Share of requests that a target sheds at once. */
   shedding? (host: string, service: string, second: number): number
 }
@@ -67,6 +69,12 @@
   lateRefusals: number
 }
 
+/** The run that makes a call. */
+interface Parent {
+  id: string
+  isRepeat: boolean
+}
+
 const WAY_MS = 1
 const RESPONSE_BYTES = new Uint8Array(100)
 
@@ -103,6 +111,7 @@
     const { timers, opts } = this.#player
     const second = timers.now() / 1000
     const head = request.bytes.toString('latin1').split('\r\n')
+    const isRepeat = this.#player.onArrival(this.#service, request.requestId)
     const cls = this.#player.classOf(head[0]!.split(' ')[1]!)
     let isOver = false
     const end = (result: TargetResult): void => {
@@ -122,17 +131,19 @@
       const slowness = opts.slowness?.(this.#host, this.#service, second) ?? 1
       const spread = Math.exp(0.35 * gauss(this.#random))
       const work = cls.workMs * spread * tail * slowness / this.#speed
-      timers.after(work, () => this.#makeCalls(cls, () => isOver, (ok) => end(response(ok ? 200 : 500))))
+      const fails = this.#random.next() < (opts.failing?.(this.#host, this.#service, second) ?? 0)
+      const parent = { id: request.requestId, isRepeat }
+      timers.after(work, () => this.#makeCalls(cls, parent, () => isOver, (ok) => end(response(ok && !fails ? 200 : 500))))
     }
     return () => end({ kind: 'failed', reason: 'cancelled' })
   }
 
-  #makeCalls (cls: RequestClass, isOver: () => boolean, done: (ok: boolean) => void): void {
+  #makeCalls (cls: RequestClass, parent: Parent, isOver: () => boolean, done: (ok: boolean) => void): void {
     let left = cls.calls && this.#random.next() < cls.calls.share ? cls.calls.times : 0
     const next = (): void => {
       if (isOver()) return
       if (left-- <= 0) return done(true)
-      this.#player.ask(this.#host, this.#player.classNamed(cls.calls!.class), true, (ok) => ok ? next() : done(false))
+      this.#player.ask(this.#host, this.#player.classNamed(cls.calls!.class), parent, (ok) => ok ? next() : done(false))
     }
     next()
   }
@@ -146,6 +157,10 @@
   readonly #random: Random
   readonly #hosts = new Map<string, SimHost>()
   readonly #results = new Map<string, ClassResult>()
+  /** Requests for each service, and arrivals at its targets that count as repeats. */
+  readonly counts = new Map<string, { requests: number, repeats: number }>()
+  readonly #arrived = new Set<string>()
+  readonly #idsOfRepeats = new Set<string>()
   #ids = 0
 
   constructor (sheet: Sheet, opts: LoadOptions) {
@@ -178,20 +193,37 @@
   }
 
   /** One request from a host; `done` tells whether it was answered with success. */
-  ask (host: string, cls: RequestClass, nested: boolean, done: (ok: boolean, retryAfterMs?: number, refused?: boolean) => void, deadlineMs = cls.deadlineMs): () => void {
-    const id = `r${++this.#ids}`
+  ask (host: string, cls: RequestClass, parent: Parent | undefined, done: (ok: boolean, retryAfterMs?: number, refused?: boolean) => void, deadlineMs = cls.deadlineMs): () => void {
+    const id = parent ? `${parent.id}.${++this.#ids}` : `r${++this.#ids}`
+    const counts = this.#countsOf(cls.service)
+    counts.requests++
+    if (parent?.isRepeat) this.#idsOfRepeats.add(id)
     return this.#hosts.get(host)!.outbound.handle({
       method: cls.idempotent ? 'GET' : 'POST',
       url: `/${cls.name}/x`,
       head: { requestId: id, host: 'h', path: `/${cls.name}/x`, headers: [], deadlineMs },
       body: new Uint8Array(),
-      origin: nested ? 'run' : 'caller'
+      origin: this.#hosts.get(host)!.inbound.originOf(id)
     }, {
       answer: (reply) => done(reply.status === 200),
       refuse: (status, _reason, retryAfterMs) => done(false, retryAfterMs, status === 503)
     })
   }
 
+  /** Counts an arrival at a target; true if the run is a repeat of another one. */
+  onArrival (service: string, id: string): boolean {
+    const isAgain = this.#arrived.has(id)
+    this.#arrived.add(id)
+    if (isAgain || this.#idsOfRepeats.has(id)) this.#countsOf(service).repeats++
+    return isAgain || this.#idsOfRepeats.has(id)
+  }
+
+  #countsOf (service: string): { requests: number, repeats: number } {
+    let counts = this.counts.get(service)
+    if (!counts) this.counts.set(service, counts = { requests: 0, repeats: 0 })
+    return counts
+  }
+
   #build (): void {
     const config = this.#config()
     let n = 0
@@ -286,7 +318,7 @@
       result.failed++
       leave()
     })
-    const leave = this.ask(host, cls, false, (ok, retryAfterMs, refused) => {
+    const leave = this.ask(host, cls, undefined, (ok, retryAfterMs, refused) => {
       if (isOver) return
       isOver = true
       giveUp()
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -63,6 +63,7 @@
   'a failure of the target is the answer of a request that may run once': { route: onceOnly, steps: [reply(100, 1, failure)] },
   'a request that may run once goes elsewhere when it surely did not run': { route: onceOnly, steps: [reply(10, 1, { kind: 'notRun', reason: 'draining' }), reply(200, 2, good)] },
   'one that was shed goes elsewhere as a repeat': { route: onceOnly, steps: [reply(10, 1, { kind: 'notRun', reason: 'shed' }), reply(200, 2, good)] },
+  'an offer is a repeat also after a busy target': { steps: [reply(10, 1, { kind: 'notRun', reason: 'shed' }), reply(12, 2, noSlot), reply(200, 3, good)] },
   'one that was shed is refused truly without budget': { route: onceOnly, repeats: 0, steps: [reply(10, 1, { kind: 'notRun', reason: 'shed' })] },
   'a silent attempt is doubled and the first answer wins': { steps: [timer(540), reply(700, 2, good)] },
   'a request that may run once is never doubled': { route: onceOnly, steps: [timer(540), timer(1_300)] },
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -163,7 +163,7 @@
   #place (): CallCommand[] {
     if (this.#isLate) return this.#giveUp('deadline')
     if (this.#fruitless >= MAX_OFFERS) return this.#giveUp(this.#lastReason)
-    const commands = this.#offerNext(false)
+    const commands = this.#offerNext()
     if (commands) return commands
     if (this.#candidates().length > 0) return this.#giveUp('busy')
     if (this.#view.now() - this.#startedAt >= SEARCH_MS) return this.#giveUp('noTarget')
@@ -172,21 +172,22 @@
   }
 
   /** Asks the best target not found busy for a slot; when all are busy, queues at the best. */
-  #offerNext (repeat: boolean): CallCommand[] | undefined {
+  #offerNext (): CallCommand[] | undefined {
     const candidates = this.#candidates()
     const untried = candidates.find(({ host, isBusy }) => !isBusy && !this.#busy.has(host))
-    if (untried && candidates.length > 1 && this.#busy.size < MAX_NOW_OFFERS) return this.#offer(untried, 'now', repeat)
+    if (untried && candidates.length > 1 && this.#busy.size < MAX_NOW_OFFERS) return this.#offer(untried, 'now')
     const best = candidates.find(({ isFull }) => !isFull)
-    return best && this.#offer(best, 'queue', repeat)
+    return best && this.#offer(best, 'queue')
   }
 
   #candidates (): Candidate[] {
     return this.#view.candidates(new Set([...this.#reached, ...this.#away]))
   }
 
-  #offer (candidate: Candidate, mode: OfferMode, repeat: boolean): CallCommand[] {
+  #offer (candidate: Candidate, mode: OfferMode): CallCommand[] {
     const attempt: Attempt = { number: ++this.#attempts, candidate, mode, startedAt: this.#view.now() }
     this.#open.set(attempt.number, attempt)
+    const repeat = this.#reached.size > 0
     return [{ kind: 'offer', attempt: attempt.number, candidate, mode, repeat }, this.#timer()]
   }
 
@@ -212,7 +213,7 @@
     if (deadlineAt - this.#view.now() < route.targetLatencyMs * MIN_REPEAT_PART) return undefined
     if (this.#candidates().length === 0 || !this.#view.takeRepeat()) return undefined
     this.#busy.clear()
-    return this.#offerNext(true)
+    return this.#offerNext()
   }
 
   #mayHedge (attempt: Attempt): boolean {
