Read host names, end calls and build pushed messages in one place each

The reader of host headers stood in hop and proxy; it is in core now. A push built and hashed the same message once for each peer. The two ways to end a call beside the target wrote the same line and added the same load.

--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -157,7 +157,7 @@
     if (up) this.#downSince.delete(host)
     else if (!this.#downSince.has(host)) this.#downSince.set(host, this.#opts.timers.now())
     this.#opts.log.decision(up ? 'peerUp' : 'peerDown', { peer: host })
-    if (up) this.#sync(host, this.records())
+    if (up) this.#sync(host, this.#message(this.records()))
     this.#opts.onChange()
   }
 
@@ -218,19 +218,20 @@
 
   #pushNow (): void {
     this.#pushedAt = this.#opts.timers.now()
-    for (const [host, link] of this.#links) if (link.isUp) this.#sync(host, [this.own])
+    const message = this.#message([this.own])
+    for (const [host, link] of this.#links) if (link.isUp) this.#sync(host, message)
   }
 
   #exchangeWithOne (): void {
     const up = [...this.#links].filter(([, link]) => link.isUp)
-    if (up.length > 0) this.#sync(this.#opts.random.pick(up)[0], [])
+    if (up.length > 0) this.#sync(this.#opts.random.pick(up)[0], this.#message([]))
   }
 
-  async #sync (host: string, records: HostRecord[]): Promise<void> {
+  async #sync (host: string, message: SyncMessage): Promise<void> {
     const link = this.#links.get(host)
     if (!link) return
     try {
-      this.#take(await link.sync(this.#message(records)))
+      this.#take(await link.sync(message))
     } catch (err) {
       this.#opts.log.decision('syncFailed', { peer: host, code: errorCode(err) })
     }
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -198,9 +198,8 @@
     this.#calls.delete(call.message.key)
     this.#runningIds.delete(call.message.requestId)
     this.#learn(call, result, ms)
-    const load = this.load()
     const { reported: _, ...reply } = result as TargetResult & { reported?: unknown }
-    this.#ledger.end(call.message.key, { ...reply, ...(load ? { load } : {}) } as HopReply, now)
+    this.#end(call.message, reply as HopReply)
     this.#logEnd(call, result, ms)
     this.#startNext()
   }
@@ -220,20 +219,15 @@
   }
 
   #logEnd (call: Call, result: TargetResult, ms: number): void {
-    const { message } = call
     const outcome = result.kind === 'response' ? result.status : result.reason
     const isPlain = result.kind === 'response' && result.status < 500
-    this.#opts.log.call(isPlain, 'inbound', {
-      id: message.requestId,
-      call: message.key,
-      route: message.route,
-      target: message.targetId,
-      outcome,
-      ms: Math.round(ms),
-      queuedMs: Math.round(call.startedAt - call.ticket.arrivedAt),
-      running: this.#admission.running,
-      queued: this.#admission.queued
-    })
+    this.#log(call.message, isPlain, outcome, { ms: Math.round(ms), queuedMs: Math.round(call.startedAt - call.ticket.arrivedAt) })
+  }
+
+  #log (message: CallMessage, isPlain: boolean, outcome: number | string, times: object = {}): void {
+    const { requestId: id, key: call, route, targetId: target } = message
+    const { running, queued } = this.#admission
+    this.#opts.log.call(isPlain, 'inbound', { id, call, route, target, outcome, ...times, running, queued })
   }
 
   #withdraw (call: Call, reason: NotRunReason): void {
@@ -247,17 +241,14 @@
   }
 
   #endNotRun (message: CallMessage, reason: NotRunReason): void {
+    this.#end(message, { kind: 'notRun', reason })
+    this.#log(message, reason === 'busy' && message.mode === 'now', reason)
+  }
+
+  /** Hands a reply out, with the load of the target as it is now. */
+  #end (message: CallMessage, reply: HopReply): void {
     const load = this.load()
-    this.#ledger.end(message.key, { kind: 'notRun', reason, ...(load ? { load } : {}) }, this.#opts.timers.now())
-    this.#opts.log.call(reason === 'busy' && message.mode === 'now', 'inbound', {
-      id: message.requestId,
-      call: message.key,
-      route: message.route,
-      target: message.targetId,
-      outcome: reason,
-      running: this.#admission.running,
-      queued: this.#admission.queued
-    })
+    this.#ledger.end(message.key, load ? { ...reply, load } : reply, this.#opts.timers.now())
   }
 
   #upkeep (): void {
--- a/packages/hop/src/outbound/requestHead.ts
+++ b/packages/hop/src/outbound/requestHead.ts
@@ -1,6 +1,6 @@
+import { hostName } from '@lentilwheel/core'
 import { headerOf } from '../inbound/responseCheck.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
-import { hostName } from '../routing/routeTable.js'
 
 /** Headers that concern one connection only; the length is set again from the body. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
--- a/packages/hop/src/routing/__tests__/routing.spec.ts
+++ b/packages/hop/src/routing/__tests__/routing.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
-import { SeededRandom } from '@lentilwheel/core'
+import { hostName, SeededRandom } from '@lentilwheel/core'
 import type { MeshConfig, MeshRoute, RoutePart } from '../meshConfig.js'
-import { hostName, RouteTable } from '../routeTable.js'
+import { RouteTable } from '../routeTable.js'
 import { Splitter } from '../splitter.js'
 
 function route (name: string, host: string, pathPrefix: string, parts: RoutePart[] = [{ service: name, weight: 1 }]): MeshRoute {
--- a/packages/proxy/src/requests/requestHead.ts
+++ b/packages/proxy/src/requests/requestHead.ts
@@ -1,4 +1,5 @@
 import { METHODS } from '@lentilwheel/config'
+import { hostName } from '@lentilwheel/core'
 import { ATTEMPT_HEADER, DEADLINE_HEADER, INTERNAL_HEADER_PREFIX } from '../constants.js'
 import { REFUSALS, type Refusal } from './refusal.js'
 
@@ -90,10 +91,3 @@
     else this.upstreamAttempts = Math.max(this.upstreamAttempts, Number(value))
   }
 }
-
-/** Host header without port, in lower case; IPv6 literals keep their brackets. */
-function hostName (value: string): string {
-  const colon = value.lastIndexOf(':')
-  const name = colon > value.lastIndexOf(']') ? value.slice(0, colon) : value
-  return name.toLowerCase()
-}
