Tell peers only what changed, and compare whole tables only in exchanges

Cause: each message between daemons carried a fingerprint of the sender's table, and whoever had another one answered with all records. Now the version is told apart from the record, to three peers, and only the periodic exchange compares tables.

--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -161,6 +161,8 @@
   readonly counts = new Map<string, { requests: number, repeats: number }>()
   readonly #arrived = new Set<string>()
   readonly #idsOfRepeats = new Set<string>()
+  /** Requests that reached a target, and those of them that did so in another data centre. */
+  readonly ways = { all: 0, crossing: 0 }
   #ids = 0
 
   constructor (sheet: Sheet, opts: LoadOptions) {
@@ -247,9 +249,9 @@
     const random = new SeededRandom(Math.imul(this.#random.int(1e9), 0x9e3779b1))
     const log = new NoCallLog()
     const target: TargetRecord = { id: `t-${host}`, service: service.name, version: 'v1', slots: service.slots, state: 'ready', coldMs: 0 }
-    const record: HostRecord = { host, dataCentre, address: host, port: 1, incarnation: 1, sequence: 1, stopping: false, configVersion: 1, target }
+    const record: HostRecord = { host, dataCentre, address: host, port: 1, incarnation: 1, sequence: 1, stopping: false, target }
     const fleet = new Fleet({
-      own: record, timers, random, log, openLink: (peer) => this.#link(peer), onChange: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}
+      own: record, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onPeerVersion: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}
     })
     const client = new SimTarget(this, host, service.name, service.slots, speed, random)
     const inbound = new InboundDesk({
@@ -264,17 +266,21 @@
     this.#hosts.set(host, { record, fleet, inbound, outbound, placer })
   }
 
-  #link (peer: string): PeerLink {
+  #link (peer: string, dataCentre: string): PeerLink {
     const { timers } = this
     return {
       isUp: true,
       target: { address: peer, port: 1 },
       call: (message, _bulky, reply) => {
         let withdrawn = false
-        const { inbound } = this.#hosts.get(peer)!
+        const { inbound, record } = this.#hosts.get(peer)!
         timers.after(WAY_MS, () => {
           if (withdrawn) return
-          inbound.offer(message, (answer) => { timers.after(WAY_MS, () => { if (!withdrawn) reply(answer) }) })
+          inbound.offer(message, (answer) => {
+            if (answer.kind === 'response') this.ways.all++
+            if (answer.kind === 'response' && record.dataCentre !== dataCentre) this.ways.crossing++
+            timers.after(WAY_MS, () => { if (!withdrawn) reply(answer) })
+          })
         })
         return () => {
           withdrawn = true
@@ -362,3 +368,21 @@
     { name: 'roster', service: 'workroom', idempotent: true, perS: 0, workMs: 55, targetLatencyMs: 200, deadlineMs: 600, timeoutMs: 600, priority: 1, worth: 0, lateWorth: 0, retries: 0 }
   ]
 }
+
+/** The sheet of the carvers' consortium, with the rates of a usual day. */
+export const CARVERS: Sheet = {
+  dataCentres: ['a', 'b', 'c', 'd'],
+  services: [
+    { name: 'catalogue', targets: 6, slots: 12, speeds: [0.6, 1, 1.4] },
+    { name: 'commissions', targets: 4, slots: 12, speeds: [0.6, 1, 1.4] },
+    { name: 'archives', targets: 4, slots: 12, speeds: [0.7, 0.7, 1.6] }
+  ],
+  classes: [
+    { name: 'browse', service: 'catalogue', idempotent: true, perS: 466, workMs: 90, targetLatencyMs: 300, deadlineMs: 2_000, timeoutMs: 1_000, priority: 2, worth: 1, lateWorth: 0.5, retries: 2, calls: { class: 'stock', times: 2, share: 0.7 } },
+    { name: 'deposit', service: 'commissions', idempotent: false, perS: 120, workMs: 120, targetLatencyMs: 400, deadlineMs: 2_500, timeoutMs: 1_200, priority: 1, worth: 2, lateWorth: 1, retries: 2, calls: { class: 'rights', times: 2, share: 0.7 } },
+    { name: 'download', service: 'archives', idempotent: true, bulky: true, perS: 55.7, workMs: 72, targetLatencyMs: 300, deadlineMs: 2_000, timeoutMs: 1_000, priority: 2, worth: 1, lateWorth: 0.5, retries: 2 },
+    { name: 'status', service: 'archives', idempotent: true, perS: 97.8, workMs: 36, targetLatencyMs: 150, deadlineMs: 1_000, timeoutMs: 500, priority: 1, worth: 2, lateWorth: 1, retries: 2 },
+    { name: 'stock', service: 'commissions', idempotent: true, perS: 0, workMs: 22, targetLatencyMs: 100, deadlineMs: 250, timeoutMs: 250, priority: 1, worth: 0, lateWorth: 0, retries: 0 },
+    { name: 'rights', service: 'archives', idempotent: true, perS: 0, workMs: 22, targetLatencyMs: 100, deadlineMs: 250, timeoutMs: 250, priority: 1, worth: 0, lateWorth: 0, retries: 0 }
+  ]
+}
--- a/packages/hop/src/daemon/configKeeper.ts
+++ b/packages/hop/src/daemon/configKeeper.ts
@@ -63,8 +63,8 @@
     return { version: this.#version, spec: this.#spec }
   }
 
-  /** Peers may hold a newer version. */
-  onFleetChange (): void {
+  /** Fetches a newer version, if a peer that can be reached holds one. */
+  chase (): void {
     if (this.#isChasing || !this.#newestHolder()) return
     this.#isChasing = true
     const { timers } = this.#opts
@@ -97,10 +97,11 @@
     const { fleet } = this.#opts
     let newest: string | undefined
     let version = this.#version
-    for (const record of fleet.records()) {
-      if (record.configVersion <= version || !fleet.isUp(record.host)) continue
-      version = record.configVersion
-      newest = record.host
+    for (const { host } of fleet.records()) {
+      const held = fleet.configVersionOf(host)
+      if (held <= version || !fleet.isUp(host)) continue
+      version = held
+      newest = host
     }
     return newest
   }
--- a/packages/hop/src/daemon/directory.ts
+++ b/packages/hop/src/daemon/directory.ts
@@ -115,5 +115,5 @@
   const { host, dataCentre, address, port, incarnation } = spec as Record<string, unknown>
   if (typeof host !== 'string' || typeof dataCentre !== 'string' || typeof address !== 'string') return undefined
   if (typeof port !== 'number' || typeof incarnation !== 'number') return undefined
-  return [{ host, dataCentre, address, port, incarnation, sequence: 0, stopping: false, configVersion: 0 }]
+  return [{ host, dataCentre, address, port, incarnation, sequence: 0, stopping: false }]
 }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -72,6 +72,7 @@
       log,
       openLink: (host, address, port) => new NodePeerLink({ host, address, port, timers, log, onState: (peer, up) => this.#fleet.onLinkState(peer, up) }),
       onChange: () => this.#onFleetChange(),
+      onPeerVersion: () => this.#config.chase(),
       onFact: (fact) => this.#moves.onFact(fact),
       orders: () => this.#moves.orders(),
       onOrder: (order, from) => this.#moves.onOrder(order, from),
@@ -203,7 +204,7 @@
   #ownRecord (): HostRecord {
     const { host, dataCentre, hop } = this.#cfg
     const incarnation = Math.floor(this.#opts.timers.wallNow())
-    return { host, dataCentre, ...hop, incarnation, sequence: 0, stopping: false, configVersion: 0 }
+    return { host, dataCentre, ...hop, incarnation, sequence: 0, stopping: false }
   }
 
   /** Tells peers when the target beside this daemon has changed for them. */
@@ -222,7 +223,7 @@
       const records = this.#fleet.records()
       this.#placer.setHosts(records)
       this.#moves.setHosts(records)
-      this.#config.onFleetChange()
+      this.#config.chase()
     } catch (err) {
       this.#opts.log.decision('fleetChangeFailed', { code: errorCode(err), reason: (err as Error).stack })
     }
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -27,6 +27,8 @@
   openLink (host: string, address: string, port: number): PeerLink
   /** Records changed, or a peer was lost or reached again. */
   onChange (): void
+  /** A peer holds a newer configuration version than this daemon. */
+  onPeerVersion (): void
   onFact (fact: MoveFact): void
   /** Orders of moves that this daemon knows. */
   orders (): MoveOrder[]
@@ -37,6 +39,8 @@
 const EXCHANGE_MS = 1_500
 /** Least time between two pushes of changes that peers need not know at once. */
 const GATHER_MS = 400
+/** Peers that a daemon tells of a new configuration; each has a watch of its own, and tells others in turn. */
+const VERSION_FANOUT = 3
 /** Time without a link after which a daemon counts as gone. */
 const GONE_MS = 60_000
 
@@ -47,6 +51,7 @@
   readonly #table: HostTable
   readonly #links = new Map<string, PeerLink>()
   readonly #downSince = new Map<string, number>()
+  readonly #configVersions = new Map<string, number>()
   #pushPlanned = false
   #pushedAt = -Infinity
 
@@ -89,7 +94,7 @@
 
   /** Sends evidence to the daemon that coordinates a move. */
   sendReport (host: string, report: BriefReport): void {
-    this.#links.get(host)?.sync({ ...this.#message([]), reports: [report] }).then((answer) => this.#take(answer), (err) => {
+    this.#links.get(host)?.sync({ ...this.#news([]), reports: [report] }).then((answer) => this.#take(answer), (err) => {
       this.#opts.log.decision('reportLost', { peer: host, code: errorCode(err) })
     })
   }
@@ -115,9 +120,16 @@
     this.#opts.onChange()
   }
 
-  setConfigVersion (configVersion: number): void {
-    this.#table.update({ configVersion })
-    this.pushSoon()
+  /** Configuration version in force on a daemon, as far as it has told; 0 for none. */
+  configVersionOf (host: string): number {
+    return this.#configVersions.get(host) ?? 0
+  }
+
+  /** Tells a few peers of the version in force here; all others hear of it with the next exchange. */
+  setConfigVersion (version: number): void {
+    this.#configVersions.set(this.own.host, version)
+    const news = this.#news([])
+    for (const host of this.#somePeers(VERSION_FANOUT)) this.#sync(host, news)
   }
 
   /** Takes in records heard from the store or a peer. */
@@ -137,6 +149,7 @@
     this.#links.get(host)?.close()
     this.#links.delete(host)
     this.#downSince.delete(host)
+    this.#configVersions.delete(host)
     this.#opts.onChange()
   }
 
@@ -149,15 +162,15 @@
   /** Answers a peer's message with what the peer lacks. */
   onSync (message: SyncMessage): SyncMessage {
     this.#take(message)
-    const isSame = message.digest === this.digest()
-    return this.#message(isSame ? [] : this.records())
+    const isBehind = message.digest !== undefined && message.digest !== this.digest()
+    return isBehind ? this.#whole() : this.#answer()
   }
 
   onLinkState (host: string, up: boolean): void {
     if (up) this.#downSince.delete(host)
     else if (!this.#downSince.has(host)) this.#downSince.set(host, this.#opts.timers.now())
     this.#opts.log.decision(up ? 'peerUp' : 'peerDown', { peer: host })
-    if (up) this.#sync(host, this.#message(this.records()))
+    if (up) this.#sync(host, this.#news([this.own]))
     this.#opts.onChange()
   }
 
@@ -165,7 +178,7 @@
   async meet (address: string, port: number): Promise<boolean> {
     const link = this.#opts.openLink('', address, port)
     try {
-      this.#take(await link.sync(this.#message(this.records())))
+      this.#take(await link.sync({ ...this.#whole(), digest: this.digest() }))
       return true
     } catch (err) {
       this.#opts.log.decision('seedUnreachable', { address, code: errorCode(err) })
@@ -176,10 +189,9 @@
   }
 
   digest (): string {
-    const lines = this.records().map(({ host, incarnation, sequence }) => `${host} ${incarnation} ${sequence}`).sort()
     const facts = this.facts.all().map((fact) => JSON.stringify(fact)).sort()
     const orders = this.#opts.orders().map(({ id, revision }) => `${id} ${revision}`).sort()
-    return createHash('sha1').update([...lines, ...facts, ...orders].join('\n')).digest('base64')
+    return createHash('sha1').update([this.#table.digest(), ...facts, ...orders].join('\n')).digest('base64')
   }
 
   close (): void {
@@ -188,13 +200,26 @@
 
   #take (message: SyncMessage): void {
     this.merge(message.records)
+    this.#configVersions.set(message.from, message.configVersion)
+    if (message.configVersion > this.configVersionOf(this.own.host)) this.#opts.onPeerVersion()
     for (const fact of message.facts) if (this.facts.add(fact)) this.#opts.onFact(fact)
     for (const order of message.orders) this.#opts.onOrder(order, message.from)
     for (const report of message.reports) this.#opts.onReport(report)
   }
 
-  #message (records: HostRecord[]): SyncMessage {
-    return { from: this.own.host, records, facts: this.facts.all(), orders: this.#opts.orders(), reports: [], digest: this.digest() }
+  /** A message that says nothing but which configuration is in force here. */
+  #answer (): SyncMessage {
+    const { host } = this.own
+    return { from: host, configVersion: this.configVersionOf(host), records: [], facts: [], orders: [], reports: [] }
+  }
+
+  /** A message that asks for nothing in return. */
+  #news (records: HostRecord[]): SyncMessage {
+    return { ...this.#answer(), records, facts: this.facts.all(), orders: this.#opts.orders() }
+  }
+
+  #whole (): SyncMessage {
+    return this.#news(this.records())
   }
 
   #keepLink (record: HostRecord): void {
@@ -218,13 +243,20 @@
 
   #pushNow (): void {
     this.#pushedAt = this.#opts.timers.now()
-    const message = this.#message([this.own])
+    const message = this.#news([this.own])
     for (const [host, link] of this.#links) if (link.isUp) this.#sync(host, message)
   }
 
   #exchangeWithOne (): void {
-    const up = [...this.#links].filter(([, link]) => link.isUp)
-    if (up.length > 0) this.#sync(this.#opts.random.pick(up)[0], this.#message([]))
+    for (const host of this.#somePeers(1)) this.#sync(host, { ...this.#news([]), digest: this.digest() })
+  }
+
+  /** Some peers that are up, chosen at random. */
+  #somePeers (count: number): string[] {
+    const up = [...this.#links].filter(([, link]) => link.isUp).map(([host]) => host)
+    const chosen: string[] = []
+    while (chosen.length < count && up.length > 0) chosen.push(...up.splice(this.#opts.random.int(up.length), 1))
+    return chosen
   }
 
   async #sync (host: string, message: SyncMessage): Promise<void> {
--- a/packages/hop/src/fleet/hostTable.ts
+++ b/packages/hop/src/fleet/hostTable.ts
@@ -1,9 +1,11 @@
+import { createHash } from 'node:crypto'
 import { isNewer, type HostRecord, type TargetRecord } from './records.js'
 
 /** Records of all known daemons, the own one included. */
 export class HostTable {
   readonly #records = new Map<string, HostRecord>()
   #own: HostRecord
+  #digest: string | undefined
 
   constructor (own: HostRecord) {
     this.#own = own
@@ -27,7 +29,7 @@
   }
 
   /** Changes the own record and raises its sequence. */
-  update (change: Partial<Pick<HostRecord, 'stopping' | 'configVersion' | 'incarnation'>>): HostRecord {
+  update (change: Partial<Pick<HostRecord, 'stopping' | 'incarnation'>>): HostRecord {
     return this.#setOwn({ ...this.#own, ...change })
   }
 
@@ -49,17 +51,30 @@
     const held = this.#records.get(record.host)
     if (held && !isNewer(record, held)) return false
     this.#records.set(record.host, record)
+    this.#digest = undefined
     return true
   }
 
   /** Forgets a daemon that is known to be gone for good. */
   remove (host: string): boolean {
-    return host !== this.#own.host && this.#records.delete(host)
+    if (host === this.#own.host || !this.#records.delete(host)) return false
+    this.#digest = undefined
+    return true
+  }
+
+  /** Fingerprint of the whole table; equal on daemons whose tables are equal. */
+  digest (): string {
+    if (this.#digest === undefined) {
+      const lines = this.all().map(({ host, incarnation, sequence }) => `${host} ${incarnation} ${sequence}`).sort()
+      this.#digest = createHash('sha1').update(lines.join('\n')).digest('base64')
+    }
+    return this.#digest
   }
 
   #setOwn (record: HostRecord): HostRecord {
     this.#own = { ...record, sequence: record.sequence + 1 }
     this.#records.set(record.host, this.#own)
+    this.#digest = undefined
     return this.#own
   }
 }
--- a/packages/hop/src/fleet/records.ts
+++ b/packages/hop/src/fleet/records.ts
@@ -28,8 +28,6 @@
   sequence: number
   /** True once the daemon has been told to stop. */
   stopping: boolean
-  /** Configuration version in force on the daemon; 0 for none. */
-  configVersion: number
   target?: TargetRecord
 }
 
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -72,12 +72,17 @@
 /** Exchange of what two daemons know. */
 export interface SyncMessage {
   from: string
+  /** Configuration version in force on the sender; 0 for none. */
+  configVersion: number
   records: HostRecord[]
   facts: MoveFact[]
   /** Orders of moves, by their revision in the store. */
   orders: MoveOrder[]
   /** Results of versions in a move, for the daemon that coordinates it. */
   reports: BriefReport[]
-  /** Fingerprint of the sender's whole table; a receiver with another one answers with its table. */
-  digest: string
+  /** Fingerprint of all that the sender knows; a receiver with another one answers with its table. Absent in mere news. */
+  digest?: string
 }
+
+/** Fields that every exchange has. */
+export const SYNC_FIELDS = ['from', 'configVersion', 'records', 'facts', 'orders', 'reports'] as const satisfies readonly (keyof SyncMessage)[]
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -4,7 +4,7 @@
 import type { CallLog } from '../observe/callLog.js'
 import type { InboundDesk } from '../inbound/inboundDesk.js'
 import { checked, packReply, unpackCall } from './codec.js'
-import type { HopReply, SettleMessage, SyncMessage } from './messages.js'
+import { SYNC_FIELDS, type HopReply, type SettleMessage, type SyncMessage } from './messages.js'
 import { FRAMES, FrameSocket, type Frame } from './nodeFrameSocket.js'
 
 export interface HopServerOptions {
@@ -80,7 +80,7 @@
         return desk.cancel(key!)
       }
       case FRAMES.sync: {
-        const message = checked<SyncMessage>(payload, ['from', 'records', 'facts', 'orders', 'reports', 'digest'])
+        const message = checked<SyncMessage>(payload, SYNC_FIELDS)
         return peer.send([FRAMES.reply, exchange, this.#opts.onSync(message)])
       }
       case FRAMES.config:
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -3,7 +3,7 @@
 import type { PeerLink } from '../fleet/fleet.js'
 import type { CallLog } from '../observe/callLog.js'
 import { checked, packCall, unpackReply } from './codec.js'
-import type { CallMessage, HopReply, SettleMessage, SyncMessage } from './messages.js'
+import { SYNC_FIELDS, type CallMessage, type HopReply, type SettleMessage, type SyncMessage } from './messages.js'
 import { FRAMES, type FrameKind } from './nodeFrameSocket.js'
 import { Lane, type LaneOutcome } from './nodeLane.js'
 
@@ -68,7 +68,7 @@
   }
 
   async sync (message: SyncMessage): Promise<SyncMessage> {
-    return checked<SyncMessage>(await this.#exchange(FRAMES.sync, message), ['from', 'records', 'facts', 'orders', 'reports', 'digest'])
+    return checked<SyncMessage>(await this.#exchange(FRAMES.sync, message), SYNC_FIELDS)
   }
 
   async config (): Promise<unknown> {
