Let two daemons of a data centre watch the configuration, and the others fetch changes from them

Ruled out as the source: moves (three daemons watch them). The other daemons now hear of a version from the watchers beside them and fetch the routes that differ; without one nearby they read the store, then ask any peer. Daemons also no longer list the orders of moves at a start when three others do, and only the first two list the daemons again.

--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -288,7 +288,7 @@
         }
       },
       sync: async (message) => message,
-      config: async () => ({}),
+      config: async () => undefined,
       close: () => {}
     }
   }
--- a/packages/hop/src/daemon/directory.ts
+++ b/packages/hop/src/daemon/directory.ts
@@ -19,8 +19,9 @@
 const KIND = 'lentilwheel-daemons'
 const MIN_RETRY_MS = 200
 const MAX_RETRY_MS = 2_000
-/** Peers tell each other of the rest, so the store is read again only now and then. */
+/** Peers tell each other of the rest, so the store is read again only now and then, and by a few. */
 const RELIST_MS = 30_000
+const RELISTING_DAEMONS = 2
 const SEED_RETRY_MS = 1_000
 
 /** How daemons find each other: through their objects in the store, and through seeds while it is away. */
@@ -37,7 +38,9 @@
     this.#retrying('register', () => this.#register())
     this.#retrying('list', () => this.#list())
     this.#meetSeeds()
-    this.#opts.timers.every(RELIST_MS, () => { this.#retrying('list', () => this.#list()) }, { jitter: 0.3 })
+    this.#opts.timers.every(RELIST_MS, () => {
+      if (this.#opts.fleet.rank() < RELISTING_DAEMONS) this.#retrying('list', () => this.#list())
+    }, { jitter: 0.3 })
   }
 
   /** The host goes away for good: its object goes with it. */
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -122,7 +122,7 @@
     })
     this.#directory = new Directory({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, timers, desk: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onConfigAsked: () => this.#config.held()
+      ...cfg.hop, timers, desk: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onConfigAsked: (have) => this.#config.changesSince(have)
     })
     this.#metricsServer = new NodeMetricsServer(cfg.metrics, metrics)
   }
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -4,6 +4,7 @@
 import type { CallLog } from '../observe/callLog.js'
 import type { BriefReport } from '@lentilwheel/moves'
 import type { MoveOrder } from '../rollout/order.js'
+import type { ConfigDelta } from '../routing/configDelta.js'
 import { FactBook } from './factBook.js'
 import { HostTable } from './hostTable.js'
 import type { HostRecord, TargetRecord } from './records.js'
@@ -15,7 +16,8 @@
   /** `bulky`: the response may be large. */
   call (message: CallMessage, bulky: boolean, reply: (reply: HopReply) => void): () => void
   sync (message: SyncMessage): Promise<SyncMessage>
-  config (): Promise<unknown>
+  /** What the configuration in force on the peer changes in version `have`; undefined when the peer holds none. */
+  config (have: number): Promise<ConfigDelta | undefined>
   close (): void
 }
 
@@ -39,7 +41,7 @@
 const EXCHANGE_MS = 1_500
 /** Least time between two pushes of changes that peers need not know at once. */
 const GATHER_MS = 400
-/** Peers that a daemon tells of a new configuration; each has a watch of its own, and tells others in turn. */
+/** Peers anywhere that a daemon tells of a new configuration; they tell others in turn. */
 const VERSION_FANOUT = 3
 /** Time without a link after which a daemon counts as gone. */
 const GONE_MS = 60_000
@@ -84,7 +86,12 @@
 
   /** Number of daemons that would go first in a duty that one daemon has. */
   rank (): number {
-    return this.live().filter((record) => !record.stopping && record.host < this.own.host).length
+    return this.#before().length
+  }
+
+  /** The same for a duty that daemons of each data centre have. */
+  rankNear (): number {
+    return this.#before().filter((record) => record.dataCentre === this.own.dataCentre).length
   }
 
   /** The daemon that has the duties that one daemon has. */
@@ -125,11 +132,15 @@
     return this.#configVersions.get(host) ?? 0
   }
 
-  /** Tells a few peers of the version in force here; all others hear of it with the next exchange. */
-  setConfigVersion (version: number): void {
+  /**
+   * Tells a few peers of the version in force here, and all of the own data centre if it came from the store; the others
+   * hear of it with the next exchange.
+   */
+  setConfigVersion (version: number, isFirstHand: boolean): void {
     this.#configVersions.set(this.own.host, version)
+    const near = isFirstHand ? this.#upPeers().filter((host) => this.record(host)?.dataCentre === this.own.dataCentre) : []
     const news = this.#news([])
-    for (const host of this.#somePeers(VERSION_FANOUT)) this.#sync(host, news)
+    for (const host of new Set([...near, ...this.#somePeers(VERSION_FANOUT)])) this.#sync(host, news)
   }
 
   /** Takes in records heard from the store or a peer. */
@@ -198,6 +209,11 @@
     for (const link of this.#links.values()) link.close()
   }
 
+  /** Live daemons that go before this one in shared duties. */
+  #before (): HostRecord[] {
+    return this.live().filter((record) => !record.stopping && record.host < this.own.host)
+  }
+
   #take (message: SyncMessage): void {
     this.merge(message.records)
     this.#configVersions.set(message.from, message.configVersion)
@@ -251,9 +267,13 @@
     for (const host of this.#somePeers(1)) this.#sync(host, { ...this.#news([]), digest: this.digest() })
   }
 
+  #upPeers (): string[] {
+    return [...this.#links].filter(([, link]) => link.isUp).map(([host]) => host)
+  }
+
   /** Some peers that are up, chosen at random. */
   #somePeers (count: number): string[] {
-    const up = [...this.#links].filter(([, link]) => link.isUp).map(([host]) => host)
+    const up = this.#upPeers()
     const chosen: string[] = []
     while (chosen.length < count && up.length > 0) chosen.push(...up.splice(this.#opts.random.int(up.length), 1))
     return chosen
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -3,6 +3,7 @@
 import { BadMessage } from '../errors.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { InboundDesk } from '../inbound/inboundDesk.js'
+import type { ConfigDelta } from '../routing/configDelta.js'
 import { checked, packReply, unpackCall } from './codec.js'
 import { SYNC_FIELDS, type HopReply, type SettleMessage, type SyncMessage } from './messages.js'
 import { FRAMES, FrameSocket, type Frame } from './nodeFrameSocket.js'
@@ -14,8 +15,8 @@
   desk: InboundDesk
   log: CallLog
   onSync (message: SyncMessage): SyncMessage
-  /** The configuration in force, as it was read from the store. */
-  onConfigAsked (): object
+  /** What the configuration in force changes in the version that the peer has. */
+  onConfigAsked (have: number): ConfigDelta | undefined
 }
 
 /** The side of the daemon that its peers talk to. */
@@ -84,7 +85,7 @@
         return peer.send([FRAMES.reply, exchange, this.#opts.onSync(message)])
       }
       case FRAMES.config:
-        return peer.send([FRAMES.reply, exchange, this.#opts.onConfigAsked()])
+        return peer.send([FRAMES.reply, exchange, this.#opts.onConfigAsked(checked<{ have: number }>(payload, ['have']).have)])
       case FRAMES.ping:
         return peer.send([FRAMES.pong, 0])
       default:
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -2,6 +2,7 @@
 import { PeerLost } from '../errors.js'
 import type { PeerLink } from '../fleet/fleet.js'
 import type { CallLog } from '../observe/callLog.js'
+import { DELTA_FIELDS, type ConfigDelta } from '../routing/configDelta.js'
 import { checked, packCall, unpackReply } from './codec.js'
 import { SYNC_FIELDS, type CallMessage, type HopReply, type SettleMessage, type SyncMessage } from './messages.js'
 import { FRAMES, type FrameKind } from './nodeFrameSocket.js'
@@ -71,8 +72,9 @@
     return checked<SyncMessage>(await this.#exchange(FRAMES.sync, message), SYNC_FIELDS)
   }
 
-  async config (): Promise<unknown> {
-    return await this.#exchange(FRAMES.config, null)
+  async config (have: number): Promise<ConfigDelta | undefined> {
+    const answer = await this.#exchange(FRAMES.config, { have })
+    return answer === null || answer === undefined ? undefined : checked<ConfigDelta>(answer, DELTA_FIELDS)
   }
 
   close (): void {
--- a/packages/hop/src/rollout/moves.ts
+++ b/packages/hop/src/rollout/moves.ts
@@ -29,6 +29,8 @@
   targetLatencyMs: number
 }
 
+/** Period at which a daemon looks whether it should follow the orders; by the first time its links are up. */
+const FOLLOW_CHECK_MS = 500
 const WATCH_MS = 12_000
 const GATHER_MS = 100
 /** Daemons that follow the orders themselves; the others hear of them. */
@@ -58,7 +60,7 @@
 
   start (): void {
     this.#opts.timers.every(TICK_MS, () => this.#tick(), { jitter: 0.2 })
-    this.#follow()
+    this.#opts.timers.every(FOLLOW_CHECK_MS, () => { if (!this.#follower && this.#isFollowing()) this.#follow() })
   }
 
   stop (): void {
@@ -112,6 +114,10 @@
     return this.#rules.isOpen(service, version)
   }
 
+  #isFollowing (): boolean {
+    return this.#opts.fleet.rank() < WATCHERS
+  }
+
   #follow (): void {
     const { store, codec, timers, random, log } = this.#opts
     const take = ({ name, spec, status, revision }: StoredObject): void => {
@@ -127,7 +133,7 @@
       log,
       waitMs: WATCH_MS,
       gatherMs: GATHER_MS,
-      isWanted: () => this.#opts.fleet.rank() < WATCHERS,
+      isWanted: () => this.#isFollowing(),
       onList: (objects) => objects.forEach(take),
       onChange: (object, deleted) => { if (!deleted) take(object) }
     })
--- a/packages/hop/src/store/follower.ts
+++ b/packages/hop/src/store/follower.ts
@@ -11,7 +11,7 @@
   log: CallLog
   /** Longest wait of one watch, in milliseconds. */
   waitMs: number
-  /** Pause after a change before the next watch, so that changes in quick succession are read together. */
+  /** Pause after a list or a change before the next watch, so that changes in quick succession are read together. */
   gatherMs: number
   /** Whether this daemon follows the kind at present; always if absent. */
   isWanted? (): boolean
@@ -34,11 +34,17 @@
   #wake: (() => void) | undefined
   #stopped = false
   #isBehind = false
+  #isWatching = false
 
   constructor (opts: FollowerOptions) {
     this.#opts = opts
   }
 
+  /** Whether a watch is waiting for news at present. */
+  get isWatching (): boolean {
+    return this.#isWatching
+  }
+
   async run (): Promise<void> {
     while (!this.#stopped) {
       try {
@@ -66,19 +72,17 @@
 
   async #step (): Promise<void> {
     const { store, kind, waitMs, gatherMs, isWanted } = this.#opts
-    if (isWanted && this.#revision !== undefined && !isWanted()) {
-      this.#isBehind = false
-      return await this.#sleep(UNWANTED_MS)
-    }
     if (this.#revision === undefined || this.#isBehind) {
       this.#isBehind = false
       const listing = await store.list(kind)
       this.#revision = listing.revision
       this.#opts.onList(listing.objects)
-      return
+      return await this.#sleep(gatherMs)
     }
+    if (isWanted && !isWanted()) return await this.#sleep(UNWANTED_MS)
     this.#abort = new AbortController()
-    const batch = await store.watch(kind, this.#revision, waitMs, this.#abort.signal)
+    this.#isWatching = true
+    const batch = await store.watch(kind, this.#revision, waitMs, this.#abort.signal).finally(() => { this.#isWatching = false })
     this.#revision = Math.max(this.#revision, batch.revision)
     for (const { object, deleted } of batch.events) this.#opts.onChange(object, deleted)
     if (batch.events.length > 0) await this.#sleep(gatherMs)
