Bring refused callers back within the target latency, and hold back runs whose calls displace more urgent requests

Ruled out: giving nested calls the rank of their request (their parents' work would be lost). Refused callers were sent away for 0.2 to 0.4 s, which uses up the target latency; the first wait is now a sixth to a third of it, later ones up to 0.3 of the time left.

--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -101,6 +101,7 @@
   noTarget: 'No target of the service was known, reachable and taking work.',
   noRoute: 'The configuration in force has no route for its host and path.',
   noConfiguration: 'The daemon had no configuration yet.',
+  displacing: 'The calls that it makes go to a service that turned more urgent requests away at that time.',
   shed: 'The targets refused it themselves, and the retry budget or the route allowed no other.',
   deadline: 'Its time was over before a target answered.',
   expired: 'Its time was over while it waited for a slot.',
--- a/packages/hop/src/__tests__/load.spec.ts
+++ b/packages/hop/src/__tests__/load.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { ATELIER, LoadPlayer, type ClassResult, type LoadOptions } from './loadPlayer.js'
+import { ATELIER, CARVERS, LoadPlayer, type ClassResult, type LoadOptions } from './loadPlayer.js'
 
 const SEEDS = [1, 2, 3]
 /** What the users state for a calm day: parts of the requests served, and of the worth earned. */
@@ -66,6 +66,23 @@
   }
 })
 
+test('guards against urgent requests being put behind the calls of less urgent ones', (t) => {
+  for (const seed of SEEDS) {
+    const slowness = (_host: string, service: string): number => service === 'commissions' ? 1.8 : 1
+    const results = new LoadPlayer(CARVERS, { seed, seconds: 6, rateAt: () => 1, slowness }).play()
+    t.true(results['deposit']!.refused + results['browse']!.refused > 0, 'the load must be too high')
+    t.true(servedShare(results['deposit']!) >= servedShare(results['browse']!) - INVERSION, JSON.stringify(results))
+  }
+})
+
+test('guards against refused callers being sent away for so long that their answer must be late', (t) => {
+  for (const results of play({ rateAt: () => 1.6 })) {
+    const { cameBack, cameBackInTarget } = results['browse']!
+    t.true(cameBack > 0, 'callers must have come back')
+    t.true(cameBackInTarget >= cameBack / 2, `${cameBackInTarget} of ${cameBack}`)
+  }
+})
+
 test('guards against orders being lost because a target sheds part of its requests', (t) => {
   for (const results of play({ rateAt: () => 0.7, shedding: (host) => host === 'h05' ? 0.5 : 0 })) {
     t.true(servedShare(results['order']!) >= CALM_SERVED, JSON.stringify(results['order']))
--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -67,6 +67,9 @@
   worth: number
   /** Refusals that came later than a quarter of the target latency. */
   lateRefusals: number
+  /** Requests that were served to callers who had been refused once, and those of them within the target latency. */
+  cameBack: number
+  cameBackInTarget: number
 }
 
 /** The run that makes a call. */
@@ -169,7 +172,7 @@
     this.#sheet = sheet
     this.opts = opts
     this.#random = new SeededRandom(Math.imul(opts.seed, 0x9e3779b1))
-    for (const cls of sheet.classes) this.#results.set(cls.name, { asked: 0, inTarget: 0, late: 0, refused: 0, failed: 0, worth: 0, lateRefusals: 0 })
+    for (const cls of sheet.classes) this.#results.set(cls.name, { asked: 0, inTarget: 0, late: 0, refused: 0, failed: 0, worth: 0, lateRefusals: 0, cameBack: 0, cameBackInTarget: 0 })
     this.#build()
   }
 
@@ -254,11 +257,11 @@
       own: record, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onPeerVersion: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}
     })
     const client = new SimTarget(this, host, service.name, service.slots, speed, random)
+    const placer = new Placer({ timers, random, dataCentre })
     const inbound = new InboundDesk({
-      timers, log, names, client, target: () => target, isOverdue: () => false, incarnation: () => 1, isVersionOpen: () => true, onResult: () => {}
+      timers, random, log, names, client, target: () => target, isOverdue: () => false, incarnation: () => 1, isVersionOpen: () => true, pressure: (called, priority) => placer.pressure(called, priority), onResult: () => {}
     })
     inbound.targetChanged()
-    const placer = new Placer({ timers, random, dataCentre })
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundDesk({
       timers, random, log, metrics: noMetrics, names, fleet, desk: inbound, placer, budget, versions: { choose: () => undefined }, callerService: () => service.name
@@ -312,7 +315,7 @@
     })
   }
 
-  #attempt (host: string, cls: RequestClass, since: number, retries: number): void {
+  #attempt (host: string, cls: RequestClass, since: number, retries: number, refusals = 0): void {
     const { timers } = this
     const result = this.#results.get(cls.name)!
     const startedAt = timers.now()
@@ -333,9 +336,11 @@
       if (ok) {
         if (ms <= cls.targetLatencyMs) result.inTarget++
         else result.late++
+        if (refusals === 1) result.cameBack++
+        if (refusals === 1 && ms <= cls.targetLatencyMs) result.cameBackInTarget++
       } else if (retries > 0 && (refused || cls.idempotent)) {
         const pause = Math.min(retryAfterMs ?? 20, (since + cls.deadlineMs - timers.now()) / 3)
-        timers.after(pause, () => this.#attempt(this.#random.pick([...this.#hosts.keys()]), cls, since, retries - 1))
+        timers.after(pause, () => this.#attempt(this.#random.pick([...this.#hosts.keys()]), cls, since, retries - 1, refusals + (refused ? 1 : 0)))
       } else if (refused) {
         result.refused++
       } else {
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -92,6 +92,7 @@
     })
     this.#inbound = new InboundDesk({
       timers,
+      random,
       log,
       names,
       client,
@@ -99,6 +100,7 @@
       isOverdue: () => this.#local.isOverdue(timers.now()),
       incarnation: () => this.#fleet.own.incarnation,
       isVersionOpen: (service, version) => this.#moves.isOpen(service, version),
+      pressure: (service, priority) => this.#placer.pressure(service, priority),
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundDesk({
--- a/packages/hop/src/inbound/__tests__/inboundDesk.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundDesk.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { VirtualTimers } from '@lentilwheel/core'
+import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
 import type { TargetRecord } from '../../fleet/records.js'
 import type { CallMessage, HopReply } from '../../link/messages.js'
 import { NoCallLog } from '../../observe/callLog.js'
@@ -17,8 +17,10 @@
   target: TargetRecord | undefined = { id: 'i-1', service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
   overdue = false
   open = true
+  pressed = 0
   readonly desk = new InboundDesk({
     timers: this.timers,
+    random: new SeededRandom(1),
     log: new NoCallLog(),
     names,
     client: {
@@ -36,6 +38,7 @@
     isOverdue: () => this.overdue,
     incarnation: () => 7,
     isVersionOpen: () => this.open,
+    pressure: () => this.pressed,
     onResult: () => {}
   })
 
@@ -148,3 +151,30 @@
   bench.offer('d')
   t.is(bench.ended('d'), 'open')
 })
+
+test('guards against runs whose calls would take the place of more urgent requests elsewhere', (t) => {
+  const bench = new Bench()
+  bench.offer('parent', { route: 'browse', priority: 2 })
+  bench.desk.called('parent.1', 'orders')
+  bench.answer('parent')
+  bench.pressed = 1
+  const keys = Array.from({ length: 20 }, (_, i) => `k${i}`)
+  for (const key of keys) {
+    bench.offer(key, { route: 'browse', priority: 2 })
+    bench.offer(`other-${key}`, { route: 'other' })
+    bench.offer(`nested-${key}`, { route: 'browse', nested: true })
+  }
+  const displaced = keys.filter((key) => bench.ended(key) === 'notRun displacing').length
+  t.true(displaced >= 10 && displaced < 20, `${displaced} of 20`)
+  t.false([...bench.replies.keys()].some((key) => /^(other|nested)/.test(key) && bench.ended(key) === 'notRun displacing'))
+})
+
+test('guards against daemons not hearing that urgent requests are turned away', (t) => {
+  const bench = new Bench()
+  for (let i = 0; i < 60; i++) bench.offer(`k${i}`, { priority: 1 })
+  const load = bench.desk.load()!
+  t.is(load.pressedPriority, 1)
+  t.true(load.pressedShare! > 0.3 && load.pressedShare! <= 1, String(load.pressedShare))
+  bench.timers.advance(30_000)
+  t.is(bench.desk.load()!.pressedShare, undefined)
+})
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -1,3 +1,5 @@
+import { TurnedAway, type Pressure } from './turnedAway.js'
+
 /** A request that asks for a slot of the target. */
 export interface Ticket {
   readonly key: string
@@ -34,6 +36,7 @@
   #pace = UNKNOWN_PACE
   /** Time for which requests of each priority last were allowed to wait. */
   readonly #patience = new Map<number, number>()
+  readonly #turnedAway = new TurnedAway()
 
   get running (): number {
     return this.#running
@@ -56,17 +59,28 @@
     this.#slots = Math.max(1, slots)
     this.#serviceMs = UNKNOWN_SERVICE_MS
     this.#pace = UNKNOWN_PACE
+    this.#turnedAway.clear()
+  }
+
+  /** The most urgent requests that are turned away at present; undefined when none are. */
+  pressure (now: number): Pressure | undefined {
+    return this.#turnedAway.worst(now)
   }
 
   /** Asks for a slot; `mayWait` lets the request join the queue if all are taken. */
   offer (ticket: Ticket, mayWait: boolean, now: number): Admitted {
-    if (this.#running < this.#slots && this.#queue.length === 0) {
+    const isFree = this.#running < this.#slots && this.#queue.length === 0
+    if (!ticket.nested && (isFree || mayWait)) this.#turnedAway.asked(ticket.priority, now)
+    if (isFree) {
       this.#running++
       return 'start'
     }
-    if (!mayWait || !this.#fits(ticket, now)) return 'busy'
-    this.#insert(ticket)
-    return 'queued'
+    if (mayWait && this.#fits(ticket, now)) {
+      this.#insert(ticket)
+      return 'queued'
+    }
+    if (!ticket.nested && mayWait) this.#turnedAway.away(ticket.priority, now)
+    return 'busy'
   }
 
   /** Frees a slot. */
@@ -92,6 +106,7 @@
   takeHopeless (now: number): Ticket[] {
     const hopeless = this.#queue.filter((ticket) => !this.#isWorthwhile(ticket, now))
     if (hopeless.length > 0) this.#queue = this.#queue.filter((ticket) => !hopeless.includes(ticket))
+    for (const { nested, priority } of hopeless) if (!nested) this.#turnedAway.away(priority, now)
     return hopeless
   }
 
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -1,9 +1,10 @@
-import type { Timers } from '@lentilwheel/core'
+import type { Random, Timers } from '@lentilwheel/core'
 import type { CallMessage, HopReply, NotRunReason, TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { TargetRecord } from '../fleet/records.js'
 import type { VersionResult } from '../rollout/moves.js'
 import { Admission, type Ticket } from './admission.js'
+import { CallChains } from './callChains.js'
 import { Ledger } from './ledger.js'
 import type { TargetClient } from './nodeTargetClient.js'
 import { requestBytes } from './requestBytes.js'
@@ -14,6 +15,7 @@
 
 export interface InboundOptions {
   timers: Timers
+  random: Random
   log: CallLog
   names: HeaderNames
   client: TargetClient
@@ -24,10 +26,18 @@
   incarnation (): number
   /** Whether the target's version may get traffic. */
   isVersionOpen (service: string, version: string): boolean
+  /** Part of the requests more urgent than `priority` that a service turns away at present, as far as is known here. */
+  pressure (service: string, priority: number): number
   /** A target's version got a result; used to judge versions. */
   onResult (target: TargetRecord, result: VersionResult): void
 }
 
+/** A request that the target runs. */
+interface Run {
+  route: string
+  repeat: boolean
+}
+
 interface Call {
   message: CallMessage
   ticket: Ticket
@@ -44,6 +54,8 @@
 const LEDGER_UPKEEP_MS = 1_000
 const FAILING_SMOOTHING = 0.08
 const ID_SEPARATOR = '.'
+/** A part of the requests whose calls press on others still runs, so that it is seen when they no longer do. */
+const MAX_DISPLACING = 0.9
 
 /**
  * The only way to the target beside this daemon. It knows whether the target is there and takes work, gives out its
@@ -54,8 +66,9 @@
   readonly #admission = new Admission()
   readonly #ledger = new Ledger()
   readonly #calls = new Map<string, Call>()
-  /** Ids of the requests that run on the target, and whether they are repeats. */
-  readonly #runningIds = new Map<string, boolean>()
+  readonly #chains = new CallChains()
+  /** Requests that run on the target, by their ids. */
+  readonly #runs = new Map<string, Run>()
   #targetId = ''
   #failing = 0
   #unreachableAt = -Infinity
@@ -78,10 +91,15 @@
    * they run. Where they don't, their calls are taken for callers' requests.
    */
   originOf (requestId: string): RequestOrigin {
-    const dot = requestId.lastIndexOf(ID_SEPARATOR)
-    const repeat = dot > 0 ? this.#runningIds.get(requestId.slice(0, dot)) : undefined
-    if (repeat === undefined) return 'caller'
-    return repeat ? 'repeatedRun' : 'run'
+    const run = this.#parentOf(requestId)
+    if (!run) return 'caller'
+    return run.repeat ? 'repeatedRun' : 'run'
+  }
+
+  /** A request that the target runs calls a service. */
+  called (requestId: string, service: string): void {
+    const run = this.#parentOf(requestId)
+    if (run) this.#chains.called(run.route, service)
   }
 
   /** Takes an offered call; `reply` is called once. */
@@ -90,6 +108,8 @@
     if (!this.#ledger.open(key, reply)) return reply({ kind: 'notRun', reason: 'revoked' })
     const refusal = this.#refusalOf(message)
     if (refusal) return this.#endNotRun(message, refusal)
+    const pressed = message.nested ? undefined : this.#displaced(message)
+    if (pressed) return this.#endNotRun(message, 'displacing', pressed)
     const now = this.#opts.timers.now()
     const ticket: Ticket = {
       key,
@@ -155,7 +175,26 @@
     const target = this.#opts.target()
     if (!target) return undefined
     const { running, queued, slots, pace } = this.#admission
-    return { targetId: target.id, running, queued, slots, pace, failing: this.#failing }
+    const pressure = this.#admission.pressure(this.#opts.timers.now())
+    const pressed = pressure ? { pressedPriority: pressure.priority, pressedShare: pressure.share } : {}
+    return { targetId: target.id, running, queued, slots, pace, failing: this.#failing, ...pressed }
+  }
+
+  #parentOf (requestId: string): Run | undefined {
+    const dot = requestId.lastIndexOf(ID_SEPARATOR)
+    return dot > 0 ? this.#runs.get(requestId.slice(0, dot)) : undefined
+  }
+
+  /**
+   * The service in which the calls of a request would take the place of more urgent requests. Calls of running requests
+   * go first there, so the only place to hold them back is before their request runs.
+   */
+  #displaced ({ route, priority }: CallMessage): { service: string, share: number } | undefined {
+    for (const service of this.#chains.needs(route)) {
+      const share = this.#opts.pressure(service, priority)
+      if (share > 0 && this.#opts.random.next() < Math.min(MAX_DISPLACING, share)) return { service, share }
+    }
+    return undefined
   }
 
   #refusalOf (message: CallMessage): NotRunReason | undefined {
@@ -184,7 +223,8 @@
     }
     call.state = 'running'
     this.#unansweredSince ??= now
-    this.#runningIds.set(message.requestId, message.repeat)
+    this.#runs.set(message.requestId, { route: message.route, repeat: message.repeat })
+    this.#chains.ran(message.route)
     call.startedAt = now
     const bytes = requestBytes(message, leftMs, this.#opts.names)
     const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: leftMs + DEADLINE_GRACE_MS }
@@ -196,7 +236,7 @@
     const ms = now - call.startedAt
     this.#admission.finish()
     this.#calls.delete(call.message.key)
-    this.#runningIds.delete(call.message.requestId)
+    this.#runs.delete(call.message.requestId)
     this.#learn(call, result, ms)
     const { reported: _, ...reply } = result as TargetResult & { reported?: unknown }
     this.#end(call.message, reply as HopReply)
@@ -224,10 +264,10 @@
     this.#log(call.message, isPlain, outcome, { ms: Math.round(ms), queuedMs: Math.round(call.startedAt - call.ticket.arrivedAt) })
   }
 
-  #log (message: CallMessage, isPlain: boolean, outcome: number | string, times: object = {}): void {
+  #log (message: CallMessage, isPlain: boolean, outcome: number | string, details: object = {}): void {
     const { requestId: id, key: call, route, targetId: target } = message
     const { running, queued } = this.#admission
-    this.#opts.log.call(isPlain, 'inbound', { id, call, route, target, outcome, ...times, running, queued })
+    this.#opts.log.call(isPlain, 'inbound', { id, call, route, target, outcome, ...details, running, queued })
   }
 
   #withdraw (call: Call, reason: NotRunReason): void {
@@ -240,9 +280,9 @@
     this.#endNotRun(call.message, reason)
   }
 
-  #endNotRun (message: CallMessage, reason: NotRunReason): void {
+  #endNotRun (message: CallMessage, reason: NotRunReason, details: object = {}): void {
     this.#end(message, { kind: 'notRun', reason })
-    this.#log(message, reason === 'busy' && message.mode === 'now', reason)
+    this.#log(message, reason === 'busy' && message.mode === 'now', reason, details)
   }
 
   /** Hands a reply out, with the load of the target as it is now. */
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -5,7 +5,7 @@
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true, int64AsType: 'number' })
 
 /** Raised whenever the fields below change; a peer with another number is not understood. */
-const PROTOCOL = 1
+const PROTOCOL = 2
 
 /** Calls and their replies are most of what daemons send, so their fields go by position rather than by name. */
 const CALL_FIELDS = [
@@ -13,7 +13,7 @@
   'targetLatencyMs', 'priority', 'idempotent', 'nested', 'repeat'
 ] as const satisfies readonly (keyof CallMessage)[]
 const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'load'] as const
-const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing'] as const satisfies readonly (keyof TargetLoad)[]
+const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare'] as const satisfies readonly (keyof TargetLoad)[]
 
 type Fields = Readonly<Record<string, unknown>>
 
@@ -68,5 +68,7 @@
 
 /** Two digits are enough for estimates. */
 function rounded (load: TargetLoad): TargetLoad {
-  return { ...load, pace: Math.round(load.pace * 100) / 100, failing: Math.round(load.failing * 100) / 100 }
+  const twoDigits = (n: number): number => Math.round(n * 100) / 100
+  const { pace, failing, pressedShare } = load
+  return { ...load, pace: twoDigits(pace), failing: twoDigits(failing), ...pressedShare === undefined ? {} : { pressedShare: twoDigits(pressedShare) } }
 }
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -45,10 +45,14 @@
   pace: number
   /** Share of recent requests that the target failed, 0 to 1. */
   failing: number
+  /** Most urgent priority of callers' requests that is turned away at present, and which part of them. */
+  pressedPriority?: number
+  pressedShare?: number
 }
 
+/** `displacing`: the calls that the request makes would take the place of more urgent requests elsewhere. */
 export const NOT_RUN_REASONS = [
-  'busy', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent'
+  'busy', 'displacing', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent'
 ] as const
 export type NotRunReason = typeof NOT_RUN_REASONS[number]
 
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -56,6 +56,7 @@
   'a request is answered': { steps: [reply(200, 1, good)] },
   'busy targets are passed over, then the request queues at the best': { steps: [reply(1, 1, noSlot), reply(2, 2, noSlot), reply(300, 3, good)] },
   'a full queue refuses at once and truly': { route: onceOnly, steps: [reply(1, 1, noSlot), reply(2, 2, noSlot), reply(3, 3, noSlot)] },
+  'a request that would displace more urgent ones is refused at once': { steps: [reply(1, 1, { kind: 'notRun', reason: 'displacing' })] },
   'a repeatable request goes on after a failure': { steps: [reply(100, 1, failure), reply(200, 2, good)] },
   'attempts are bounded': { steps: [reply(100, 1, failure), reply(200, 2, failure)] },
   'without budget the failure is the answer': { repeats: 0, steps: [reply(100, 1, failure)] },
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -129,13 +129,13 @@
     this.#fruitless++
     this.#lastReason = reason
     if (reason === 'busy') this.#busy.add(attempt.candidate.host)
-    else this.#away.add(attempt.candidate.host)
+    else if (reason !== 'displacing') this.#away.add(attempt.candidate.host)
     if (reason === 'shed') {
       this.#reached.add(attempt.candidate.host)
       return this.#repeatOrEnd()
     }
     if (this.#open.size > 0) return []
-    if (reason === 'expired' || (reason === 'busy' && attempt.mode === 'queue')) return this.#giveUp(reason)
+    if (reason === 'expired' || reason === 'displacing' || (reason === 'busy' && attempt.mode === 'queue')) return this.#giveUp(reason)
     return this.#place()
   }
 
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -18,6 +18,8 @@
   service: string
   /** Version of the configuration that the route belongs to. */
   configVersion: number
+  /** Whether the caller seems to have been refused before. */
+  isAgain: boolean
   /** Makes the keys of offers. */
   nextKey (): string
   onEnd (): void
@@ -54,6 +56,7 @@
     const { budget } = this.#opts
     const { req, service } = this.#input
     budget.request(service, this.#startedAt)
+    if (req.origin !== 'caller') this.#opts.desk.called(req.head.requestId, service)
     if (req.origin === 'repeatedRun') budget.repeated(service, this.#startedAt)
     this.#isStepping = true
     this.#obeyAll(this.#flow.next())
@@ -69,12 +72,12 @@
 
   #view (): CallView {
     const { timers, placer, budget, fleet, random } = this.#opts
-    const { route, service } = this.#input
+    const { req, route, service, isAgain } = this.#input
     return {
       now: () => timers.now(),
       candidates: (exclude) => placer.order(service, route, this.#urgency, (record) => this.#accepts(record, exclude), this.#choice?.preferred),
       takeRepeat: () => budget.tryTake(service, fleet.live().length, timers.now()),
-      retryAfterMs: () => retryAfterMs(random)
+      retryAfterMs: () => retryAfterMs({ targetLatencyMs: route.targetLatencyMs, leftMs: this.#startedAt + req.head.deadlineMs - timers.now(), isAgain }, random)
     }
   }
 
@@ -191,7 +194,7 @@
       if (mode === 'queue') placer.full(host, this.#urgency)
       return
     }
-    const isAway = reply.kind === 'notRun' ? reply.reason !== 'shed' : reply.reason === 'lost' || reply.reason === 'timeout'
+    const isAway = reply.kind === 'notRun' ? reply.reason !== 'shed' && reply.reason !== 'displacing' : reply.reason === 'lost' || reply.reason === 'timeout'
     if (isAway) placer.avoid(host)
   }
 
--- a/packages/hop/src/outbound/outboundDesk.ts
+++ b/packages/hop/src/outbound/outboundDesk.ts
@@ -11,7 +11,7 @@
 import { OutboundCall } from './outboundCall.js'
 import type { Placer } from './placer.js'
 import type { OutboundHead } from './requestHead.js'
-import { retryAfterMs } from './retryAfter.js'
+import { Patience } from './retryAfter.js'
 import type { RetryBudget } from './retryBudget.js'
 
 /** A caller's request, read whole. */
@@ -50,10 +50,14 @@
   callerService (): string | undefined
 }
 
+/** Wait of callers that a daemon without a configuration refuses. */
+const COME_BACK_MS = 300
+
 /** Takes callers' requests: routes them, deals the parts of a split, and follows each to its end. */
 export class OutboundDesk {
   readonly #opts: OutboundOptions
   readonly #splitter: Splitter
+  readonly #patience = new Patience()
   #table: RouteTable | undefined
   #keys = 0
   #active = 0
@@ -73,14 +77,16 @@
 
   setTable (table: RouteTable): void {
     this.#table = table
-    this.#splitter.retain(new Set(table.config.routes.map((route) => route.name)))
+    const routes = new Set(table.config.routes.map((route) => route.name))
+    this.#splitter.retain(routes)
+    this.#patience.retain(routes)
   }
 
   /** Handles one request; returns what to call when the caller leaves. */
   handle (req: OutboundRequest, res: Responder): () => void {
     const table = this.#table
     if (!table) {
-      this.#refuse(req, res, 503, 'noConfiguration', retryAfterMs(this.#opts.random))
+      this.#refuse(req, res, 503, 'noConfiguration', COME_BACK_MS)
       return () => {}
     }
     const route = table.match(req.head.host, req.head.path)
@@ -96,6 +102,7 @@
       route,
       service: this.#splitter.next(route),
       configVersion: table.config.version,
+      isAgain: req.origin === 'caller' && this.#patience.isAgain(route.name, req.head.deadlineMs),
       nextKey: () => `${own.host}/${own.incarnation}/${++this.#keys}`,
       onEnd: () => this.#active--
     })
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -107,6 +107,21 @@
     return candidates.sort((a, b) => Number(b.host === preferred) - Number(a.host === preferred) || a.costMs - b.costMs)
   }
 
+  /** Part of the requests more urgent than `priority` that a service turns away at present. */
+  pressure (service: string, priority: number): number {
+    const now = this.#timers.now()
+    let sum = 0
+    let known = 0
+    for (const { host } of this.#byService.get(service) ?? []) {
+      const { load, loadAt } = this.#seen.get(host)!
+      if (!load) continue
+      known++
+      if (load.pressedPriority === undefined || load.pressedPriority >= priority) continue
+      sum += (load.pressedShare ?? 0) * 0.5 ** ((now - loadAt) / LOAD_HALF_LIFE_MS)
+    }
+    return known > 0 ? sum / known : 0
+  }
+
   offered (host: string): void {
     const seen = this.#seen.get(host)
     if (seen) seen.pending++
