Keep relays in their slots when a former one wakes

With three relays alive, the last one by slot and id stepped down and gave its lease back, and the woken one, free by then, was elected to that place. Ruled out: a stale write (the new lease had a higher token), and a pause shorter than the lease, after which keeping it is right. Relays now keep their slot; of two that claim one, the holder of its lease does.

--- a/packages/mesh/src/__tests__/faults.spec.ts
+++ b/packages/mesh/src/__tests__/faults.spec.ts
@@ -267,3 +267,26 @@
     t.true(fleet.live().every(({ versions }) => versions.every((version, i) => i === 0 || version > versions[i - 1]!)))
   })
 }
+
+for (const seed of [1, 2, 3, 4]) {
+  test(`guards against a relay that wakes after its lease has ended making another one step down, seed ${seed}`, async (t) => {
+    const fleet = await Fleet.ready({ daemons: 12, seed })
+    const relaysOf = (): string[] => fleet.relays().filter(({ index }) => index % 2 === 0).map(({ id }) => id).sort()
+    const holders = (): string[] => [0, 1].map((slot) => {
+      return JSON.parse(new TextDecoder().decode(fleet.platform.store.get(leaseKey('dc0', slot))!.value)).holder
+    })
+    for (const paused of fleet.relays().filter(({ index }) => index % 2 === 0)) {
+      paused.host.pause()
+      await fleet.until(() => !holders().includes(paused.id), 40_000, 'another holder')
+      const working = relaysOf().filter((id) => id !== paused.id)
+      t.is(working.length, 2)
+      // The woken relay learns of its loss late, and the others take it for a relay until then.
+      fleet.platform.delayMs = 1_500
+      paused.host.resume()
+      await fleet.run(20_000)
+      fleet.platform.delayMs = 0
+      t.deepEqual(relaysOf(), working, `${paused.id} woke`)
+      t.deepEqual(holders().sort(), working)
+    }
+  })
+}
--- a/packages/mesh/src/relay/election.ts
+++ b/packages/mesh/src/relay/election.ts
@@ -17,22 +17,25 @@
 }
 
 /**
- * Slot that this daemon should have as relay of its data centre, or undefined. Present relays keep their place; free
- * places go by rank, so that views that agree choose the same daemons without a message.
+ * Slot that this daemon should have as relay of its data centre, or undefined. Present relays keep their slot, whoever
+ * else comes back as a relay; of two that claim one slot, the one that holds its lease keeps it, else the first one.
+ * Free slots go by rank, so that views that agree choose the same daemons without a message.
  */
-export function relaySlot (table: MemberTable): number | undefined {
+export function relaySlot (table: MemberTable, holdsLease: boolean): number | undefined {
   const { self } = table
   const relays = liveRelays(table, self.dataCentre)
-  const place = relays.findIndex((record) => record.id === self.id)
-  if (place >= 0) return place < RELAYS_PER_DATA_CENTRE ? self.relay - 1 : undefined
-  const free = RELAYS_PER_DATA_CENTRE - relays.length
+  if (self.relay > 0) {
+    const hasRival = relays.some((record) => record.relay === self.relay && record.id < self.id)
+    return hasRival && !holdsLease ? undefined : self.relay - 1
+  }
+  const taken = new Set(relays.map((record) => record.relay - 1))
+  const free = RELAYS_PER_DATA_CENTRE - taken.size
   if (free <= 0) return undefined
   const candidates = liveRecords(table, self.dataCentre)
     .filter((record) => record.relay === 0)
     .sort((a, b) => rank(a) - rank(b) || (a.id < b.id ? -1 : 1))
   const index = candidates.findIndex((record) => record.id === self.id)
   if (index >= free) return undefined
-  const taken = new Set(relays.map((record) => record.relay - 1))
   const slots = Array.from({ length: RELAYS_PER_DATA_CENTRE }, (_, slot) => slot).filter((slot) => !taken.has(slot))
   return slots[index]
 }
