--- a/packages/hop/src/inbound/__tests__/slotUse.spec.ts
+++ b/packages/hop/src/inbound/__tests__/slotUse.spec.ts
@@ -7,7 +7,7 @@
     use.add(-1, 150, now)
     use.add(1, 50, now)
   }
-  const near = (slots: number, wanted: number): void => t.true(Math.abs(slots - wanted) < 0.3, `${slots} instead of ${wanted}`)
+  const near = (slots: number, wanted: number): void => { t.true(Math.abs(slots - wanted) < 0.3, `${slots} instead of ${wanted}`) }
   near(use.before(1, 4_000), 3)
   near(use.before(2, 4_000), 4)
   t.is(use.before(-1, 4_000), 0)
