--- a/packages/bench/src/moves/summary.ts
+++ b/packages/bench/src/moves/summary.ts
@@ -102,7 +102,7 @@
   }
 }
 
-/** The targets of docs/design.md, section 11. */
+/** The targets of docs/design/benchmarks.md. */
 export function targetsOf (profile: ProfileName, totals: Totals): Target[] {
   const { goodOnTimeShare: onTime, badTakenBackShare: back } = totals
   const least = (target: string, value: number, bound: number): Target =>
--- a/packages/proxy/src/attempts/outcome.ts
+++ b/packages/proxy/src/attempts/outcome.ts
@@ -1,4 +1,4 @@
-/** How one attempt ended; see docs/design.md, section 6. */
+/** How one attempt ended; see docs/design/calls.md. */
 export const ATTEMPT_OUTCOMES = ['notSent', 'refusedUnrun', 'answered', 'unknown'] as const
 export type AttemptOutcome = typeof ATTEMPT_OUTCOMES[number]
 
