Send requests that may run once only on connections that answered within 250 ms

Targets may forget idle connections without a word, after 320 ms on the grown sites, and reset whatever comes next; a request that may run once is lost then. Under load connections are used again within some tens of milliseconds.

--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -96,7 +96,7 @@
 
   /** The daemon that has the duties that one daemon has. */
   first (): string {
-    return this.live().filter((record) => !record.stopping).map(({ host }) => host).sort()[0] ?? this.own.host
+    return this.#onDuty().map(({ host }) => host).sort()[0] ?? this.own.host
   }
 
   /** Sends evidence to the daemon that coordinates a move. */
@@ -209,9 +209,14 @@
     for (const link of this.#links.values()) link.close()
   }
 
-  /** Live daemons that go before this one in shared duties. */
+  /** Live daemons that share duties. */
+  #onDuty (): HostRecord[] {
+    return this.live().filter((record) => !record.stopping)
+  }
+
+  /** Those that go before this one. */
   #before (): HostRecord[] {
-    return this.live().filter((record) => !record.stopping && record.host < this.own.host)
+    return this.#onDuty().filter((record) => record.host < this.own.host)
   }
 
   #take (message: SyncMessage): void {
--- a/packages/hop/src/inbound/nodeTargetClient.ts
+++ b/packages/hop/src/inbound/nodeTargetClient.ts
@@ -19,8 +19,11 @@
   reset (): void
 }
 
-/** A request that may run only once goes on a connection that answered this recently, or on a new one. */
-const FRESH_MS = 1_500
+/**
+ * A request that may run only once goes on a connection that answered this recently, or on a new one, as targets may
+ * forget idle connections without a word.
+ */
+const FRESH_MS = 250
 
 /** Keeps connections to one target; the one used last goes first, so that few stay open. */
 export class NodeTargetClient implements TargetClient {
