--- a/packages/moves/src/coordinator.ts
+++ b/packages/moves/src/coordinator.ts
@@ -1,17 +1,19 @@
-import type { EvidenceReport, EventFields, EventType, MoveFact, MoveFacts, MoveOutcome } from '@lentilwheel/core'
+import type { EvidenceReport, MoveFacts, MoveOutcome } from '@lentilwheel/core'
 import { SHORTEST_RAMP_MS, unsureChoice, type Move, type Service, type UnsureChoice } from '@lentilwheel/config'
 import type { Capacity } from './capacity.js'
 import {
-  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, LOST_SLOTS_WAIT_MS, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, MAX_WARM_UP_MS, OBSERVE_MS,
-  OWN_WATCH_MS, SPREAD_MS, STAGE_SHARES, WARM_UP_MS
+  ALARM_SHARES, CRASH_LIMIT, HOLD_STAGE, LOST_SLOTS_WAIT_MS, MAX_HOLD_ALARMS, MAX_TICK_GAP_MS, OBSERVE_MS, OWN_WATCH_MS,
+  SPREAD_MS, STAGE_SHARES
 } from './constants.js'
 import type { MoveEffect } from './effects.js'
 import { Baseline, maxRates, NO_BAD_CALLS, Window, type BadRates, type Cell } from './evidence.js'
 import { AlarmTest } from './alarmTest.js'
 import { HoldAlarm } from './holdAlarm.js'
+import { formatShare, MoveReport, OPERATOR_PAUSE, tooLateReason } from './moveReport.js'
 import { firstShare, stageMs } from './plan.js'
 import { callsNeeded, rampStep, type RampStep } from './ramp.js'
 import { VersionTest } from './versionTest.js'
+import { WarmUp } from './warmUp.js'
 
 export interface CoordinatorOptions {
   move: string
@@ -41,7 +43,9 @@
  */
 export class Coordinator {
   readonly #opts: CoordinatorOptions
+  readonly #report: MoveReport
   readonly #baseline = new Baseline()
+  readonly #warmUp = new WarmUp()
   #window: Window
   #test: VersionTest
   #hold: HoldAlarm
@@ -58,13 +62,10 @@
   #lastTick: number | undefined
   #startedAt = 0
   #observedCalls = 0
-  #warmUntil = -Infinity
-  #warmedMs = 0
-  #arrivals = 0
-  #told = ''
 
   constructor (opts: CoordinatorOptions, past: readonly Pick<Cell, 'route' | 'old'>[]) {
     this.#opts = opts
+    this.#report = new MoveReport(opts.move, opts.daemon)
     this.#window = new Window(opts.from, opts.to)
     this.#test = this.#newTest()
     this.#hold = new HoldAlarm(opts.routes)
@@ -96,7 +97,7 @@
     this.#follow(input)
     if (input.facts.stage || input.facts.outcome) return this.#takeOver(input)
     const { from, to } = this.#opts
-    yield this.#event('moveStarted', { service: input.cfg.service, from, to, by: input.cfg.by })
+    yield * this.#report.started(input.cfg.service, { from, to, by: input.cfg.by })
   }
 
   /** Counts the time that the stage has lasted, but watches for a while itself before it goes on. */
@@ -152,7 +153,9 @@
   }
 
   #learn (input: CoordinatorInput, cells: readonly Cell[]): void {
-    const countSlow = !this.#isWarming(input, cells)
+    const hasCalls = cells.some((cell) => cell.new.calls > 0)
+    // Cold instances are slow at first.
+    const countSlow = !this.#warmUp.isOn(input.now, this.#opts.capacity.arrivals, hasCalls)
     if (this.#phase === 'observe') {
       for (const cell of cells) this.#observedCalls += cell.old.calls
     } else {
@@ -169,18 +172,6 @@
     return maxRates(this.#tolerated, this.#ratesBefore)
   }
 
-  /** Cold instances are slow at first; restarting ones may claim this only for a bounded time in all. */
-  #isWarming (input: CoordinatorInput, cells: readonly Cell[]): boolean {
-    const arrivals = this.#opts.capacity.arrivals
-    const hasCalls = cells.some((cell) => cell.new.calls > 0)
-    if (hasCalls && arrivals !== this.#arrivals && this.#warmedMs < MAX_WARM_UP_MS) {
-      this.#arrivals = arrivals
-      this.#warmedMs += WARM_UP_MS
-      this.#warmUntil = input.now + WARM_UP_MS
-    }
-    return input.now < this.#warmUntil
-  }
-
   #verdict (): string | undefined {
     const { lostNew, lostOld } = this.#opts.capacity
     if (this.#phase !== 'observe' && lostNew >= CRASH_LIMIT && lostNew >= CRASH_LIMIT * (lostOld + 1)) {
@@ -192,12 +183,9 @@
   * #steer (input: CoordinatorInput, gap: number): Generator<MoveEffect> {
     if (input.cfg.control === 'paused') {
       this.#enteredAt += gap
-      return yield * this.#tell('movePaused', OPERATOR_PAUSE)
-    }
-    if (this.#told === OPERATOR_PAUSE) {
-      this.#told = ''
-      yield this.#event('moveResumed', { share: this.#share })
+      return yield * this.#report.paused(this.#share, OPERATOR_PAUSE)
     }
+    yield * this.#report.resumed(this.#share)
     switch (this.#phase) {
       case 'observe':
       case 'ramp':
@@ -224,7 +212,7 @@
         return yield * this.#end(input, 'late', step.reason)
       case 'wait':
         if (input.now - this.#enteredAt >= this.#plannedMs && step.reason !== undefined) {
-          yield * this.#tell('movePaused', step.reason)
+          yield * this.#report.paused(this.#share, step.reason)
         }
     }
   }
@@ -263,7 +251,7 @@
     if (count >= MAX_HOLD_ALARMS) {
       return yield * this.#rollBack(input, `${what}, again after ${count - 1} concurrent tests at smaller shares found nothing`)
     }
-    yield this.#event('moveAlarm', { share: 1, reason: what })
+    yield * this.#report.alarm(what)
     this.#alarm = new AlarmTest(alarm, this.#newTest(), input.now)
     yield * this.#publishStage(input, ALARM_SHARES[Math.min(count, ALARM_SHARES.length) - 1]!)
   }
@@ -275,7 +263,7 @@
     if (over < 0) return
     if (capacity.bound >= 1) return yield * this.#end(input, 'done', this.#doneReason(input))
     const missing = `${to} has ${capacity.readySlots} slots ready and ${from} had ${capacity.neededSlots}`
-    if (over < LOST_SLOTS_WAIT_MS) return yield * this.#tell('movePaused', missing)
+    if (over < LOST_SLOTS_WAIT_MS) return yield * this.#report.paused(this.#share, missing)
     if (unsureChoice(input.cfg, input.service) === 'finish' && capacity.readySlots > 0) {
       return yield * this.#end(input, 'done', `${this.#doneReason(input)}, though ${missing}`)
     }
@@ -299,30 +287,16 @@
   * #publishStage (input: CoordinatorInput, share: number): Generator<MoveEffect> {
     const after = Math.max(this.#stage, 0) + 1
     const stage = share === 1 ? Math.max(after, HOLD_STAGE) : after
-    this.#told = ''
     this.#enterStage(input, stage, share)
-    yield this.#publish({ kind: 'stage', move: this.#opts.move, stage, share, at: input.wallNow })
-    yield this.#event('moveStage', { service: input.cfg.service, share })
+    yield * this.#report.stage(input.cfg.service, stage, share, input.wallNow)
   }
 
   * #rollBack (input: CoordinatorInput, reason: string): Generator<MoveEffect> {
-    const { move, daemon } = this.#opts
-    yield this.#publish({ kind: 'rollback', move, reason, at: input.wallNow, daemon })
-    yield this.#event('moveRollback', { service: input.cfg.service, share: this.#share, reason })
-    yield * this.#end(input, 'takenBack', reason)
+    yield * this.#report.rollback(input.cfg.service, this.#share, reason, input.wallNow)
   }
 
   * #end (input: CoordinatorInput, outcome: MoveOutcome, reason: string): Generator<MoveEffect> {
-    yield this.#publish({ kind: 'outcome', move: this.#opts.move, outcome, reason, at: input.wallNow })
-    yield this.#event('moveEnded', { service: input.cfg.service, outcome, reason })
-  }
-
-  /** Reports why a move stands still, once per reason. */
-  * #tell (type: EventType, reason: string): Generator<MoveEffect> {
-    const kind = reason.replace(/\d+/g, '#')
-    if (this.#told === kind) return
-    this.#told = kind
-    yield this.#event(type, { share: this.#share, reason })
+    yield * this.#report.ended(input.cfg.service, outcome, reason, input.wallNow)
   }
 
   #doneReason (input: CoordinatorInput): string {
@@ -338,18 +312,8 @@
   #newTest (): VersionTest {
     return new VersionTest(this.#opts.from, this.#opts.to, this.#opts.routes)
   }
-
-  #publish (fact: MoveFact): MoveEffect {
-    return { kind: 'publishFact', fact }
-  }
-
-  #event (type: EventType, fields: EventFields): MoveEffect {
-    return { kind: 'event', type, fields: { move: this.#opts.move, ...fields }, cause: this.#opts.move }
-  }
 }
 
-const OPERATOR_PAUSE = 'an operator paused the move'
-
 /** Part of the time left that is spent on measuring the old version first. */
 const OBSERVE_PART = 0.05
 
@@ -359,14 +323,3 @@
 
 /** Time for which a burst under way at the change to 100% is expected to go on. */
 const BURST_MS = 10_000
-
-function formatShare (share: number): string {
-  return `${Number((share * 100).toPrecision(3))}%`
-}
-
-function tooLateReason (leftMs: number, from: string): string {
-  const when = leftMs <= 0
-    ? `the deadline had passed ${Math.ceil(-leftMs / 1000)} s before the move began`
-    : `the deadline was ${Math.floor(leftMs / 1000)} s away and the shortest ramp takes ${SHORTEST_RAMP_MS / 1000} s`
-  return `${when}, so all traffic stays on ${from}`
-}
