--- a/packages/proxy/src/nodeCall.ts
+++ b/packages/proxy/src/nodeCall.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici'
 import type { Cancel } from '@lentilwheel/core'
 import { mayHaveRun, mayRetry, type AttemptOutcome } from './attempts/outcome.js'
+import { CallVersion } from './callVersion.js'
 import {
   ATTEMPT_HEADER, DEADLINE_HEADER, MAX_DISCARDED_BODY_BYTES, MAX_HELD_BODY_BYTES, NOT_RUN_HEADER
 } from './constants.js'
@@ -33,8 +34,7 @@
   readonly #idempotent: boolean
   readonly #progress: BodyProgress
   readonly #tried: Target[] = []
-  #version = ''
-  #fallback: string | undefined
+  readonly #version: CallVersion
   #heldBody: Buffer | undefined
   #attempt: Attempt | undefined
   #attempts = 0
@@ -56,6 +56,7 @@
     this.#service = service
     this.#awaitsContinue = awaitsContinue
     this.#idempotent = route.idempotentMethods.has(req.method!)
+    this.#version = new CallVersion(route.service.current, core.shareOf(route.serviceName), core.random)
     this.#progress = { taken: 0, maxBytes: route.service.maxBodyBytes }
     const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs)
     this.deadline = core.timers.now() + timeoutMs
@@ -66,7 +67,6 @@
     const length = this.#head.bodyLength
     this.#service.budget.earn()
     if (length > this.#route.service.maxBodyBytes) return this.#refuse(REFUSALS.bodyTooLarge)
-    this.#chooseVersion()
     if (length > 0 && length <= MAX_HELD_BODY_BYTES) this.#holdBody()
     else this.#admit()
   }
@@ -153,24 +153,6 @@
     attempt.cancel()
   }
 
-  #chooseVersion (): void {
-    const share = this.#core.shareOf(this.#route.serviceName)
-    if (!share) {
-      this.#version = this.#route.service.current
-    } else if (this.#core.random.next() < share.share) {
-      this.#version = share.to
-      this.#fallback = share.from
-    } else {
-      this.#version = share.from
-    }
-  }
-
-  /** A call that the new version of a move failed, or has no target for, goes on to the old one. */
-  #fallBack (): void {
-    this.#version = this.#fallback ?? this.#version
-    this.#fallback = undefined
-  }
-
   /** Waits for the whole of a small body, so that each attempt can send it and no slot waits for the caller. */
   #holdBody (): void {
     const chunks: Buffer[] = []
@@ -184,11 +166,12 @@
   }
 
   #admit (): void {
-    if (!this.#service.hasTargets(this.#version)) this.#fallBack()
-    const target = this.#service.choose(this.#version, this.#tried)
+    if (!this.#service.hasTargets(this.#version.name)) this.#version.fallBack()
+    const { name } = this.#version
+    const target = this.#service.choose(name, this.#tried)
     if (target) return this.begin(target)
-    if (!this.#service.hasTargets(this.#version)) return this.#refuse(REFUSALS.noTarget)
-    if (!this.#service.enqueue(this.#version, this, this.#core.timers.now())) return this.#refuse(REFUSALS.overloaded)
+    if (!this.#service.hasTargets(name)) return this.#refuse(REFUSALS.noTarget)
+    if (!this.#service.enqueue(name, this, this.#core.timers.now())) return this.#refuse(REFUSALS.overloaded)
     this.#core.counters.queued++
   }
 
@@ -232,7 +215,7 @@
     this.#core.counters.retries++
     this.#tried.push(attempt.target)
     this.#attempt = undefined
-    this.#fallBack()
+    this.#version.fallBack()
     this.#admit()
     return true
   }
@@ -308,7 +291,7 @@
   /** The call takes part in nothing from here on. */
   #end (): void {
     this.#ended = true
-    this.#service.abandon(this.#version, this)
+    this.#service.abandon(this.#version.name, this)
   }
 }
 
