--- a/packages/proxy/src/callVersion.ts
+++ b/packages/proxy/src/callVersion.ts
@@ -1,4 +1,5 @@
-import type { Random, TrafficShare } from '@lentilwheel/core'
+import type { Random } from '@lentilwheel/core'
+import type { TrafficShare } from './observer.js'
 
 /** The version that a call goes to; one that the new version fails, or has no target for, goes on to the old one. */
 export class CallVersion {
