Let the correction of waiting times fade, so that a queue is not shut for good

Cause, found by reading the change again: the factor by which waits are taken to be longer fell only when a waiting request started. With few slots it could grow until nobody fits, and then nothing brought it down: at 4 slots and 210 ms a request, ten times the estimate is 525 ms and the patience 426 ms. It now halves its excess every 2 s. The new test fails without the fading; the test of repeated errors asks every 200 ms instead of every 600 ms, as errors that far apart are forgotten now, and fails without the correction as before.

--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -42,8 +42,8 @@
   readonly #patience = new Map<number, number>()
   readonly #turnedAway = new TurnedAway()
   readonly #use = new SlotUse()
-  /** How many times longer than estimated requests waited of late. */
-  #delay = 1
+  /** How many times longer than estimated requests waited of late; see #delayAt. */
+  #delay = { factor: 1, at: 0 }
 
   get running (): number {
     return this.#running
@@ -117,17 +117,17 @@
     for (const { nested, priority } of hopeless) {
       if (nested) continue
       this.#turnedAway.away(priority, now)
-      this.#delay = Math.min(MAX_DELAY, this.#delay * DELAY_RISE)
+      this.#setDelay(Math.min(MAX_DELAY, this.#delayAt(now) * DELAY_RISE), now)
     }
     return hopeless
   }
 
   /** Requests that start now, one for each free slot. */
-  takeReady (): Ticket[] {
+  takeReady (now: number): Ticket[] {
     const ready: Ticket[] = []
     while (this.#running < this.#slots && this.#queue.length > 0) {
       const ticket = this.#queue.shift()!
-      if (!ticket.nested) this.#delay = Math.max(1, this.#delay * DELAY_FALL)
+      if (!ticket.nested) this.#setDelay(Math.max(1, this.#delayAt(now) * DELAY_FALL), now)
       ready.push(ticket)
       this.#running++
     }
@@ -141,12 +141,21 @@
     return all
   }
 
+  /** Without news the factor fades, as a queue that takes nobody in tells nothing. */
+  #delayAt (now: number): number {
+    return 1 + (this.#delay.factor - 1) * 0.5 ** ((now - this.#delay.at) / DELAY_HALF_LIFE_MS)
+  }
+
+  #setDelay (factor: number, now: number): void {
+    this.#delay = { factor, at: now }
+  }
+
   /** Whether a request that would wait behind the more urgent ones would still be served in time. */
   #fits (ticket: Ticket, now: number): boolean {
     let ahead = 0
     for (const other of this.#queue) if (!isMoreUrgent(ticket, other)) ahead++
     const overtaken = this.#use.before(urgencyOf(ticket), now) / this.#slots
-    const waitMs = (ahead + 1) * this.#serviceMs / this.#slots / Math.max(MIN_LEFT, 1 - overtaken) * (ticket.nested ? 1 : this.#delay)
+    const waitMs = (ahead + 1) * this.#serviceMs / this.#slots / Math.max(MIN_LEFT, 1 - overtaken) * (ticket.nested ? 1 : this.#delayAt(now))
     return now + waitMs <= this.#lastUsefulStart(ticket)
   }
 
@@ -187,6 +196,7 @@
 const DELAY_RISE = 1.3
 const DELAY_FALL = 0.98
 const MAX_DELAY = 10
+const DELAY_HALF_LIFE_MS = 2_000
 /** Part of the slots that is taken to be left by more urgent requests, at least. */
 const MIN_LEFT = 0.1
 /** Part of the target latency that waiting and running may use; the rest is for the way. */
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -302,7 +302,7 @@
 
   #startNext (): void {
     const now = this.#opts.timers.now()
-    for (const ticket of this.#admission.takeReady()) {
+    for (const ticket of this.#admission.takeReady(now)) {
       const call = this.#calls.get(ticket.key)
       if (call) this.#start(call)
       else this.#admission.finish(ticket, 0, now)
