--- a/packages/mesh/src/relay/election.ts
+++ b/packages/mesh/src/relay/election.ts
@@ -18,15 +18,15 @@
 
 /**
  * Slot that this daemon should have as relay of its data centre, or undefined. Present relays keep their slot, whoever
- * else comes back as a relay; of two that claim one slot, the one that holds its lease keeps it, else the first one.
+ * else comes back as a relay; of two in one slot, the one that took its lease keeps it until the store says otherwise, else the first one.
  * Free slots go by rank, so that views that agree choose the same daemons without a message.
  */
-export function relaySlot (table: MemberTable, holdsLease: boolean): number | undefined {
+export function relaySlot (table: MemberTable, claimsLease: boolean): number | undefined {
   const { self } = table
   const relays = liveRelays(table, self.dataCentre)
   if (self.relay > 0) {
     const hasRival = relays.some((record) => record.relay === self.relay && record.id < self.id)
-    return hasRival && !holdsLease ? undefined : self.relay - 1
+    return hasRival && !claimsLease ? undefined : self.relay - 1
   }
   const taken = new Set(relays.map((record) => record.relay - 1))
   const free = RELAYS_PER_DATA_CENTRE - taken.size
--- a/packages/mesh/src/relay/relayRole.ts
+++ b/packages/mesh/src/relay/relayRole.ts
@@ -75,7 +75,7 @@
 
   #tick (): void {
     if (!this.#hooks.mayLead()) return
-    const slot = relaySlot(this.#ctx.table, this.#term?.lease.isHeld() ?? false)
+    const slot = relaySlot(this.#ctx.table, this.#term?.lease.isClaimed ?? false)
     if (this.#term && slot === undefined) {
       this.#ctx.detach(this.#end())
       return
--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -59,6 +59,11 @@
     return this.#held !== undefined && this.#opts.timers.now() < this.#held.until
   }
 
+  /** Whether it was taken and has not been found lost since; it may have run out unnoticed. */
+  get isClaimed (): boolean {
+    return this.#held !== undefined
+  }
+
   /** Renews when held, else tries to take; failures of the platform are thrown. */
   async step (): Promise<LeaseStep> {
     return this.#held ? await this.#renew(this.#held) : await this.#tryTake()
