--- a/packages/mesh/src/relay/election.ts
+++ b/packages/mesh/src/relay/election.ts
@@ -18,8 +18,8 @@
 
 /**
  * Slot that this daemon should have as relay of its data centre, or undefined. Present relays keep their slot, whoever
- * else comes back as a relay; of two in one slot, the one that took its lease keeps it until the store says otherwise, else the first one.
- * Free slots go by rank, so that views that agree choose the same daemons without a message.
+ * else comes back as a relay; of two in one slot, the one that took its lease keeps it until the store says otherwise,
+ * else the first one. Free slots go by rank, so that views that agree choose the same daemons without a message.
  */
 export function relaySlot (table: MemberTable, claimsLease: boolean): number | undefined {
   const { self } = table
