Place requests by how close they come to their target latency and by the bytes that cross data centres

Cause: the placer ranked targets by estimated time alone, with a small flat penalty for another data centre, so an upload of 60 KB went to another data centre to be answered 80 ms sooner, though both answers were well in time. And a target whose last load was old counted as idle, so daemons with old views chose the same fast targets.

--- a/packages/hop/src/__tests__/load.spec.ts
+++ b/packages/hop/src/__tests__/load.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { ATELIER, CARVERS, LoadPlayer, type ClassResult, type LoadOptions } from './loadPlayer.js'
+import { LoadPlayer, type ClassResult, type LoadOptions } from './loadPlayer.js'
+import { ATELIER, CARVERS, FLOORS, type Sheet } from './sheets.js'
 
 const SEEDS = [1, 2, 3]
 /** What the users state for a calm day: parts of the requests served, and of the worth earned. */
@@ -16,12 +17,12 @@
   return SEEDS.map((seed) => new LoadPlayer(ATELIER, { seed, seconds: 20, ...opts }).play())
 }
 
-function total (results: Record<string, ClassResult>): { served: number, worth: number } {
+function total (results: Record<string, ClassResult>, sheet: Sheet = ATELIER): { served: number, worth: number } {
   let asked = 0
   let served = 0
   let earned = 0
   let owed = 0
-  for (const { name, worth, lateWorth } of ATELIER.classes) {
+  for (const { name, worth, lateWorth } of sheet.classes) {
     const result = results[name]!
     asked += result.asked
     served += result.inTarget + result.late
@@ -109,3 +110,17 @@
     t.true(total(results).worth >= 0.94, JSON.stringify(results))
   }
 })
+
+test('guards against large bodies crossing data centres on a calm day, and against calls waiting for the sake of bytes', (t) => {
+  const { requestBytes: size } = FLOORS.classes.find(({ name }) => name === 'upload')!
+  for (const seed of SEEDS) {
+    const player = new LoadPlayer(FLOORS, { seed, seconds: 12, rateAt: () => 0.65 })
+    const results = player.play()
+    const { served, worth } = total(results, FLOORS)
+    t.true(served >= CALM_SERVED && worth >= CALM_WORTH, JSON.stringify(results))
+    // Every target is tried once by every daemon, to learn of it; what comes on top is a tenth at most.
+    const trials = 13 * 3
+    const crossed = player.crossingBytes.get('upload')! / size!
+    t.true(crossed <= trials + results['upload']!.asked / 10, `${crossed} of ${results['upload']!.asked}`)
+  }
+})
--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -9,40 +9,16 @@
 import type { CallMetrics } from '../observe/callMetrics.js'
 import { OutboundDesk } from '../outbound/outboundDesk.js'
 import { Placer } from '../outbound/placer.js'
+import { ResponseSizes } from '../outbound/responseSizes.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
 import type { MeshConfig, MeshRoute } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
+import type { RequestClass, Sheet } from './sheets.js'
 
 const names: HeaderNames = {
   requestId: 'x-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notRun: 'x-not-run', load: 'x-load', callerService: 'x-caller', signature: 'x-sig'
 }
 
-/** A kind of request as the users' sheets give it. */
-export interface RequestClass {
-  name: string
-  service: string
-  idempotent: boolean
-  bulky?: boolean
-  /** Requests a second over all data centres; 0 for those that only targets make. */
-  perS: number
-  workMs: number
-  targetLatencyMs: number
-  deadlineMs: number
-  timeoutMs: number
-  priority: number
-  worth: number
-  lateWorth: number
-  retries: number
-  /** Calls that a target makes, one after the other, while it runs such a request. */
-  calls?: { class: string, times: number, share: number }
-}
-
-export interface Sheet {
-  dataCentres: string[]
-  services: { name: string, targets: number, slots: number, speeds: number[] }[]
-  classes: RequestClass[]
-}
-
 export interface LoadOptions {
   seed: number
   seconds: number
@@ -79,7 +55,7 @@
 }
 
 const WAY_MS = 1
-const RESPONSE_BYTES = new Uint8Array(100)
+const USUAL_BYTES = 100
 
 interface SimHost {
   record: HostRecord
@@ -114,7 +90,7 @@
     const { timers, opts } = this.#player
     const second = timers.now() / 1000
     const head = request.bytes.toString('latin1').split('\r\n')
-    const isRepeat = this.#player.onArrival(this.#service, request.requestId)
+    const isRepeat = this.#player.onArrival(this.#host, this.#service, request.requestId)
     const cls = this.#player.classOf(head[0]!.split(' ')[1]!)
     let isOver = false
     const end = (result: TargetResult): void => {
@@ -136,7 +112,7 @@
       const work = cls.workMs * spread * tail * slowness / this.#speed
       const fails = this.#random.next() < (opts.failing?.(this.#host, this.#service, second) ?? 0)
       const parent = { id: request.requestId, isRepeat }
-      timers.after(work, () => this.#makeCalls(cls, parent, () => isOver, (ok) => end(response(ok && !fails ? 200 : 500))))
+      timers.after(work, () => this.#makeCalls(cls, parent, () => isOver, (ok) => end(response(ok && !fails ? 200 : 500, cls.responseBytes))))
     }
     return () => end({ kind: 'failed', reason: 'cancelled' })
   }
@@ -166,6 +142,10 @@
   readonly #idsOfRepeats = new Set<string>()
   /** Requests that reached a target, and those of them that did so in another data centre. */
   readonly ways = { all: 0, crossing: 0 }
+  /** Bytes of bodies that crossed data centres, there and back, by class. */
+  readonly crossingBytes = new Map<string, number>()
+  /** Requests that each target got. */
+  readonly arrivals = new Map<string, number>()
   #ids = 0
 
   constructor (sheet: Sheet, opts: LoadOptions) {
@@ -207,7 +187,7 @@
       method: cls.idempotent ? 'GET' : 'POST',
       url: `/${cls.name}/x`,
       head: { requestId: id, host: 'h', path: `/${cls.name}/x`, headers: [], deadlineMs },
-      body: new Uint8Array(),
+      body: new Uint8Array(cls.requestBytes ?? 0),
       origin: this.#hosts.get(host)!.inbound.originOf(id)
     }, {
       answer: (reply) => done(reply.status === 200),
@@ -216,13 +196,18 @@
   }
 
   /** Counts an arrival at a target; true if the run is a repeat of another one. */
-  onArrival (service: string, id: string): boolean {
+  onArrival (host: string, service: string, id: string): boolean {
+    this.arrivals.set(host, (this.arrivals.get(host) ?? 0) + 1)
     const isAgain = this.#arrived.has(id)
     this.#arrived.add(id)
     if (isAgain || this.#idsOfRepeats.has(id)) this.#countsOf(service).repeats++
     return isAgain || this.#idsOfRepeats.has(id)
   }
 
+  #crossed (cls: string, bytes: number): void {
+    this.crossingBytes.set(cls, (this.crossingBytes.get(cls) ?? 0) + bytes)
+  }
+
   #countsOf (service: string): { requests: number, repeats: number } {
     let counts = this.counts.get(service)
     if (!counts) this.counts.set(service, counts = { requests: 0, repeats: 0 })
@@ -264,7 +249,7 @@
     inbound.targetChanged()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundDesk({
-      timers, random, log, metrics: noMetrics, names, fleet, desk: inbound, placer, budget, versions: { choose: () => undefined }, callerService: () => service.name
+      timers, random, log, metrics: noMetrics, names, fleet, desk: inbound, placer, budget, sizes: new ResponseSizes(), versions: { choose: () => undefined }, callerService: () => service.name
     })
     this.#hosts.set(host, { record, fleet, inbound, outbound, placer })
   }
@@ -277,11 +262,16 @@
       call: (message, _bulky, reply) => {
         let withdrawn = false
         const { inbound, record } = this.#hosts.get(peer)!
+        const isCrossing = record.dataCentre !== dataCentre
+        if (isCrossing) this.#crossed(message.route, message.body.length)
         timers.after(WAY_MS, () => {
           if (withdrawn) return
           inbound.offer(message, (answer) => {
             if (answer.kind === 'response') this.ways.all++
-            if (answer.kind === 'response' && record.dataCentre !== dataCentre) this.ways.crossing++
+            if (answer.kind === 'response' && isCrossing) {
+              this.ways.crossing++
+              this.#crossed(message.route, answer.body.length)
+            }
             timers.after(WAY_MS, () => { if (!withdrawn) reply(answer) })
           })
         })
@@ -352,42 +342,10 @@
 
 const noMetrics: CallMetrics = { request: () => {}, event: () => {}, state: () => {}, text: async () => '' }
 
-function response (status: number): TargetResult {
-  return { kind: 'response', status, headers: [], body: Buffer.from(RESPONSE_BYTES), unframed: false }
+function response (status: number, bytes = USUAL_BYTES): TargetResult {
+  return { kind: 'response', status, headers: [], body: Buffer.alloc(bytes), unframed: false }
 }
 
 function gauss (random: Random): number {
   return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
 }
-
-/** The sheet of the wig atelier, with the rates of a busy day. */
-export const ATELIER: Sheet = {
-  dataCentres: ['a', 'b', 'c', 'd'],
-  services: ['showroom', 'orders', 'workroom'].map((name) => ({ name, targets: 4, slots: 6, speeds: [0.5, 1, 1, 1.5] })),
-  classes: [
-    { name: 'browse', service: 'showroom', idempotent: true, perS: 57, workMs: 220, targetLatencyMs: 600, deadlineMs: 2_500, timeoutMs: 1_200, priority: 2, worth: 1, lateWorth: 0.3, retries: 1, calls: { class: 'stock', times: 2, share: 0.7 } },
-    { name: 'order', service: 'orders', idempotent: false, perS: 26.4, workMs: 290, targetLatencyMs: 800, deadlineMs: 3_000, timeoutMs: 1_500, priority: 1, worth: 2, lateWorth: 0.6, retries: 1, calls: { class: 'roster', times: 2, share: 0.7 } },
-    { name: 'sheet', service: 'workroom', idempotent: true, bulky: true, perS: 8, workMs: 180, targetLatencyMs: 600, deadlineMs: 2_500, timeoutMs: 1_200, priority: 2, worth: 1, lateWorth: 0.3, retries: 1 },
-    { name: 'lookup', service: 'workroom', idempotent: true, perS: 23.6, workMs: 88, targetLatencyMs: 300, deadlineMs: 1_200, timeoutMs: 600, priority: 1, worth: 2, lateWorth: 0.6, retries: 1 },
-    { name: 'stock', service: 'orders', idempotent: true, perS: 0, workMs: 55, targetLatencyMs: 200, deadlineMs: 600, timeoutMs: 600, priority: 1, worth: 0, lateWorth: 0, retries: 0 },
-    { name: 'roster', service: 'workroom', idempotent: true, perS: 0, workMs: 55, targetLatencyMs: 200, deadlineMs: 600, timeoutMs: 600, priority: 1, worth: 0, lateWorth: 0, retries: 0 }
-  ]
-}
-
-/** The sheet of the carvers' consortium, with the rates of a usual day. */
-export const CARVERS: Sheet = {
-  dataCentres: ['a', 'b', 'c', 'd'],
-  services: [
-    { name: 'catalogue', targets: 6, slots: 12, speeds: [0.6, 1, 1.4] },
-    { name: 'commissions', targets: 4, slots: 12, speeds: [0.6, 1, 1.4] },
-    { name: 'archives', targets: 4, slots: 12, speeds: [0.7, 0.7, 1.6] }
-  ],
-  classes: [
-    { name: 'browse', service: 'catalogue', idempotent: true, perS: 466, workMs: 90, targetLatencyMs: 300, deadlineMs: 2_000, timeoutMs: 1_000, priority: 2, worth: 1, lateWorth: 0.5, retries: 2, calls: { class: 'stock', times: 2, share: 0.7 } },
-    { name: 'deposit', service: 'commissions', idempotent: false, perS: 120, workMs: 120, targetLatencyMs: 400, deadlineMs: 2_500, timeoutMs: 1_200, priority: 1, worth: 2, lateWorth: 1, retries: 2, calls: { class: 'rights', times: 2, share: 0.7 } },
-    { name: 'download', service: 'archives', idempotent: true, bulky: true, perS: 55.7, workMs: 72, targetLatencyMs: 300, deadlineMs: 2_000, timeoutMs: 1_000, priority: 2, worth: 1, lateWorth: 0.5, retries: 2 },
-    { name: 'status', service: 'archives', idempotent: true, perS: 97.8, workMs: 36, targetLatencyMs: 150, deadlineMs: 1_000, timeoutMs: 500, priority: 1, worth: 2, lateWorth: 1, retries: 2 },
-    { name: 'stock', service: 'commissions', idempotent: true, perS: 0, workMs: 22, targetLatencyMs: 100, deadlineMs: 250, timeoutMs: 250, priority: 1, worth: 0, lateWorth: 0, retries: 0 },
-    { name: 'rights', service: 'archives', idempotent: true, perS: 0, workMs: 22, targetLatencyMs: 100, deadlineMs: 250, timeoutMs: 250, priority: 1, worth: 0, lateWorth: 0, retries: 0 }
-  ]
-}
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -13,6 +13,7 @@
 import { NodeOutboundServer } from '../outbound/nodeOutboundServer.js'
 import { OutboundDesk } from '../outbound/outboundDesk.js'
 import { Placer } from '../outbound/placer.js'
+import { ResponseSizes } from '../outbound/responseSizes.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
 import { Moves } from '../rollout/moves.js'
 import type { ObjectStore } from '../store/objectStore.js'
@@ -104,7 +105,7 @@
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundDesk({
-      timers, random, log, metrics, names, fleet: this.#fleet, desk: this.#inbound, placer: this.#placer, budget: this.#budget, versions: this.#moves, callerService: () => this.#cfg.service
+      timers, random, log, metrics, names, fleet: this.#fleet, desk: this.#inbound, placer: this.#placer, budget: this.#budget, sizes: new ResponseSizes(), versions: this.#moves, callerService: () => this.#cfg.service
     })
     this.#outboundServer = new NodeOutboundServer({
       ...cfg.outbound, desk: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -4,6 +4,7 @@
 import type { MeshRoute } from '../../routing/meshConfig.js'
 import { Placer } from '../placer.js'
 import { readHead, responseHeaders } from '../requestHead.js'
+import { ResponseSizes } from '../responseSizes.js'
 import { RetryBudget } from '../retryBudget.js'
 
 const names = {
@@ -64,20 +65,43 @@
   }
 }
 
-function firstChoices (placer: Placer, played: MeshRoute): Record<string, number> {
+function firstChoices (placer: Placer, bytes = 0): Record<string, number> {
   const counts: Record<string, number> = {}
   for (let i = 0; i < 200; i++) {
-    const first = placer.order('s', played, 1, () => true)[0]!.host
+    const first = placer.order('s', { route, urgency: 1, bytes }, () => true)[0]!.host
     counts[first] = (counts[first] ?? 0) + 1
   }
   return counts
 }
 
-test('guards against large responses crossing data centres while the own one has room', (t) => {
+test('guards against large bodies crossing data centres while the own one has room', (t) => {
   const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(1), dataCentre: 'dc1' })
   placer.setHosts([host('near', 'dc1'), host('far1', 'dc2'), host('far2', 'dc3')])
   for (const name of ['near', 'far1', 'far2']) placer.ended(name, { targetId: `t-${name}`, running: 0, queued: 0, slots: 6, pace: 0.4, failing: 0 })
-  t.deepEqual(firstChoices(placer, { ...route, bulky: true }), { near: 200 })
+  t.deepEqual(firstChoices(placer, 60_000), { near: 200 })
+})
+
+test('guards against bytes crossing data centres for answers that are in time anyway, and against late ones for the sake of bytes', (t) => {
+  const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(6), dataCentre: 'dc1' })
+  placer.setHosts([host('near', 'dc1'), host('far', 'dc2')])
+  const load = { running: 0, queued: 0, slots: 6, failing: 0 }
+  placer.ended('far', { ...load, targetId: 't-far', pace: 0.3 })
+  placer.ended('near', { ...load, targetId: 't-near', pace: 0.45 })
+  t.deepEqual(firstChoices(placer, 5_000), { near: 200 }, 'in time')
+  placer.ended('near', { ...load, targetId: 't-near', pace: 0.9 })
+  t.deepEqual(firstChoices(placer, 5_000), { far: 200 }, 'late')
+  placer.ended('near', { ...load, targetId: 't-near', pace: 0.45, running: 6, queued: 12 })
+  t.deepEqual(firstChoices(placer, 60_000), { far: 200 }, 'large, but late')
+})
+
+test('guards against sizes of responses that follow single ones or are kept for routes that are gone', (t) => {
+  const sizes = new ResponseSizes()
+  t.is(sizes.expected('r'), 0)
+  sizes.seen('r', 1_000)
+  sizes.seen('r', 101_000)
+  t.is(sizes.expected('r'), 11_000)
+  sizes.retain(new Set())
+  t.is(sizes.expected('r'), 0)
 })
 
 test('guards against slow, failing, cold, full and avoided targets being chosen while others have room', (t) => {
@@ -93,11 +117,11 @@
     placer.setHosts([host('a', 'dc1'), host('b', 'dc1')])
     for (const name of ['a', 'b']) placer.ended(name, { ...load, targetId: `t-${name}` })
     apply(placer)
-    t.is(firstChoices(placer, route)['a'] ?? 0, 0, name)
+    t.is(firstChoices(placer)['a'] ?? 0, 0, name)
   }
   const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(2), dataCentre: 'dc1' })
   placer.setHosts([host('a', 'dc1', 3_000), host('b', 'dc1')])
-  t.is(firstChoices(placer, route)['a'] ?? 0, 0, 'cold')
+  t.is(firstChoices(placer)['a'] ?? 0, 0, 'cold')
 })
 
 test('guards against a target that got well never being tried again', (t) => {
@@ -107,10 +131,10 @@
   const well = { targetId: 't-b', running: 0, queued: 0, slots: 6, pace: 0.4, failing: 0 }
   placer.ended('a', { targetId: 't-a', running: 0, queued: 0, slots: 6, pace: 1.5, failing: 0.5 })
   placer.ended('b', well)
-  t.is(firstChoices(placer, route)['a'] ?? 0, 0)
+  t.is(firstChoices(placer)['a'] ?? 0, 0)
   timers.advance(30_000)
   placer.ended('b', well)
-  t.true((firstChoices(placer, route)['a'] ?? 0) > 0)
+  t.true((firstChoices(placer)['a'] ?? 0) > 0)
 })
 
 test('guards against targets that join getting no requests while the others are well', (t) => {
@@ -119,15 +143,15 @@
   placer.setHosts([host('a', 'dc1')])
   placer.ended('a', { targetId: 't-a', running: 0, queued: 0, slots: 6, pace: 0.2, failing: 0 })
   placer.setHosts([host('a', 'dc1'), host('new', 'dc2', 3_000)])
-  t.deepEqual(firstChoices(placer, route), { a: 200 }, 'cold')
+  t.deepEqual(firstChoices(placer), { a: 200 }, 'cold')
   timers.advance(3_100)
-  t.is(placer.order('s', route, 1, () => true)[0]!.host, 'new')
+  t.is(placer.order('s', { route, urgency: 1, bytes: 0 }, () => true)[0]!.host, 'new')
   placer.offered('new')
-  t.is(placer.order('s', route, 1, () => true)[0]!.host, 'a', 'one request tells enough')
+  t.is(placer.order('s', { route, urgency: 1, bytes: 0 }, () => true)[0]!.host, 'a', 'one request tells enough')
 })
 
 test('guards against equal targets getting unequal shares', (t) => {
   const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(4), dataCentre: 'dc1' })
   placer.setHosts(['a', 'b', 'c', 'd'].map((name) => host(name, 'dc1')))
-  for (const n of Object.values(firstChoices(placer, route))) t.true(n > 25 && n < 80, String(n))
+  for (const n of Object.values(firstChoices(placer))) t.true(n > 25 && n < 80, String(n))
 })
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -71,11 +71,11 @@
   }
 
   #view (): CallView {
-    const { timers, placer, budget, fleet, random } = this.#opts
+    const { timers, placer, budget, fleet, random, sizes } = this.#opts
     const { req, route, service, isAgain } = this.#input
     return {
       now: () => timers.now(),
-      candidates: (exclude) => placer.order(service, route, this.#urgency, (record) => this.#accepts(record, exclude), this.#choice?.preferred),
+      candidates: (exclude) => placer.order(service, { route, urgency: this.#urgency, bytes: req.body.length + sizes.expected(route.name) }, (record) => this.#accepts(record, exclude), this.#choice?.preferred),
       takeRepeat: () => budget.tryTake(service, fleet.live().length, timers.now()),
       retryAfterMs: () => retryAfterMs({ targetLatencyMs: route.targetLatencyMs, leftMs: this.#startedAt + req.head.deadlineMs - timers.now(), isAgain }, random)
     }
@@ -123,6 +123,7 @@
     const { res } = this.#input
     switch (command.kind) {
       case 'answer':
+        this.#opts.sizes.seen(this.#input.route.name, command.reply.body.length)
         this.#end(command.reply.status, command.reply.status < 500, {})
         return res.answer(command.reply)
       case 'refuse':
--- a/packages/hop/src/outbound/outboundDesk.ts
+++ b/packages/hop/src/outbound/outboundDesk.ts
@@ -11,6 +11,7 @@
 import { OutboundCall } from './outboundCall.js'
 import type { Placer } from './placer.js'
 import type { OutboundHead } from './requestHead.js'
+import type { ResponseSizes } from './responseSizes.js'
 import { Patience } from './retryAfter.js'
 import type { RetryBudget } from './retryBudget.js'
 
@@ -45,6 +46,7 @@
   desk: InboundDesk
   placer: Placer
   budget: RetryBudget
+  sizes: ResponseSizes
   versions: VersionChooser
   /** Service on this host; undefined when it has none. */
   callerService (): string | undefined
@@ -80,6 +82,7 @@
     const routes = new Set(table.config.routes.map((route) => route.name))
     this.#splitter.retain(routes)
     this.#patience.retain(routes)
+    this.#opts.sizes.retain(routes)
   }
 
   /** Handles one request; returns what to call when the caller leaves. */
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -16,6 +16,14 @@
   readonly isFull: boolean
 }
 
+/** A request as the choice of its target sees it. */
+export interface PlacedRequest {
+  route: MeshRoute
+  urgency: number
+  /** Bytes of the request and, as far as can be told, of its response. */
+  bytes: number
+}
+
 interface Seen {
   targetId: string
   load: TargetLoad | undefined
@@ -41,16 +49,28 @@
 /** Time of a round trip to another data centre and to the own one. */
 const OTHER_DATA_CENTRE_MS = 3
 const OWN_DATA_CENTRE_MS = 1
-/** Time that must be won for a response to come from another data centre, as a part of the target latency. */
+/** Time that must be won for a request to be run in another data centre, as a part of the target latency. */
 const WAY_PENALTY = 0.08
-/** The same for large responses. */
-const BULKY_PENALTY = 0.6
+/** The same for each kilobyte that then crosses data centres, in milliseconds. */
+const KILOBYTE_PENALTY_MS = 8
+/** What these penalties add up to at most, as a part of the target latency: beyond it a request goes where it is served sooner. */
+const MAX_WAY_PENALTY = 0.6
+/** What a millisecond counts at most, reached where a response comes late. */
+const MAX_WEIGHT = 1.5
+/** What a target with all slots taken costs over an idle one, as a part of the target latency. */
+const FILL_PENALTY = 0.15
+/** Random part of the estimate for a target whose load is not known, as a part of the target latency. */
+const UNKNOWN_SPREAD = 0.3
+/** Part of the slots that are taken to be in use where no load is known. */
+const UNKNOWN_FILL = 0.3
 /** What a failed request costs the caller, as a multiple of the target latency. */
 const FAILURE_COST = 2
 /** A reported load means less the older it is. */
 const LOAD_HALF_LIFE_MS = 400
 /** Slowness and failures fade without news, so that a target that got well is tried again. */
 const MEMORY_HALF_LIFE_MS = 4_000
+/** Weight of the fill that is assumed without any news. */
+const MIN_TRUST = 0.05
 /** Random part of the estimate, so that daemons with the same view don't all choose the same target. */
 const SPREAD = 0.25
 const AVOID_MS = 400
@@ -95,12 +115,13 @@
   }
 
   /** Targets for a request, the best first; `preferred` names a host that goes before all others. */
-  order (service: string, route: MeshRoute, urgency: number, accepts: (record: HostRecord) => boolean, preferred?: string): Candidate[] {
+  order (service: string, request: PlacedRequest, accepts: (record: HostRecord) => boolean, preferred?: string): Candidate[] {
     const now = this.#timers.now()
+    const records = this.#byService.get(service) ?? []
+    const usualFill = this.#usualFill(records, now)
     const candidates: Candidate[] = []
-    for (const record of this.#byService.get(service) ?? []) {
-      if (!accepts(record)) continue
-      candidates.push(this.#estimate(record, route, urgency, now))
+    for (const record of records) {
+      if (accepts(record)) candidates.push(this.#estimate(record, request, usualFill, now))
     }
     return candidates.sort((a, b) => Number(b.host === preferred) - Number(a.host === preferred) || a.costMs - b.costMs)
   }
@@ -152,37 +173,67 @@
     if (seen) seen.avoidUntil = this.#timers.now() + ms
   }
 
-  #estimate (record: HostRecord, route: MeshRoute, urgency: number, now: number): Candidate {
+  /** Part of the slots of a service in use, by the loads known; those heard of last count most. */
+  #usualFill (records: readonly HostRecord[], now: number): number {
+    let fill = UNKNOWN_FILL * MIN_TRUST
+    let weight = MIN_TRUST
+    for (const { host } of records) {
+      const { load, loadAt } = this.#seen.get(host)!
+      if (!load) continue
+      const trust = trustAt(now - loadAt)
+      fill += trust * Math.min(1, load.running / load.slots)
+      weight += trust
+    }
+    return fill / weight
+  }
+
+  #estimate (record: HostRecord, { route, urgency, bytes }: PlacedRequest, usualFill: number, now: number): Candidate {
     const target = record.target!
+    const latencyMs = route.targetLatencyMs
     const seen = this.#seen.get(record.host)!
     const { load } = seen
     const slots = load?.slots ?? target.slots
     const age = now - seen.loadAt
-    const trust = load ? 0.5 ** (age / LOAD_HALF_LIFE_MS) : 0
-    const busy = Math.max(seen.pending, trust * ((load?.running ?? 0) + (load?.queued ?? 0)))
+    const trust = load ? trustAt(age) : 0
+    const busy = Math.max(seen.pending, trust * ((load?.running ?? 0) + (load?.queued ?? 0)) + (1 - trust) * usualFill * slots)
     const cold = now < seen.coldUntil ? COLD_FACTOR : 1
     const memory = 0.5 ** (age / MEMORY_HALF_LIFE_MS)
     const pace = load ? UNKNOWN_PACE + (load.pace - UNKNOWN_PACE) * memory : UNKNOWN_PACE
-    const ownMs = pace * cold * route.targetLatencyMs
+    const ownMs = pace * cold * latencyMs
     const waitMs = busy >= slots ? (busy - slots + 1) / slots * ownMs : 0
-    const crowdedMs = 0.3 * Math.min(1, busy / slots) * ownMs
-    const isNear = record.dataCentre === this.#dataCentre
-    const wayMs = isNear ? OWN_DATA_CENTRE_MS : OTHER_DATA_CENTRE_MS + (route.bulky ? BULKY_PENALTY : WAY_PENALTY) * route.targetLatencyMs
-    const failMs = (load?.failing ?? 0) * memory * FAILURE_COST * route.targetLatencyMs
-    const avoidMs = now < seen.avoidUntil ? 10 * route.targetLatencyMs : 0
-    const spread = 1 + SPREAD * (this.#random.next() - 0.5)
+    const fillMs = FILL_PENALTY * Math.min(1, busy / slots) * latencyMs
+    const failMs = (load?.failing ?? 0) * memory * FAILURE_COST * latencyMs
+    const avoidMs = now < seen.avoidUntil ? 10 * latencyMs : 0
+    const wayMs = record.dataCentre === this.#dataCentre ? OWN_DATA_CENTRE_MS : wayMsOf(bytes, latencyMs)
     const isNewcomer = !load && seen.pending === 0 && now >= seen.coldUntil
+    const spreadMs = (1 - trust) * UNKNOWN_SPREAD * latencyMs * this.#random.next()
+    const targetMs = feltMs(waitMs + ownMs, latencyMs) * (1 + SPREAD * (this.#random.next() - 0.5)) + fillMs + failMs + spreadMs
     return {
       host: record.host,
       targetId: target.id,
       version: target.version,
-      costMs: ((waitMs + crowdedMs + ownMs + failMs) * spread + wayMs) * (isNewcomer ? NEWCOMER_FACTOR : 1) + avoidMs,
+      costMs: (targetMs + wayMs) * (isNewcomer ? NEWCOMER_FACTOR : 1) + avoidMs,
       isBusy: now < seen.busyUntil,
       isFull: isFullFor(seen, urgency, now)
     }
   }
 }
 
+function trustAt (ageMs: number): number {
+  return 0.5 ** (ageMs / LOAD_HALF_LIFE_MS)
+}
+
+/** Time that comes on top when a request is run in another data centre, and what its bytes cost there and back. */
+function wayMsOf (bytes: number, targetLatencyMs: number): number {
+  const penaltyMs = WAY_PENALTY * targetLatencyMs + KILOBYTE_PENALTY_MS * bytes / 1024
+  return OTHER_DATA_CENTRE_MS + Math.min(penaltyMs, MAX_WAY_PENALTY * targetLatencyMs)
+}
+
+/** A response that surely comes in time need not come sooner, so time counts for more the closer it is to the target latency. */
+function feltMs (ms: number, targetLatencyMs: number): number {
+  return ms * Math.min(MAX_WEIGHT, ms / targetLatencyMs)
+}
+
 /** A queue that is too long for urgent requests is so for less urgent ones. */
 function isFullFor (seen: Seen, urgency: number, now: number): boolean {
   for (const [other, until] of seen.fullUntil) if (other <= urgency && now < until) return true
--- a/packages/hop/src/routing/meshConfig.ts
+++ b/packages/hop/src/routing/meshConfig.ts
@@ -13,7 +13,7 @@
   readonly parts: readonly RoutePart[]
   /** Whether a request may run more than once. */
   readonly idempotent: boolean
-  /** Whether responses are large, so that the data centre they come from matters. */
+  /** Whether requests or responses are large, so that they go on a connection of their own. */
   readonly bulky: boolean
   /** Longest time that a caller is kept waiting, in milliseconds. */
   readonly timeoutMs: number
