Ask a target in another data centre for a slot before a large body goes there

Cause: an offer carries the request's body, and under load two of three offers are turned away; orders of 4 KB crossed data centres two to three times each. A body of 2 KB or more now goes across only after a question without headers and body was answered with a free slot; the question runs nothing, so its loss is a 'not run'. The protocol between daemons has a new number, as an older daemon would run a question.

--- a/packages/hop/src/inbound/__tests__/inboundDesk.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundDesk.spec.ts
@@ -178,3 +178,14 @@
   bench.timers.advance(30_000)
   t.is(bench.desk.load()!.pressedShare, undefined)
 })
+
+test('guards against a question for a slot running anything or holding a slot', (t) => {
+  const bench = new Bench()
+  bench.offer('a', { mode: 'ask' })
+  bench.offer('b', { mode: 'ask' })
+  bench.offer('c')
+  bench.offer('d')
+  bench.offer('e', { mode: 'ask' })
+  t.deepEqual(['a', 'b', 'e'].map((key) => bench.ended(key)), ['notRun vacant', 'notRun vacant', 'notRun busy'])
+  t.deepEqual(bench.sent.map(({ id }) => id), ['c', 'd'])
+})
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -61,6 +61,10 @@
     return this.#pace
   }
 
+  get hasFreeSlot (): boolean {
+    return this.#running < this.#slots && this.#queue.length === 0
+  }
+
   /** Starts over with a new target, of which nothing is known. */
   reset (slots: number): void {
     this.#slots = Math.max(1, slots)
@@ -76,7 +80,7 @@
 
   /** Asks for a slot; `mayWait` lets the request join the queue if all are taken. */
   offer (ticket: Ticket, mayWait: boolean, now: number): Admitted {
-    const isFree = this.#running < this.#slots && this.#queue.length === 0
+    const isFree = this.hasFreeSlot
     if (!ticket.nested && (isFree || mayWait)) this.#turnedAway.asked(ticket.priority, now)
     if (isFree) {
       this.#running++
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -110,6 +110,7 @@
     if (refusal) return this.#endNotRun(message, refusal)
     const pressed = message.nested ? undefined : this.#displaced(message)
     if (pressed) return this.#endNotRun(message, 'displacing', pressed)
+    if (message.mode === 'ask') return this.#endNotRun(message, this.#admission.hasFreeSlot ? 'vacant' : 'busy')
     const now = this.#opts.timers.now()
     const ticket: Ticket = {
       key,
@@ -282,7 +283,7 @@
 
   #endNotRun (message: CallMessage, reason: NotRunReason, details: object = {}): void {
     this.#end(message, { kind: 'notRun', reason })
-    this.#log(message, reason === 'busy' && message.mode === 'now', reason, details)
+    this.#log(message, message.mode !== 'queue' && (reason === 'busy' || reason === 'vacant'), reason, details)
   }
 
   /** Hands a reply out, with the load of the target as it is now. */
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -5,7 +5,7 @@
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true, int64AsType: 'number' })
 
 /** Raised whenever the fields below change; a peer with another number is not understood. */
-const PROTOCOL = 2
+const PROTOCOL = 3
 
 /** Calls and their replies are most of what daemons send, so their fields go by position rather than by name. */
 const CALL_FIELDS = [
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -3,8 +3,8 @@
 import type { HostRecord } from '../fleet/records.js'
 import type { MoveFact } from '@lentilwheel/core'
 
-/** `now`: only if a slot is free; `queue`: may wait for one. */
-export const OFFER_MODES = ['now', 'queue'] as const
+/** `now`: only if a slot is free; `queue`: may wait for one; `ask`: whether a slot is free, without headers and body. */
+export const OFFER_MODES = ['now', 'queue', 'ask'] as const
 export type OfferMode = typeof OFFER_MODES[number]
 
 /** A request as the daemon of the caller offers it to the daemon beside a target. */
@@ -50,9 +50,12 @@
   pressedShare?: number
 }
 
-/** `displacing`: the calls that the request makes would take the place of more urgent requests elsewhere. */
+/**
+ * `displacing`: the calls that the request makes would take the place of more urgent requests elsewhere.
+ * `vacant`: a slot is free, as far as was asked.
+ */
 export const NOT_RUN_REASONS = [
-  'busy', 'displacing', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent'
+  'busy', 'displacing', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent', 'vacant'
 ] as const
 export type NotRunReason = typeof NOT_RUN_REASONS[number]
 
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -13,13 +13,13 @@
 const noSlot: HopReply = { kind: 'notRun', reason: 'busy' }
 
 interface Step { at: number, event: CallEvent }
-interface Play { route?: MeshRoute, targets?: string[], busy?: string[], full?: string[], repeats?: number, steps: Step[] }
+interface Play { route?: MeshRoute, targets?: string[], busy?: string[], full?: string[], far?: string[], bodyBytes?: number, repeats?: number, steps: Step[] }
 
 /** Plays events into the flow of one request and tells what it did, one line per event. */
-function play ({ route: played = route, targets = ['a', 'b', 'c'], busy = [], full = [], repeats = 9, steps }: Play): string[] {
+function play ({ route: played = route, targets = ['a', 'b', 'c'], busy = [], full = [], far = [], bodyBytes = 0, repeats = 9, steps }: Play): string[] {
   let now = 0
-  const candidates: Candidate[] = targets.map((host) => ({ host, targetId: `t-${host}`, version: 'v1', costMs: 1, isBusy: busy.includes(host), isFull: full.includes(host) }))
-  const flow = callFlow({ route: played, deadlineAt: 1_200 }, {
+  const candidates: Candidate[] = targets.map((host) => ({ host, targetId: `t-${host}`, version: 'v1', isNear: !far.includes(host), costMs: 1, isBusy: busy.includes(host), isFull: full.includes(host) }))
+  const flow = callFlow({ route: played, deadlineAt: 1_200, bodyBytes }, {
     now: () => now,
     candidates: (exclude) => candidates.filter(({ host }) => !exclude.has(host)),
     takeRepeat: () => repeats-- > 0,
@@ -76,6 +76,8 @@
   'known to be served nowhere in time: refused without an offer': { route: onceOnly, busy: ['a', 'b', 'c'], full: ['a', 'b', 'c'], steps: [] },
   'no target for a moment': { targets: [], steps: [timer(60), timer(500)] },
   'a broken link of a repeatable request': { steps: [reply(700, 1, { kind: 'failed', reason: 'lost' }), reply(900, 2, good)] },
+  'a large body crosses data centres only once a slot is known': { far: ['b', 'c'], bodyBytes: 60_000, route: onceOnly, steps: [reply(1, 1, noSlot), reply(4, 2, { kind: 'notRun', reason: 'vacant' }), reply(300, 3, good)] },
+  'a question that nobody answers ran nothing': { targets: ['a', 'b'], far: ['a', 'b'], bodyBytes: 60_000, route: onceOnly, steps: [reply(100, 1, { kind: 'failed', reason: 'lost' }), timer(1_300)] },
   'a late failure leaves no time to repeat': { steps: [reply(1_100, 1, { kind: 'failed', reason: 'reset' })] }
 }
 
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -35,6 +35,7 @@
   route: MeshRoute
   /** When the caller or the route's timeout ends the request. */
   deadlineAt: number
+  bodyBytes: number
 }
 
 interface Attempt {
@@ -46,6 +47,8 @@
 
 /** Targets that are asked for a free slot before the request queues at the best of them. */
 const MAX_NOW_OFFERS = 2
+/** Bodies of this size go to another data centre only once a target there has said that it has a slot. */
+const ASK_FIRST_BYTES = 2_048
 /** Offers that didn't lead to a target, after which a request is refused. */
 const MAX_OFFERS = 12
 /** Part of the target latency after which a silent attempt of a repeatable request is doubled. */
@@ -126,6 +129,7 @@
   }
 
   #onNotRun (attempt: Attempt, reason: NotRunReason): CallCommand[] {
+    if (reason === 'vacant') return this.#open.size > 0 ? [] : this.#offer(attempt.candidate, 'now')
     this.#fruitless++
     this.#lastReason = reason
     if (reason === 'busy') this.#busy.add(attempt.candidate.host)
@@ -140,6 +144,7 @@
   }
 
   #onFailed (attempt: Attempt, reason: FailureReason): CallCommand[] {
+    if (attempt.mode === 'ask') return this.#onNotRun(attempt, 'unsent')
     this.#mayHaveRun = true
     if (!this.#input.route.idempotent) return this.#end([{ kind: 'fail', status: this.#isLate ? 504 : 502, reason }])
     return this.#afterRun(attempt, reason)
@@ -175,11 +180,15 @@
   #offerNext (): CallCommand[] | undefined {
     const candidates = this.#candidates()
     const untried = candidates.find(({ host, isBusy }) => !isBusy && !this.#busy.has(host))
-    if (untried && candidates.length > 1 && this.#busy.size < MAX_NOW_OFFERS) return this.#offer(untried, 'now')
+    if (untried && candidates.length > 1 && this.#busy.size < MAX_NOW_OFFERS) return this.#offer(untried, this.#asksFirst(untried) ? 'ask' : 'now')
     const best = candidates.find(({ isFull }) => !isFull)
     return best && this.#offer(best, 'queue')
   }
 
+  #asksFirst ({ isNear }: Candidate): boolean {
+    return !isNear && this.#input.bodyBytes >= ASK_FIRST_BYTES
+  }
+
   #candidates (): Candidate[] {
     return this.#view.candidates(new Set([...this.#reached, ...this.#away]))
   }
@@ -221,7 +230,8 @@
   }
 
   #giveUp (reason: string): CallCommand[] {
-    if (this.#mayHaveRun || this.#open.size > 0) {
+    const isOffered = [...this.#open.values()].some(({ mode }) => mode !== 'ask')
+    if (this.#mayHaveRun || isOffered) {
       return this.#end([{ kind: 'fail', status: this.#isLate ? 504 : 502, reason }])
     }
     return this.#end([{ kind: 'refuse', reason, retryAfterMs: this.#view.retryAfterMs() }])
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -1,7 +1,7 @@
 import type { Cancel } from '@lentilwheel/core'
 import type { HostRecord } from '../fleet/records.js'
 import { NESTED_URGENCY } from '../inbound/admission.js'
-import type { CallMessage, HopReply, OfferMode } from '../link/messages.js'
+import type { CallMessage, HopReply, NotRunReason, OfferMode } from '../link/messages.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 import type { VersionChoice } from '../rollout/versionRules.js'
 import { callFlow, type CallCommand, type CallEvent, type CallView } from './callFlow.js'
@@ -10,6 +10,9 @@
 
 /** Time assumed for a request whose caller and route set none. */
 const MAX_DEADLINE_MS = 60_000
+const NO_BODY = new Uint8Array()
+/** Refusals of a daemon that can be reached and whose target takes work. */
+const NOT_AWAY: ReadonlySet<NotRunReason> = new Set(['shed', 'displacing', 'vacant'] as const)
 
 export interface OutboundCallInput {
   req: OutboundRequest
@@ -49,7 +52,7 @@
     this.#deadlineAt = this.#startedAt + Math.min(req.head.deadlineMs, route.timeoutMs, MAX_DEADLINE_MS)
     this.#urgency = req.origin === 'caller' ? route.priority : NESTED_URGENCY
     this.#choice = opts.versions.choose(service)
-    this.#flow = callFlow({ route, deadlineAt: this.#deadlineAt }, this.#view())
+    this.#flow = callFlow({ route, deadlineAt: this.#deadlineAt, bodyBytes: req.body.length }, this.#view())
   }
 
   start (): void {
@@ -155,15 +158,14 @@
       return () => desk.cancel(message.key)
     }
     const link = fleet.link(host)
-    if (link) return link.call(message, this.#input.route.bulky, reply)
+    if (link) return link.call(message, this.#input.route.bulky && message.mode !== 'ask', reply)
     reply({ kind: 'notRun', reason: 'unsent' })
     return () => {}
   }
 
   #message ({ candidate, mode, repeat }: Extract<CallCommand, { kind: 'offer' }>): CallMessage {
-    const { fleet, names, callerService, timers } = this.#opts
+    const { fleet, timers } = this.#opts
     const { req, route, service, nextKey } = this.#input
-    const caller = callerService()
     return {
       key: nextKey(),
       requestId: req.head.requestId,
@@ -174,8 +176,8 @@
       route: route.name,
       method: req.method,
       url: req.url,
-      headers: caller === undefined ? req.head.headers : [...req.head.headers, names.callerService, caller],
-      body: req.body,
+      headers: mode === 'ask' ? [] : this.#headers(),
+      body: mode === 'ask' ? NO_BODY : req.body,
       deadlineMs: this.#deadlineAt - timers.now(),
       targetLatencyMs: route.targetLatencyMs,
       priority: route.priority,
@@ -185,6 +187,13 @@
     }
   }
 
+  #headers (): string[] {
+    const { names, callerService } = this.#opts
+    const { headers } = this.#input.req.head
+    const caller = callerService()
+    return caller === undefined ? headers : [...headers, names.callerService, caller]
+  }
+
   /** Remembers what a reply says of the target and of its daemon. */
   #learn (host: string, reply: HopReply, mode: OfferMode): void {
     const { placer } = this.#opts
@@ -195,7 +204,7 @@
       if (mode === 'queue') placer.full(host, this.#urgency)
       return
     }
-    const isAway = reply.kind === 'notRun' ? reply.reason !== 'shed' && reply.reason !== 'displacing' : reply.reason === 'lost' || reply.reason === 'timeout'
+    const isAway = reply.kind === 'notRun' ? !NOT_AWAY.has(reply.reason) : reply.reason === 'lost' || reply.reason === 'timeout'
     if (isAway) placer.avoid(host)
   }
 
@@ -213,8 +222,8 @@
   }
 
   #logAttempt (message: CallMessage, peer: string, reply: HopReply): void {
-    const isBusy = reply.kind === 'notRun' && reply.reason === 'busy'
-    this.#opts.log.call(isBusy, 'attempt', {
+    const isPlain = reply.kind === 'notRun' && (reply.reason === 'busy' || reply.reason === 'vacant')
+    this.#opts.log.call(isPlain, 'attempt', {
       id: message.requestId,
       call: message.key,
       peer,
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -8,6 +8,8 @@
   readonly host: string
   readonly targetId: string
   readonly version: string
+  /** Whether it is in the data centre of this daemon. */
+  readonly isNear: boolean
   /** Estimated time until the response, in milliseconds. */
   readonly costMs: number
   /** Whether the target said a moment ago that it has no free slot. */
@@ -204,7 +206,8 @@
     const fillMs = FILL_PENALTY * Math.min(1, busy / slots) * latencyMs
     const failMs = (load?.failing ?? 0) * memory * FAILURE_COST * latencyMs
     const avoidMs = now < seen.avoidUntil ? 10 * latencyMs : 0
-    const wayMs = record.dataCentre === this.#dataCentre ? OWN_DATA_CENTRE_MS : wayMsOf(bytes, latencyMs)
+    const isNear = record.dataCentre === this.#dataCentre
+    const wayMs = isNear ? OWN_DATA_CENTRE_MS : wayMsOf(bytes, latencyMs)
     const isNewcomer = !load && seen.pending === 0 && now >= seen.coldUntil
     const spreadMs = (1 - trust) * UNKNOWN_SPREAD * latencyMs * this.#random.next()
     const targetMs = feltMs(waitMs + ownMs, latencyMs) * (1 + SPREAD * (this.#random.next() - 0.5)) + fillMs + failMs + spreadMs
@@ -212,6 +215,7 @@
       host: record.host,
       targetId: target.id,
       version: target.version,
+      isNear,
       costMs: (targetMs + wayMs) * (isNewcomer ? NEWCOMER_FACTOR : 1) + avoidMs,
       isBusy: now < seen.busyUntil,
       isFull: isFullFor(seen, urgency, now)
