Bound what a target or a caller may send: heads, bodies, skipped messages and the buffers of the process

Cause, seen against one connection before: a body until close, a chunked body, a chunk-size line and trailers each took in 400 MB until the request's time ran out; interim answers and answers to other requests kept the parser busy for as long. Now each connection counts what comes beside the body (64 KB), the body (the configuration's bound), skipped messages (16), and all unfinished answers together hold 96 MB where they state their length and 12 MB where they don't; past the latter the largest gives up. Bodies of callers that are not whole yet hold 96 MB together. Each case closes the connection, counts as a failure of the target, and is logged with its bound.

Also ends an answer only once its packet is parsed: until now the next request could be sent on the connection while bytes of a second copy were still in the parser, and failed by them. Connections with bytes after an answer are closed.

Open: one frame of a peer may still have 80 MB, as bodies of 64 MB must fit; answers of the store have 16 MB and a time.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -4,6 +4,7 @@
 import { InboundDesk } from '../inbound/inboundDesk.js'
 import { LocalTarget, type Announcement } from '../inbound/localTarget.js'
 import { NodeTargetClient } from '../inbound/nodeTargetClient.js'
+import { responseBounds } from '../inbound/responseBounds.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import { NodeHopServer } from '../link/nodeHopServer.js'
 import { NodePeerLink } from '../link/nodePeerLink.js'
@@ -35,6 +36,8 @@
 }
 
 const TARGET_CHECK_MS = 250
+/** Bound on a target's answer before a configuration is known. */
+const NO_CONFIG_BODY_BYTES = 1024 * 1024
 /** Time after which a daemon that found no peer says that it is ready all the same. */
 const ALONE_READY_MS = 3_000
 
@@ -89,6 +92,11 @@
         metrics.event('strayBytes')
         log.call(false, 'strayBytes', { why })
       },
+      bounds: responseBounds(() => this.#outbound.table?.config.limits.maxBodyBytes ?? NO_CONFIG_BODY_BYTES),
+      onBoundPassed: (passed) => {
+        metrics.event('boundPassed')
+        log.call(false, 'boundPassed', { ...passed, from: 'target' })
+      },
       onConnect: () => metrics.event('targetConnection')
     })
     this.#inbound = new InboundDesk({
--- a/packages/hop/src/inbound/nodeTargetClient.ts
+++ b/packages/hop/src/inbound/nodeTargetClient.ts
@@ -1,5 +1,6 @@
 import type { Timers } from '@lentilwheel/core'
-import { TargetConnection, type TargetRequest } from './nodeTargetConnection.js'
+import { TargetConnection, type BoundPassed, type TargetRequest } from './nodeTargetConnection.js'
+import type { ResponseBounds } from './responseBounds.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
 export interface TargetClientOptions {
@@ -7,7 +8,9 @@
   port: number
   names: HeaderNames
   timers: Timers
+  bounds: ResponseBounds
   onStray (why: string): void
+  onBoundPassed (passed: BoundPassed): void
   onConnect (): void
 }
 
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -1,7 +1,10 @@
 import { HTTPParser, type HeaderInfo } from 'http-parser-js'
 import { connect, type Socket } from 'node:net'
 import type { Cancel, Timers } from '@lentilwheel/core'
+import { BodyBuffer } from '../buffers/bodyBuffer.js'
+import type { BufferHolder, BufferPool } from '../buffers/bufferPool.js'
 import type { FailureReason } from '../link/messages.js'
+import { passedBound, statedLength, type BoundName, type Received, type ResponseBounds } from './responseBounds.js'
 import { headerOf, judgeMessage, type TargetMessage } from './responseCheck.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
@@ -19,8 +22,18 @@
   port: number
   names: HeaderNames
   timers: Timers
+  bounds: ResponseBounds
   /** Called whenever a message belongs to no request that waits. */
   onStray (why: string): void
+  /** The target sent more than an answer may have. */
+  onBoundPassed (passed: BoundPassed): void
+}
+
+export interface BoundPassed {
+  requestId: string
+  bound: BoundName
+  limit: number
+  bytes: number
 }
 
 interface Exchange {
@@ -28,7 +41,12 @@
   done (result: TargetResult): void
   stopTimer: Cancel
   head?: TargetMessage
-  chunks: Buffer[]
+  body: BodyBuffer
+  /** Counts the bytes of the body while it comes. */
+  pool: BufferPool
+  received: Received
+  /** The awaited answer, once it is whole. */
+  result?: TargetResult
 }
 
 const CONNECT_TIMEOUT_MS = 1_000
@@ -38,7 +56,7 @@
 const IDLE_MARGIN_MS = 1_500
 
 /** One connection to the target beside this daemon; it carries one request at a time. */
-export class TargetConnection {
+export class TargetConnection implements BufferHolder {
   readonly #opts: ConnectionOptions
   readonly #socket: Socket
   #parser = this.#newParser()
@@ -72,7 +90,8 @@
 
   send (request: TargetRequest, done: (result: TargetResult) => void): void {
     const stopTimer = this.#opts.timers.after(request.timeoutMs, () => this.#end('timeout'))
-    this.#exchange = { request, done, stopTimer, chunks: [] }
+    const received = { bytes: 0, bodyBytes: 0, skipped: 0 }
+    this.#exchange = { request, done, stopTimer, body: new BodyBuffer(), pool: this.#opts.bounds.unstated, received }
     this.#socket.write(request.bytes)
   }
 
@@ -85,7 +104,7 @@
     const parser = new HTTPParser(HTTPParser.RESPONSE)
     parser[HTTPParser.kOnHeadersComplete] = (info: HeaderInfo) => this.#onHead(info)
     parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
-      this.#exchange?.chunks.push(Buffer.from(chunk.subarray(offset, offset + length)))
+      this.#onBody(chunk.subarray(offset, offset + length))
     }
     parser[HTTPParser.kOnMessageComplete] = () => this.#onMessage()
     return parser
@@ -93,31 +112,65 @@
 
   /** Returns 1 when the response has no body, whatever its headers say. */
   #onHead (info: HeaderInfo): number {
-    if (!this.#exchange) {
+    if (!this.#exchange || this.#exchange.result) {
       this.#opts.onStray('afterResponse')
       this.#reusable = false
       return 0
     }
-    this.#exchange.head = { status: info.statusCode, headers: info.headers.slice(), body: Buffer.alloc(0), unframed: false }
-    this.#exchange.chunks = []
+    const headers = info.headers.slice()
+    const { bounds } = this.#opts
+    const length = statedLength(headers)
+    const isBodiless = this.#exchange.request.method === 'HEAD'
+    this.#exchange.head = { status: info.statusCode, headers, body: Buffer.alloc(0), unframed: false }
+    this.#exchange.pool = length === undefined ? bounds.unstated : bounds.stated
     if (!info.shouldKeepAlive) this.#reusable = false
-    return this.#exchange.request.method === 'HEAD' ? 1 : 0
+    if (!isBodiless && length !== undefined && length > bounds.maxBodyBytes()) this.#onBoundPassed('body', bounds.maxBodyBytes())
+    return isBodiless ? 1 : 0
+  }
+
+  #onBody (piece: Buffer): void {
+    const exchange = this.#exchange
+    if (!exchange?.head) return
+    const { body, received, pool } = exchange
+    const before = body.capacity
+    received.bodyBytes += piece.length
+    if (received.bodyBytes > this.#opts.bounds.maxBodyBytes()) return
+    body.append(piece)
+    if (body.capacity > before) pool.grow(this, body.capacity - before)
+  }
+
+  /** The buffers of the process are full, and this connection's answer has most of them. */
+  giveUp (limitBytes: number): void {
+    this.#onBoundPassed('buffers', limitBytes)
+  }
+
+  #onBoundPassed (bound: BoundName, limit: number): void {
+    const exchange = this.#exchange
+    if (exchange) this.#opts.onBoundPassed({ requestId: exchange.request.requestId, bound, limit, bytes: exchange.received.bytes })
+    this.#end('unbounded')
+  }
+
+  /** Forgets the body of a message, whole or not. */
+  #dropBody (exchange: Exchange): void {
+    exchange.pool.release(this)
+    exchange.body = new BodyBuffer()
   }
 
   #onMessage (): void {
     const exchange = this.#exchange
     if (!exchange?.head) return
-    const message = { ...exchange.head, body: Buffer.concat(exchange.chunks) }
+    const message = { ...exchange.head, body: exchange.body.take() }
     const verdict = judgeMessage(message, exchange.request.requestId, this.#opts.names)
     delete exchange.head
-    exchange.chunks = []
+    this.#dropBody(exchange)
     if (verdict.kind === 'skip') {
+      exchange.received.skipped++
       if (verdict.why === 'otherRequest') this.#opts.onStray('otherRequest')
       return
     }
     this.#readIdleTime(message.headers)
-    if (verdict.result.kind === 'failed' || this.#socket.writableLength > 0) this.#reusable = false
-    this.#finish(verdict.result)
+    if (verdict.result.kind === 'failed' || this.#socket.writableLength > 0 || this.#hasMore()) this.#reusable = false
+    exchange.result = verdict.result
   }
 
   #readIdleTime (headers: readonly string[]): void {
@@ -131,14 +184,25 @@
       this.#opts.onStray('whileIdle')
       return this.#end('garbled')
     }
+    const exchange = this.#exchange
+    exchange.received.bytes += chunk.length
     const outcome = this.#parser.execute(chunk)
-    if (outcome instanceof Error) return this.#end('garbled')
-    if (!this.#exchange && !this.#reusable) this.#socket.destroy()
+    if (exchange.result) return this.#finish(exchange.result)
+    const passed = exchange === this.#exchange ? passedBound(exchange.received, this.#opts.bounds) : undefined
+    if (passed) return this.#onBoundPassed(passed.name, passed.limit)
+    if (outcome instanceof Error) this.#end('garbled')
+  }
+
+  /** Whether bytes follow the message that has just ended; they belong to no request. */
+  #hasMore (): boolean {
+    const { offset, end } = this.#parser as unknown as { offset: number, end: number }
+    return offset < end
   }
 
   #onEnd (): void {
     if (this.#exchange?.head) this.#exchange.head.unframed = true
     const outcome: unknown = this.#exchange ? this.#parser.finish() : undefined
+    if (this.#exchange?.result) this.#finish(this.#exchange.result)
     this.#end(outcome instanceof Error && this.#exchange?.head ? 'cut' : 'reset')
   }
 
@@ -146,8 +210,10 @@
     const exchange = this.#exchange
     if (!exchange) return
     this.#exchange = undefined
+    this.#dropBody(exchange)
     this.#idleSince = this.#opts.timers.now()
     exchange.stopTimer()
+    if (!this.#reusable) this.#socket.destroy()
     exchange.done(result)
   }
 
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -59,7 +59,8 @@
 ] as const
 export type NotRunReason = typeof NOT_RUN_REASONS[number]
 
-export const FAILURE_REASONS = ['reset', 'cut', 'garbled', 'timeout', 'lost', 'cancelled'] as const
+/** `unbounded`: the target sent more than an answer may have. */
+export const FAILURE_REASONS = ['reset', 'cut', 'garbled', 'unbounded', 'timeout', 'lost', 'cancelled'] as const
 export type FailureReason = typeof FAILURE_REASONS[number]
 
 /** How an offered request ended. */
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -3,10 +3,13 @@
 /** Upper bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5]
 
+/** `boundPassed`: a target, a caller or a peer sent more than a message may have. */
+export type CallEventName = 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput' | 'boundPassed'
+
 /** Counters and latency histograms of one process, in the text format that common tools read. */
 export interface CallMetrics {
   request (route: string, outcome: string, ms: number): void
-  event (name: 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput'): void
+  event (name: CallEventName): void
   state (name: 'configVersion' | 'peersUp' | 'running', value: number): void
   text (): Promise<string>
 }
@@ -34,7 +37,7 @@
     this.#latency.observe({ route }, ms / 1000)
   }
 
-  event (name: 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput'): void {
+  event (name: CallEventName): void {
     this.#events.inc({ event: name })
   }
 
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -1,5 +1,7 @@
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { BodyBuffer } from '../buffers/bodyBuffer.js'
+import { BufferPool } from '../buffers/bufferPool.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import type { RequestOrigin } from '../inbound/inboundDesk.js'
 import type { CallLog } from '../observe/callLog.js'
@@ -27,12 +29,15 @@
 /** A connection is kept a little longer than callers may leave it idle, so that none is closed under a request. */
 const IDLE_MARGIN_MS = 1_000
 const RETRY_AFTER_STOPPING_MS = 50
+/** What the bodies of all requests that are not whole yet may take. */
+const UNREAD_BODIES_BYTES = 96 * 1024 * 1024
 
 /** Takes callers' requests over HTTP/1.1. */
 export class NodeOutboundServer {
   readonly #opts: OutboundServerOptions
   readonly #server: Server
   readonly #sockets = new Set<Socket>()
+  readonly #unread = new BufferPool(UNREAD_BODIES_BYTES)
   #limits = DEFAULT_LIMITS
   #stopping = false
   #refusing = false
@@ -67,6 +72,11 @@
     })
   }
 
+  /** Port that the server listens on. */
+  get port (): number {
+    return (this.#server.address() as AddressInfo).port
+  }
+
   setLimits (limits: RequestLimits): void {
     this.#limits = limits
     this.#applyLimits()
@@ -107,15 +117,37 @@
     const headerBytes = req.rawHeaders.reduce((total, text) => total + text.length + 2, req.url?.length ?? 0)
     if (headerBytes > this.#limits.maxHeaderBytes) return this.#refuseUnread(req, res, 431, 'headerTooLarge')
     if (Number(req.headers['content-length'] ?? 0) > this.#limits.maxBodyBytes) return this.#refuseUnread(req, res, 413, 'bodyTooLarge')
-    const chunks: Buffer[] = []
-    let bytes = 0
-    req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes <= this.#limits.maxBodyBytes) chunks.push(chunk)
-      else if (!res.headersSent) this.#refuseUnread(req, res, 413, 'bodyTooLarge')
+    this.#readBody(req, res)
+  }
+
+  #readBody (req: IncomingMessage, res: ServerResponse): void {
+    const body = new BodyBuffer()
+    const holder = { giveUp: (limit: number) => this.#onBoundPassed(req, res, 503, 'buffers', limit) }
+    const release = (): void => this.#unread.release(holder)
+    req.on('data', (piece: Buffer) => {
+      if (res.headersSent) return
+      const { maxBodyBytes } = this.#limits
+      if (body.length + piece.length > maxBodyBytes) {
+        release()
+        return this.#onBoundPassed(req, res, 413, 'body', maxBodyBytes)
+      }
+      const before = body.capacity
+      body.append(piece)
+      if (body.capacity > before) this.#unread.grow(holder, body.capacity - before)
     })
     req.on('error', (err) => this.#opts.log.decision('callerError', { reason: err.message }))
-    req.on('end', () => { if (!res.headersSent) this.#onWhole(req, res, Buffer.concat(chunks)) })
+    req.on('close', release)
+    req.on('end', () => {
+      release()
+      if (!res.headersSent) this.#onWhole(req, res, body.take())
+    })
+  }
+
+  /** The request has not run, and its connection is closed. */
+  #onBoundPassed (req: IncomingMessage, res: ServerResponse, status: number, bound: string, limit: number): void {
+    this.#opts.metrics.event('boundPassed')
+    this.#opts.log.call(false, 'boundPassed', { from: 'caller', bound, limit })
+    this.#refuseUnread(req, res, status, status === 413 ? 'bodyTooLarge' : 'buffersFull')
   }
 
   #onWhole (req: IncomingMessage, res: ServerResponse, body: Buffer): void {
