Let peers remember the targets that left, and give them back to a daemon that restarts

Operators of similar systems saw servers that had left in use again after a restart. It could happen here: the daemon beside a target kept leavings in memory only, so a late announcement after its restart named the target again until its silence was noticed, and one that was draining counted as ready. A daemon's record now carries its last eight leavings; peers keep them when a later start of the daemon has none, and answer its first message with them. Tests: a late announcement before and after the recall, a later start with the same id, two restarts in a row; the fleet test fails when peers don't keep them. Between the restart and the first answer of a peer (one way there and back) a late announcement is still believed.

--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -239,7 +239,7 @@
     const target: TargetRecord = { id: `t-${host}`, service: service.name, version: 'v1', slots: service.slots, state: 'ready', coldMs: 0 }
     const record: HostRecord = { host, dataCentre, address: host, port: 1, incarnation: 1, sequence: 1, stopping: false, target }
     const fleet = new Fleet({
-      own: record, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onPeerVersion: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}
+      own: record, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onPeerVersion: () => {}, onLeavings: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}
     })
     const client = new SimTarget(this, host, service.name, service.slots, speed, random)
     const placer = new Placer({ timers, random, dataCentre, host })
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -1,6 +1,6 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
 import { Fleet } from '../fleet/fleet.js'
-import type { HostRecord } from '../fleet/records.js'
+import type { HostRecord, Leaving } from '../fleet/records.js'
 import { InboundDesk } from '../inbound/inboundDesk.js'
 import { LocalTarget, type Announcement } from '../inbound/localTarget.js'
 import { NodeTargetClient } from '../inbound/nodeTargetClient.js'
@@ -77,6 +77,7 @@
       openLink: (host, address, port) => new NodePeerLink({ host, address, port, timers, log, idleProbeMs: () => this.#fleet.idleProbeMs, onState: (peer, up) => this.#fleet.onLinkState(peer, up) }),
       onChange: () => this.#onFleetChange(),
       onPeerVersion: () => this.#config.chase(),
+      onLeavings: (leavings) => this.#onLeavings(leavings),
       onFact: (fact) => this.#moves.onFact(fact),
       orders: () => this.#moves.orders(),
       onOrder: (order, from) => this.#moves.onOrder(order, from),
@@ -167,6 +168,7 @@
   leave (id: string): void {
     this.#opts.log.decision('targetLeft', { target: id })
     this.#local.leave(id, this.#opts.timers.wallNow())
+    this.#fleet.setLeavings(this.#local.leavings())
     this.#checkTarget()
   }
 
@@ -226,9 +228,21 @@
     this.#opts.log.decision('target', { ...record, before: this.#targetKey })
     this.#targetKey = key
     this.#inbound.targetChanged()
+    this.#fleet.setLeavings(this.#local.leavings())
     this.#fleet.setTarget(record)
   }
 
+  /** What left before a restart of this daemon is known to its peers. */
+  #onLeavings (leavings: readonly Leaving[]): void {
+    const known = new Set(this.#local.leavings().map(({ id }) => id))
+    const forgotten = leavings.filter(({ id }) => !known.has(id))
+    if (forgotten.length === 0) return
+    this.#opts.log.decision('leavingsRecalled', { targets: forgotten.map(({ id }) => id) })
+    this.#local.recall(forgotten)
+    this.#fleet.setLeavings(this.#local.leavings())
+    this.#checkTarget()
+  }
+
   #onFleetChange (): void {
     try {
       const records = this.#fleet.records()
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -14,13 +14,15 @@
 class Fleets {
   readonly timers = new VirtualTimers()
   readonly all = new Map<string, Fleet>()
+  /** Leavings that a daemon heard of its own host. */
+  readonly recalled = new Map<string, string[]>()
   /** Highest configuration version that each daemon has heard of from a peer. */
   readonly heard = new Map<string, number>()
   messages = 0
   records = 0
 
   constructor (size: number) {
-    for (let i = 0; i < size; i++) this.#add(`h${i}`, i)
+    for (let i = 0; i < size; i++) this.add(`h${i}`, i)
     const records = [...this.all.values()].map(({ own }) => own)
     for (const fleet of this.all.values()) fleet.merge(records)
     for (const fleet of this.all.values()) for (const { host } of records) if (host !== fleet.own.host) fleet.onLinkState(host, true)
@@ -39,8 +41,8 @@
     this.records = 0
   }
 
-  #add (host: string, n: number): void {
-    const own: HostRecord = { host, dataCentre: `dc${n % 4}`, address: host, port: 1, incarnation: 1, sequence: 0, stopping: false }
+  add (host: string, n: number, incarnation = 1): void {
+    const own: HostRecord = { host, dataCentre: `dc${n % 4}`, address: host, port: 1, incarnation, sequence: 0, stopping: false }
     const fleet: Fleet = new Fleet({
       own,
       timers: this.timers,
@@ -60,6 +62,7 @@
       }),
       onChange: () => {},
       onPeerVersion: () => this.heard.set(host, Math.max(0, ...fleet.records().map((record) => fleet.configVersionOf(record.host)))),
+      onLeavings: (leavings) => this.recalled.set(host, leavings.map(({ id }) => id)),
       onFact: () => {},
       orders: () => [],
       onOrder: () => {},
@@ -116,3 +119,23 @@
   await fleets.settle(12_000)
   for (const fleet of fleets.all.values()) t.is(fleet.record('late')?.target?.id, 'i')
 })
+
+test('guards against a daemon that restarts not hearing of the targets that left before, however late it asks', async (t) => {
+  const fleets = new Fleets(SIZE)
+  const [host] = [...fleets.all.keys()]
+  await fleets.settle(4_000)
+  const before = fleets.all.get(host!)!
+  before.setTarget(TARGET)
+  before.setLeavings([{ id: 'i', startedAt: 1_000, state: 'gone' }])
+  before.setTarget(undefined)
+  await fleets.settle(2_000)
+  for (const incarnation of [2, 3]) {
+    fleets.recalled.clear()
+    fleets.add(host!, 0, incarnation)
+    const restarted = fleets.all.get(host!)!
+    restarted.merge([fleets.all.get([...fleets.all.keys()][1]!)!.own])
+    restarted.setStopping()
+    await fleets.settle(2_000)
+    t.deepEqual(fleets.recalled.get(host!), ['i'], `start ${incarnation}`)
+  }
+})
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -7,7 +7,7 @@
 import type { ConfigDelta } from '../routing/configDelta.js'
 import { FactBook } from './factBook.js'
 import { HostTable } from './hostTable.js'
-import type { HostRecord, TargetRecord } from './records.js'
+import type { HostRecord, Leaving, TargetRecord } from './records.js'
 
 /** A link to a peer. */
 export interface PeerLink {
@@ -33,6 +33,8 @@
   onChange (): void
   /** A peer holds a newer configuration version than this daemon. */
   onPeerVersion (): void
+  /** Peers know of targets that left here before this daemon started. */
+  onLeavings (leavings: readonly Leaving[]): void
   onFact (fact: MoveFact): void
   /** Orders of moves that this daemon knows. */
   orders (): MoveOrder[]
@@ -133,6 +135,10 @@
     this.#opts.onChange()
   }
 
+  setLeavings (leavings: Leaving[]): void {
+    this.#table.update({ leavings })
+  }
+
   setStopping (): void {
     this.#table.update({ stopping: true })
     this.#pushNow()
@@ -159,6 +165,7 @@
   merge (records: readonly HostRecord[]): void {
     let changed = false
     for (const record of records) {
+      if (record.host === this.own.host && record.leavings) this.#opts.onLeavings(record.leavings)
       if (!this.#table.merge(record)) continue
       changed = true
       if (record.host === this.own.host) this.#pushNow()
@@ -186,7 +193,13 @@
   onSync (message: SyncMessage): SyncMessage {
     this.#take(message)
     const isBehind = message.digest !== undefined && message.digest !== this.digest()
-    return isBehind ? this.#whole() : this.#answer()
+    return isBehind ? this.#whole() : { ...this.#answer(), records: this.#forgottenBy(message) }
+  }
+
+  /** The sender's own record as it is known here, if the sender seems to have forgotten targets that left. */
+  #forgottenBy ({ from, records }: SyncMessage): HostRecord[] {
+    const sent = records.find(({ host }) => host === from)
+    return sent && this.#table.leavingsMissingIn(sent) ? [this.#table.get(from)!] : []
   }
 
   onLinkState (host: string, up: boolean): void {
--- a/packages/hop/src/fleet/hostTable.ts
+++ b/packages/hop/src/fleet/hostTable.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { isNewer, type HostRecord, type TargetRecord } from './records.js'
+import { isNewer, MAX_LEAVINGS, type HostRecord, type Leaving, type TargetRecord } from './records.js'
 
 /** Records of all known daemons, the own one included. */
 export class HostTable {
@@ -29,7 +29,7 @@
   }
 
   /** Changes the own record and raises its sequence. */
-  update (change: Partial<Pick<HostRecord, 'stopping' | 'incarnation'>>): HostRecord {
+  update (change: Partial<Pick<HostRecord, 'stopping' | 'incarnation' | 'leavings'>>): HostRecord {
     return this.#setOwn({ ...this.#own, ...change })
   }
 
@@ -50,7 +50,7 @@
     }
     const held = this.#records.get(record.host)
     if (held && !isNewer(record, held)) return false
-    this.#records.set(record.host, record)
+    this.#records.set(record.host, withEarlierLeavings(record, held))
     this.#digest = undefined
     return true
   }
@@ -71,6 +71,12 @@
     return this.#digest
   }
 
+  /** Leavings of a host that its own daemon has not told in a record. */
+  leavingsMissingIn (record: HostRecord): boolean {
+    const told = new Set((record.leavings ?? []).map(({ id }) => id))
+    return (this.#records.get(record.host)?.leavings ?? []).some(({ id }) => !told.has(id))
+  }
+
   #setOwn (record: HostRecord): HostRecord {
     this.#own = { ...record, sequence: record.sequence + 1 }
     this.#records.set(record.host, this.#own)
@@ -78,3 +84,11 @@
     return this.#own
   }
 }
+
+/** A daemon that has just started knows nothing of the targets that left before; its peers keep that for it. */
+function withEarlierLeavings (record: HostRecord, held: HostRecord | undefined): HostRecord {
+  if (!held?.leavings || held.incarnation === record.incarnation) return record
+  const told = new Set((record.leavings ?? []).map(({ id }) => id))
+  const earlier: Leaving[] = held.leavings.filter(({ id }) => !told.has(id))
+  return { ...record, leavings: [...earlier, ...record.leavings ?? []].slice(-MAX_LEAVINGS) }
+}
--- a/packages/hop/src/fleet/records.ts
+++ b/packages/hop/src/fleet/records.ts
@@ -12,6 +12,18 @@
   coldMs: number
 }
 
+/** Leavings that are remembered of one host, the newest; a late announcement is seconds old. */
+export const MAX_LEAVINGS = 8
+
+/** A target that has told the daemon beside it that it leaves. */
+export interface Leaving {
+  id: string
+  /** Unix milliseconds of the target's start, which tells it from a later one with the same id. */
+  startedAt: number
+  /** `draining`: it still ends what it runs. */
+  state: 'draining' | 'gone'
+}
+
 /**
  * What one daemon says about itself. Each record has one writer; a reader keeps the one with the higher incarnation,
  * then the higher sequence.
@@ -29,6 +41,8 @@
   /** True once the daemon has been told to stop. */
   stopping: boolean
   target?: TargetRecord
+  /** Targets that left lately, so that the daemon learns of them again after a restart. */
+  leavings?: Leaving[]
 }
 
 export function isNewer (a: HostRecord, b: HostRecord): boolean {
--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -183,3 +183,21 @@
     t.snapshot(judgeMessage({ status, headers, body: Buffer.alloc(0), unframed: false }, 'r1', names))
   })
 }
+
+test('guards against a target that left being used again after a restart of the daemon beside it', (t) => {
+  const before = new LocalTarget(1_500)
+  const announcement: Announcement = { id: 'i', service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0, sequence: 4, startedAt: 1_000 }
+  before.announce(announcement, 0)
+  before.announce({ ...announcement, sequence: 5, state: 'draining' }, 100)
+  const restarted = new LocalTarget(1_500)
+  restarted.announce({ ...announcement, sequence: 3 }, 200)
+  restarted.recall(before.leavings())
+  t.is(restarted.record(200)?.state, 'draining', 'a late announcement that came first')
+  restarted.announce({ ...announcement, sequence: 4 }, 300)
+  t.is(restarted.record(300)?.state, 'draining', 'a late announcement that comes after')
+  before.leave('i', 0)
+  restarted.recall(before.leavings())
+  t.is(restarted.record(400), undefined)
+  t.is(restarted.announce({ ...announcement, sequence: 9 }, 500), 'stale')
+  t.is(restarted.announce({ ...announcement, sequence: 1, startedAt: 2_000 }, 600), 'taken', 'a later start of the same id')
+})
--- a/packages/hop/src/inbound/localTarget.ts
+++ b/packages/hop/src/inbound/localTarget.ts
@@ -1,4 +1,4 @@
-import type { TargetRecord, TargetState } from '../fleet/records.js'
+import { MAX_LEAVINGS, type Leaving, type TargetRecord, type TargetState } from '../fleet/records.js'
 
 /** What a target says of itself. */
 export interface Announcement {
@@ -26,8 +26,6 @@
 const SILENT_PERIODS = 4
 /** Periods after which an announcement is missing rather than late. */
 const OVERDUE_PERIODS = 1.7
-/** Leavings remembered, so that a late announcement of one that left doesn't bring it back. */
-const MAX_REMEMBERED_LEAVINGS = 64
 
 /**
  * The target beside this daemon, from its announcements. They may come late, twice or out of order: an announcement of
@@ -36,7 +34,7 @@
 export class LocalTarget {
   readonly #silenceMs: number
   readonly #overdueMs: number
-  readonly #left = new Map<string, number>()
+  readonly #leavings = new Map<string, Leaving>()
   #held: Held | undefined
 
   /** `periodMs`: time between two announcements of a target. */
@@ -47,8 +45,11 @@
 
   announce (announcement: Announcement, now: number): AnnouncementOutcome {
     const { id, startedAt } = announcement
-    const leftAt = this.#left.get(id)
-    if (leftAt !== undefined && startedAt <= leftAt) return 'stale'
+    const leaving = this.#leavings.get(id)
+    if (leaving && startedAt <= leaving.startedAt) {
+      if (leaving.state === 'gone') return 'stale'
+      announcement = { ...announcement, state: 'draining' }
+    }
     const held = this.#held && now - this.#held.heardAt <= this.#silenceMs ? this.#held : undefined
     if (held) {
       const isSameStart = held.id === id && held.startedAt === startedAt
@@ -57,6 +58,7 @@
       if (isSameStart && held.state === 'draining') announcement = { ...announcement, state: 'draining' }
     }
     this.#held = { ...announcement, heardAt: now, left: false }
+    if (announcement.state === 'draining') this.#remember({ id, startedAt, state: 'draining' })
     return 'taken'
   }
 
@@ -64,11 +66,33 @@
   leave (id: string, wallNow: number): void {
     const held = this.#held?.id === id ? this.#held : undefined
     if (held) held.left = true
-    this.#left.delete(id)
-    this.#left.set(id, held?.startedAt ?? wallNow)
-    for (const oldest of this.#left.keys()) {
-      if (this.#left.size <= MAX_REMEMBERED_LEAVINGS) break
-      this.#left.delete(oldest)
+    this.#remember({ id, startedAt: held?.startedAt ?? wallNow, state: 'gone' })
+  }
+
+  /** Targets that left lately, the newest last. */
+  leavings (): Leaving[] {
+    return [...this.#leavings.values()]
+  }
+
+  /** Takes in leavings that this daemon knew before a restart. */
+  recall (leavings: readonly Leaving[]): void {
+    for (const leaving of leavings) {
+      const known = this.#leavings.get(leaving.id)
+      if (known && (known.startedAt > leaving.startedAt || known.state === 'gone')) continue
+      this.#remember(leaving)
+      const held = this.#held
+      if (held?.id !== leaving.id || held.startedAt > leaving.startedAt) continue
+      if (leaving.state === 'gone') held.left = true
+      else held.state = 'draining'
+    }
+  }
+
+  #remember (leaving: Leaving): void {
+    this.#leavings.delete(leaving.id)
+    this.#leavings.set(leaving.id, leaving)
+    for (const oldest of this.#leavings.keys()) {
+      if (this.#leavings.size <= MAX_LEAVINGS) break
+      this.#leavings.delete(oldest)
     }
   }
 
