Start with fewer calls to the store: duties only once peers are known, and a first list that may be old

All daemons of a fleet that starts count as the first for a moment, so each listed and watched the moves and watched the configuration; and each read the list of daemons at the full price, though peers tell the rest.

--- a/packages/hop/src/daemon/__tests__/configKeeper.spec.ts
+++ b/packages/hop/src/daemon/__tests__/configKeeper.spec.ts
@@ -54,6 +54,7 @@
     const codec = { config: { kind: 'config', name: 'main' }, decodeConfig: (spec: unknown) => config(spec as number) } as unknown as StoreCodec
     const fleet = {
       own: { host: 'a9', dataCentre: 'a' },
+      isSettled: true,
       rankNear: () => rankNear,
       records: () => [...this.peers.keys()].map((host) => ({ host, dataCentre: host[0] })),
       configVersionOf: (host: string) => this.peers.get(host) ?? 0,
--- a/packages/hop/src/daemon/configKeeper.ts
+++ b/packages/hop/src/daemon/configKeeper.ts
@@ -55,7 +55,7 @@
       log,
       waitMs: WATCH_MS,
       gatherMs: GATHER_MS,
-      isWanted: () => fleet.rankNear() < WATCHERS_PER_DATA_CENTRE,
+      isWanted: () => fleet.isSettled && fleet.rankNear() < WATCHERS_PER_DATA_CENTRE,
       onList: (objects) => { for (const { name, spec } of objects) this.#offerSpec(name, spec) },
       onChange: (object, deleted) => { if (!deleted) this.#offerSpec(object.name, object.spec) }
     })
--- a/packages/hop/src/daemon/directory.ts
+++ b/packages/hop/src/daemon/directory.ts
@@ -23,6 +23,8 @@
 const RELIST_MS = 30_000
 const RELISTING_DAEMONS = 2
 const SEED_RETRY_MS = 1_000
+/** A daemon that knows nobody after this time reads the store again, as the first answer may have been too old. */
+const ALONE_MS = 1_500
 
 /** How daemons find each other: through their objects in the store, and through seeds while it is away. */
 export class Directory {
@@ -36,8 +38,9 @@
 
   start (): void {
     this.#retrying('register', () => this.#register())
-    this.#retrying('list', () => this.#list())
+    this.#retrying('list', () => this.#list(true))
     this.#meetSeeds()
+    this.#opts.timers.after(ALONE_MS, () => { if (this.#opts.fleet.records().length < 2) this.#retrying('list', () => this.#list()) })
     this.#opts.timers.every(RELIST_MS, () => {
       if (this.#opts.fleet.rank() < RELISTING_DAEMONS) this.#retrying('list', () => this.#list())
     }, { jitter: 0.3 })
@@ -64,9 +67,9 @@
     }
   }
 
-  async #list (): Promise<void> {
+  async #list (mayBeOld = false): Promise<void> {
     const { fleet, store } = this.#opts
-    const listing = await store.list(KIND)
+    const listing = await store.list(KIND, { mayBeOld })
     fleet.merge(listing.objects.flatMap(({ spec }) => readRecord(spec) ?? []))
     if (fleet.rank() === 0) await this.#removeOne(listing.objects)
   }
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -139,3 +139,14 @@
     t.deepEqual(fleets.recalled.get(host!), ['i'], `start ${incarnation}`)
   }
 })
+
+test('guards against every daemon of a fleet that starts taking the duties of the first', async (t) => {
+  const fleets = new Fleets(SIZE)
+  const counts: number[] = []
+  for (let ms = 0; ms < 3_000; ms += 50) {
+    await fleets.settle(50)
+    counts.push([...fleets.all.values()].filter((fleet) => fleet.isSettled && fleet.rank() < 3).length)
+  }
+  t.true(Math.max(...counts) <= 3, counts.join())
+  t.is(counts.at(-1), 3)
+})
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -53,6 +53,8 @@
 const VERSION_FANOUT = 3
 /** Time without a link after which a daemon counts as gone. */
 const GONE_MS = 60_000
+/** Time after its start in which a daemon knows too few peers to tell which duties are its own. */
+const SETTLE_MS = 1_000
 
 /** What this daemon knows of its peers, and the links to them. */
 export class Fleet {
@@ -62,12 +64,14 @@
   readonly #links = new Map<string, PeerLink>()
   readonly #downSince = new Map<string, number>()
   readonly #configVersions = new Map<string, number>()
+  readonly #startedAt: number
   #pushPlanned = false
   #pushedAt = -Infinity
 
   constructor (opts: FleetOptions) {
     this.#opts = opts
     this.#table = new HostTable(opts.own)
+    this.#startedAt = opts.timers.now()
     opts.timers.every(LINK_UPKEEP_MS, () => this.#keepLinks(), { jitter: 0.2 })
     opts.timers.every(EXCHANGE_MS, () => this.#exchangeWithOne(), { jitter: 0.3 })
   }
@@ -93,6 +97,11 @@
     return host === this.own.host || (this.#links.get(host)?.isUp ?? false)
   }
 
+  /** Whether this daemon has had the time to find its peers, so that ranks mean something. */
+  get isSettled (): boolean {
+    return this.#opts.timers.now() - this.#startedAt >= SETTLE_MS
+  }
+
   /** Number of daemons that would go first in a duty that one daemon has. */
   rank (): number {
     return this.#before().length
--- a/packages/hop/src/rollout/moves.ts
+++ b/packages/hop/src/rollout/moves.ts
@@ -115,7 +115,7 @@
   }
 
   #isFollowing (): boolean {
-    return this.#opts.fleet.rank() < WATCHERS
+    return this.#opts.fleet.isSettled && this.#opts.fleet.rank() < WATCHERS
   }
 
   #follow (): void {
--- a/packages/hop/src/store/objectStore.ts
+++ b/packages/hop/src/store/objectStore.ts
@@ -28,7 +28,8 @@
  * whose answer was lost), RevisionConflict or HistoryGone.
  */
 export interface ObjectStore {
-  list (kind: string): Promise<Listing>
+  /** `mayBeOld`: an answer that is some seconds old will do; it costs the store less. */
+  list (kind: string, opts?: { mayBeOld: boolean }): Promise<Listing>
   get (kind: string, name: string): Promise<StoredObject | undefined>
   /** Waits for events after a revision; an empty batch when there were none in time. */
   watch (kind: string, revision: number, waitMs: number, signal: AbortSignal): Promise<EventBatch>
