Refuse exchanges between daemons whose records can't be used

Operators of similar systems saw one malformed message take a process down. Here a record without an address or with a port out of range was merged; the link to it threw at every upkeep, which ended the upkeep of all links after it, and the record spread to all peers. A target without slots made every estimate of its service meaningless. The records, targets and leavings of an exchange are now checked where it is read; a message with a bad one is refused and its connection closed. On the code before, the test's connections with such records stay open (it times out).

--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -1,12 +1,13 @@
-import { createServer, type Server, type Socket } from 'node:net'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import type { Timers } from '@lentilwheel/core'
 import { BadMessage } from '../errors.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { InboundDesk } from '../inbound/inboundDesk.js'
 import type { ConfigDelta } from '../routing/configDelta.js'
 import { checked, packReply, unpackCall } from './codec.js'
-import { SYNC_FIELDS, type HopReply, type SettleMessage, type SyncMessage } from './messages.js'
+import type { HopReply, SettleMessage, SyncMessage } from './messages.js'
 import { FRAMES, FrameSocket, type Frame } from './nodeFrameSocket.js'
+import { checkedSync } from './syncCheck.js'
 
 export interface HopServerOptions {
   address: string
@@ -37,6 +38,11 @@
     })
   }
 
+  /** Port that the server listens on. */
+  get port (): number {
+    return (this.#server.address() as AddressInfo).port
+  }
+
   close (): void {
     this.#server.close()
     for (const peer of this.#peers) peer.end()
@@ -81,8 +87,7 @@
         return desk.cancel(key!)
       }
       case FRAMES.sync: {
-        const message = checked<SyncMessage>(payload, SYNC_FIELDS)
-        return peer.send([FRAMES.reply, exchange, this.#opts.onSync(message)])
+        return peer.send([FRAMES.reply, exchange, this.#opts.onSync(checkedSync(payload))])
       }
       case FRAMES.config:
         return peer.send([FRAMES.reply, exchange, this.#opts.onConfigAsked(checked<{ have: number }>(payload, ['have']).have)])
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -4,9 +4,10 @@
 import type { CallLog } from '../observe/callLog.js'
 import { DELTA_FIELDS, type ConfigDelta } from '../routing/configDelta.js'
 import { checked, packCall, unpackReply } from './codec.js'
-import { SYNC_FIELDS, type CallMessage, type HopReply, type SettleMessage, type SyncMessage } from './messages.js'
+import type { CallMessage, HopReply, SettleMessage, SyncMessage } from './messages.js'
 import { FRAMES, type FrameKind } from './nodeFrameSocket.js'
 import { Lane, type LaneOutcome } from './nodeLane.js'
+import { checkedSync } from './syncCheck.js'
 
 export interface PeerLinkOptions {
   host: string
@@ -73,7 +74,7 @@
   }
 
   async sync (message: SyncMessage): Promise<SyncMessage> {
-    return checked<SyncMessage>(await this.#exchange(FRAMES.sync, message), SYNC_FIELDS)
+    return checkedSync(await this.#exchange(FRAMES.sync, message))
   }
 
   async config (have: number): Promise<ConfigDelta | undefined> {
