--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -70,6 +70,8 @@
     case 'inbound':
       return `target ${line['target']} gave ${outcome} after ${line['ms'] ?? 0} ms and ${line['queuedMs'] ?? 0} ms of waiting ` +
         `(${line['running']} running, ${line['queued']} waiting)`
+    case 'boundPassed':
+      return `closed the connection of its ${line['from']}, which passed the bound ${line['bound']} (${line['limit']}) with ${line['bytes']} bytes`
     case 'settled':
       return `was asked how call ${line['call']} ended: ${line['settlement']}`
     default:
@@ -93,7 +95,7 @@
 const MAX_CONTEXT = 8
 const BELIEFS: ReadonlySet<string> = new Set([
   'peerDown', 'peerUp', 'linkSilent', 'target', 'targetLeft', 'storeLost', 'storeBack', 'configInForce', 'moveFact', 'moveOrder', 'started',
-  'stopping', 'readiness'
+  'stopping', 'readiness', 'leavingsRecalled'
 ])
 
 const CAUSES: Readonly<Record<string, string>> = {
@@ -109,6 +111,7 @@
   reset: 'The target broke the connection while the request was with it.',
   cut: 'The target broke off its answer.',
   garbled: 'The target sent something that is not its whole answer.',
+  unbounded: 'The target sent more than an answer may have, and its connection was closed.',
   lost: 'The link to the daemon beside the target broke, and how the call ended could not be learned.',
   stopping: 'The daemon was about to stop.',
   unreachable: 'The target refused connections.'
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -96,7 +96,8 @@
       bounds: responseBounds(() => this.#outbound.table?.config.limits.maxBodyBytes ?? NO_CONFIG_BODY_BYTES),
       onBoundPassed: (passed) => {
         metrics.event('boundPassed')
-        log.call(false, 'boundPassed', { ...passed, from: 'target' })
+        const { requestId: id, ...rest } = passed
+        log.call(false, 'boundPassed', { id, from: 'target', ...rest })
       },
       onConnect: () => metrics.event('targetConnection')
     })
