Answer what still waits when the grace of a planned stop is over

It could happen here: a daemon whose grace was over exited with its callers' requests open. They now get an answer: 502 if a target may run the request, 503 with a true 'not run' if no target was asked.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -36,6 +36,8 @@
 }
 
 const TARGET_CHECK_MS = 250
+/** Time in which the last answers go out before the process ends. */
+const LAST_ANSWERS_MS = 50
 /** Bound on a target's answer before a configuration is known. */
 const NO_CONFIG_BODY_BYTES = 1024 * 1024
 /** Time after which a daemon that found no peer says that it is ready all the same. */
@@ -207,6 +209,10 @@
     this.#fleet.setStopping()
     if (!this.#local.record(timers.now())) this.#directory.withdraw()
     const how = await this.#stopper.done
+    if (how === 'graceOver') {
+      this.#outbound.giveUpAll()
+      await new Promise<void>((resolve) => { timers.after(LAST_ANSWERS_MS, resolve) })
+    }
     log.decision('stopped', { how, outbound: this.#outbound.active, inbound: this.#inbound.active })
     this.#config.stop()
     this.#moves.stop()
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -78,6 +78,8 @@
   'a broken link of a repeatable request': { steps: [reply(700, 1, { kind: 'failed', reason: 'lost' }), reply(900, 2, good)] },
   'a large body crosses data centres only once a slot is known': { far: ['b', 'c'], bodyBytes: 60_000, route: onceOnly, steps: [reply(1, 1, noSlot), reply(4, 2, { kind: 'notRun', reason: 'vacant' }), reply(300, 3, good)] },
   'a question that nobody answers ran nothing': { targets: ['a', 'b'], far: ['a', 'b'], bodyBytes: 60_000, route: onceOnly, steps: [reply(100, 1, { kind: 'failed', reason: 'lost' }), timer(1_300)] },
+  'the daemon stops while a request may run: no promise': { route: onceOnly, steps: [{ at: 50, event: { kind: 'stopping' } }] },
+  'the daemon stops while no target was asked: a true refusal': { targets: [], steps: [{ at: 50, event: { kind: 'stopping' } }] },
   'a late failure leaves no time to repeat': { steps: [reply(1_100, 1, { kind: 'failed', reason: 'reset' })] }
 }
 
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -19,6 +19,8 @@
   | { kind: 'reply', attempt: number, reply: HopReply }
   | { kind: 'timer' }
   | { kind: 'callerLeft' }
+  /** The daemon is about to end, and nothing will come of what is under way. */
+  | { kind: 'stopping' }
 
 /** What the flow reads of the world; each call gives the present state. */
 export interface CallView {
@@ -105,6 +107,7 @@
   onEvent (event: CallEvent): CallCommand[] {
     return match(event)
       .with({ kind: 'callerLeft' }, () => this.#end([]))
+      .with({ kind: 'stopping' }, () => this.#giveUp('stopping'))
       .with({ kind: 'timer' }, () => this.#onTimer())
       .with({ kind: 'reply' }, ({ attempt, reply }) => this.#onReply(attempt, reply))
       .exhaustive()
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -73,6 +73,11 @@
     this.#end('callerLeft', true, {})
   }
 
+  /** Answers the caller at once, as the daemon is about to end. */
+  giveUp (): void {
+    if (!this.#isOver) this.#step({ kind: 'stopping' })
+  }
+
   #view (): CallView {
     const { timers, placer, budget, fleet, random, sizes } = this.#opts
     const { req, route, service, isAgain } = this.#input
--- a/packages/hop/src/outbound/outboundDesk.ts
+++ b/packages/hop/src/outbound/outboundDesk.ts
@@ -61,8 +61,8 @@
   readonly #splitter: Splitter
   readonly #patience = new Patience()
   #table: RouteTable | undefined
+  readonly #calls = new Set<OutboundCall>()
   #keys = 0
-  #active = 0
 
   constructor (opts: OutboundOptions) {
     this.#opts = opts
@@ -70,7 +70,7 @@
   }
 
   get active (): number {
-    return this.#active
+    return this.#calls.size
   }
 
   get table (): RouteTable | undefined {
@@ -98,8 +98,7 @@
       return () => {}
     }
     const { own } = this.#opts.fleet
-    this.#active++
-    const call = new OutboundCall(this.#opts, {
+    const call: OutboundCall = new OutboundCall(this.#opts, {
       req,
       res,
       route,
@@ -107,12 +106,18 @@
       configVersion: table.config.version,
       isAgain: req.origin === 'caller' && this.#patience.isAgain(route.name, req.head.deadlineMs),
       nextKey: () => `${own.host}/${own.incarnation}/${++this.#keys}`,
-      onEnd: () => this.#active--
+      onEnd: () => this.#calls.delete(call)
     })
+    this.#calls.add(call)
     call.start()
     return () => call.leave()
   }
 
+  /** Answers every caller that still waits: a caller that gets an answer knows more than one whose connection is cut. */
+  giveUpAll (): void {
+    for (const call of this.#calls) call.giveUp()
+  }
+
   #refuse (req: OutboundRequest, res: Responder, status: number, reason: string, comeBackMs?: number): void {
     const { metrics, log } = this.#opts
     metrics.request('', String(status), 0)
