Open the circle between both sides of a call and the moves, and split their types off

Types that two modules shared stood in either of them: outboundTypes, fleetTypes, targetRuns (with the requests that run on the target, out of the inbound desk), VersionResult with the evidence, VersionChooser with the version rules.

--- a/packages/hop/src/__tests__/loadPlayer.ts
+++ b/packages/hop/src/__tests__/loadPlayer.ts
@@ -1,5 +1,6 @@
 import { SeededRandom, VirtualTimers, type Random } from '@lentilwheel/core'
-import { Fleet, type PeerLink } from '../fleet/fleet.js'
+import { Fleet } from '../fleet/fleet.js'
+import type { PeerLink } from '../fleet/fleetTypes.js'
 import type { HostRecord, TargetRecord } from '../fleet/records.js'
 import { InboundDesk } from '../inbound/inboundDesk.js'
 import type { TargetClient } from '../inbound/nodeTargetClient.js'
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -1,51 +1,17 @@
 import { createHash } from 'node:crypto'
-import { errorCode, type MoveFact, type Random, type Timers } from '@lentilwheel/core'
-import type { CallMessage, HopReply, SyncMessage } from '../link/messages.js'
-import type { CallLog } from '../observe/callLog.js'
+import { errorCode, type MoveFact } from '@lentilwheel/core'
 import type { BriefReport } from '@lentilwheel/moves'
-import type { MoveOrder } from '../rollout/order.js'
-import type { ConfigDelta } from '../routing/configDelta.js'
+import type { SyncMessage } from '../link/messages.js'
 import { FactBook } from './factBook.js'
 import { HostTable } from './hostTable.js'
+import type { FleetOptions, PeerLink } from './fleetTypes.js'
 import type { HostRecord, Leaving, TargetRecord } from './records.js'
 
-/** A link to a peer. */
-export interface PeerLink {
-  readonly isUp: boolean
-  readonly target: { address: string, port: number }
-  /** `bulky`: the response may be large. */
-  call (message: CallMessage, bulky: boolean, reply: (reply: HopReply) => void): () => void
-  sync (message: SyncMessage): Promise<SyncMessage>
-  /** What the configuration in force on the peer changes in version `have`; undefined when the peer holds none. */
-  config (have: number): Promise<ConfigDelta | undefined>
-  /** Called now and then, to keep the link up and to notice silence. */
-  upkeep (): void
-  close (): void
-}
-
-export interface FleetOptions {
-  own: HostRecord
-  timers: Timers
-  random: Random
-  log: CallLog
-  openLink (host: string, address: string, port: number): PeerLink
-  /** Records changed, or a peer was lost or reached again. */
-  onChange (): void
-  /** A peer holds a newer configuration version than this daemon. */
-  onPeerVersion (): void
-  /** Peers know of targets that left here before this daemon started. */
-  onLeavings (leavings: readonly Leaving[]): void
-  onFact (fact: MoveFact): void
-  /** Orders of moves that this daemon knows. */
-  orders (): MoveOrder[]
-  onOrder (order: MoveOrder, from: string): void
-  onReport (report: BriefReport): void
-}
-
 const EXCHANGE_MS = 1_500
 const LINK_UPKEEP_MS = 200
-/** An idle link is asked for a sign of life this often at least; with many peers less often, so that the cost of a daemon stays the same. */
+/** How often an idle link is asked for a sign of life when there are few peers. */
 const IDLE_PROBE_MS = 3_000
+/** With many peers each is asked less often, so that the cost of a daemon stays the same. */
 const IDLE_PROBE_MS_A_PEER = 100
 /** Least time between two pushes of changes that peers need not know at once. */
 const GATHER_MS = 400
--- a/packages/hop/src/inbound/inboundDesk.ts
+++ b/packages/hop/src/inbound/inboundDesk.ts
@@ -2,17 +2,14 @@
 import type { CallMessage, HopReply, NotRunReason, TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { TargetRecord } from '../fleet/records.js'
-import type { VersionResult } from '../rollout/moves.js'
+import type { VersionResult } from '../rollout/evidence.js'
 import { Admission, type Ticket } from './admission.js'
-import { CallChains } from './callChains.js'
 import { Ledger } from './ledger.js'
 import type { TargetClient } from './nodeTargetClient.js'
 import { requestBytes } from './requestBytes.js'
+import { TargetRuns, type RequestOrigin } from './targetRuns.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
-/** Who made a request: a caller, a run on the target, or a run that is a repeat. */
-export type RequestOrigin = 'caller' | 'run' | 'repeatedRun'
-
 export interface InboundOptions {
   timers: Timers
   random: Random
@@ -32,12 +29,6 @@
   onResult (target: TargetRecord, result: VersionResult): void
 }
 
-/** A request that the target runs. */
-interface Run {
-  route: string
-  repeat: boolean
-}
-
 interface Call {
   message: CallMessage
   ticket: Ticket
@@ -53,7 +44,6 @@
 const UPKEEP_MS = 50
 const LEDGER_UPKEEP_MS = 1_000
 const FAILING_SMOOTHING = 0.08
-const ID_SEPARATOR = '.'
 /** A part of the requests whose calls press on others still runs, so that it is seen when they no longer do. */
 const MAX_DISPLACING = 0.9
 
@@ -66,9 +56,7 @@
   readonly #admission = new Admission()
   readonly #ledger = new Ledger()
   readonly #calls = new Map<string, Call>()
-  readonly #chains = new CallChains()
-  /** Requests that run on the target, by their ids. */
-  readonly #runs = new Map<string, Run>()
+  readonly #runs = new TargetRuns()
   #targetId = ''
   #failing = 0
   #unreachableAt = -Infinity
@@ -86,20 +74,14 @@
     return this.#calls.size
   }
 
-  /**
-   * Tells a call of the request that the target runs from a caller's request: targets extend the id of the request that
-   * they run. Where they don't, their calls are taken for callers' requests.
-   */
+  /** Tells who made a request, from its id. */
   originOf (requestId: string): RequestOrigin {
-    const run = this.#parentOf(requestId)
-    if (!run) return 'caller'
-    return run.repeat ? 'repeatedRun' : 'run'
+    return this.#runs.originOf(requestId)
   }
 
   /** A request that the target runs calls a service. */
   called (requestId: string, service: string): void {
-    const run = this.#parentOf(requestId)
-    if (run) this.#chains.called(run.route, service)
+    this.#runs.called(requestId, service)
   }
 
   /** Takes an offered call; `reply` is called once. */
@@ -181,17 +163,12 @@
     return { targetId: target.id, running, queued, slots, pace, failing: this.#failing, ...pressed }
   }
 
-  #parentOf (requestId: string): Run | undefined {
-    const dot = requestId.lastIndexOf(ID_SEPARATOR)
-    return dot > 0 ? this.#runs.get(requestId.slice(0, dot)) : undefined
-  }
-
   /**
    * The service in which the calls of a request would take the place of more urgent requests. Calls of running requests
    * go first there, so the only place to hold them back is before their request runs.
    */
   #displaced ({ route, priority }: CallMessage): { service: string, share: number } | undefined {
-    for (const service of this.#chains.needs(route)) {
+    for (const service of this.#runs.needs(route)) {
       const share = this.#opts.pressure(service, priority)
       if (share > 0 && this.#opts.random.next() < Math.min(MAX_DISPLACING, share)) return { service, share }
     }
@@ -224,8 +201,7 @@
     }
     call.state = 'running'
     this.#unansweredSince ??= now
-    this.#runs.set(message.requestId, { route: message.route, repeat: message.repeat })
-    this.#chains.ran(message.route)
+    this.#runs.started(message.requestId, { route: message.route, repeat: message.repeat })
     call.startedAt = now
     const bytes = requestBytes(message, leftMs, this.#opts.names)
     const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: leftMs + DEADLINE_GRACE_MS }
@@ -237,7 +213,7 @@
     const ms = now - call.startedAt
     this.#admission.finish(call.ticket, ms, now)
     this.#calls.delete(call.message.key)
-    this.#runs.delete(call.message.requestId)
+    this.#runs.ended(call.message.requestId)
     this.#learn(call, result, ms)
     const { reported: _, ...reply } = result as TargetResult & { reported?: unknown }
     this.#end(call.message, reply as HopReply)
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -1,6 +1,6 @@
 import { errorCode, type Timers } from '@lentilwheel/core'
 import { PeerLost } from '../errors.js'
-import type { PeerLink } from '../fleet/fleet.js'
+import type { PeerLink } from '../fleet/fleetTypes.js'
 import type { CallLog } from '../observe/callLog.js'
 import { DELTA_FIELDS, type ConfigDelta } from '../routing/configDelta.js'
 import { checked, packCall, unpackReply } from './codec.js'
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -5,7 +5,7 @@
 import type { MeshRoute } from '../routing/meshConfig.js'
 import type { VersionChoice } from '../rollout/versionRules.js'
 import { callFlow, type CallCommand, type CallEvent, type CallView } from './callFlow.js'
-import type { OutboundOptions, OutboundRequest, Responder } from './outboundDesk.js'
+import type { OutboundOptions, OutboundRequest, Responder } from './outboundTypes.js'
 import { retryAfterMs } from './retryAfter.js'
 
 /** Time assumed for a request whose caller and route set none. */
--- a/packages/hop/src/rollout/evidence.ts
+++ b/packages/hop/src/rollout/evidence.ts
@@ -1,5 +1,13 @@
 import type { BriefReport, BriefRow } from '@lentilwheel/moves'
 
+/** Result of a request to the target beside this daemon. */
+export interface VersionResult {
+  route: string
+  ok: boolean
+  ms: number
+  targetLatencyMs: number
+}
+
 /** Results of the target beside this daemon that have not been reported yet. */
 export class Evidence {
   #rows = new Map<string, BriefRow>()
--- a/packages/hop/src/rollout/moves.ts
+++ b/packages/hop/src/rollout/moves.ts
@@ -5,12 +5,11 @@
 import type { Fleet } from '../fleet/fleet.js'
 import type { HostRecord, TargetRecord } from '../fleet/records.js'
 import type { CallLog } from '../observe/callLog.js'
-import type { VersionChooser } from '../outbound/outboundDesk.js'
 import { Follower } from '../store/follower.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
-import { Evidence } from './evidence.js'
+import { Evidence, type VersionResult } from './evidence.js'
 import type { MoveOrder, MoveState } from './order.js'
-import { phaseOf, VersionRules, type VersionChoice } from './versionRules.js'
+import { phaseOf, VersionRules, type VersionChoice, type VersionChooser } from './versionRules.js'
 
 export interface MovesOptions {
   fleet: Fleet
@@ -21,14 +20,6 @@
   log: CallLog
 }
 
-/** Result of a request to the target beside this daemon. */
-export interface VersionResult {
-  route: string
-  ok: boolean
-  ms: number
-  targetLatencyMs: number
-}
-
 /** Period at which a daemon looks whether it should follow the orders; by the first time its links are up. */
 const FOLLOW_CHECK_MS = 500
 const WATCH_MS = 12_000
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -20,6 +20,12 @@
   return facts.stage.stage >= FULL_STAGE ? 'full' : 'moving'
 }
 
+/** Which versions of a service may get a request. */
+export interface VersionChooser {
+  /** Chooses for one request; undefined when all versions may get it. */
+  choose (service: string): VersionChoice | undefined
+}
+
 /**
  * Which versions of a service may get traffic. A version that differs from what the service runs gets none until an
  * order names it, so that new targets whose order has not been heard of yet are left alone.
