Let a move load a target that a daemon's subset lacks, and tell callers without room when to come back

Found in reading the diff: the target that a move loads first could be outside a daemon's subset, which weakened the watch on a bad version; the new test fails without the change.

--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -150,6 +150,17 @@
   t.is(placer.order('s', { route, urgency: 1, bytes: 0 }, () => true)[0]!.host, 'a', 'one request tells enough')
 })
 
+test('guards against a target that is to be loaded first being left out, as the daemon would not use it otherwise', (t) => {
+  const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(8), dataCentre: 'dc1', host: 'own' })
+  const names = Array.from({ length: 40 }, (_, i) => `h${i}`)
+  placer.setHosts(names.map((name, i) => host(name, `dc${i % 4}`)))
+  const request = { route, urgency: 1, bytes: 0 }
+  const used = new Set(placer.order('s', request, () => true).map((candidate) => candidate.host))
+  t.true(used.size < names.length)
+  const unused = names.find((name) => !used.has(name))!
+  t.is(placer.order('s', request, () => true, unused)[0]!.host, unused)
+})
+
 test('guards against equal targets getting unequal shares', (t) => {
   const placer = new Placer({ timers: new VirtualTimers(), random: new SeededRandom(4), dataCentre: 'dc1' })
   placer.setHosts(['a', 'b', 'c', 'd'].map((name) => host(name, 'dc1')))
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -30,6 +30,8 @@
 /** A connection is kept a little longer than callers may leave it idle, so that none is closed under a request. */
 const IDLE_MARGIN_MS = 1_000
 const RETRY_AFTER_STOPPING_MS = 50
+/** Wait of callers whose bodies found no room. */
+const RETRY_AFTER_FULL_MS = 300
 /** What the bodies of all requests that are not whole yet may take. */
 const UNREAD_BODIES_BYTES = 96 * 1024 * 1024
 
@@ -198,7 +200,9 @@
   #refuseUnread (req: IncomingMessage, res: ServerResponse, status: number, reason: string): void {
     this.#opts.metrics.event('badInput')
     this.#opts.log.call(false, 'outbound', { outcome: status, reason })
-    res.writeHead(status, ['Content-Type', 'text/plain', 'Content-Length', String(reason.length + 1), 'Connection', 'close'])
+    const headers = ['Content-Type', 'text/plain', 'Content-Length', String(reason.length + 1), 'Connection', 'close']
+    if (status === 503) headers.push('Retry-After', (RETRY_AFTER_FULL_MS / 1000).toFixed(3))
+    res.writeHead(status, headers)
     res.end(`${reason}\n`)
     req.resume()
   }
--- a/packages/hop/src/outbound/placer.ts
+++ b/packages/hop/src/outbound/placer.ts
@@ -127,10 +127,13 @@
   /** Targets for a request, the best first; `preferred` names a host that goes before all others. */
   order (service: string, request: PlacedRequest, accepts: (record: HostRecord) => boolean, preferred?: string): Candidate[] {
     const now = this.#timers.now()
+    const all = this.#byService.get(service) ?? []
     const subset = this.#subsets.get(service) ?? []
     const usualFill = this.#usualFill(subset, now)
     let accepted = subset.filter(accepts)
-    if (accepted.length === 0) accepted = (this.#byService.get(service) ?? []).filter(accepts)
+    if (accepted.length === 0) accepted = all.filter(accepts)
+    const isMissing = preferred !== undefined && !accepted.some(({ host }) => host === preferred)
+    if (isMissing) accepted.push(...all.filter((record) => record.host === preferred && accepts(record)))
     const candidates = accepted.map((record) => this.#estimate(record, request, usualFill, now))
     return candidates.sort((a, b) => Number(b.host === preferred) - Number(a.host === preferred) || a.costMs - b.costMs)
   }
