--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -193,7 +193,10 @@
     if (outcome instanceof Error) this.#end('garbled')
   }
 
-  /** Whether bytes follow the message that has just ended; they belong to no request. */
+  /**
+   * Whether bytes follow the message that has just ended; they belong to no request. The types of the parser leave out
+   * its position in the packet.
+   */
   #hasMore (): boolean {
     const { offset, end } = this.#parser as unknown as { offset: number, end: number }
     return offset < end
