--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -10,7 +10,7 @@
 export interface PeerLink {
   readonly isUp: boolean
   readonly target: { address: string, port: number }
-  /** `bulky`: the response may be large. */
+  /** `bulky`: the request or its response may be large. */
   call (message: CallMessage, bulky: boolean, reply: (reply: HopReply) => void): () => void
   sync (message: SyncMessage): Promise<SyncMessage>
   /** What the configuration in force on the peer changes in version `have`; undefined when the peer holds none. */
--- a/packages/hop/src/fleet/hostTable.ts
+++ b/packages/hop/src/fleet/hostTable.ts
@@ -71,7 +71,7 @@
     return this.#digest
   }
 
-  /** Leavings of a host that its own daemon has not told in a record. */
+  /** Whether targets are known to have left that the daemon beside them doesn't name in a record of its own. */
   leavingsMissingIn (record: HostRecord): boolean {
     const told = new Set((record.leavings ?? []).map(({ id }) => id))
     return (this.#records.get(record.host)?.leavings ?? []).some(({ id }) => !told.has(id))
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -42,7 +42,7 @@
   readonly #opts: PeerLinkOptions
   readonly #pending = new Set<Pending>()
   readonly #lane: Lane
-  /** Large responses have a connection of their own, so that small ones don't wait behind them. */
+  /** Large requests and responses have a connection of their own, so that small ones don't wait behind them. */
   readonly #bulkLane: Lane
   #closed = false
 
