Compare leavings in one place

The table of hosts did it twice and the daemon once more. No behaviour changes; lint, type check and the tests of fleet, inbound and link pass.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -1,6 +1,6 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
 import { Fleet } from '../fleet/fleet.js'
-import type { HostRecord, Leaving } from '../fleet/records.js'
+import { leavingsNotIn, type HostRecord, type Leaving } from '../fleet/records.js'
 import { InboundDesk } from '../inbound/inboundDesk.js'
 import { LocalTarget, type Announcement } from '../inbound/localTarget.js'
 import { NodeTargetClient } from '../inbound/nodeTargetClient.js'
@@ -241,8 +241,7 @@
 
   /** What left before a restart of this daemon is known to its peers. */
   #onLeavings (leavings: readonly Leaving[]): void {
-    const known = new Set(this.#local.leavings().map(({ id }) => id))
-    const forgotten = leavings.filter(({ id }) => !known.has(id))
+    const forgotten = leavingsNotIn(this.#local.leavings(), leavings)
     if (forgotten.length === 0) return
     this.#opts.log.decision('leavingsRecalled', { targets: forgotten.map(({ id }) => id) })
     this.#local.recall(forgotten)
--- a/packages/hop/src/fleet/hostTable.ts
+++ b/packages/hop/src/fleet/hostTable.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { isNewer, MAX_LEAVINGS, type HostRecord, type Leaving, type TargetRecord } from './records.js'
+import { isNewer, leavingsNotIn, MAX_LEAVINGS, type HostRecord, type TargetRecord } from './records.js'
 
 /** Records of all known daemons, the own one included. */
 export class HostTable {
@@ -73,8 +73,7 @@
 
   /** Whether targets are known to have left that the daemon beside them doesn't name in a record of its own. */
   leavingsMissingIn (record: HostRecord): boolean {
-    const told = new Set((record.leavings ?? []).map(({ id }) => id))
-    return (this.#records.get(record.host)?.leavings ?? []).some(({ id }) => !told.has(id))
+    return leavingsNotIn(record.leavings, this.#records.get(record.host)?.leavings).length > 0
   }
 
   #setOwn (record: HostRecord): HostRecord {
@@ -88,7 +87,6 @@
 /** A daemon that has just started knows nothing of the targets that left before; its peers keep that for it. */
 function withEarlierLeavings (record: HostRecord, held: HostRecord | undefined): HostRecord {
   if (!held?.leavings || held.incarnation === record.incarnation) return record
-  const told = new Set((record.leavings ?? []).map(({ id }) => id))
-  const earlier: Leaving[] = held.leavings.filter(({ id }) => !told.has(id))
+  const earlier = leavingsNotIn(record.leavings, held.leavings)
   return { ...record, leavings: [...earlier, ...record.leavings ?? []].slice(-MAX_LEAVINGS) }
 }
--- a/packages/hop/src/fleet/records.ts
+++ b/packages/hop/src/fleet/records.ts
@@ -48,3 +48,9 @@
 export function isNewer (a: HostRecord, b: HostRecord): boolean {
   return a.incarnation !== b.incarnation ? a.incarnation > b.incarnation : a.sequence > b.sequence
 }
+
+/** Those of some leavings whose targets others don't name. */
+export function leavingsNotIn (others: readonly Leaving[] | undefined, leavings: readonly Leaving[] | undefined): Leaving[] {
+  const named = new Set((others ?? []).map(({ id }) => id))
+  return (leavings ?? []).filter(({ id }) => !named.has(id))
+}
