--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -1,11 +1,12 @@
 import { SeededRandom, VirtualTimers, type Random } from '@lentilwheel/core'
+import { TEST_HEADERS as names } from './headerNames.js'
 import { Fleet } from '../fleet/fleet.js'
 import type { PeerLink } from '../fleet/fleetTypes.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
 import type { TargetClient } from '../inbound/nodeTargetClient.js'
 import type { TargetRequest } from '../inbound/nodeTargetConnection.js'
-import type { HeaderNames, TargetResult } from '../inbound/targetResult.js'
+import type { TargetResult } from '../inbound/targetResult.js'
 import { NoopCallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
 import { OutboundHandler } from '../outbound/outboundHandler.js'
@@ -16,10 +17,6 @@
 import { RouteTable } from '../routing/routeTable.js'
 import type { RequestClass, Workload } from './workloads.js'
 
-const names: HeaderNames = {
-  requestId: 'x-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notRun: 'x-not-run', load: 'x-load', callerService: 'x-caller', signature: 'x-sig'
-}
-
 /** Length and disturbances of a simulation. */
 export interface LoadOptions {
   seed: number
--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -1,14 +1,11 @@
 import test from 'ava'
+import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
 import { Admission, type SlotRequest } from '../admission.js'
 import { CallRegistry } from '../callRegistry.js'
 import { LocalTarget, type Announcement } from '../localTarget.js'
 import { classifyMessage } from '../classifyMessage.js'
 import type { HopReply } from '../../link/messages.js'
 
-const names = {
-  requestId: 'x-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notRun: 'x-not-run', load: 'x-load', callerService: 'x-caller', signature: 'x-sig'
-}
-
 function slotRequest (key: string, overrides: Partial<SlotRequest> = {}): SlotRequest {
   return { key, isNested: false, priority: 1, targetLatencyMs: 600, deadlineAt: 2_000, arrivedAt: 0, ...overrides }
 }
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -1,15 +1,12 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
+import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
 import type { TargetRecord } from '../../fleet/hostRecord.js'
 import type { CallMessage, HopReply } from '../../link/messages.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import { InboundHandler } from '../inboundHandler.js'
 import type { TargetResult } from '../targetResult.js'
 
-const names = {
-  requestId: 'x-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notRun: 'x-not-run', load: 'x-load', callerService: 'x-caller', signature: 'x-sig'
-}
-
 /** An inbound handler with a target whose responses the test sends, and a record of what was sent and replied. */
 class TestSetup {
   readonly timers = new VirtualTimers()
--- a/packages/hop/src/inbound/__tests__/targetClient.spec.ts
+++ b/packages/hop/src/inbound/__tests__/targetClient.spec.ts
@@ -1,15 +1,12 @@
 import test from 'ava'
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { VirtualTimers } from '@lentilwheel/core'
+import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
 import { NodeTargetClient } from '../nodeTargetClient.js'
 import type { LimitExceeded } from '../nodeTargetConnection.js'
 import { createResponseLimits, type ResponseLimits } from '../responseLimits.js'
 import type { TargetResult } from '../targetResult.js'
 
-const names = {
-  requestId: 'x-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notRun: 'x-not-run', load: 'x-load', callerService: 'x-caller', signature: 'x-sig'
-}
-
 const MAX_BODY_BYTES = 4 * 1024 * 1024
 
 /** A TCP server in place of a target; `onRequest` writes its responses. Counts its connections. */
--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
+import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
 import type { HostRecord } from '../../fleet/hostRecord.js'
 import type { MeshRoute } from '../../routing/meshConfig.js'
 import { LoadBalancer } from '../loadBalancer.js'
@@ -7,10 +8,6 @@
 import { ResponseSizes } from '../responseSizes.js'
 import { RetryBudget } from '../retryBudget.js'
 
-const names = {
-  requestId: 'x-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notRun: 'x-not-run', load: 'x-load', callerService: 'x-caller', signature: 'x-sig'
-}
-
 test('guards against many daemons together exceeding the retry budget of a service', (t) => {
   const limits = { ratio: 0.2, windowMs: 10_000, slack: 56 }
   const daemons = Array.from({ length: 12 }, () => new RetryBudget(limits))
--- a/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
@@ -1,13 +1,11 @@
 import test from 'ava'
 import { connect, type Socket } from 'node:net'
+import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { CallMetrics } from '../../observe/callMetrics.js'
 import type { OutboundHandler } from '../outboundHandler.js'
 import { NodeOutboundServer } from '../nodeOutboundServer.js'
 
-const names = {
-  requestId: 'x-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notRun: 'x-not-run', load: 'x-load', callerService: 'x-caller', signature: 'x-sig'
-}
 const MAX_BODY_BYTES = 256 * 1024
 const chunk = 'x'.repeat(16 * 1024)
 
