Show the limit that a target states, and what the target was sent

A response of a target in need names how many requests a second it takes from all hosts; no log line or metric had it, so the hypotheses of the incident could not be told apart. The daemon beside the target now reads the limit, logs each change (targetLimit), logs once a second what it sent in the last 4 s and how much of it was nested or repeated (targetUnderLimit), and has both as gauges. It doesn't act on any of it yet.

Test: inboundHandler.spec.ts (logs that show neither the limit ...), inbound.spec.ts (messages with limit and leaving).

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -351,7 +351,7 @@
 const noMetrics: CallMetrics = { request: () => {}, event: () => {}, state: () => {}, text: async () => '' }
 
 function response (status: number, bytes = DEFAULT_RESPONSE_BYTES): TargetResult {
-  return { kind: 'response', status, headers: [], body: Buffer.alloc(bytes), unframed: false }
+  return { kind: 'response', status, headers: [], body: Buffer.alloc(bytes), unframed: false, statement: { limitPerS: Infinity, isLeaving: false } }
 }
 
 function standardNormal (random: Random): number {
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -40,6 +40,8 @@
 const LAST_RESPONSES_MS = 50
 /** Largest body of a target's response that is accepted before a configuration is known. */
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024
+/** Value of the metric for the limit of a target that states none. */
+const NO_LIMIT = -1
 /** Time after which a daemon without any peer reports that it is ready nevertheless. */
 const ALONE_READY_MS = 3_000
 
@@ -161,6 +163,9 @@
     timers.every(1_000, () => {
       metrics.state('peersUp', this.#fleet.live().length - 1)
       metrics.state('running', this.#inbound.active)
+      const { limitPerS, sent } = this.#inbound.rate
+      metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
+      metrics.state('targetSent', sent)
     })
   }
 
--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -172,6 +172,9 @@
   ['rejected as over capacity', 503, ['x-id', 'r1', 'x-not-run', '1']],
   ['rejection without the header for it', 503, ['x-id', 'r1']],
   ['another target', 421, ['x-instance', 'i-9']],
+  ['limit and leaving', 200, ['x-id', 'r1', 'x-sig', 's', 'X-Limit', '17.5', 'x-leaving', '1']],
+  ['limit of a target that rejected it', 503, ['x-id', 'r1', 'x-not-run', '1', 'x-limit', '0']],
+  ['limit that cannot be read', 200, ['x-id', 'r1', 'x-sig', 's', 'x-limit', '1e9']],
   ['load that cannot be read', 200, ['x-id', 'r1', 'x-sig', 's', 'x-load', '2,many,6']]
 ]
 
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -3,15 +3,15 @@
 import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
 import type { TargetRecord } from '../../fleet/hostRecord.js'
 import type { CallMessage, HopReply } from '../../link/messages.js'
-import { NoopCallLog } from '../../observe/callLog.js'
 import { InboundHandler } from '../inboundHandler.js'
-import type { TargetResult } from '../targetResult.js'
+import type { TargetResult, TargetStatement } from '../targetResult.js'
 
 /** An inbound handler with a target whose responses the test sends, and a record of what was sent and replied. */
 class TestSetup {
   readonly timers = new VirtualTimers()
   readonly sent: { id: string, done (result: TargetResult): void, isAborted: boolean }[] = []
   readonly replies = new Map<string, HopReply>()
+  readonly decisions: object[] = []
   target: TargetRecord | undefined = { id: 'i-1', service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
   isAnnouncementOverdue = false
   isVersionAllowed = true
@@ -19,7 +19,7 @@
   readonly handler = new InboundHandler({
     timers: this.timers,
     random: new SeededRandom(1),
-    log: new NoopCallLog(),
+    log: { call: () => {}, decision: (what, fields) => { this.decisions.push({ what, ...fields }) } },
     names,
     client: {
       send: (request, _idempotent, done) => {
@@ -51,8 +51,9 @@
     this.handler.offer(message, (reply) => this.replies.set(key, reply))
   }
 
-  respond (id: string): void {
-    this.sent.find((entry) => entry.id === id)!.done({ kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false })
+  /** Responds as the target, which states no limit unless the test says otherwise. */
+  respond (id: string, { limitPerS = Infinity, isLeaving = false }: Partial<TargetStatement> = {}): void {
+    this.sent.find((entry) => entry.id === id)!.done({ kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, statement: { limitPerS, isLeaving } })
   }
 
   outcomeOf (key: string): string {
@@ -187,3 +188,14 @@
   t.deepEqual(['a', 'b', 'e'].map((key) => setup.outcomeOf(key)), ['notRun vacant', 'notRun vacant', 'notRun busy'])
   t.deepEqual(setup.sent.map(({ id }) => id), ['c', 'd'])
 })
+
+test('guards against logs that show neither the limit that a target states nor what it was sent', (t) => {
+  const setup = new TestSetup()
+  setup.offer('a')
+  setup.respond('a', { limitPerS: 20.5 })
+  setup.offer('b', { nested: true })
+  setup.offer('c', { repeat: true })
+  setup.timers.advance(1_000)
+  setup.respond('b')
+  t.snapshot(setup.decisions)
+})
--- a/packages/hop/src/inbound/classifyMessage.ts
+++ b/packages/hop/src/inbound/classifyMessage.ts
@@ -1,4 +1,4 @@
-import type { HeaderNames, ReportedLoad, TargetResult } from './targetResult.js'
+import type { HeaderNames, ReportedLoad, TargetResult, TargetStatement } from './targetResult.js'
 
 /** A complete HTTP message from a target. */
 export interface TargetMessage {
@@ -30,11 +30,12 @@
   const reported = parseLoad(headerValue(headers, names.load))
   const extra = reported ? { reported } : {}
   if (status === MISDIRECTED_STATUS) return { kind: 'result', result: { kind: 'notRun', reason: 'otherTarget', ...extra } }
-  if (headerValue(headers, names.notRun) !== undefined) return { kind: 'result', result: { kind: 'notRun', reason: 'shed', ...extra } }
+  const statement = parseStatement(headers, names)
+  if (headerValue(headers, names.notRun) !== undefined) return { kind: 'result', result: { kind: 'notRun', reason: 'shed', statement, ...extra } }
   if (id === undefined || headerValue(headers, names.signature) === undefined) {
     return { kind: 'result', result: { kind: 'failed', reason: 'garbled' } }
   }
-  return { kind: 'result', result: { kind: 'response', status, headers, body, unframed, ...extra } }
+  return { kind: 'result', result: { kind: 'response', status, headers, body, unframed, statement, ...extra } }
 }
 
 /** Value of a header in a list of alternating names and values; the name's case doesn't matter. */
@@ -46,6 +47,17 @@
   return undefined
 }
 
+function parseStatement (headers: readonly string[], names: HeaderNames): TargetStatement {
+  const limitPerS = parseLimit(headerValue(headers, names.limit))
+  return { isLeaving: headerValue(headers, names.leaving) === '1', ...limitPerS === undefined ? {} : { limitPerS } }
+}
+
+/** Requests per second; Infinity for a header that is missing, undefined for one that can't be read. */
+function parseLimit (value: string | undefined): number | undefined {
+  if (value === undefined) return Infinity
+  return /^\d+(\.\d+)?$/.test(value) ? Number(value) : undefined
+}
+
 function parseLoad (value: string | undefined): ReportedLoad | undefined {
   const [running, waiting, slots] = value?.split(',').map(Number) ?? []
   if (running === undefined || waiting === undefined || slots === undefined) return undefined
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -8,6 +8,7 @@
 import type { TargetClient } from './nodeTargetClient.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
+import { TargetLimit } from './targetLimit.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
 /** What the inbound side of a daemon needs of the rest of it. */
@@ -47,6 +48,7 @@
 const SETTLE_GRACE_MS = 1_500
 const QUEUE_CHECK_INTERVAL_MS = 50
 const PRUNE_INTERVAL_MS = 1_000
+const LIMIT_LOG_INTERVAL_MS = 1_000
 /** Weight of a new result in the moving average of failures. */
 const FAILURE_EWMA_WEIGHT = 0.08
 /** Largest part of the requests rejected as displacing; the rest run, so that it shows when they no longer displace others. */
@@ -63,6 +65,7 @@
   readonly #registry = new CallRegistry()
   readonly #calls = new Map<string, Call>()
   readonly #runningRequests = new RunningRequests()
+  readonly #limit: TargetLimit
   #targetId = ''
   /** Moving average of the share of requests that the target failed. */
   #failureRate = 0
@@ -72,8 +75,10 @@
 
   constructor (opts: InboundOptions) {
     this.#opts = opts
+    this.#limit = new TargetLimit(opts.log)
     opts.timers.every(QUEUE_CHECK_INTERVAL_MS, () => this.#checkQueue())
     opts.timers.every(PRUNE_INTERVAL_MS, () => this.#registry.prune(opts.timers.now()))
+    opts.timers.every(LIMIT_LOG_INTERVAL_MS, () => this.#limit.logSent(this.#targetId, opts.timers.now()))
   }
 
   /** Number of calls that are queued or running. */
@@ -81,6 +86,11 @@
     return this.#calls.size
   }
 
+  /** Requests per second that the target takes, Infinity for no limit, and the requests that it was sent in the last seconds. */
+  get rate (): { limitPerS: number, sent: number } {
+    return { limitPerS: this.#limit.perS, sent: this.#limit.sentCounts(this.#opts.timers.now()).all }
+  }
+
   /** Who made a request, from its id. */
   originOf (requestId: string): RequestOrigin {
     return this.#runningRequests.originOf(requestId)
@@ -151,6 +161,7 @@
       this.#admission.reset(target.slots)
       this.#failureRate = 0
       this.#unreachableAt = -Infinity
+      this.#limit.reset()
       this.#opts.client.reset()
     }
     if (target?.state === 'ready') return
@@ -212,6 +223,7 @@
     this.#unansweredSince ??= now
     this.#runningRequests.add(message.requestId, { route: message.route, isRetry: message.repeat })
     call.startedAt = now
+    this.#limit.recordSent(message, now)
     const bytes = serializeRequest(message, remainingMs, this.#opts.names)
     const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: remainingMs + DEADLINE_GRACE_MS }
     call.abort = this.#opts.client.send(request, message.idempotent, (result) => this.#onResult(call, result))
@@ -224,7 +236,8 @@
     this.#calls.delete(call.message.key)
     this.#runningRequests.remove(call.message.requestId)
     this.#recordResult(call, result, ms)
-    const { reported: _, ...reply } = result as TargetResult & { reported?: unknown }
+    this.#recordStatement(call, result)
+    const { reported: _, statement: __, ...reply } = result as TargetResult & { reported?: unknown, statement?: unknown }
     this.#reply(call.message, reply as HopReply)
     this.#logResult(call, result, ms)
     this.#startQueued()
@@ -245,6 +258,12 @@
     }
   }
 
+  /** Takes over what the target states of itself, unless it has been replaced since. */
+  #recordStatement ({ message }: Call, result: TargetResult): void {
+    if (result.kind === 'failed' || !result.statement || message.targetId !== this.#targetId) return
+    this.#limit.observe(message.targetId, result.statement)
+  }
+
   #logResult (call: Call, result: TargetResult, ms: number): void {
     const outcome = result.kind === 'response' ? result.status : result.reason
     const isPlain = result.kind === 'response' && result.status < 500
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -6,11 +6,17 @@
 /** `boundPassed`: a target, a caller or a peer sent a message that exceeds a size limit. */
 export type MetricEventName = 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput' | 'boundPassed'
 
+/**
+ * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
+ * within the last 4 s.
+ */
+export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'targetLimit' | 'targetSent'
+
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
   request (route: string, outcome: string, ms: number): void
   event (name: MetricEventName): void
-  state (name: 'configVersion' | 'peersUp' | 'running', value: number): void
+  state (name: MetricStateName, value: number): void
   /** The metrics in the Prometheus text format. */
   text (): Promise<string>
 }
@@ -43,7 +49,7 @@
     this.#events.inc({ event: name })
   }
 
-  state (name: 'configVersion' | 'peersUp' | 'running', value: number): void {
+  state (name: MetricStateName, value: number): void {
     this.#state.set({ name }, value)
   }
 
