--- /dev/null
+++ b/packages/hop/src/__tests__/limit.spec.ts
@@ -0,0 +1,77 @@
+import test from 'ava'
+import { LoadSimulator, type DaemonRestart } from './loadSimulator.js'
+import { ATELIER_WORKLOAD, CARVERS_WORKLOAD, type Workload } from './workloads.js'
+
+const SEEDS = [1, 2, 3]
+const SECONDS = 24
+/** A target may get at most so many times its limit, and so many requests more, within the window. */
+const TOLERANCE = { factor: 1.5, slack: 5, windowMs: 4_000 }
+/** Time after a limit was stated from which it binds. */
+const BINDING_AFTER_MS = 3_000
+/** Time after a response with a limit from which the requests of the daemon that passed it on count. */
+const TOLD_AFTER_MS = 500
+
+/** A limit that a target states from a time on; undefined for none. */
+interface LimitStep {
+  atS: number
+  perS: number | undefined
+}
+
+/** Most requests above what a limit allows in any window, over all limits of the steps; 0 or less when none was exceeded. */
+function worstExcess (arrivals: readonly number[], steps: readonly LimitStep[]): number {
+  let worst = -Infinity
+  for (const [i, { atS, perS }] of steps.entries()) {
+    if (perS === undefined) continue
+    const startsAt = atS * 1000
+    const endsAt = (steps[i + 1]?.atS ?? SECONDS) * 1000
+    const isFirst = i === 0 || steps[i - 1]!.perS === undefined
+    for (const at of arrivals) {
+      if (at < startsAt + BINDING_AFTER_MS || at > endsAt) continue
+      const countsFrom = Math.max(at - TOLERANCE.windowMs, isFirst ? startsAt + TOLD_AFTER_MS : 0)
+      const count = arrivals.filter((other) => other > countsFrom && other <= at).length
+      worst = Math.max(worst, count - (TOLERANCE.factor * TOLERANCE.windowMs / 1000 * perS + TOLERANCE.slack))
+    }
+  }
+  return worst
+}
+
+interface LimitCase {
+  name: string
+  workload: Workload
+  service: string
+  /** Limits of the hosts that state one, by host. */
+  steps: Record<string, LimitStep[]>
+  restarts?: DaemonRestart[]
+}
+
+/** In both workloads, hosts h01 and on have the targets of the first service, which get about 78 or 14 requests a second each. */
+const cases: LimitCase[] = [
+  { name: 'steady', workload: CARVERS_WORKLOAD, service: 'catalogue', steps: { h01: [{ atS: 4, perS: 30 }], h02: [{ atS: 4, perS: 40 }], h03: [{ atS: 4, perS: 20 }], h04: [{ atS: 4, perS: 35 }] } },
+  { name: 'of less than one request a second', workload: ATELIER_WORKLOAD, service: 'showroom', steps: { h01: [{ atS: 4, perS: 0.4 }], h02: [{ atS: 4, perS: 0 }] } },
+  { name: 'by all targets of the service', workload: ATELIER_WORKLOAD, service: 'showroom', steps: { h01: [{ atS: 4, perS: 5 }], h02: [{ atS: 4, perS: 6 }], h03: [{ atS: 4, perS: 7 }], h04: [{ atS: 4, perS: 8 }] } },
+  { name: 'of targets that mostly get nested calls', workload: CARVERS_WORKLOAD, service: 'commissions', steps: { h07: [{ atS: 4, perS: 60 }], h08: [{ atS: 4, perS: 60 }] } },
+  { name: 'falling and rising', workload: CARVERS_WORKLOAD, service: 'catalogue', steps: { h01: [{ atS: 3, perS: 60 }, { atS: 8, perS: 15 }, { atS: 14, perS: 40 }], h04: [{ atS: 3, perS: 50 }, { atS: 9, perS: 5 }] } },
+  { name: 'ending and stated again', workload: CARVERS_WORKLOAD, service: 'catalogue', steps: { h01: [{ atS: 3, perS: 20 }, { atS: 9, perS: undefined }, { atS: 13, perS: 25 }] } },
+  { name: 'while the daemon beside it restarts', workload: CARVERS_WORKLOAD, service: 'catalogue', steps: { h01: [{ atS: 3, perS: 20 }], h02: [{ atS: 3, perS: 10 }] }, restarts: [{ host: 'h01', stoppingAtS: 8, downAtS: 11, upAtS: 11.6 }, { host: 'h02', stoppingAtS: 12, downAtS: 14.5, upAtS: 15 }, { host: 'h01', stoppingAtS: 16, downAtS: 18, upAtS: 18.4 }] }
+]
+
+for (const { name, workload, service, steps, restarts = [] } of cases) {
+  test(`guards against a target getting more requests than it says that it takes: a limit ${name}`, (t) => {
+    const exceeded: string[] = []
+    for (const seed of SEEDS) {
+      const simulator = new LoadSimulator(workload, {
+        seed,
+        seconds: SECONDS,
+        rateAt: () => 1,
+        limitPerS: (host, _service, second) => steps[host]?.findLast(({ atS }) => atS <= second)?.perS,
+        restarts
+      })
+      simulator.run()
+      for (const [host, hostSteps] of Object.entries(steps)) {
+        const excess = worstExcess(simulator.arrivals.get(host) ?? [], hostSteps)
+        if (excess > 0) exceeded.push(`seed ${seed}, ${service} on ${host}: ${excess} more than allowed`)
+      }
+    }
+    t.deepEqual(exceeded, [])
+  })
+}
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -4,9 +4,6 @@
 import type { PeerLink } from '../fleet/fleetTypes.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
-import type { TargetClient } from '../inbound/nodeTargetClient.js'
-import type { TargetRequest } from '../inbound/nodeTargetConnection.js'
-import type { TargetResult } from '../inbound/targetResult.js'
 import { NoopCallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
 import { OutboundHandler } from '../outbound/outboundHandler.js'
@@ -15,6 +12,7 @@
 import { RetryBudget } from '../outbound/retryBudget.js'
 import type { MeshConfig, MeshRoute } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
+import { SimTarget, type ParentRun } from './simTarget.js'
 import type { RequestClass, Workload } from './workloads.js'
 
 /** Length and disturbances of a simulation. */
@@ -29,6 +27,18 @@
   failing? (host: string, service: string, second: number): number
   /** Share of requests that a target sheds at once. */
   shedding? (host: string, service: string, second: number): number
+  /** Requests per second that a target states as its limit; undefined when it states none. */
+  limitPerS? (host: string, service: string, second: number): number | undefined
+  /** Daemons that are stopped and started again. */
+  restarts?: readonly DaemonRestart[]
+}
+
+/** A planned restart of one daemon: it says that it stops, and is down once its requests have ended. */
+export interface DaemonRestart {
+  host: string
+  stoppingAtS: number
+  downAtS: number
+  upAtS: number
 }
 
 /** Outcomes of the requests of one class, as their callers see them. */
@@ -47,87 +57,18 @@
   onTimeAfterRejection: number
 }
 
-/** The running request that makes a nested call. */
-interface ParentRun {
-  id: string
-  isRetry: boolean
-}
-
 /** Simulated network latency between two daemons, one way. */
 const ONE_WAY_MS = 1
-const DEFAULT_RESPONSE_BYTES = 100
 
 interface SimHost {
   record: HostRecord
+  client: SimTarget
   fleet: Fleet
   inbound: InboundHandler
   outbound: OutboundHandler
   balancer: LoadBalancer
 }
 
-/** Simulated target: runs requests in its slots at its speed, makes their nested calls, and can be slow, fail or shed. */
-class SimTarget implements TargetClient {
-  readonly #simulator: LoadSimulator
-  readonly #host: string
-  readonly #service: string
-  readonly #slots: number
-  readonly #speed: number
-  readonly #random: Random
-  running = 0
-
-  constructor (simulator: LoadSimulator, host: string, service: string, slots: number, speed: number, random: Random) {
-    this.#simulator = simulator
-    this.#host = host
-    this.#service = service
-    this.#slots = slots
-    this.#speed = speed
-    this.#random = random
-  }
-
-  reset (): void {}
-
-  send (request: TargetRequest, _idempotent: boolean, done: (result: TargetResult) => void): () => void {
-    const { timers, opts } = this.#simulator
-    const second = timers.now() / 1000
-    const head = request.bytes.toString('latin1').split('\r\n')
-    const isRetry = this.#simulator.onArrival(this.#host, this.#service, request.requestId)
-    const cls = this.#simulator.classOf(head[0]!.split(' ')[1]!)
-    let isDone = false
-    const end = (result: TargetResult): void => {
-      if (isDone) return
-      isDone = true
-      this.running--
-      stopDeadline()
-      done(result)
-    }
-    this.running++
-    if (this.running > this.#slots) throw new Error(`${this.#host} got more requests than it has slots`)
-    const stopDeadline = timers.after(request.timeoutMs, () => end(response(504)))
-    if (this.#random.next() < (opts.shedding?.(this.#host, this.#service, second) ?? 0)) {
-      timers.after(1, () => end({ kind: 'notRun', reason: 'shed' }))
-    } else {
-      const tailFactor = this.#random.next() < 0.01 ? 4 : 1
-      const slowness = opts.slowness?.(this.#host, this.#service, second) ?? 1
-      const spread = Math.exp(0.35 * standardNormal(this.#random))
-      const work = cls.workMs * spread * tailFactor * slowness / this.#speed
-      const isFailing = this.#random.next() < (opts.failing?.(this.#host, this.#service, second) ?? 0)
-      const parent = { id: request.requestId, isRetry }
-      timers.after(work, () => this.#makeCalls(cls, parent, () => isDone, (ok) => end(response(ok && !isFailing ? 200 : 500, cls.responseBytes))))
-    }
-    return () => end({ kind: 'failed', reason: 'cancelled' })
-  }
-
-  #makeCalls (cls: RequestClass, parent: ParentRun, isDone: () => boolean, done: (ok: boolean) => void): void {
-    let remainingCalls = cls.calls && this.#random.next() < cls.calls.share ? cls.calls.times : 0
-    const next = (): void => {
-      if (isDone()) return
-      if (remainingCalls-- <= 0) return done(true)
-      this.#simulator.sendRequest(this.#host, this.#simulator.classNamed(cls.calls!.class), parent, (ok) => ok ? next() : done(false))
-    }
-    next()
-  }
-}
-
 /**
  * Simulates a workload in virtual time, to test what callers get under load: the outbound and inbound sides of the daemons
  * are the real ones, the targets, callers and network are simulated.
@@ -147,8 +88,10 @@
   readonly servedByLocation = { all: 0, remote: 0 }
   /** Bytes of request and response bodies sent between data centres, by class. */
   readonly remoteBytes = new Map<string, number>()
-  /** Number of requests that each target received. */
-  readonly arrivals = new Map<string, number>()
+  /** Times in milliseconds at which each target received its requests. */
+  readonly arrivals = new Map<string, number[]>()
+  /** Hosts whose daemon is down. */
+  readonly #down = new Set<string>()
   #ids = 0
 
   constructor (workload: Workload, opts: LoadOptions) {
@@ -171,6 +114,7 @@
   /** Runs the workload, and returns the outcomes by class. */
   run (): Record<string, ClassResult> {
     for (const cls of this.#workload.classes) if (cls.ratePerS > 0) this.#schedule(cls)
+    for (const restart of this.opts.restarts ?? []) this.#scheduleRestart(restart)
     this.timers.advance(this.opts.seconds * 1000 + 5_000)
     const results: Record<string, ClassResult> = {}
     for (const cls of this.#workload.classes) {
@@ -202,7 +146,9 @@
 
   /** Counts an arrival at a target; true if the run is a retry, or a nested call of one. */
   onArrival (host: string, service: string, id: string): boolean {
-    this.arrivals.set(host, (this.arrivals.get(host) ?? 0) + 1)
+    const times = this.arrivals.get(host)
+    if (times) times.push(this.timers.now())
+    else this.arrivals.set(host, [this.timers.now()])
     const isRepeated = this.#arrivedIds.has(id)
     this.#arrivedIds.add(id)
     if (isRepeated || this.#retryIds.has(id)) this.#countsOf(service).retries++
@@ -229,40 +175,73 @@
         this.#addHost(host, dataCentre, service, service.speeds[i % service.speeds.length]!)
       }
     }
+    for (const { outbound } of this.#hosts.values()) outbound.setTable(new RouteTable(config))
+    this.#spreadRecords()
+  }
+
+  /** Tells every daemon the records of all others. */
+  #spreadRecords (): void {
     const records = [...this.#hosts.values()].map(({ record }) => record)
-    for (const { fleet, balancer, outbound } of this.#hosts.values()) {
+    for (const { fleet, balancer } of this.#hosts.values()) {
       fleet.merge(records)
       balancer.setHosts(records)
-      outbound.setTable(new RouteTable(config))
     }
   }
 
-  #addHost (host: string, dataCentre: string, service: Workload['services'][number], speed: number): void {
+  #scheduleRestart ({ host, stoppingAtS, downAtS, upAtS }: DaemonRestart): void {
     const { timers } = this
-    const random = new SeededRandom(Math.imul(this.#random.int(1e9), 0x9e3779b1))
-    const log = new NoopCallLog()
+    timers.after(stoppingAtS * 1000, () => {
+      const stopped = this.#hosts.get(host)!
+      stopped.record = { ...stopped.record, stopping: true, sequence: stopped.record.sequence + 1 }
+      this.#spreadRecords()
+    })
+    timers.after(downAtS * 1000, () => this.#down.add(host))
+    timers.after(upAtS * 1000, () => {
+      const { record, client } = this.#hosts.get(host)!
+      this.#down.delete(host)
+      this.#addDaemon({ ...record, stopping: false, incarnation: record.incarnation + 1, sequence: 1 }, client)
+      this.#hosts.get(host)!.outbound.setTable(new RouteTable(this.#config()))
+      this.#spreadRecords()
+    })
+  }
+
+  #upHosts (): string[] {
+    return [...this.#hosts.keys()].filter((host) => !this.#down.has(host))
+  }
+
+  #addHost (host: string, dataCentre: string, service: Workload['services'][number], speed: number): void {
     const target: TargetRecord = { id: `t-${host}`, service: service.name, version: 'v1', slots: service.slots, state: 'ready', coldMs: 0 }
     const record: HostRecord = { host, dataCentre, address: host, port: 1, incarnation: 1, sequence: 1, stopping: false, target }
+    const random = new SeededRandom(Math.imul(this.#random.int(1e9), 0x9e3779b1))
+    this.#addDaemon(record, new SimTarget(this, host, service.name, service.slots, speed, random), random)
+  }
+
+  /** Starts a daemon on the host of the record, which knows nothing of what an earlier one knew. */
+  #addDaemon (record: HostRecord, client: SimTarget, random = new SeededRandom(Math.imul(this.#random.int(1e9), 0x9e3779b1))): void {
+    const { timers } = this
+    const { host, dataCentre, incarnation } = record
+    const target = record.target!
+    const log = new NoopCallLog()
     const fleet = new Fleet({
       own: record, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}
     })
-    const client = new SimTarget(this, host, service.name, service.slots, speed, random)
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
-      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => 1, isVersionAllowed: () => true, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
+      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
     })
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundHandler({
-      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), versions: { choose: () => undefined }, callerService: () => service.name
+      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), versions: { choose: () => undefined }, callerService: () => target.service
     })
-    this.#hosts.set(host, { record, fleet, inbound: inboundHandler, outbound, balancer })
+    this.#hosts.set(host, { record, client, fleet, inbound: inboundHandler, outbound, balancer })
   }
 
   #link (peer: string, dataCentre: string): PeerLink {
     const { timers } = this
+    const isDown = (): boolean => this.#down.has(peer)
     return {
-      isUp: true,
+      get isUp () { return !isDown() },
       endpoint: { address: peer, port: 1 },
       call: (message, _bulky, reply) => {
         let isCancelled = false
@@ -271,6 +250,7 @@
         if (isRemote) this.#countRemoteBytes(message.route, message.body.length)
         timers.after(ONE_WAY_MS, () => {
           if (isCancelled) return
+          if (isDown()) return reply({ kind: 'notRun', reason: 'unsent' })
           inbound.offer(message, (hopReply) => {
             if (hopReply.kind === 'response') this.servedByLocation.all++
             if (hopReply.kind === 'response' && isRemote) {
@@ -308,7 +288,7 @@
       this.#schedule(cls)
       const result = this.#results.get(cls.name)!
       result.requests++
-      this.#attempt(this.#random.pick([...this.#hosts.keys()]), cls, this.timers.now(), cls.retries)
+      this.#attempt(this.#random.pick(this.#upHosts()), cls, this.timers.now(), cls.retries)
     })
   }
 
@@ -338,7 +318,7 @@
         if (rejections === 1 && ms <= cls.targetLatencyMs) result.onTimeAfterRejection++
       } else if (retries > 0 && (isRejected || cls.idempotent)) {
         const waitMs = Math.min(retryAfterMs ?? 20, (requestedAt + cls.deadlineMs - timers.now()) / 3)
-        timers.after(waitMs, () => this.#attempt(this.#random.pick([...this.#hosts.keys()]), cls, requestedAt, retries - 1, rejections + (isRejected ? 1 : 0)))
+        timers.after(waitMs, () => this.#attempt(this.#random.pick(this.#upHosts()), cls, requestedAt, retries - 1, rejections + (isRejected ? 1 : 0)))
       } else if (isRejected) {
         result.rejected++
       } else {
@@ -349,11 +329,3 @@
 }
 
 const noMetrics: CallMetrics = { request: () => {}, event: () => {}, state: () => {}, text: async () => '' }
-
-function response (status: number, bytes = DEFAULT_RESPONSE_BYTES): TargetResult {
-  return { kind: 'response', status, headers: [], body: Buffer.alloc(bytes), unframed: false, statement: { limitPerS: Infinity, isLeaving: false } }
-}
-
-function standardNormal (random: Random): number {
-  return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
-}
--- /dev/null
+++ b/packages/hop/src/__tests__/simTarget.ts
@@ -0,0 +1,90 @@
+import type { Random } from '@lentilwheel/core'
+import type { TargetClient } from '../inbound/nodeTargetClient.js'
+import type { TargetRequest } from '../inbound/nodeTargetConnection.js'
+import type { TargetResult, TargetStatement } from '../inbound/targetResult.js'
+import type { LoadSimulator } from './loadSimulator.js'
+import type { RequestClass } from './workloads.js'
+
+/** The running request that makes a nested call. */
+export interface ParentRun {
+  id: string
+  isRetry: boolean
+}
+
+const DEFAULT_RESPONSE_BYTES = 100
+
+/** Simulated target: runs requests in its slots at its speed, makes their nested calls, and can be slow, fail or shed. */
+export class SimTarget implements TargetClient {
+  readonly #simulator: LoadSimulator
+  readonly #host: string
+  readonly #service: string
+  readonly #slots: number
+  readonly #speed: number
+  readonly #random: Random
+  running = 0
+
+  constructor (simulator: LoadSimulator, host: string, service: string, slots: number, speed: number, random: Random) {
+    this.#simulator = simulator
+    this.#host = host
+    this.#service = service
+    this.#slots = slots
+    this.#speed = speed
+    this.#random = random
+  }
+
+  reset (): void {}
+
+  send (request: TargetRequest, _idempotent: boolean, done: (result: TargetResult) => void): () => void {
+    const { timers, opts } = this.#simulator
+    const second = timers.now() / 1000
+    const head = request.bytes.toString('latin1').split('\r\n')
+    const isRetry = this.#simulator.onArrival(this.#host, this.#service, request.requestId)
+    const cls = this.#simulator.classOf(head[0]!.split(' ')[1]!)
+    let isDone = false
+    const end = (status: number, bytes?: number): void => finish(response(status, this.#statement(second), bytes))
+    const finish = (result: TargetResult): void => {
+      if (isDone) return
+      isDone = true
+      this.running--
+      stopDeadline()
+      done(result)
+    }
+    this.running++
+    if (this.running > this.#slots) throw new Error(`${this.#host} got more requests than it has slots`)
+    const stopDeadline = timers.after(request.timeoutMs, () => end(504))
+    if (this.#random.next() < (opts.shedding?.(this.#host, this.#service, second) ?? 0)) {
+      timers.after(1, () => finish({ kind: 'notRun', reason: 'shed', statement: this.#statement(second) }))
+    } else {
+      const tailFactor = this.#random.next() < 0.01 ? 4 : 1
+      const slowness = opts.slowness?.(this.#host, this.#service, second) ?? 1
+      const spread = Math.exp(0.35 * standardNormal(this.#random))
+      const work = cls.workMs * spread * tailFactor * slowness / this.#speed
+      const isFailing = this.#random.next() < (opts.failing?.(this.#host, this.#service, second) ?? 0)
+      const parent = { id: request.requestId, isRetry }
+      timers.after(work, () => this.#makeCalls(cls, parent, () => isDone, (ok) => end(ok && !isFailing ? 200 : 500, cls.responseBytes)))
+    }
+    return () => finish({ kind: 'failed', reason: 'cancelled' })
+  }
+
+  #statement (second: number): TargetStatement {
+    return { limitPerS: this.#simulator.opts.limitPerS?.(this.#host, this.#service, second) ?? Infinity, isLeaving: false }
+  }
+
+  #makeCalls (cls: RequestClass, parent: ParentRun, isDone: () => boolean, done: (ok: boolean) => void): void {
+    let remainingCalls = cls.calls && this.#random.next() < cls.calls.share ? cls.calls.times : 0
+    const next = (): void => {
+      if (isDone()) return
+      if (remainingCalls-- <= 0) return done(true)
+      this.#simulator.sendRequest(this.#host, this.#simulator.classNamed(cls.calls!.class), parent, (ok) => ok ? next() : done(false))
+    }
+    next()
+  }
+}
+
+function response (status: number, statement: TargetStatement, bytes = DEFAULT_RESPONSE_BYTES): TargetResult {
+  return { kind: 'response', status, headers: [], body: Buffer.alloc(bytes), unframed: false, statement }
+}
+
+function standardNormal (random: Random): number {
+  return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
+}
