Send nothing more to a target that said in a response that it leaves

A target that leaves says so in all its responses. Only its announcements were heard, so it got requests for as long as these said otherwise or came late: 20 of 40 requests after the responses that said it (test with real daemons).

The daemon beside the target now takes the statement like an announcement that it drains: queued requests end as not run, peers hear of it, and the departure holds until the target starts again. Each daemon that passed on such a response also keeps the departure itself, as the daemon beside the target may forget it in a restart before a peer has given it back: the reply carries the departure, peers merge it into the record that they hold (also within one incarnation, as an older record may come later), and choose no target that a departure names. Records name the start of a target, so that one that starts again under its id is used again, and a limit of an earlier start is forgotten.

Found beside it: a departure counted as known by its id alone, so a second departure of a target with the same id was not given back after a restart; starts are compared now.

The simulated daemons of fleet.spec.ts that were replaced went on sending; they don't now.

Ruled out: sending a final request to such a target from the queue (it is emptied), and from a chosen candidate (offered at once).

--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -99,7 +99,7 @@
 const MAX_CONTEXT_LINES = 8
 const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
   'peerDown', 'peerUp', 'linkSilent', 'target', 'targetLeft', 'storeLost', 'storeBack', 'configInForce', 'moveFact', 'moveOrder', 'started',
-  'stopping', 'readiness', 'leavingsRecalled', 'targetLimit'
+  'stopping', 'readiness', 'leavingsRecalled', 'targetLimit', 'targetLeaving'
 ])
 
 /** What the `reason` of a failed request means. */
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -210,7 +210,7 @@
   }
 
   #addHost (host: string, dataCentre: string, service: Workload['services'][number], speed: number): void {
-    const target: TargetRecord = { id: `t-${host}`, service: service.name, version: 'v1', slots: service.slots, state: 'ready', coldMs: 0 }
+    const target: TargetRecord = { id: `t-${host}`, startedAt: 1_000, service: service.name, version: 'v1', slots: service.slots, state: 'ready', coldMs: 0 }
     const record: HostRecord = { host, dataCentre, address: host, port: 1, incarnation: 1, sequence: 1, stopping: false, target }
     const random = new SeededRandom(Math.imul(this.#random.int(1e9), 0x9e3779b1))
     this.#addDaemon(record, new SimTarget(this, host, service.name, service.slots, speed, random), random)
@@ -227,7 +227,7 @@
     })
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
-      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
+      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, onTargetLeaving: () => {}, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
     })
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -122,6 +122,7 @@
       incarnation: () => this.#fleet.own.incarnation,
       isVersionAllowed: (service, version) => this.#moves.isVersionAllowed(service, version),
       rejectionRate: (service, priority) => this.#loadBalancer.rejectionRate(service, priority),
+      onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundHandler({
@@ -243,7 +244,7 @@
   /** Announces the target beside this daemon to peers if anything that they use has changed. */
   #checkTarget (): void {
     const record = this.#localTarget.record(this.#opts.timers.now())
-    const key = record ? [record.id, record.service, record.version, record.slots, record.state].join() : ''
+    const key = record ? [record.id, record.startedAt, record.service, record.version, record.slots, record.state].join() : ''
     if (key === this.#announcedKey) return
     this.#opts.log.decision('target', { ...record, before: this.#announcedKey })
     this.#announcedKey = key
@@ -252,12 +253,20 @@
     this.#fleet.setTarget(record)
   }
 
+  /** Takes no more requests for a target that says in a response that it leaves. */
+  #onTargetLeaving (departure: Departure): void {
+    if (this.#localTarget.record(this.#opts.timers.now())?.state !== 'ready') return
+    this.#opts.log.decision('targetLeaving', { target: departure.id, startedAt: departure.startedAt })
+    this.#localTarget.addDepartures([departure])
+    this.#checkTarget()
+  }
+
   /** Restores departures that this daemon lost in a restart, from what its peers remember. */
   #onDepartures (departures: readonly Departure[]): void {
     const forgotten = departuresNotIn(this.#localTarget.departures(), departures)
     if (forgotten.length === 0) return
     this.#opts.log.decision('leavingsRecalled', { targets: forgotten.map(({ id }) => id) })
-    this.#localTarget.restoreDepartures(forgotten)
+    this.#localTarget.addDepartures(forgotten)
     this.#fleet.setDepartures(this.#localTarget.departures())
     this.#checkTarget()
   }
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -3,10 +3,10 @@
 import type { SyncMessage } from '../../link/messages.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import { Fleet } from '../fleet.js'
-import type { HostRecord, TargetRecord } from '../hostRecord.js'
+import { availableTarget, type Departure, type HostRecord, type TargetRecord } from '../hostRecord.js'
 
 const FLEET_SIZE = 30
-const TARGET: TargetRecord = { id: 'i', service: 's', version: 'v1', slots: 4, state: 'ready', coldMs: 0 }
+const TARGET: TargetRecord = { id: 'i', startedAt: 1_000, service: 's', version: 'v1', slots: 4, state: 'ready', coldMs: 0 }
 
 const ONE_WAY_DELAY_MS = 20
 
@@ -43,13 +43,15 @@
 
   add (host: string, n: number, incarnation = 1): void {
     const own: HostRecord = { host, dataCentre: `dc${n % 4}`, address: host, port: 1, incarnation, sequence: 0, stopping: false }
+    // A daemon that has been replaced by a later start sends nothing more.
+    const isRunning = (): boolean => this.byHost.get(host) === fleet
     const fleet: Fleet = new Fleet({
       own,
       timers: this.timers,
       random: new SeededRandom(Math.imul(n + 1, 0x9e3779b1)),
       log: new NoopCallLog(),
       openLink: (peer) => ({
-        isUp: true,
+        get isUp () { return isRunning() },
         endpoint: { address: peer, port: 1 },
         call: () => () => {},
         sync: async (message) => {
@@ -151,3 +153,29 @@
   await sim.advance(500)
   t.true(fleet.isWarmedUp)
 })
+
+test('guards against a departure that one daemon heard from the target being lost with the daemon beside it', async (t) => {
+  const sim = new FleetSimulation(4)
+  const [host, hearer] = [...sim.byHost.keys()]
+  const departure: Departure = { id: 'i', startedAt: 1_000, state: 'draining' }
+  sim.byHost.get(host!)!.setTarget(TARGET)
+  await sim.advance(2_000)
+  const fleet = sim.byHost.get(hearer!)!
+  const isAvailable = (): boolean => availableTarget(fleet.record(host!)!) !== undefined
+  t.true(isAvailable())
+  fleet.recordDeparture(host!, departure)
+  t.false(isAvailable())
+  sim.byHost.get(host!)!.setTarget(TARGET)
+  await sim.advance(2_000)
+  t.false(isAvailable(), 'a record without the departure, as one that was sent before it')
+  sim.add(host!, 0, 2)
+  const restarted = sim.byHost.get(host!)!
+  restarted.merge([fleet.own])
+  restarted.setTarget(TARGET)
+  await sim.advance(2_000)
+  t.false(isAvailable(), 'a record of the restarted daemon')
+  t.deepEqual(sim.departedIds.get(host!), ['i'], 'the restarted daemon hears of it')
+  restarted.setTarget({ ...TARGET, startedAt: 2_000 })
+  await sim.advance(2_000)
+  t.true(isAvailable(), 'the target started again under its id')
+})
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -120,6 +120,13 @@
     this.#table.updateOwn({ leavings: departures })
   }
 
+  /** Records that the target of another daemon said in a response that it leaves. */
+  recordDeparture (host: string, departure: Departure): void {
+    if (!this.#table.addDeparture(host, departure)) return
+    this.#opts.log.decision('targetLeaving', { peer: host, target: departure.id, startedAt: departure.startedAt })
+    this.#opts.onChange()
+  }
+
   setStopping (): void {
     this.#table.updateOwn({ stopping: true })
     this.#push()
--- a/packages/hop/src/fleet/hostRecord.ts
+++ b/packages/hop/src/fleet/hostRecord.ts
@@ -5,6 +5,8 @@
 /** A target as the daemon beside it announces it to other daemons. */
 export interface TargetRecord {
   id: string
+  /** Unix milliseconds of the target's start by its own clock, to tell it from an earlier start with the same id. */
+  startedAt: number
   service: string
   version: string
   slots: number
@@ -49,13 +51,28 @@
   leavings?: Departure[]
 }
 
+/** The target of a record if it takes requests: it hasn't said that it leaves, and the daemon beside it isn't stopping. */
+export function availableTarget ({ target, stopping, leavings }: HostRecord): TargetRecord | undefined {
+  if (!target || stopping || target.state !== 'ready') return undefined
+  const hasLeft = leavings?.some(({ id, startedAt }) => id === target.id && target.startedAt <= startedAt)
+  return hasLeft ? undefined : target
+}
+
+/** Whether a value from a peer is a departure. */
+export function isDeparture (value: unknown): value is Departure {
+  if (typeof value !== 'object' || value === null) return false
+  const { id, startedAt, state } = value as Partial<Departure>
+  return typeof id === 'string' && id !== '' && Number.isFinite(startedAt) && (state === 'draining' || state === 'gone')
+}
+
 /** Whether record `a` replaces record `b` of the same daemon. */
 export function isNewer (a: HostRecord, b: HostRecord): boolean {
   return a.incarnation !== b.incarnation ? a.incarnation > b.incarnation : a.sequence > b.sequence
 }
 
-/** Departures whose targets are not in the list `known`. */
+/** Departures that the list `known` doesn't have for the same or a later start of the target. */
 export function departuresNotIn (known: readonly Departure[] | undefined, departures: readonly Departure[] | undefined): Departure[] {
-  const knownIds = new Set((known ?? []).map(({ id }) => id))
-  return (departures ?? []).filter(({ id }) => !knownIds.has(id))
+  const latestStarts = new Map<string, number>()
+  for (const { id, startedAt } of known ?? []) latestStarts.set(id, Math.max(startedAt, latestStarts.get(id) ?? -Infinity))
+  return (departures ?? []).filter(({ id, startedAt }) => startedAt > (latestStarts.get(id) ?? -Infinity))
 }
--- a/packages/hop/src/fleet/hostTable.ts
+++ b/packages/hop/src/fleet/hostTable.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { departuresNotIn, isNewer, MAX_DEPARTURES, type HostRecord, type TargetRecord } from './hostRecord.js'
+import { departuresNotIn, isNewer, MAX_DEPARTURES, type Departure, type HostRecord, type TargetRecord } from './hostRecord.js'
 
 /** Newest known record of each daemon, including the own one, which only this daemon changes. */
 export class HostTable {
@@ -56,6 +56,14 @@
     return true
   }
 
+  /** Adds a departure that this daemon heard of before the other daemon's own record listed it; tells whether it was new. */
+  addDeparture (host: string, departure: Departure): boolean {
+    const known = this.#records.get(host)
+    if (!known || host === this.#own.host || departuresNotIn(known.leavings, [departure]).length === 0) return false
+    this.#records.set(host, withEarlierDepartures({ ...known, leavings: [departure] }, known))
+    return true
+  }
+
   /** Removes the record of a daemon that is gone for good; tells whether there was one. */
   remove (host: string): boolean {
     if (host === this.#own.host || !this.#records.delete(host)) return false
@@ -86,11 +94,11 @@
 }
 
 /**
- * Adds the departures of the known record to a record of a later start. A daemon loses its departures in a restart, so
- * its peers keep them for it.
+ * Adds the departures of the known record to a newer one. A daemon loses its departures in a restart, and a record may have
+ * been sent before a departure of which its receiver has heard since, so peers keep them.
  */
 function withEarlierDepartures (record: HostRecord, known: HostRecord | undefined): HostRecord {
-  if (!known?.leavings || known.incarnation === record.incarnation) return record
+  if (!known?.leavings) return record
   const earlier = departuresNotIn(record.leavings, known.leavings)
   return { ...record, leavings: [...earlier, ...record.leavings ?? []].slice(-MAX_DEPARTURES) }
 }
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -12,7 +12,7 @@
   readonly sent: { id: string, done (result: TargetResult): void, isAborted: boolean }[] = []
   readonly replies = new Map<string, HopReply>()
   readonly decisions: object[] = []
-  target: TargetRecord | undefined = { id: 'i-1', service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
+  target: TargetRecord | undefined = { id: 'i-1', startedAt: 1_000, service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
   isAnnouncementOverdue = false
   isVersionAllowed = true
   rejectionRate = 0
@@ -37,6 +37,10 @@
     incarnation: () => 7,
     isVersionAllowed: () => this.isVersionAllowed,
     rejectionRate: () => this.rejectionRate,
+    onTargetLeaving: () => {
+      this.target = { ...this.target!, state: 'draining' }
+      this.handler.onTargetChange()
+    },
     onResult: () => {}
   })
 
@@ -222,6 +226,16 @@
   t.is(setup.handler.load()!.limitPerS, Infinity)
 })
 
+test('guards against a limit outliving the start of the target that stated it', (t) => {
+  const setup = new TestSetup()
+  setup.offer('a')
+  setup.respond('a', { limitPerS: 0 })
+  setup.target = { ...setup.target!, startedAt: 2_000 }
+  setup.handler.onTargetChange()
+  setup.offer('b')
+  t.is(setup.sent.length, 2)
+})
+
 test('guards against rejected senders all coming back for the same request', (t) => {
   const setup = new TestSetup()
   setup.offer('a')
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -1,7 +1,7 @@
 import type { Random, Timers } from '@lentilwheel/core'
 import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
-import type { TargetRecord } from '../fleet/hostRecord.js'
+import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
 import type { RequestResult } from '../rollout/resultAggregator.js'
 import { Admission, type SlotRequest } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
@@ -28,6 +28,8 @@
   isVersionAllowed (service: string, version: string): boolean
   /** Share of the requests more urgent than `priority` that a service currently rejects, as far as this daemon knows. */
   rejectionRate (service: string, priority: number): number
+  /** Called when the target says in a response that it leaves. */
+  onTargetLeaving (departure: Departure): void
   /** Called with each result of a request to the target, from which versions are judged. */
   onResult (target: TargetRecord, result: RequestResult): void
 }
@@ -188,9 +190,9 @@
     return { targetId: target.id, running, queued, slots, pace, failing: this.#failureRate, ...pressed, ...this.#limit.load(queued, now) }
   }
 
-  /** Whether the target is the one that is known. */
-  #isKnown ({ id }: TargetRecord): boolean {
-    return this.#known?.id === id
+  /** Whether the target is the one that is known, in the same start. */
+  #isKnown ({ id, startedAt }: TargetRecord): boolean {
+    return this.#known?.id === id && this.#known.startedAt === startedAt
   }
 
   /**
@@ -248,7 +250,7 @@
     this.#runningRequests.remove(call.message.requestId)
     this.#recordResult(call, result, ms)
     this.#recordStatement(call, result, now)
-    this.#reply(call.message, replyOf(result))
+    this.#reply(call.message, replyOf(call, result))
     this.#logResult(call, result, ms)
     this.#startQueued()
   }
@@ -272,6 +274,7 @@
   #recordStatement ({ target }: Call, result: TargetResult, now: number): void {
     if (result.kind === 'failed' || !result.statement || !this.#isKnown(target)) return
     this.#limit.observe(target.id, result.statement, result.kind === 'notRun', now)
+    if (result.statement.isLeaving) this.#opts.onTargetLeaving(departureOf(target))
   }
 
   #logResult (call: Call, result: TargetResult, ms: number): void {
@@ -335,10 +338,14 @@
 /** Time without any response after which a target that has missed an announcement counts as unresponsive. */
 const UNRESPONSIVE_MS = 800
 
-/** The reply to the sender, without what concerns only this daemon. */
-function replyOf (result: TargetResult): HopReply {
+/** The reply to the sender; it gets to know whether the target leaves together with the response that says so. */
+function replyOf ({ target }: Call, result: TargetResult): HopReply {
   if (result.kind === 'failed') return result
   if (result.kind === 'notRun') return { kind: 'notRun', reason: result.reason }
-  const { kind, status, headers, body, unframed } = result
-  return { kind, status, headers, body, unframed }
+  const { kind, status, headers, body, unframed, statement } = result
+  return { kind, status, headers, body, unframed, ...statement.isLeaving ? { departure: departureOf(target) } : {} }
+}
+
+function departureOf ({ id, startedAt }: TargetRecord): Departure {
+  return { id, startedAt, state: 'draining' }
 }
--- a/packages/hop/src/inbound/localTarget.ts
+++ b/packages/hop/src/inbound/localTarget.ts
@@ -76,8 +76,8 @@
     return [...this.#departures.values()]
   }
 
-  /** Adds departures that this daemon knew before it restarted. */
-  restoreDepartures (departures: readonly Departure[]): void {
+  /** Adds departures of which this daemon heard otherwise: before it restarted, or in a response of the target. */
+  addDepartures (departures: readonly Departure[]): void {
     for (const departure of departures) {
       const known = this.#departures.get(departure.id)
       if (known && (known.startedAt > departure.startedAt || known.state === 'gone')) continue
@@ -108,7 +108,7 @@
   record (now: number): TargetRecord | undefined {
     const current = this.#current
     if (!current || current.hasLeft || now - current.lastAnnouncedAt > this.#goneAfterMs) return undefined
-    const { id, service, version, slots, state } = current
-    return { id, service, version, slots, state, coldMs: Math.max(0, current.coldMs - (now - current.lastAnnouncedAt)) }
+    const { id, startedAt, service, version, slots, state } = current
+    return { id, startedAt, service, version, slots, state, coldMs: Math.max(0, current.coldMs - (now - current.lastAnnouncedAt)) }
   }
 }
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -11,7 +11,7 @@
 const timers = new VirtualTimers()
 const record = { host: 'p', dataCentre: 'dc', address: '127.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false }
 const syncMessage = { from: 'p', configVersion: 0, records: [], facts: [], orders: [], reports: [] }
-const target = { id: 'i', service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
+const target = { id: 'i', startedAt: 1_000, service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
 
 const malformedFrames: Record<string, unknown> = {
   'not a frame': 'hello',
--- a/packages/hop/src/link/__tests__/codec.spec.ts
+++ b/packages/hop/src/link/__tests__/codec.spec.ts
@@ -15,7 +15,7 @@
 const load = { targetId: 'i', running: 1, queued: 2, slots: 6, pace: 0.25, failing: 0.5 }
 const replies: HopReply[] = [
   { kind: 'response', status: 200, headers: ['a', 'b'], body: Buffer.from('x'), unframed: false, load },
-  { kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, load: { ...load, limitPerS: Infinity } },
+  { kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, departure: { id: 'i', startedAt: 1, state: 'draining' }, load: { ...load, limitPerS: Infinity } },
   { kind: 'notRun', reason: 'limited', load: { ...load, limitPerS: 0.5, limitedMs: 200 } },
   { kind: 'failed', reason: 'reset' }
 ]
@@ -33,3 +33,8 @@
     }
   })
 }
+
+test('guards against keeping a malformed departure from a reply', (t) => {
+  const reply = { kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, departure: { id: 'i', state: 'draining' } } as unknown as HopReply
+  t.is(errorCode(t.throws(() => unpackReply(packReply(reply)), { any: true })), 'bad-message')
+})
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -1,5 +1,6 @@
 import { Packr } from 'msgpackr'
 import { BadMessage } from '../errors.js'
+import { isDeparture } from '../fleet/hostRecord.js'
 import type { CallMessage, HopReply, TargetLoad } from './messages.js'
 
 // Encodes messages between daemons as MessagePack.
@@ -14,7 +15,7 @@
   'key', 'requestId', 'incarnation', 'mode', 'service', 'targetId', 'route', 'method', 'url', 'headers', 'body', 'deadlineMs',
   'targetLatencyMs', 'priority', 'idempotent', 'nested', 'repeat', 'heardLimitPerS'
 ] as const satisfies readonly (keyof CallMessage)[]
-const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'load'] as const
+const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'load'] as const
 const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs'] as const satisfies readonly (keyof TargetLoad)[]
 
 type FieldValues = Readonly<Record<string, unknown>>
@@ -47,6 +48,7 @@
 
 export function unpackReply (value: unknown): HopReply {
   const fields = unpackFields(value, REPLY_FIELDS)
+  if (fields['departure'] !== undefined && !isDeparture(fields['departure'])) throw new BadMessage('reply from a peer contains an invalid departure')
   const load = fields['load']
   if (load !== undefined) fields['load'] = unpackFields([PROTOCOL_VERSION, ...Array.isArray(load) ? load as unknown[] : []], LOAD_FIELDS)
   return fields as unknown as HopReply
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -1,6 +1,6 @@
 import type { BriefReport } from '@lentilwheel/moves'
 import type { MoveOrder } from '../rollout/moveOrder.js'
-import type { HostRecord } from '../fleet/hostRecord.js'
+import type { Departure, HostRecord } from '../fleet/hostRecord.js'
 import type { MoveFact } from '@lentilwheel/core'
 
 // The messages that daemons exchange: calls, their replies, and the gossip about hosts, configuration and moves.
@@ -94,7 +94,8 @@
 /** Outcome of an offered request. */
 export type HopReply =
   /** `unframed`: the response had no length, so a truncated body can't be told from a complete one. */
-  | { kind: 'response', status: number, headers: string[], body: Uint8Array, unframed: boolean, load?: TargetLoad }
+  /** `departure`: the target said in the response that it leaves. */
+  | { kind: 'response', status: number, headers: string[], body: Uint8Array, unframed: boolean, departure?: Departure, load?: TargetLoad }
   /** The target has not run the request, so it may be sent again. */
   | { kind: 'notRun', reason: NotRunReason, load?: TargetLoad }
   /** The target may have run the request. */
--- a/packages/hop/src/link/validateSyncMessage.ts
+++ b/packages/hop/src/link/validateSyncMessage.ts
@@ -1,5 +1,5 @@
 import { BadMessage } from '../errors.js'
-import { TARGET_STATES, type HostRecord, type Departure, type TargetRecord } from '../fleet/hostRecord.js'
+import { isDeparture, TARGET_STATES, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { validateFields } from './codec.js'
 import { REQUIRED_SYNC_FIELDS, type SyncMessage } from './messages.js'
 
@@ -28,14 +28,8 @@
 
 function isTargetRecord (value: unknown): value is TargetRecord {
   if (typeof value !== 'object') return false
-  const { id, service, version, slots, state, coldMs } = value as Partial<TargetRecord>
-  return [id, service].every(isNonEmptyString) && typeof version === 'string' && Number.isInteger(slots) && slots! > 0 && TARGET_STATES.includes(state!) && isFiniteNumber(coldMs)
-}
-
-function isDeparture (value: unknown): value is Departure {
-  if (typeof value !== 'object' || value === null) return false
-  const { id, startedAt, state } = value as Partial<Departure>
-  return isNonEmptyString(id) && isFiniteNumber(startedAt) && (state === 'draining' || state === 'gone')
+  const { id, startedAt, service, version, slots, state, coldMs } = value as Partial<TargetRecord>
+  return [id, service].every(isNonEmptyString) && typeof version === 'string' && Number.isInteger(slots) && slots! > 0 && TARGET_STATES.includes(state!) && isFiniteNumber(coldMs) && isFiniteNumber(startedAt)
 }
 
 function isNonEmptyString (value: unknown): value is string {
--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -58,7 +58,7 @@
 
 function host (name: string, dataCentre: string, coldMs = 0): HostRecord {
   return {
-    host: name, dataCentre, address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, target: { id: `t-${name}`, service: 's', version: 'v1', slots: 6, state: 'ready', coldMs }
+    host: name, dataCentre, address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, target: { id: `t-${name}`, startedAt: 1_000, service: 's', version: 'v1', slots: 6, state: 'ready', coldMs }
   }
 }
 
--- a/packages/hop/src/outbound/__tests__/statedLimits.spec.ts
+++ b/packages/hop/src/outbound/__tests__/statedLimits.spec.ts
@@ -13,7 +13,7 @@
 
 function host (name: string): HostRecord {
   return {
-    host: name, dataCentre: 'dc', address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, target: { id: `t-${name}`, service: 's', version: 'v1', slots: 6, state: 'ready', coldMs: 0 }
+    host: name, dataCentre: 'dc', address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, target: { id: `t-${name}`, startedAt: 1_000, service: 's', version: 'v1', slots: 6, state: 'ready', coldMs: 0 }
   }
 }
 
@@ -83,3 +83,13 @@
   t.true(Math.max(...waits) <= 2_400 / 3)
   t.true(retryAfterMs({ targetLatencyMs: 600, remainingMs: 900, isCallerRetry: false, limitedMs: 5_000 }, random) <= 300, 'callers wait no longer than a third of their time')
 })
+
+test('guards against offering requests to a target that left, whatever an older record of it says', (t) => {
+  const setup = new Setup()
+  const { balancer } = setup
+  const rank = (): string[] => setup.rank().map(({ host }) => host)
+  balancer.setHosts([{ ...host('a'), leavings: [{ id: 't-a', startedAt: 1_000, state: 'draining' }] }, host('b')])
+  t.deepEqual(rank(), ['b'])
+  balancer.setHosts([{ ...host('a'), leavings: [{ id: 't-a', startedAt: 900, state: 'gone' }] }, host('b')])
+  t.deepEqual(rank().sort(), ['a', 'b'], 'the target was started again')
+})
--- a/packages/hop/src/outbound/__tests__/targetSubset.spec.ts
+++ b/packages/hop/src/outbound/__tests__/targetSubset.spec.ts
@@ -6,7 +6,7 @@
 
 function targets (count: number, version = 'v1'): HostRecord[] {
   return Array.from({ length: count }, (_, i) => ({
-    host: `h-${version}-${i}`, dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!, address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, target: { id: `t${i}`, service: 's', version, slots: 6, state: 'ready', coldMs: 0 }
+    host: `h-${version}-${i}`, dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!, address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, target: { id: `t${i}`, startedAt: 1_000, service: 's', version, slots: 6, state: 'ready', coldMs: 0 }
   }))
 }
 
--- a/packages/hop/src/outbound/loadBalancer.ts
+++ b/packages/hop/src/outbound/loadBalancer.ts
@@ -1,5 +1,5 @@
 import type { Random, Timers } from '@lentilwheel/core'
-import type { HostRecord } from '../fleet/hostRecord.js'
+import { availableTarget, type HostRecord } from '../fleet/hostRecord.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 import type { TargetLoad } from '../link/messages.js'
 import { HeardLimits } from './heardLimits.js'
@@ -123,8 +123,8 @@
     const now = this.#timers.now()
     const hosts = new Set<string>()
     for (const record of records) {
-      const { target } = record
-      if (!target || target.state !== 'ready' || record.stopping) continue
+      const target = availableTarget(record)
+      if (!target) continue
       hosts.add(record.host)
       const list = this.#byService.get(target.service)
       if (list) list.push(record)
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -213,9 +213,12 @@
 
   /** Updates the load balancer with what a reply tells of the target and its daemon. */
   #recordReply (host: string, reply: HopReply, mode: OfferMode): void {
-    const { loadBalancer: balancer } = this.#opts
+    const { loadBalancer: balancer, fleet } = this.#opts
     balancer.recordReply(host, reply.load)
-    if (reply.kind === 'response') return
+    if (reply.kind === 'response') {
+      if (reply.departure) fleet.recordDeparture(host, reply.departure)
+      return
+    }
     if (isFullReason(reply.reason)) {
       balancer.markBusy(host)
       if (mode === 'queue') balancer.markQueueFull(host, this.#urgency)
--- a/packages/hop/src/rollout/__tests__/versionRules.spec.ts
+++ b/packages/hop/src/rollout/__tests__/versionRules.spec.ts
@@ -6,7 +6,7 @@
 
 function host (name: string, version: string): HostRecord {
   return {
-    host: name, dataCentre: 'dc', address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, target: { id: `t-${name}`, service: 's', version, slots: 6, state: 'ready', coldMs: 0 }
+    host: name, dataCentre: 'dc', address: '10.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false, target: { id: `t-${name}`, startedAt: 1_000, service: 's', version, slots: 6, state: 'ready', coldMs: 0 }
   }
 }
 
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -1,6 +1,6 @@
 import type { MoveFacts, Random } from '@lentilwheel/core'
 import { FULL_STAGE, LOAD_TEST_STAGE } from '@lentilwheel/moves'
-import type { HostRecord } from '../fleet/hostRecord.js'
+import { availableTarget, type HostRecord } from '../fleet/hostRecord.js'
 import type { MoveOrder } from './moveOrder.js'
 
 /** Which targets may get one particular request. */
@@ -76,8 +76,8 @@
   setHosts (records: readonly HostRecord[]): void {
     this.#readyHosts.clear()
     for (const record of records) {
-      const { target } = record
-      if (target?.state !== 'ready' || record.stopping) continue
+      const target = availableTarget(record)
+      if (!target) continue
       const list = this.#readyHosts.get(target.service)
       if (list) list.push(record)
       else this.#readyHosts.set(target.service, [record])
