Take the health of a target out of the inbound handler

What the results tell about the target's failures and reachability is a class of its own now; no behaviour changes.

--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -8,6 +8,7 @@
 import type { TargetClient } from './nodeTargetClient.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
+import { isSuccess, TargetHealth } from './targetHealth.js'
 import { TargetLimit } from './targetLimit.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
@@ -53,8 +54,6 @@
 const QUEUE_CHECK_INTERVAL_MS = 50
 const PRUNE_INTERVAL_MS = 1_000
 const LIMIT_LOG_INTERVAL_MS = 1_000
-/** Weight of a new result in the moving average of failures. */
-const FAILURE_EWMA_WEIGHT = 0.08
 /** Largest part of the requests rejected as displacing; the rest run, so that it shows when they no longer displace others. */
 const MAX_DISPLACING_SHARE = 0.9
 
@@ -70,13 +69,9 @@
   readonly #calls = new Map<string, Call>()
   readonly #runningRequests = new RunningRequests()
   readonly #limit: TargetLimit
+  readonly #health = new TargetHealth()
   /** The target whose state the other fields hold. */
   #known: TargetRecord | undefined
-  /** Moving average of the share of requests that the target failed. */
-  #failureRate = 0
-  #unreachableAt = -Infinity
-  /** When the first request since the target's last response was started; undefined when none was started since. */
-  #unansweredSince: number | undefined
 
   constructor (opts: InboundOptions) {
     this.#opts = opts
@@ -167,8 +162,7 @@
     if (target && !this.#isKnown(target)) {
       this.#known = target
       this.#admission.reset(target.slots)
-      this.#failureRate = 0
-      this.#unreachableAt = -Infinity
+      this.#health.reset()
       this.#limit.reset()
       this.#opts.client.reset()
     }
@@ -187,7 +181,7 @@
     const { running, queued, slots, pace } = this.#admission
     const rate = this.#admission.rejectionRate(now)
     const pressed = rate ? { pressedPriority: rate.priority, pressedShare: rate.share } : {}
-    return { targetId: target.id, running, queued, slots, pace, failing: this.#failureRate, ...pressed, ...this.#limit.load(queued, now) }
+    return { targetId: target.id, running, queued, slots, pace, failing: this.#health.failureRate, ...pressed, ...this.#limit.load(queued, now) }
   }
 
   /** Whether the target is the one that is known, in the same start. */
@@ -215,15 +209,10 @@
     if (target.id !== message.targetId || target.service !== message.service) return 'otherTarget'
     if (target.state !== 'ready') return 'draining'
     if (!this.#opts.isVersionAllowed(target.service, target.version)) return 'draining'
-    if (this.#opts.timers.now() - this.#unreachableAt < UNREACHABLE_BACKOFF_MS || this.#isUnresponsive()) return 'unreachable'
+    if (this.#health.isUnreachable(this.#opts.isAnnouncementOverdue(), this.#opts.timers.now())) return 'unreachable'
     return undefined
   }
 
-  /** Whether the target neither responds nor announces itself. It may be down although its connections are still open. */
-  #isUnresponsive (): boolean {
-    return this.#unansweredSince !== undefined && this.#opts.timers.now() - this.#unansweredSince > UNRESPONSIVE_MS && this.#opts.isAnnouncementOverdue()
-  }
-
   #start (call: Call): void {
     const { message, slotRequest } = call
     const now = this.#opts.timers.now()
@@ -233,7 +222,7 @@
       return this.#endCallNotRun(call, 'expired')
     }
     call.state = 'running'
-    this.#unansweredSince ??= now
+    this.#health.recordStart(now)
     this.#runningRequests.add(message.requestId, { route: message.route, isRetry: message.repeat })
     call.startedAt = now
     this.#limit.recordSent(message, now)
@@ -248,6 +237,7 @@
     this.#admission.release(call.slotRequest, ms, now)
     this.#calls.delete(call.message.key)
     this.#runningRequests.remove(call.message.requestId)
+    this.#health.recordResult(result, this.#calls.size === 0, now)
     this.#recordResult(call, result, ms)
     this.#recordStatement(call, result, now)
     this.#reply(call.message, replyOf(call, result))
@@ -255,18 +245,15 @@
     this.#startQueued()
   }
 
-  /** Updates what is known about the target's latency, failures and reachability. */
+  /** Updates what is known about the target's latency, and passes on the result. */
   #recordResult (call: Call, result: TargetResult, ms: number): void {
-    if (result.kind !== 'failed' || this.#calls.size === 0) this.#unansweredSince = undefined
     if (result.kind === 'failed' && result.reason === 'cancelled') return
-    const isSuccess = result.kind === 'response' && result.status < 500
-    if (isSuccess) this.#admission.recordLatency(ms, call.message.targetLatencyMs)
-    this.#failureRate += FAILURE_EWMA_WEIGHT * ((isSuccess ? 0 : 1) - this.#failureRate)
-    if (result.kind === 'notRun' && result.reason === 'unreachable') this.#unreachableAt = this.#opts.timers.now()
+    const ok = isSuccess(result)
+    if (ok) this.#admission.recordLatency(ms, call.message.targetLatencyMs)
     const target = this.#opts.target()
     if (target?.id === call.message.targetId && result.kind !== 'notRun') {
       const { route, targetLatencyMs } = call.message
-      this.#opts.onResult(target, { route, ok: isSuccess, ms, targetLatencyMs })
+      this.#opts.onResult(target, { route, ok, ms, targetLatencyMs })
     }
   }
 
@@ -279,8 +266,7 @@
 
   #logResult (call: Call, result: TargetResult, ms: number): void {
     const outcome = result.kind === 'response' ? result.status : result.reason
-    const isPlain = result.kind === 'response' && result.status < 500
-    this.#log(call.message, isPlain, outcome, { ms: Math.round(ms), queuedMs: Math.round(call.startedAt - call.slotRequest.arrivedAt) })
+    this.#log(call.message, isSuccess(result), outcome, { ms: Math.round(ms), queuedMs: Math.round(call.startedAt - call.slotRequest.arrivedAt) })
   }
 
   #log (message: CallMessage, isPlain: boolean, outcome: number | string, details: object = {}): void {
@@ -333,11 +319,6 @@
   }
 }
 
-/** Time for which a target gets no requests after a connection to it could not be opened. */
-const UNREACHABLE_BACKOFF_MS = 300
-/** Time without any response after which a target that has missed an announcement counts as unresponsive. */
-const UNRESPONSIVE_MS = 800
-
 /** The reply to the sender; it gets to know whether the target leaves together with the response that says so. */
 function replyOf ({ target }: Call, result: TargetResult): HopReply {
   if (result.kind === 'failed') return result
