Keep to the limit of a service on its cold targets

Same class as the limit that targets state: a bound on the requests of all daemons together that no daemon kept. Where the configuration says how many requests a second a cold target tolerates (cold_per_s), the daemon beside the target now admits no more while the target's announcements say that it is cold.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -122,6 +122,7 @@
       incarnation: () => this.#fleet.own.incarnation,
       isVersionAllowed: (service, version) => this.#moves.isVersionAllowed(service, version),
       rejectionRate: (service, priority) => this.#loadBalancer.rejectionRate(service, priority),
+      coldPerS: (service) => this.#outbound.table?.config.services.get(service)?.coldPerS,
       onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -14,6 +14,7 @@
   readonly decisions: object[] = []
   target: TargetRecord | undefined = { id: 'i-1', startedAt: 1_000, service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
   isAnnouncementOverdue = false
+  coldPerS: number | undefined
   isVersionAllowed = true
   rejectionRate = 0
   readonly handler = new InboundHandler({
@@ -37,6 +38,7 @@
     incarnation: () => 7,
     isVersionAllowed: () => this.isVersionAllowed,
     rejectionRate: () => this.rejectionRate,
+    coldPerS: () => this.coldPerS,
     onTargetLeaving: () => {
       this.target = { ...this.target!, state: 'draining' }
       this.handler.onTargetChange()
@@ -256,3 +258,23 @@
   setup.offer('b')
   t.is(setup.outcomeOf('b'), 'notRun limited')
 })
+
+test('guards against a cold target getting more requests than its service has them tolerate', (t) => {
+  const setup = new TestSetup()
+  setup.coldPerS = 5
+  setup.target = { ...setup.target!, id: 'i-2', slots: 12, coldMs: 2_000 }
+  setup.handler.onTargetChange()
+  const offerFor = (ms: number): number => {
+    const before = setup.sent.length
+    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 50) {
+      setup.offer(`k${setup.timers.now()}`, { targetId: 'i-2' })
+      setup.timers.advance(50)
+      for (const { id } of setup.sent.filter(({ id }) => setup.outcomeOf(id) === 'open')) setup.respond(id)
+    }
+    return setup.sent.length - before
+  }
+  const sentWhileCold = offerFor(2_000)
+  t.true(sentWhileCold >= 8 && sentWhileCold <= 13, String(sentWhileCold))
+  setup.target = { ...setup.target, coldMs: 0 }
+  t.true(offerFor(1_000) >= 20)
+})
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -29,6 +29,8 @@
   isVersionAllowed (service: string, version: string): boolean
   /** Share of the requests more urgent than `priority` that a service currently rejects, as far as this daemon knows. */
   rejectionRate (service: string, priority: number): number
+  /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
+  coldPerS (service: string): number | undefined
   /** Called when the target says in a response that it leaves. */
   onTargetLeaving (departure: Departure): void
   /** Called with each result of a request to the target, from which versions are judged. */
@@ -75,7 +77,7 @@
 
   constructor (opts: InboundOptions) {
     this.#opts = opts
-    this.#limit = new TargetLimit(opts.log)
+    this.#limit = new TargetLimit(opts.log, () => this.#coldPerS())
     this.#admission = new Admission(this.#limit)
     opts.timers.every(QUEUE_CHECK_INTERVAL_MS, () => this.#checkQueue())
     opts.timers.every(PRUNE_INTERVAL_MS, () => this.#registry.prune(opts.timers.now()))
@@ -89,7 +91,7 @@
 
   /** Requests per second that the target takes, Infinity for no limit, and the requests that it was sent in the last seconds. */
   get rate (): { limitPerS: number, sent: number } {
-    return { limitPerS: this.#limit.perS ?? Infinity, sent: this.#limit.sentCounts(this.#opts.timers.now()).all }
+    return { limitPerS: this.#limit.perS, sent: this.#limit.sentCounts(this.#opts.timers.now()).all }
   }
 
   /** Who made a request, from its id. */
@@ -213,6 +215,13 @@
     return undefined
   }
 
+  /** Requests per second that the target tolerates because it is cold; undefined if it isn't, or its service has no such limit. */
+  #coldPerS (): number | undefined {
+    const perS = this.#known && this.#opts.coldPerS(this.#known.service)
+    if (perS === undefined) return undefined
+    return (this.#opts.target()?.coldMs ?? 0) > 0 ? perS : undefined
+  }
+
   #start (call: Call): void {
     const { message, slotRequest } = call
     const now = this.#opts.timers.now()
--- a/packages/hop/src/inbound/targetLimit.ts
+++ b/packages/hop/src/inbound/targetLimit.ts
@@ -29,33 +29,38 @@
 const MAX_TURN_MS = 1_000
 
 /**
- * Keeps to the limit on the rate of requests that a target states in its responses. The daemon beside the target is the only
- * way to it, so the limit is kept here for the requests of all daemons. A daemon that has just started doesn't know the limit
+ * Keeps to the limit on the rate of requests that a target states in its responses, and to the one that its service has for
+ * cold targets. The daemon beside the target is the only way to it, so the limit is kept here for the requests of all daemons. A daemon that has just started doesn't know the limit
  * yet and takes it from the senders that have heard it.
  */
 export class TargetLimit implements SendLimit {
   readonly #log: CallLog
+  readonly #coldPerS: () => number | undefined
   readonly #sent = new SentRequests()
   /** Undefined until the target or a sender has stated it. */
   #perS: number | undefined
   /** Whether the target itself stated the limit to this daemon, so that what senders have heard is older. */
   #isObserved = false
+  /** Whether a limit was in force when the tokens were last counted. */
+  #wasInForce = false
   #tokens = 0
   #updatedAt = 0
   /** When the next rejected sender should offer again. */
   #nextTurnAt = -Infinity
 
-  constructor (log: CallLog) {
+  /** `coldPerS`: requests per second that the target tolerates because it is cold now; undefined for no such limit. */
+  constructor (log: CallLog, coldPerS: () => number | undefined) {
     this.#log = log
+    this.#coldPerS = coldPerS
   }
 
-  /** Requests per second that the target takes; Infinity for no limit, undefined while that is unknown. */
-  get perS (): number | undefined {
-    return this.#perS
+  /** Requests per second that the target states or tolerates while it is cold; Infinity for no limit. */
+  get perS (): number {
+    return Math.min(this.#perS ?? Infinity, this.#coldPerS() ?? Infinity)
   }
 
   get isInForce (): boolean {
-    return this.#perS !== undefined && this.#perS !== Infinity
+    return this.perS !== Infinity
   }
 
   sentCounts (now: number): SentCounts {
@@ -91,17 +96,15 @@
   }
 
   take (now: number): void {
-    if (!this.isInForce) return
-    this.#refill(now)
-    this.#tokens--
+    if (this.#refill(now) !== Infinity) this.#tokens--
   }
 
   waitMs (ahead: number, now: number): number {
-    if (!this.isInForce) return 0
-    this.#refill(now)
-    const tokenMs = Math.max(0, ahead + 1 - this.#tokens) / this.#rate * 1000
-    const isWindowFull = this.#sent.counts(now).all >= WINDOW_FACTOR * this.#rate * SENT_WINDOW_MS / 1000 + WINDOW_SLACK
-    return isWindowFull ? Math.max(tokenMs, 1000 / this.#rate) : tokenMs
+    const rate = this.#refill(now)
+    if (rate === Infinity) return 0
+    const tokenMs = Math.max(0, ahead + 1 - this.#tokens) / rate * 1000
+    const isWindowFull = this.#sent.counts(now).all >= WINDOW_FACTOR * rate * SENT_WINDOW_MS / 1000 + WINDOW_SLACK
+    return isWindowFull ? Math.max(tokenMs, 1000 / rate) : tokenMs
   }
 
   /**
@@ -110,32 +113,27 @@
    */
   nextTurnMs (queued: number, now: number): number {
     const turnAt = Math.min(Math.max(this.#nextTurnAt, now + this.waitMs(queued, now)), now + MAX_TURN_MS)
-    this.#nextTurnAt = turnAt + 1000 / this.#rate
+    this.#nextTurnAt = turnAt + 1000 / Math.max(MIN_RATE_PER_S, this.perS)
     return turnAt - now
   }
 
   /** What senders get to know of the limit; `queued`: number of requests in the queue. */
   load (queued: number, now: number): { limitPerS?: number, limitedMs?: number } {
-    if (this.#perS === undefined) return {}
-    return { limitPerS: this.#perS, ...this.isInForce ? { limitedMs: this.waitMs(queued, now) } : {} }
+    const limitedMs = this.waitMs(queued, now)
+    return { ...this.#perS === undefined ? {} : { limitPerS: this.#perS }, ...limitedMs > 0 ? { limitedMs } : {} }
   }
 
   /** Logs what the target was sent, while it states a limit. */
   logSent (targetId: string, now: number): void {
     if (!this.isInForce) return
-    this.#log.decision('targetUnderLimit', { target: targetId, limitPerS: this.#perS, windowMs: SENT_WINDOW_MS, sent: this.#sent.counts(now) })
-  }
-
-  get #rate (): number {
-    return Math.max(MIN_RATE_PER_S, this.#perS!)
+    this.#log.decision('targetUnderLimit', { target: targetId, limitPerS: this.perS, windowMs: SENT_WINDOW_MS, sent: this.#sent.counts(now) })
   }
 
   #set (targetId: string, perS: number, from: 'target' | 'peer', now: number): void {
     if (perS === this.#perS) return
     const isUsual = this.#perS === undefined && perS === Infinity
     if (!isUsual) this.#log.decision('targetLimit', { target: targetId, limitPerS: loggable(perS), before: loggable(this.#perS), from })
-    if (this.isInForce) this.#refill(now)
-    else this.#start(now)
+    this.#refill(now)
     this.#perS = perS
   }
 
@@ -147,10 +145,18 @@
     this.#sent.clear()
   }
 
-  #refill (now: number): void {
-    const grantedTokens = (now - this.#updatedAt) / 1000 * this.#rate
-    this.#tokens = Math.min(Math.max(1, BURST_S * this.#rate), this.#tokens + grantedTokens)
+  /** Adds the tokens that the limit has granted since the last call; returns the rate in force, in requests per second. */
+  #refill (now: number): number {
+    const { perS } = this
+    const wasInForce = this.#wasInForce
+    this.#wasInForce = perS !== Infinity
+    if (perS === Infinity) return Infinity
+    if (!wasInForce) this.#start(now)
+    const rate = Math.max(MIN_RATE_PER_S, perS)
+    const grantedTokens = (now - this.#updatedAt) / 1000 * rate
+    this.#tokens = Math.min(Math.max(1, BURST_S * rate), this.#tokens + grantedTokens)
     this.#updatedAt = now
+    return rate
   }
 }
 
--- a/packages/hop/src/routing/meshConfig.ts
+++ b/packages/hop/src/routing/meshConfig.ts
@@ -30,6 +30,8 @@
   readonly name: string
   /** Maximum number of connections that one target accepts from all callers together. */
   readonly maxConnections: number
+  /** Requests per second that a target tolerates from all daemons while it is cold; absent for no such limit. */
+  readonly coldPerS?: number
 }
 
 /** Limits on what callers may send. */
