Send the absence of a limit in one byte

Each reply of a daemon said that the target states no limit by a floating-point infinity, 64 bytes instead of 56 for a reply without headers and body; it takes 56 again.

--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -42,7 +42,7 @@
 }
 
 export function packReply (reply: HopReply): unknown[] {
-  const load = reply.load && packFields(roundLoad(reply.load) as unknown as FieldValues, LOAD_FIELDS)
+  const load = reply.load && packFields(compactLoad(reply.load) as unknown as FieldValues, LOAD_FIELDS)
   return [PROTOCOL_VERSION, ...packFields({ ...reply, load }, REPLY_FIELDS)]
 }
 
@@ -50,10 +50,16 @@
   const fields = unpackFields(value, REPLY_FIELDS)
   if (fields['departure'] !== undefined && !isDeparture(fields['departure'])) throw new BadMessage('reply from a peer contains an invalid departure')
   const load = fields['load']
-  if (load !== undefined) fields['load'] = unpackFields([PROTOCOL_VERSION, ...Array.isArray(load) ? load as unknown[] : []], LOAD_FIELDS)
+  if (load !== undefined) fields['load'] = unpackLoad(load)
   return fields as unknown as HopReply
 }
 
+function unpackLoad (value: unknown): Record<string, unknown> {
+  const load = unpackFields([PROTOCOL_VERSION, ...Array.isArray(value) ? value as unknown[] : []], LOAD_FIELDS)
+  if (load['limitPerS'] === NO_LIMIT_CODE) load['limitPerS'] = Infinity
+  return load
+}
+
 function packFields (message: FieldValues, names: readonly string[]): unknown[] {
   return names.map((name) => message[name])
 }
@@ -71,15 +77,19 @@
   return fields
 }
 
+/** Stands for "no limit" in messages, where infinity would take eight bytes more. */
+const NO_LIMIT_CODE = -1
+
 /** Rounds the estimates to two decimals, which is precise enough and keeps messages small. */
-function roundLoad (load: TargetLoad): TargetLoad {
+function compactLoad (load: TargetLoad): TargetLoad {
   const twoDecimals = (n: number): number => Math.round(n * 100) / 100
-  const { pace, failing, pressedShare, limitedMs } = load
+  const { pace, failing, pressedShare, limitPerS, limitedMs } = load
   return {
     ...load,
     pace: twoDecimals(pace),
     failing: twoDecimals(failing),
     ...pressedShare === undefined ? {} : { pressedShare: twoDecimals(pressedShare) },
+    ...limitPerS === Infinity ? { limitPerS: NO_LIMIT_CODE } : {},
     ...limitedMs === undefined ? {} : { limitedMs: Math.ceil(limitedMs) }
   }
 }
