Start the limit of a replaced target without what the former one had left

A target that is limited from its start on, as a cold one is, began with the requests that its predecessor had not used. Found by reading; at most half a second's worth.

--- a/packages/hop/src/inbound/targetLimit.ts
+++ b/packages/hop/src/inbound/targetLimit.ts
@@ -71,6 +71,7 @@
   reset (): void {
     this.#perS = undefined
     this.#isObserved = false
+    this.#wasInForce = false
     this.#sent.clear()
   }
 
