Spread the callers that come back to a service with limited targets

All callers that one daemon rejects between two turns of its targets were told the same moment to come back, and one of them could be served then. The wait has jitter beyond the turn now.

Evidence: statedLimits.spec.ts (before any target takes requests) fails on the code before, with one wait for all.

--- a/packages/hop/src/outbound/__tests__/statedLimits.spec.ts
+++ b/packages/hop/src/outbound/__tests__/statedLimits.spec.ts
@@ -80,6 +80,7 @@
   const random = new SeededRandom(1)
   const waits = Array.from({ length: 50 }, () => retryAfterMs({ targetLatencyMs: 600, remainingMs: 2_400, isCallerRetry: false, limitedMs: 400 }, random))
   t.true(Math.min(...waits) >= 400)
+  t.true(new Set(waits).size > 40, 'callers don\'t all come back at once')
   t.true(Math.max(...waits) <= 2_400 / 3)
   t.true(retryAfterMs({ targetLatencyMs: 600, remainingMs: 900, isCallerRetry: false, limitedMs: 5_000 }, random) <= 300, 'callers wait no longer than a third of their time')
 })
--- a/packages/hop/src/outbound/retryAfter.ts
+++ b/packages/hop/src/outbound/retryAfter.ts
@@ -27,7 +27,8 @@
   const [range, baseMs] = isCallerRetry && Number.isFinite(remainingMs) ? [LATER_RETRY_AFTER, remainingMs] : [FIRST_RETRY_AFTER, targetLatencyMs]
   const jitter = range.min + (range.max - range.min) * random.next()
   const usualMs = Math.max(MIN_RETRY_AFTER_MS, baseMs * jitter)
-  return Math.max(usualMs, Math.min(limitedMs, remainingMs * LATER_RETRY_AFTER.max))
+  if (limitedMs <= usualMs) return usualMs
+  return Math.max(usualMs, Math.min(limitedMs + usualMs * jitter, remainingMs * LATER_RETRY_AFTER.max))
 }
 
 /** A request with at least this fraction of the longest deadline of its route is taken for a first attempt. */
