--- /dev/null
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -0,0 +1,37 @@
+import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
+import type { HeaderNames } from '../inbound/targetResult.js'
+import type { MeshRoute } from '../routing/meshConfig.js'
+
+// Values that several tests of the call path start from.
+
+/** Header names of the tests; their values differ from those of any platform. */
+export const TEST_HEADERS: HeaderNames = {
+  requestId: 'x-id',
+  deadline: 'x-deadline',
+  expectedTarget: 'x-expected',
+  notRun: 'x-not-run',
+  load: 'x-load',
+  limit: 'x-limit',
+  leaving: 'x-leaving',
+  callerService: 'x-caller',
+  signature: 'x-sig'
+}
+
+/** Route to the service of `testHost`. */
+export const TEST_ROUTE: MeshRoute = {
+  name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
+}
+
+/** Record of a host whose target is ready; the target is named after the host. */
+export function testHost (name: string, dataCentre = 'dc', target: Partial<TargetRecord> = {}): HostRecord {
+  return {
+    host: name,
+    dataCentre,
+    address: '10.0.0.1',
+    port: 1,
+    incarnation: 1,
+    sequence: 1,
+    stopping: false,
+    target: { id: `t-${name}`, startedAt: 1_000, service: 's', version: 'v1', slots: 6, state: 'ready', coldMs: 0, ...target }
+  }
+}
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -1,5 +1,5 @@
 import { SeededRandom, VirtualTimers, type Random } from '@lentilwheel/core'
-import { TEST_HEADERS as names } from './headerNames.js'
+import { TEST_HEADERS as names } from './fixtures.js'
 import { Fleet } from '../fleet/fleet.js'
 import type { PeerLink } from '../fleet/fleetTypes.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
+import { TEST_HEADERS as names } from '../../__tests__/fixtures.js'
 import { Admission, type SlotRequest } from '../admission.js'
 import { CallRegistry } from '../callRegistry.js'
 import { LocalTarget, type Announcement } from '../localTarget.js'
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
+import { TEST_HEADERS as names } from '../../__tests__/fixtures.js'
 import type { TargetRecord } from '../../fleet/hostRecord.js'
 import type { CallMessage, HopReply } from '../../link/messages.js'
 import { InboundHandler } from '../inboundHandler.js'
--- a/packages/hop/src/inbound/__tests__/targetClient.spec.ts
+++ b/packages/hop/src/inbound/__tests__/targetClient.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { VirtualTimers } from '@lentilwheel/core'
-import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
+import { TEST_HEADERS as names } from '../../__tests__/fixtures.js'
 import { NodeTargetClient } from '../nodeTargetClient.js'
 import type { LimitExceeded } from '../nodeTargetConnection.js'
 import { createResponseLimits, type ResponseLimits } from '../responseLimits.js'
--- a/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { connect, type Socket } from 'node:net'
-import { TEST_HEADERS as names } from '../../__tests__/headerNames.js'
+import { TEST_HEADERS as names } from '../../__tests__/fixtures.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { CallMetrics } from '../../observe/callMetrics.js'
 import type { OutboundHandler } from '../outboundHandler.js'
