--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -31,8 +31,9 @@
 const MAX_OBSERVED_PACE = 4
 
 /**
- * Admission control for the slots of one target and for the rate of requests that it takes. A target never gets more requests
- * than it has slots, nor more in a second than its limit; the others wait in a queue here, ordered by urgency (nested calls first, then by priority of the route) and then by arrival. Under
+ * Admission control for the slots of one target and for the rate of requests that it takes. A target never gets more
+ * requests at a time than it has slots, nor more in a second than its limit. The others wait in a queue here, ordered by
+ * urgency (nested calls first, then by priority of the route) and then by arrival. Under
  * overload, a request that can no longer be served within its target latency is rejected early, while there is still
  * time to serve it on another target or to retry it later.
  */
@@ -95,7 +96,7 @@
     return this.#rejectionRates.mostUrgent(now)
   }
 
-  /** Asks for a slot; with `mayQueue`, the request is queued if all slots are taken and it can still be served in time. */
+  /** Asks for a slot; with `mayQueue`, a request that can't start is queued if it can still be served in time. */
   admit (request: SlotRequest, mayQueue: boolean, now: number): AdmissionDecision {
     const isFree = this.canStart(now)
     if (!request.isNested && (isFree || mayQueue)) this.#rejectionRates.countRequest(request.priority, now)
--- a/packages/hop/src/inbound/sentRequests.ts
+++ b/packages/hop/src/inbound/sentRequests.ts
@@ -26,7 +26,7 @@
     if (request.repeat) bucket.repeated++
   }
 
-  /** Requests of the last `SENT_WINDOW_MS`, and at most those of one more bucket. */
+  /** Requests of the last `SENT_WINDOW_MS`, and of up to `BUCKET_MS` before. */
   counts (now: number): SentCounts {
     this.#advance(now)
     const sum = emptyCounts()
