--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -41,6 +41,14 @@
   upAtS: number
 }
 
+/** A limit on its requests that a target stated from a time on. */
+export interface StatedLimit {
+  /** Milliseconds, when the first response stated it. */
+  at: number
+  /** Requests per second; Infinity for no limit. */
+  perS: number
+}
+
 /** Outcomes of the requests of one class, as their callers see them. */
 export interface ClassResult {
   requests: number
@@ -90,6 +98,8 @@
   readonly remoteBytes = new Map<string, number>()
   /** Times in milliseconds at which each target received its requests. */
   readonly arrivals = new Map<string, number[]>()
+  /** Limits that the targets of each host stated, one after the other, beginning with the first finite one. */
+  readonly statedLimits = new Map<string, StatedLimit[]>()
   /** Hosts whose daemon is down. */
   readonly #down = new Set<string>()
   #ids = 0
@@ -155,6 +165,15 @@
     return isRepeated || this.#retryIds.has(id)
   }
 
+  /** Records the limit that a target states in a response. */
+  onStatement (host: string, perS: number): void {
+    const stated = this.statedLimits.get(host)
+    if (stated ? stated.at(-1)!.perS === perS : perS === Infinity) return
+    const limit = { at: this.timers.now(), perS }
+    if (stated) stated.push(limit)
+    else this.statedLimits.set(host, [limit])
+  }
+
   #countRemoteBytes (cls: string, bytes: number): void {
     this.remoteBytes.set(cls, (this.remoteBytes.get(cls) ?? 0) + bytes)
   }
--- a/packages/hop/src/__tests__/simTarget.ts
+++ b/packages/hop/src/__tests__/simTarget.ts
@@ -41,7 +41,7 @@
     const isRetry = this.#simulator.onArrival(this.#host, this.#service, request.requestId)
     const cls = this.#simulator.classOf(head[0]!.split(' ')[1]!)
     let isDone = false
-    const end = (status: number, bytes?: number): void => finish(response(status, this.#statement(second), bytes))
+    const end = (status: number, bytes?: number): void => finish(response(status, this.#statement(), bytes))
     const finish = (result: TargetResult): void => {
       if (isDone) return
       isDone = true
@@ -53,7 +53,7 @@
     if (this.running > this.#slots) throw new Error(`${this.#host} got more requests than it has slots`)
     const stopDeadline = timers.after(request.timeoutMs, () => end(504))
     if (this.#random.next() < (opts.shedding?.(this.#host, this.#service, second) ?? 0)) {
-      timers.after(1, () => finish({ kind: 'notRun', reason: 'shed', statement: this.#statement(second) }))
+      timers.after(1, () => finish({ kind: 'notRun', reason: 'shed', statement: this.#statement() }))
     } else {
       const tailFactor = this.#random.next() < 0.01 ? 4 : 1
       const slowness = opts.slowness?.(this.#host, this.#service, second) ?? 1
@@ -66,8 +66,12 @@
     return () => finish({ kind: 'failed', reason: 'cancelled' })
   }
 
-  #statement (second: number): TargetStatement {
-    return { limitPerS: this.#simulator.opts.limitPerS?.(this.#host, this.#service, second) ?? Infinity, isLeaving: false }
+  /** What the target states of itself in a response that it sends now. */
+  #statement (): TargetStatement {
+    const { timers, opts } = this.#simulator
+    const limitPerS = opts.limitPerS?.(this.#host, this.#service, timers.now() / 1000) ?? Infinity
+    this.#simulator.onStatement(this.#host, limitPerS)
+    return { limitPerS, isLeaving: false }
   }
 
   #makeCalls (cls: RequestClass, parent: ParentRun, isDone: () => boolean, done: (ok: boolean) => void): void {
