Log the store's epoch, what lists bring, and what is ignored as older

Before, no line told what a list after the return of the store had brought: an older configuration and an order with a lower revision were dropped without a word, so the hypotheses of the incident couldn't be told apart.

--- a/packages/hop/src/daemon/configUpdater.ts
+++ b/packages/hop/src/daemon/configUpdater.ts
@@ -157,6 +157,7 @@
   #apply (config: MeshConfig, from: string): void {
     const { log, fleet, onConfig } = this.#opts
     const before = this.#currentVersion
+    if (config.version < before) log.decision('configOlder', { version: config.version, inForce: before, from })
     if (config.version <= before) return
     log.decision('configInForce', { version: config.version, before, routes: config.routes.length, from })
     this.#versions.push(config)
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -8,9 +8,9 @@
 
 /**
  * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
- * within the last 4 s.
+ * within the last 4 s. `storeEpoch`: epoch of the store as this daemon knows it.
  */
-export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'targetLimit' | 'targetSent'
+export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'targetLimit' | 'targetSent' | 'storeEpoch'
 
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -76,7 +76,11 @@
 
   /** Takes over an order from the store or a peer, unless it is older than the known one. */
   onOrder (order: MoveOrder, from: string): void {
-    if (!this.#rules.setOrder(order)) return
+    if (!this.#rules.setOrder(order)) {
+      const { id, state, revision } = order
+      if (from === 'store') this.#opts.log.decision('moveOrderIgnored', { id, state, revision, known: this.#rules.order(order.service) })
+      return
+    }
     this.#opts.log.decision('moveOrder', { ...order, from })
     this.#opts.fleet.schedulePush()
   }
--- /dev/null
+++ b/packages/hop/src/store/epochTracker.ts
@@ -0,0 +1,35 @@
+import type { CallLog } from '../observe/callLog.js'
+
+/**
+ * Newest epoch of the store that this daemon knows of. The epoch rises each time the store is restored from a copy; what
+ * was written after the copy was made is lost, and revisions after it are given out again.
+ */
+export class EpochTracker {
+  readonly #log: CallLog
+  readonly #listeners: ((epoch: number) => void)[] = []
+  #current: number | undefined
+
+  constructor (log: CallLog) {
+    this.#log = log
+  }
+
+  /** 0 until an epoch is known. */
+  get current (): number {
+    return this.#current ?? 0
+  }
+
+  /** Calls the listener whenever a newer epoch than the known one is observed. */
+  onRise (listener: (epoch: number) => void): void {
+    this.#listeners.push(listener)
+  }
+
+  /** Takes in an epoch that the store or a peer has named; `from` says who. The first one is not a rise. */
+  observe (epoch: number, from: string): void {
+    const before = this.#current
+    if (before !== undefined && epoch <= before) return
+    this.#current = epoch
+    this.#log.decision('storeEpoch', { epoch, before, from })
+    if (before === undefined) return
+    for (const listener of this.#listeners) listener(epoch)
+  }
+}
--- a/packages/hop/src/store/storeWatcher.ts
+++ b/packages/hop/src/store/storeWatcher.ts
@@ -26,6 +26,8 @@
 /** How often a daemon that doesn't watch checks whether it should. */
 const DISABLED_CHECK_INTERVAL_MS = 500
 
+const MAX_LOGGED_OBJECTS = 10
+
 /**
  * Keeps up with the objects of one kind in the store: lists them, watches for changes from the revision of the list, and
  * lists again when the store no longer has the history from there. Retries with exponential backoff while it fails.
@@ -77,12 +79,14 @@
   }
 
   async #runCycle (): Promise<void> {
-    const { store, kind, watchTimeoutMs, batchDelayMs, isEnabled } = this.#opts
+    const { store, kind, log, watchTimeoutMs, batchDelayMs, isEnabled } = this.#opts
     if (this.#revision === undefined || this.#isRelistDue) {
       this.#isRelistDue = false
       const listing = await store.list(kind)
-      this.#revision = listing.revision
-      this.#opts.onList(listing.objects)
+      const { revision, objects } = listing
+      log.decision('storeListed', { kind, revision, objects: objects.slice(0, MAX_LOGGED_OBJECTS).map((object) => `${object.name}@${object.revision}`), before: this.#revision })
+      this.#revision = revision
+      this.#opts.onList(objects)
       return await this.#sleep(batchDelayMs)
     }
     if (isEnabled && !isEnabled()) return await this.#sleep(DISABLED_CHECK_INTERVAL_MS)
