Compare revisions of the store only within one epoch

With real daemons: a configuration confirmed after the restore never took force, and the state of a move was missing in the store for good.

Cause: revisions were kept as bare numbers. The restored store gives numbers out again, so a watch could resume at a number of before and never hear of the changes below it, and an order or a state with a lower number was taken for old news.

A revision now has the epoch of the store in it, from each response. A watch fails as without history if the response is of another epoch; after a pause in which the store may have come back unnoticed the first watch returns at once, and tells. Daemons tell each other the epoch, so those that hear of it later list again at once. Orders are ordered by epoch and number, between daemons too. An order whose revision is malformed is rejected like a malformed record.

The protocol number between daemons rises to 5.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -12,6 +12,7 @@
 import { RetryBudget } from '../outbound/retryBudget.js'
 import type { MeshConfig, MeshRoute } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
+import { EpochTracker } from '../store/epochTracker.js'
 import { SimTarget, type ParentRun } from './simTarget.js'
 import type { RequestClass, Workload } from './workloads.js'
 
@@ -242,7 +243,7 @@
     const target = record.target!
     const log = new NoopCallLog()
     const fleet = new Fleet({
-      own: record, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}
+      own: record, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
     })
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
--- a/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
+++ b/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
@@ -5,7 +5,9 @@
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { ConfigDelta } from '../../routing/configDelta.js'
 import type { MeshConfig, MeshRoute } from '../../routing/meshConfig.js'
+import { EpochTracker } from '../../store/epochTracker.js'
 import type { EventBatch, ObjectStore } from '../../store/objectStore.js'
+import type { StoreRevision } from '../../store/storeRevision.js'
 import type { StoreCodec } from '../storeCodec.js'
 import { ConfigUpdater } from '../configUpdater.js'
 
@@ -41,15 +43,16 @@
       list: async () => {
         this.listCalls++
         if (this.isStoreDown) throw new StoreUnavailable('unavailable')
-        return { revision: this.storedVersion, objects: [{ name: 'main', revision: this.storedVersion, spec: this.storedVersion, status: undefined }] }
+        return { revision: this.#revision, objects: [{ name: 'main', revision: this.#revision, spec: this.storedVersion, status: undefined }] }
       },
-      watch: async (_kind: string, _revision: number, _waitMs: number, signal: AbortSignal) => {
+      watch: async (_kind: string, _revision: StoreRevision, waitMs: number, signal: AbortSignal) => {
+        if (waitMs === 0) return { revision: this.#revision, events: [] }
         await new Promise<void>((resolve, reject) => {
           this.#wakeWatch = resolve
           signal.addEventListener('abort', () => reject(new StoreUnavailable('aborted')))
         })
-        const object = { name: 'main', revision: this.storedVersion, spec: this.storedVersion, status: undefined }
-        return { revision: this.storedVersion, events: [{ object, deleted: false }] } satisfies EventBatch
+        const object = { name: 'main', revision: this.#revision, spec: this.storedVersion, status: undefined }
+        return { revision: this.#revision, events: [{ object, deleted: false }] } satisfies EventBatch
       }
     } as unknown as ObjectStore
     const codec = { config: { kind: 'config', name: 'main' }, decodeConfig: (spec: unknown) => config(spec as number) } as unknown as StoreCodec
@@ -70,11 +73,15 @@
       })
     } as unknown as Fleet
     this.updater = new ConfigUpdater({
-      fleet, store, codec, timers, random: new SeededRandom(1), log: new NoopCallLog(), onConfig: (table) => this.appliedVersions.push(table.config.version)
+      fleet, store, epochs: new EpochTracker(new NoopCallLog()), codec, timers, random: new SeededRandom(1), log: new NoopCallLog(), onConfig: (table) => this.appliedVersions.push(table.config.version)
     })
     this.updater.start()
   }
 
+  get #revision (): StoreRevision {
+    return { epoch: 1, number: this.storedVersion }
+  }
+
   /** Changes the version in the store, which ends an open watch. */
   changeStore (version: number): void {
     this.storedVersion = version
--- a/packages/hop/src/daemon/peerDiscovery.ts
+++ b/packages/hop/src/daemon/peerDiscovery.ts
@@ -3,12 +3,14 @@
 import type { Fleet } from '../fleet/fleet.js'
 import type { HostRecord } from '../fleet/hostRecord.js'
 import type { CallLog } from '../observe/callLog.js'
+import type { EpochTracker } from '../store/epochTracker.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
 import type { Endpoint } from './resolvedHopConfig.js'
 
 export interface PeerDiscoveryOptions {
   fleet: Fleet
   store: ObjectStore
+  epochs: EpochTracker
   timers: Timers
   random: Random
   log: CallLog
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -2,6 +2,7 @@
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
 import type { SyncMessage } from '../../link/messages.js'
 import { NoopCallLog } from '../../observe/callLog.js'
+import { EpochTracker } from '../../store/epochTracker.js'
 import { Fleet } from '../fleet.js'
 import { availableTarget, type Departure, type HostRecord, type TargetRecord } from '../hostRecord.js'
 
@@ -68,7 +69,8 @@
       onFact: () => {},
       orders: () => [],
       onOrder: () => {},
-      onReport: () => {}
+      onReport: () => {},
+      epochs: new EpochTracker(new NoopCallLog())
     })
     this.byHost.set(host, fleet)
   }
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -2,6 +2,7 @@
 import { errorCode, type MoveFact } from '@lentilwheel/core'
 import type { BriefReport } from '@lentilwheel/moves'
 import type { SyncMessage } from '../link/messages.js'
+import { formatRevision } from '../store/storeRevision.js'
 import { MoveFactSet } from './moveFactSet.js'
 import { HostTable } from './hostTable.js'
 import type { FleetOptions, PeerLink } from './fleetTypes.js'
@@ -44,6 +45,7 @@
     this.#opts = opts
     this.#table = new HostTable(opts.own)
     this.#startedAt = opts.timers.now()
+    opts.epochs.onRise(() => this.#push())
     opts.timers.every(KEEP_ALIVE_INTERVAL_MS, () => this.#keepLinksAlive(), { jitter: 0.2 })
     opts.timers.every(EXCHANGE_INTERVAL_MS, () => this.#exchangeWithRandomPeer(), { jitter: 0.3 })
   }
@@ -218,7 +220,7 @@
   /** Fingerprint of all records, facts and orders known here; equal on daemons that know the same. */
   digest (): string {
     const facts = this.facts.all().map((fact) => JSON.stringify(fact)).sort()
-    const orders = this.#opts.orders().map(({ id, revision }) => `${id} ${revision}`).sort()
+    const orders = this.#opts.orders().map(({ id, revision }) => `${id} ${formatRevision(revision)}`).sort()
     return createHash('sha1').update([this.#table.digest(), ...facts, ...orders].join('\n')).digest('base64')
   }
 
@@ -238,6 +240,7 @@
 
   /** Takes over everything that a message brings. */
   #apply (message: SyncMessage): void {
+    if (message.storeEpoch > 0) this.#opts.epochs.observe(message.storeEpoch, message.from)
     this.merge(message.records)
     this.#configVersions.set(message.from, message.configVersion)
     if (message.configVersion > this.configVersionOf(this.own.host)) this.#opts.onNewerPeerVersion()
@@ -246,10 +249,10 @@
     for (const report of message.reports) this.#opts.onReport(report)
   }
 
-  /** A message with no content except this daemon's active configuration version. */
+  /** A message with no content except this daemon's active configuration version and the store's epoch. */
   #emptyMessage (): SyncMessage {
     const { host } = this.own
-    return { from: host, configVersion: this.configVersionOf(host), records: [], facts: [], orders: [], reports: [] }
+    return { from: host, configVersion: this.configVersionOf(host), storeEpoch: this.#opts.epochs.current, records: [], facts: [], orders: [], reports: [] }
   }
 
   /** A message with the given records and all facts and orders; without a digest, so no full reply is requested. */
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -4,6 +4,7 @@
 import type { CallLog } from '../observe/callLog.js'
 import type { MoveOrder } from '../rollout/moveOrder.js'
 import type { ConfigDelta } from '../routing/configDelta.js'
+import type { EpochTracker } from '../store/epochTracker.js'
 import type { HostRecord, Departure } from './hostRecord.js'
 
 /** Connection to the daemon of another host, opened again when it breaks. */
@@ -41,4 +42,6 @@
   /** `from`: host of the peer that sent the order. */
   onOrder (order: MoveOrder, from: string): void
   onReport (report: BriefReport): void
+  /** Epoch of the store as far as known, which spreads with every message. */
+  epochs: EpochTracker
 }
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -4,13 +4,15 @@
 import { Fleet } from '../../fleet/fleet.js'
 import type { InboundHandler } from '../../inbound/inboundHandler.js'
 import { NoopCallLog } from '../../observe/callLog.js'
+import { EpochTracker } from '../../store/epochTracker.js'
 import { encode } from '../codec.js'
 import { FRAME_KINDS, FrameSocket, type Frame } from '../nodeFrameSocket.js'
 import { NodeHopServer } from '../nodeHopServer.js'
 
 const timers = new VirtualTimers()
 const record = { host: 'p', dataCentre: 'dc', address: '127.0.0.1', port: 1, incarnation: 1, sequence: 1, stopping: false }
-const syncMessage = { from: 'p', configVersion: 0, records: [], facts: [], orders: [], reports: [] }
+const order = { id: 's/v2', service: 's', to: 'v2', durationMs: 1_000, state: 'ordered', revision: { epoch: 1, number: 7 } }
+const syncMessage = { from: 'p', configVersion: 0, storeEpoch: 0, records: [], facts: [], orders: [], reports: [] }
 const target = { id: 'i', startedAt: 1_000, service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
 
 const malformedFrames: Record<string, unknown> = {
@@ -25,6 +27,9 @@
   'a record with a port out of range': [FRAME_KINDS.sync, 1, { ...syncMessage, records: [{ ...record, port: 70_000 }] }],
   'a target without slots': [FRAME_KINDS.sync, 1, { ...syncMessage, records: [{ ...record, target: { ...target, slots: 0 } }] }],
   'a target in an unknown state': [FRAME_KINDS.sync, 1, { ...syncMessage, records: [{ ...record, target: { ...target, state: 'odd' } }] }],
+  'a sync message without a numeric epoch': [FRAME_KINDS.sync, 1, { ...syncMessage, storeEpoch: 'new' }],
+  'an order whose revision has no epoch': [FRAME_KINDS.sync, 1, { ...syncMessage, orders: [{ ...order, revision: 7 }] }],
+  'an order in an unknown state': [FRAME_KINDS.sync, 1, { ...syncMessage, orders: [{ ...order, state: 'odd' }] }],
   'a departed target without an id': [FRAME_KINDS.sync, 1, { ...syncMessage, records: [{ ...record, leavings: [{ state: 'gone', startedAt: 1 }] }] }]
 }
 
@@ -44,7 +49,8 @@
     onFact: () => {},
     orders: () => [],
     onOrder: () => {},
-    onReport: () => {}
+    onReport: () => {},
+    epochs: new EpochTracker(new NoopCallLog())
   })
 }
 
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -8,7 +8,7 @@
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true, int64AsType: 'number' })
 
 /** Has to be raised whenever the field lists below change; messages with another number are rejected. */
-const PROTOCOL_VERSION = 4
+const PROTOCOL_VERSION = 5
 
 /** Calls and replies make up most of the traffic between daemons, so their fields are sent by position without names. */
 const CALL_FIELDS = [
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -112,6 +112,8 @@
   from: string
   /** Active configuration version of the sender; 0 for none. */
   configVersion: number
+  /** Newest epoch of the store that the sender knows of; 0 for none. */
+  storeEpoch: number
   records: HostRecord[]
   facts: MoveFact[]
   /** Orders of moves, each with its revision in the store. */
@@ -126,4 +128,4 @@
 }
 
 /** Fields without which a sync message is rejected. */
-export const REQUIRED_SYNC_FIELDS = ['from', 'configVersion', 'records', 'facts', 'orders', 'reports'] as const satisfies readonly (keyof SyncMessage)[]
+export const REQUIRED_SYNC_FIELDS = ['from', 'configVersion', 'storeEpoch', 'records', 'facts', 'orders', 'reports'] as const satisfies readonly (keyof SyncMessage)[]
--- a/packages/hop/src/rollout/__tests__/versionRules.spec.ts
+++ b/packages/hop/src/rollout/__tests__/versionRules.spec.ts
@@ -5,7 +5,7 @@
 import { VersionRules } from '../versionRules.js'
 
 const hosts = [['a', 'v1'], ['b', 'v1'], ['c', 'v2'], ['d', 'v2']].map(([name, version]) => testHost(name!, 'dc', { version: version! }))
-const order: MoveOrder = { id: 's/v2', service: 's', to: 'v2', durationMs: 16_000, state: 'running', revision: 5 }
+const order: MoveOrder = { id: 's/v2', service: 's', to: 'v2', durationMs: 16_000, state: 'running', revision: { epoch: 1, number: 5 } }
 const stage = (number: number, share: number): MoveFacts => ({ stage: { kind: 'stage', move: 's/v2', stage: number, share, at: 1 } })
 const rollback: MoveFacts = { ...stage(2, 0.1), rollback: { kind: 'rollback', move: 's/v2', reason: 'bad', at: 2, daemon: 'a' } }
 const done: MoveFacts = { ...stage(4, 1), outcome: { kind: 'outcome', move: 's/v2', outcome: 'done', reason: 'fine', at: 3 } }
@@ -42,11 +42,20 @@
 
 test('guards against an older revision of an order replacing a newer one', (t) => {
   const rules = new VersionRules(new SeededRandom(1))
-  t.true(rules.setOrder({ ...order, state: 'rolledBack', revision: 9 }))
-  t.false(rules.setOrder({ ...order, revision: 8 }))
+  t.true(rules.setOrder({ ...order, state: 'rolledBack', revision: { epoch: 1, number: 9 } }))
+  t.false(rules.setOrder({ ...order, revision: { epoch: 1, number: 8 } }))
   t.is(rules.phase('s'), 'rolledBack')
 })
 
+test('guards against a version getting all traffic because its order has a lower revision than one from before the store was restored', (t) => {
+  const rules = new VersionRules(new SeededRandom(1))
+  rules.setHosts(hosts)
+  rules.setOrder({ ...order, to: 'v1', id: 's/v1', state: 'rolledBack', revision: { epoch: 1, number: 27 } })
+  t.true(rules.setOrder({ ...order, state: 'ordered', revision: { epoch: 2, number: 24 } }))
+  t.false(rules.setOrder({ ...order, to: 'v1', id: 's/v1', revision: { epoch: 1, number: 40 } }))
+  t.deepEqual(['v1', 'v2'].map((version) => rules.isVersionAllowed('s', version)), [true, false])
+})
+
 test('guards against requests failing because all targets of the new version are gone', (t) => {
   const rules = new VersionRules(new SeededRandom(1))
   rules.setOrder(order)
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -6,6 +6,7 @@
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
 import type { CallLog } from '../observe/callLog.js'
 import { StoreWatcher } from '../store/storeWatcher.js'
+import type { EpochTracker } from '../store/epochTracker.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
 import { ResultAggregator, type RequestResult } from './resultAggregator.js'
 import type { MoveOrder, MoveState } from './moveOrder.js'
@@ -14,6 +15,7 @@
 export interface MoveControllerOptions {
   fleet: Fleet
   store: ObjectStore
+  epochs: EpochTracker
   codec: StoreCodec
   timers: Timers
   random: Random
@@ -125,7 +127,7 @@
 
   /** Starts watching the orders in the store. */
   #startWatcher (): void {
-    const { store, codec, timers, random, log } = this.#opts
+    const { store, epochs, codec, timers, random, log } = this.#opts
     const readOrder = ({ name, spec, status, revision }: StoredObject): void => {
       const order = codec.decodeMove(name, spec, status, revision)
       if (order) this.onOrder(order, 'store')
@@ -133,6 +135,7 @@
     }
     this.#watcher = new StoreWatcher({
       store,
+      epochs,
       kind: codec.moves.kind,
       timers,
       random,
--- a/packages/hop/src/rollout/moveOrder.ts
+++ b/packages/hop/src/rollout/moveOrder.ts
@@ -1,3 +1,5 @@
+import type { StoreRevision } from '../store/storeRevision.js'
+
 export const MOVE_STATES = ['ordered', 'running', 'completed', 'rolledBack'] as const
 export type MoveState = typeof MOVE_STATES[number]
 
@@ -10,6 +12,6 @@
   to: string
   durationMs: number
   state: MoveState
-  /** Store revision of the object that holds the order; a higher one replaces a lower one. */
-  revision: number
+  /** Store revision of the object that holds the order; a later one replaces an earlier one. */
+  revision: StoreRevision
 }
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -1,6 +1,7 @@
 import type { MoveFacts, Random } from '@lentilwheel/core'
 import { FULL_STAGE, LOAD_TEST_STAGE } from '@lentilwheel/moves'
 import { availableTarget, type HostRecord } from '../fleet/hostRecord.js'
+import { isLater } from '../store/storeRevision.js'
 import type { MoveOrder } from './moveOrder.js'
 
 /** Which targets may get one particular request. */
@@ -60,10 +61,10 @@
     return order && phaseOf(order, this.#facts.get(order.id) ?? {})
   }
 
-  /** Takes over an order; false if the known one for the service is as new or newer. */
+  /** Takes over an order; false if the known one for the service is as late or later. */
   setOrder (order: MoveOrder): boolean {
     const known = this.#orders.get(order.service)
-    if (known && known.revision >= order.revision) return false
+    if (known && !isLater(order.revision, known.revision)) return false
     this.#orders.set(order.service, order)
     return true
   }
--- a/packages/hop/src/store/storeWatcher.ts
+++ b/packages/hop/src/store/storeWatcher.ts
@@ -1,10 +1,13 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
 import { HistoryGone } from '../errors.js'
 import type { CallLog } from '../observe/callLog.js'
+import type { EpochTracker } from './epochTracker.js'
 import type { ObjectStore, StoredObject } from './objectStore.js'
+import { formatRevision, type StoreRevision } from './storeRevision.js'
 
 export interface StoreWatcherOptions {
   store: ObjectStore
+  epochs: EpochTracker
   kind: string
   timers: Timers
   random: Random
@@ -30,11 +33,17 @@
 
 /**
  * Keeps up with the objects of one kind in the store: lists them, watches for changes from the revision of the list, and
- * lists again when the store no longer has the history from there. Retries with exponential backoff while it fails.
+ * lists again when the store no longer has the history from there or has been restored from a copy. Retries with
+ * exponential backoff while it fails. A watch never waits from a revision whose epoch may have ended unnoticed: after a
+ * pause, in which the store may have been away and come back, the first one returns at once and so tells the epoch.
  */
 export class StoreWatcher {
   readonly #opts: StoreWatcherOptions
-  #revision: number | undefined
+  #revision: StoreRevision | undefined
+  /** Whether the last response of the store came just now. */
+  #isFresh = false
+  /** Newest epoch known when the objects were last listed. */
+  #listedEpoch = 0
   #failures = 0
   #abort = new AbortController()
   /** Ends the current sleep; undefined while there is none. */
@@ -45,6 +54,7 @@
 
   constructor (opts: StoreWatcherOptions) {
     this.#opts = opts
+    opts.epochs.onRise(() => { if (this.#isWatching) this.relist() })
   }
 
   /** Whether a watch request is open. */
@@ -79,25 +89,37 @@
   }
 
   async #runCycle (): Promise<void> {
-    const { store, kind, log, watchTimeoutMs, batchDelayMs, isEnabled } = this.#opts
+    const { store, kind, epochs, watchTimeoutMs, batchDelayMs, isEnabled } = this.#opts
     if (this.#revision === undefined || this.#isRelistDue) {
       this.#isRelistDue = false
-      const listing = await store.list(kind)
-      const { revision, objects } = listing
-      log.decision('storeListed', { kind, revision, objects: objects.slice(0, MAX_LOGGED_OBJECTS).map((object) => `${object.name}@${object.revision}`), before: this.#revision })
+      const epochBefore = epochs.current
+      const { revision, objects } = await store.list(kind)
+      this.#logList(revision, objects)
       this.#revision = revision
+      this.#listedEpoch = Math.max(epochBefore, revision.epoch)
       this.#opts.onList(objects)
       return await this.#sleep(batchDelayMs)
     }
     if (isEnabled && !isEnabled()) return await this.#sleep(DISABLED_CHECK_INTERVAL_MS)
+    if (this.#listedEpoch < epochs.current) throw new HistoryGone(`the store was restored from a copy after revision ${formatRevision(this.#revision)}`)
     this.#abort = new AbortController()
     this.#isWatching = true
-    const batch = await store.watch(kind, this.#revision, watchTimeoutMs, this.#abort.signal).finally(() => { this.#isWatching = false })
-    this.#revision = Math.max(this.#revision, batch.revision)
+    const batch = await store.watch(kind, this.#revision, this.#isFresh ? watchTimeoutMs : 0, this.#abort.signal).finally(() => { this.#isWatching = false })
+    this.#isFresh = true
+    this.#revision = batch.revision
     for (const { object, deleted } of batch.events) this.#opts.onChange(object, deleted)
     if (batch.events.length > 0) await this.#sleep(batchDelayMs)
   }
 
+  #logList (revision: StoreRevision, objects: readonly StoredObject[]): void {
+    this.#opts.log.decision('storeListed', {
+      kind: this.#opts.kind,
+      revision: formatRevision(revision),
+      before: this.#revision && formatRevision(this.#revision),
+      objects: objects.slice(0, MAX_LOGGED_OBJECTS).map((object) => `${object.name}@${formatRevision(object.revision)}`)
+    })
+  }
+
   #onSuccess (): void {
     if (this.#failures > 0) this.#opts.log.decision('storeBack', { kind: this.#opts.kind, failures: this.#failures })
     this.#failures = 0
@@ -107,7 +129,7 @@
   async #onFailure (err: unknown): Promise<void> {
     if (this.#isStopped || this.#isRelistDue) return
     if (err instanceof HistoryGone) {
-      this.#opts.log.decision('historyGone', { kind: this.#opts.kind, revision: this.#revision })
+      this.#opts.log.decision('historyGone', { kind: this.#opts.kind, revision: this.#revision && formatRevision(this.#revision) })
       this.#revision = undefined
       return
     }
@@ -121,6 +143,7 @@
 
   /** Waits, unless woken earlier. */
   async #sleep (ms: number): Promise<void> {
+    this.#isFresh = false
     await new Promise<void>((resolve) => {
       const cancel = this.#opts.timers.after(ms, () => resolve())
       this.#wake = () => {
