Keep the end of a move that was known from the store alone when the store loses it

A daemon that started after a move had ended knows the end from the order's status, not from a fact. After a restore the order comes back as running, under a new epoch, and the daemon went back with it: a version that was rolled back could get traffic once more, and nobody wrote the end again. The same where all daemons that had the fact have died since.

The end that is known now becomes a fact, which is only ever added and spreads to all daemons; the state that follows from it is written again by the usual way. A status that is written is taken over as the store returns it, as the first call to a restored store may meet another order under the same revision.

--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -78,9 +78,11 @@
 
   /** Takes over an order from the store or a peer, unless it is older than the known one. */
   onOrder (order: MoveOrder, from: string): void {
+    const known = this.#rules.order(order.service)
+    if (known && order.revision.epoch > known.revision.epoch) this.#keepEnd(known, order)
     if (!this.#rules.setOrder(order)) {
       const { id, state, revision } = order
-      if (from === 'store') this.#opts.log.decision('moveOrderIgnored', { id, state, revision, known: this.#rules.order(order.service) })
+      if (from === 'store') this.#opts.log.decision('moveOrderIgnored', { id, state, revision, known })
       return
     }
     this.#opts.log.decision('moveOrder', { ...order, from })
@@ -121,6 +123,14 @@
     return this.#rules.isVersionAllowed(service, version)
   }
 
+  /** Publishes the end of a move as a fact if a restored store shows the order without it, as it was known from there alone. */
+  #keepEnd (known: MoveOrder, order: MoveOrder): void {
+    if (known.id !== order.id || !isEnded(known.state) || isEnded(order.state)) return
+    const { fleet, timers } = this.#opts
+    const origin = { move: order.id, reason: 'the store held it before it was restored from a copy', at: timers.wallNow() }
+    fleet.publishFact(known.state === 'rolledBack' ? { kind: 'rollback', ...origin, daemon: fleet.own.host } : { kind: 'outcome', ...origin, outcome: 'done' })
+  }
+
   #isWatcher (): boolean {
     return this.#opts.fleet.isWarmedUp && this.#opts.fleet.rank() < MAX_WATCHERS
   }
@@ -160,7 +170,7 @@
     const { fleet, timers } = this.#opts
     const rank = fleet.rank()
     this.#reconcileState(order, rank)
-    if (rank > 0 || order.state === 'completed' || order.state === 'rolledBack') {
+    if (rank > 0 || isEnded(order.state)) {
       this.#coordinated.delete(order.id)
       return
     }
@@ -199,9 +209,10 @@
     const { store, codec, log, fleet } = this.#opts
     const { kind } = codec.moves
     try {
-      const written = await store.setStatus(kind, order.service, codec.encodeMoveStatus(order, state), order.revision)
-      log.decision('moveStateWritten', { move: order.id, state, revision: written.revision })
-      this.onOrder({ ...order, state, revision: written.revision }, fleet.own.host)
+      const { name, spec, status, revision } = await store.setStatus(kind, order.service, codec.encodeMoveStatus(order, state), order.revision)
+      log.decision('moveStateWritten', { move: order.id, state, revision })
+      const written = codec.decodeMove(name, spec, status, revision)
+      if (written) this.onOrder(written, fleet.own.host)
     } catch (err) {
       log.decision('moveStateNotWritten', { move: order.id, state, code: errorCode(err), reason: (err as Error).message })
       if (err instanceof RevisionConflict) this.#watcher?.relist()
@@ -240,9 +251,13 @@
   }
 }
 
+function isEnded (state: MoveState): boolean {
+  return state === 'completed' || state === 'rolledBack'
+}
+
 /** The state that the store should hold for an order, given the facts known here. */
 function desiredState (order: MoveOrder, fleet: Fleet): MoveState {
-  if (order.state === 'completed' || order.state === 'rolledBack') return order.state
+  if (isEnded(order.state)) return order.state
   const phase = phaseOf(order, fleet.facts.of(order.id))
   if (phase === 'rolledBack' || phase === 'completed') return phase
   return 'running'
