Write the daemons' own objects again after the store has lost them

A daemon wrote its object once, at its start. When the store came back from a copy made before, the object was missing for good: a daemon that started later didn't find it there, and with no other peer alive none at all.

When a daemon hears of a new epoch, it reads its object, and writes it if it is missing or from an earlier start. The reads are spread over 1 s, or 5 ms for each live daemon (15 s, 200 a second, at 3,000). A daemon that is taken away removes its object also if that has another revision since the restore.

--- a/packages/hop/src/daemon/peerDiscovery.ts
+++ b/packages/hop/src/daemon/peerDiscovery.ts
@@ -25,6 +25,9 @@
 const RELIST_INTERVAL_MS = 30_000
 const MAX_RELISTING_DAEMONS = 2
 const SEED_RETRY_INTERVAL_MS = 1_000
+/** After a restore of the store, daemons check their objects within this time for each live daemon, spread at random. */
+const CHECK_SPREAD_MS_PER_DAEMON = 5
+const MIN_CHECK_SPREAD_MS = 1_000
 /** A daemon that knows no peer after this time lists again, as the first list may have been stale. */
 const ALONE_RELIST_MS = 1_500
 
@@ -40,6 +43,7 @@
 
   constructor (opts: PeerDiscoveryOptions) {
     this.#opts = opts
+    opts.epochs.onRise(() => this.#registerAgain())
   }
 
   start (): void {
@@ -55,25 +59,51 @@
   /** Removes this daemon's object from the store, when the host goes away for good. */
   deregister (): void {
     this.#isDeregistered = true
-    const { store, fleet } = this.#opts
-    if (!this.#ownObject) return
-    store.remove(DAEMON_KIND, fleet.own.host, this.#ownObject.revision).catch((err) => this.#logFailure('withdraw', err))
+    this.#removeOwn().catch((err) => this.#logFailure('withdraw', err))
+  }
+
+  async #removeOwn (): Promise<void> {
+    const { store, fleet: { own }, epochs } = this.#opts
+    let object = this.#ownObject
+    if (object && object.revision.epoch < epochs.current) object = await store.get(DAEMON_KIND, own.host)
+    if (object) await store.remove(DAEMON_KIND, own.host, object.revision)
   }
 
   /** Creates this daemon's object, or replaces the one left by an earlier start. */
   async #register (): Promise<void> {
     const { store, fleet } = this.#opts
-    const { host, dataCentre, address, port, incarnation } = fleet.own
-    const spec = { host, dataCentre, address, port, incarnation }
     try {
-      this.#ownObject = await store.create(DAEMON_KIND, host, spec)
+      this.#ownObject = await store.create(DAEMON_KIND, fleet.own.host, this.#ownSpec())
     } catch (err) {
       if (!(err instanceof RevisionConflict)) throw err
-      const existing = await store.get(DAEMON_KIND, host)
-      if (existing) this.#ownObject = await store.replace(DAEMON_KIND, host, spec, existing.revision)
+      await this.#replaceEarlier()
     }
   }
 
+  /** Replaces the object under this daemon's name unless it is its own already; tells whether there is one. */
+  async #replaceEarlier (): Promise<boolean> {
+    const { store, fleet: { own } } = this.#opts
+    const existing = await store.get(DAEMON_KIND, own.host)
+    if (!existing) return false
+    const isOwn = parseRecord(existing.spec)?.[0]?.incarnation === own.incarnation
+    this.#ownObject = isOwn ? existing : await store.replace(DAEMON_KIND, own.host, this.#ownSpec(), existing.revision)
+    return true
+  }
+
+  #ownSpec (): object {
+    const { host, dataCentre, address, port, incarnation } = this.#opts.fleet.own
+    return { host, dataCentre, address, port, incarnation }
+  }
+
+  /** Writes this daemon's object again if a restored store has lost it; many daemons do so, so each waits for a random time. */
+  #registerAgain (): void {
+    const { fleet, timers, random } = this.#opts
+    const spreadMs = Math.max(MIN_CHECK_SPREAD_MS, fleet.live().length * CHECK_SPREAD_MS_PER_DAEMON)
+    timers.after(random.next() * spreadMs, () => this.#retry('registerAgain', async () => {
+      if (!await this.#replaceEarlier()) await this.#register()
+    }))
+  }
+
   /** Merges the listed daemons into the fleet; the leader also removes one that is gone. */
   async #list (mayBeOld = false): Promise<void> {
     const { fleet, store } = this.#opts
