Hold an earlier order that a restored store shows until the later one can be written again

With revisions compared by epoch, whatever the restored store shows replaces what is known. If the copy is from before an order, that is the order before it, and operators write the later one again only afterwards. In between the fleet would act on the earlier one; if that had been rolled back, every other version gets all traffic, a bad one that is just being moved too.

Each daemon remembers the last eight orders that were replaced, by service. One of them that comes back under a new epoch is held for 10 s; the store is listed again then, so an order that operators do give a second time counts from there. Test with real daemons: times out before, as the order is taken; 0.7 s after.

--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -9,6 +9,7 @@
 import type { EpochTracker } from '../store/epochTracker.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
 import { ResultAggregator, type RequestResult } from './resultAggregator.js'
+import { SupersededOrders } from './supersededOrders.js'
 import type { MoveOrder, MoveState } from './moveOrder.js'
 import { phaseOf, VersionRules, type VersionChoice, type VersionChooser } from './versionRules.js'
 
@@ -29,6 +30,8 @@
 const BATCH_DELAY_MS = 100
 /** Daemons that watch the orders in the store; the others get them from peers. */
 const MAX_WATCHERS = 3
+/** Time that operators have to write the orders again which a restored store has lost. */
+const REWRITE_MS = 10_000
 const TICK_INTERVAL_MS = 200
 /** Least time between a report and the next one that a failed or slow request triggers. */
 const MIN_URGENT_REPORT_INTERVAL_MS = 40
@@ -50,12 +53,16 @@
   /** States that are not in the store yet, by order id; `since`: when the state became due, or was last tried. */
   readonly #pendingWrites = new Map<string, { state: MoveState, since: number, isWriting: boolean }>()
   #watcher: StoreWatcher | undefined
+  readonly #superseded = new SupersededOrders()
+  /** When the store's present epoch became known. */
+  #epochAt = -Infinity
   #lastReportAt = 0
   #isReportScheduled = false
 
   constructor (opts: MoveControllerOptions) {
     this.#opts = opts
     this.#rules = new VersionRules(opts.random)
+    opts.epochs.onRise(() => this.#onEpoch())
   }
 
   start (): void {
@@ -79,12 +86,19 @@
   /** Takes over an order from the store or a peer, unless it is older than the known one. */
   onOrder (order: MoveOrder, from: string): void {
     const known = this.#rules.order(order.service)
-    if (known && order.revision.epoch > known.revision.epoch) this.#keepEnd(known, order)
+    if (known && order.revision.epoch > known.revision.epoch) {
+      if (this.#isFromCopy(order)) {
+        this.#opts.log.decision('moveOrderHeld', { ...order, from, known })
+        return
+      }
+      this.#keepEnd(known, order)
+    }
     if (!this.#rules.setOrder(order)) {
       const { id, state, revision } = order
       if (from === 'store') this.#opts.log.decision('moveOrderIgnored', { id, state, revision, known })
       return
     }
+    this.#superseded.onReplaced(known, order)
     this.#opts.log.decision('moveOrder', { ...order, from })
     this.#opts.fleet.schedulePush()
   }
@@ -123,6 +137,18 @@
     return this.#rules.isVersionAllowed(service, version)
   }
 
+  /** Lists the orders again once those that were held as earlier ones count. */
+  #onEpoch (): void {
+    const { timers } = this.#opts
+    this.#epochAt = timers.now()
+    timers.after(REWRITE_MS, () => this.#watcher?.relist())
+  }
+
+  /** Whether a restored store shows an order that a later one had replaced, and that one may still be written again. */
+  #isFromCopy (order: MoveOrder): boolean {
+    return this.#superseded.has(order) && this.#opts.timers.now() - this.#epochAt < REWRITE_MS
+  }
+
   /** Publishes the end of a move as a fact if a restored store shows the order without it, as it was known from there alone. */
   #keepEnd (known: MoveOrder, order: MoveOrder): void {
     if (known.id !== order.id || !isEnded(known.state) || isEnded(order.state)) return
