Give a new version all traffic when the old one has no target left and nobody knows that the move was completed

The state 'completed' and the facts of a move can be lost together: the store comes back from a copy made before, and all daemons have been killed since. The old targets stopped as the state was first confirmed. Daemons then see an order that has just begun, and send all traffic but a few percent to a version without targets: the service was refused for two thirds of the move's duration, 40 s of a move of 60 s in the test, though healthy targets were there.

If the old version has had no ready target for 5 s while the new one has some, the coordinator goes to the last stage. The test of errors and latencies goes on there. 5 s is longer than targets take to be announced again after a restart of all daemons. Test fails before (stage 1 only), after: last stage 5 s after the last old target.

--- a/packages/moves/src/brief/__tests__/briefMove.spec.ts
+++ b/packages/moves/src/brief/__tests__/briefMove.spec.ts
@@ -103,3 +103,17 @@
     t.true(inTime >= 0.95 * outcomes.length, `${inTime} of ${outcomes.length}`)
   })
 }
+
+test('guards against a service staying without a version because its old targets stopped at the end of a move that nobody remembers', (t) => {
+  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v2', durationMs: 60_000, startedAt: 0 })
+  let facts: MoveFacts = {}
+  const reached: string[] = []
+  const tick = (now: number, oldSlots: number): void => {
+    for (const fact of move.tick({ now, wallNow: now, facts, newSlots: 24, oldSlots, slotsPerTarget: 6 })) {
+      facts = mergeMoveFact(facts, fact)
+      reached.push(`${fact.kind} ${fact.kind === 'stage' ? fact.stage : ''} at ${now}`)
+    }
+  }
+  for (let now = 0; now < 12_000; now += 200) tick(now, now >= 2_000 && now < 2_600 ? 6 : 0)
+  t.snapshot(reached)
+})
--- a/packages/moves/src/brief/briefMove.ts
+++ b/packages/moves/src/brief/briefMove.ts
@@ -66,6 +66,12 @@
 const FULL_STAGE_MS = 1_800
 /** Fraction of the old version's slots that the new one must have ready before it gets all traffic. */
 const MIN_CAPACITY_FRACTION = 0.7
+/**
+ * Time without a ready target of the old version, while the new one has some, after which the new version gets all traffic:
+ * an earlier coordinator had completed the move, and that is known to nobody any more. Longer than targets take to be
+ * known again after a restart of all daemons.
+ */
+const OLD_VERSION_GONE_MS = 5_000
 /** Least time that a coordinator watches a step itself, also after a takeover. */
 const MIN_STEP_MS = 700
 
@@ -82,6 +88,8 @@
   #totalCalls = 0
   #totalMs = 0
   #firstCallAt: number | undefined
+  /** Since when the new version has ready targets and the old one none. */
+  #oldGoneSince: number | undefined
 
   constructor (opts: BriefMoveOptions) {
     this.#opts = opts
@@ -121,15 +129,29 @@
       yield { kind: 'outcome', move, outcome: 'done', reason: `all traffic is on ${to}, and no fault showed`, at: input.wallNow }
       return
     }
+    const isOldVersionGone = this.#isOldVersionGone(input)
     if (input.newSlots === 0) return
+    if (isOldVersionGone) return yield * this.#enterFullStage(input)
     if (this.#stage > 0 && !this.#isStepOver(input, stageMs)) return
     const nextStage = this.#stage + 1
     if (nextStage === FULL_STAGE && input.newSlots < MIN_CAPACITY_FRACTION * input.oldSlots) return
+    if (nextStage === FULL_STAGE) return yield * this.#enterFullStage(input)
     this.#enterStage(nextStage, input.now)
-    const share = STEPS[nextStage - 1]?.share(this.#rate(input.now), input.slotsPerTarget) ?? 1
+    const share = STEPS[nextStage - 1]!.share(this.#rate(input.now), input.slotsPerTarget)
     yield { kind: 'stage', move, stage: nextStage, share, at: input.wallNow }
   }
 
+  * #enterFullStage ({ now, wallNow }: BriefInput): Generator<MoveFact> {
+    this.#enterStage(FULL_STAGE, now)
+    yield { kind: 'stage', move: this.#opts.move, stage: FULL_STAGE, share: 1, at: wallNow }
+  }
+
+  #isOldVersionGone ({ now, newSlots, oldSlots }: BriefInput): boolean {
+    if (newSlots === 0 || oldSlots > 0) this.#oldGoneSince = undefined
+    else this.#oldGoneSince ??= now
+    return this.#oldGoneSince !== undefined && now - this.#oldGoneSince >= OLD_VERSION_GONE_MS
+  }
+
   #isStepOver (input: BriefInput, stageMs: number): boolean {
     const step = STEPS[this.#stage - 1]!
     const { durationMs, startedAt } = this.#opts
