Don't take a refusal that a target writes twice for that of the same request sent again

Report of another operator: callers are told 'not run, try again' for requests that a target runs, or such a request runs at a second target. It could happen here in two ways. A request that was shed is offered again to the same target, under the same id, and the pool's most recent connection is the one of the refusal: a second copy of it then has the right id. And a refusal without an id counted for whatever request was pending. Refusals with another request's id were skipped already, and bytes on an idle connection close it.

A request is no longer sent on a connection on which the target refused its id, and a message without an id says nothing about any request but the first on its connection. Both tests of targetClient.spec.ts fail before (notRun for response and for failed).

--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -180,7 +180,7 @@
 
 for (const [name, status, headers] of messages) {
   test(`guards against a wrong result from a target's message: ${name}`, (t) => {
-    t.snapshot(classifyMessage({ status, headers, body: Buffer.alloc(0), unframed: false }, 'r1', names))
+    t.snapshot(classifyMessage({ status, headers, body: Buffer.alloc(0), unframed: false }, 'r1', true, names))
   })
 }
 
--- a/packages/hop/src/inbound/__tests__/targetClient.spec.ts
+++ b/packages/hop/src/inbound/__tests__/targetClient.spec.ts
@@ -167,3 +167,55 @@
   t.is(target.connections, 3, 'a connection with bytes that belong to no request is closed')
   client.reset()
 })
+
+const refusal = (id?: string): string => `HTTP/1.1 503 Service Unavailable\r\n${id === undefined ? '' : `x-id: ${id}\r\n`}x-not-run: 1\r\nContent-Length: 0\r\n\r\n`
+const success = (id: string): string => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-sig: s\r\nContent-Length: 2\r\n\r\nok`
+
+test('guards against a refusal that the target writes a second time counting for the same request sent again', async (t) => {
+  const refusedOn = new Set<Socket>()
+  const target = new FakeTarget((id, socket) => {
+    if (refusedOn.size === 0) {
+      refusedOn.add(socket)
+      socket.write(refusal(id))
+    } else socket.write(refusedOn.has(socket) ? refusal(id) + success(id) : success(id))
+  })
+  t.teardown(() => target.close())
+  const client = await startClient(target)
+  const kinds = [(await send(client, 'r1')).kind, (await send(client, 'r1')).kind]
+  t.deepEqual(kinds, ['notRun', 'response'])
+  client.reset()
+})
+
+test('guards against a refusal without an id on a connection in use again being taken for that of the pending request', async (t) => {
+  let requests = 0
+  const target = new FakeTarget((id, socket) => { socket.write(++requests === 1 ? success(id) : refusal()) })
+  t.teardown(() => target.close())
+  const client = await startClient(target)
+  const kinds = [(await send(client, 'r1')).kind, (await send(client, 'r2')).kind, (await send(client, 'r3')).kind]
+  t.deepEqual(kinds, ['response', 'failed', 'notRun'], 'r3 is the first request on its connection')
+  client.reset()
+})
+
+const cutResponses: Record<string, (id: string) => string> = {
+  'with a length': (id) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-sig: s\r\nContent-Length: 5\r\n\r\nhello`,
+  chunked: (id) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-sig: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n`,
+  'of no content': (id) => `HTTP/1.1 204 No Content\r\nx-id: ${id}\r\nx-sig: s\r\n\r\n`,
+  'after an interim one': (id) => `HTTP/1.1 102 Processing\r\n\r\n${success(id)}`
+}
+for (const [name, response] of Object.entries(cutResponses)) {
+  test(`guards against a response that ends early at any byte being taken for a whole one: ${name}`, async (t) => {
+    const lengths = Array.from({ length: response('r00').length }, (_, length) => length)
+    const target = new FakeTarget((id, socket) => { socket.end(response(id).slice(0, Number(id.slice(1)))) })
+    t.teardown(() => target.close())
+    const client = await startClient(target)
+    for (const length of lengths) t.is((await send(client, `r${length}`)).kind, 'failed', `${length} bytes`)
+  })
+}
+
+test('guards against a head that ends early being taken for a response whose body ends with the connection', async (t) => {
+  const head = (id: string): string => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-sig: s\r\nConnection: close\r\n\r\n`
+  const target = new FakeTarget((id, socket) => { socket.end(head(id).slice(0, Number(id.slice(1)))) })
+  t.teardown(() => target.close())
+  const client = await startClient(target)
+  for (let length = 0; length < head('r00').length; length++) t.is((await send(client, `r${length}`)).kind, 'failed', `${length} bytes`)
+})
--- a/packages/hop/src/inbound/classifyMessage.ts
+++ b/packages/hop/src/inbound/classifyMessage.ts
@@ -20,21 +20,22 @@
 
 /**
  * Decides what a message from the target means for the pending request: its result, or a message to skip. A response
- * without the request's id or the target's signature is a failure, unless it says that the request was not run.
+ * without the request's id or the target's signature is a failure, unless it says that the request was not run. Without
+ * the id it can say so only of the first request on a connection: later it may repeat what it said of an earlier one.
  */
-export function classifyMessage (message: TargetMessage, requestId: string, names: HeaderNames): MessageClass {
+export function classifyMessage (message: TargetMessage, requestId: string, isFirst: boolean, names: HeaderNames): MessageClass {
   const { status, headers, body, unframed } = message
   if (status < 200) return { kind: 'skip', why: 'interim' }
   const id = headerValue(headers, names.requestId)
   if (id !== undefined && id !== requestId) return { kind: 'skip', why: 'otherRequest' }
+  const garbled: MessageClass = { kind: 'result', result: { kind: 'failed', reason: 'garbled' } }
+  if (id === undefined && !isFirst) return garbled
   const reported = parseLoad(headerValue(headers, names.load))
   const extra = reported ? { reported } : {}
   if (status === MISDIRECTED_STATUS) return { kind: 'result', result: { kind: 'notRun', reason: 'otherTarget', ...extra } }
   const statement = parseStatement(headers, names)
   if (headerValue(headers, names.notRun) !== undefined) return { kind: 'result', result: { kind: 'notRun', reason: 'shed', statement, ...extra } }
-  if (id === undefined || headerValue(headers, names.signature) === undefined) {
-    return { kind: 'result', result: { kind: 'failed', reason: 'garbled' } }
-  }
+  if (id === undefined || headerValue(headers, names.signature) === undefined) return garbled
   return { kind: 'result', result: { kind: 'response', status, headers, body, unframed, statement, ...extra } }
 }
 
--- a/packages/hop/src/inbound/nodeTargetClient.ts
+++ b/packages/hop/src/inbound/nodeTargetClient.ts
@@ -41,7 +41,7 @@
   }
 
   send (request: TargetRequest, idempotent: boolean, done: (result: TargetResult) => void): () => void {
-    const connection = this.#acquire(idempotent)
+    const connection = this.#acquire(request.requestId, idempotent)
     connection.send(request, (result) => {
       if (connection.isUsable()) this.#idleConnections.push(connection)
       else connection.close()
@@ -56,12 +56,18 @@
   }
 
   /** Returns an idle connection, or a new one if none is usable. */
-  #acquire (idempotent: boolean): TargetConnection {
-    while (this.#idleConnections.length > 0) {
+  #acquire (requestId: string, idempotent: boolean): TargetConnection {
+    const maxIdleMs = idempotent ? Infinity : NON_IDEMPOTENT_MAX_IDLE_MS
+    const others: TargetConnection[] = []
+    let usable: TargetConnection | undefined
+    while (!usable && this.#idleConnections.length > 0) {
       const connection = this.#idleConnections.pop()!
-      if (connection.isUsable(idempotent ? Infinity : NON_IDEMPOTENT_MAX_IDLE_MS)) return connection
-      connection.close()
+      if (!connection.isUsable(maxIdleMs)) connection.close()
+      else if (connection.hasRefused(requestId)) others.push(connection)
+      else usable = connection
     }
+    this.#idleConnections.push(...others.reverse())
+    if (usable) return usable
     this.#opts.onConnect()
     return new TargetConnection(this.#opts)
   }
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -56,6 +56,8 @@
 const CONNECT_TIMEOUT_MS = 1_000
 /** Idle time after which a connection isn't reused when the target's Keep-Alive header gives none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000
+/** Refused ids kept for a connection; a refusal that is written again comes within a few requests. */
+const MAX_REFUSED_IDS = 32
 /** Time before the end of the target's own idle timeout from which a connection isn't reused. */
 const IDLE_MARGIN_MS = 1_500
 
@@ -68,6 +70,10 @@
   readonly #socket: Socket
   #parser = this.#newParser()
   #exchange: Exchange | undefined
+  /** Number of requests sent on this connection. */
+  #requests = 0
+  /** Ids of the last requests that the target refused on this connection. */
+  #refusedIds: string[] = []
   #isConnected = false
   #isReusable = true
   #idleSince: number
@@ -89,6 +95,11 @@
     this.#socket.once('close', stop)
   }
 
+  /** Whether the target refused a request with this id here; it may write that refusal once more, so the request is sent elsewhere. */
+  hasRefused (requestId: string): boolean {
+    return this.#refusedIds.includes(requestId)
+  }
+
   /** Whether another request may be sent; false if the last response is `maxIdleMs` old or more. */
   isUsable (maxIdleMs = Infinity): boolean {
     const idleMs = this.#opts.timers.now() - this.#idleSince
@@ -97,6 +108,7 @@
 
   send (request: TargetRequest, done: (result: TargetResult) => void): void {
     const stopTimer = this.#opts.timers.after(request.timeoutMs, () => this.#fail('timeout'))
+    this.#requests++
     const received = { bytes: 0, bodyBytes: 0, skippedMessages: 0 }
     this.#exchange = { request, done, stopTimer, body: new BodyBuffer(), budget: this.#opts.limits.unsizedBudget, received }
     this.#socket.write(request.bytes)
@@ -167,7 +179,7 @@
     const exchange = this.#exchange
     if (!exchange?.head) return
     const message = { ...exchange.head, body: exchange.body.take() }
-    const messageClass = classifyMessage(message, exchange.request.requestId, this.#opts.names)
+    const messageClass = classifyMessage(message, exchange.request.requestId, this.#requests === 1, this.#opts.names)
     delete exchange.head
     this.#dropBody(exchange)
     if (messageClass.kind === 'skip') {
@@ -178,6 +190,7 @@
     this.#readIdleTimeout(message.headers)
     if (messageClass.result.kind === 'failed' || this.#socket.writableLength > 0 || this.#hasTrailingBytes()) this.#isReusable = false
     exchange.result = messageClass.result
+    if (messageClass.result.kind === 'notRun') this.#refusedIds = [...this.#refusedIds, exchange.request.requestId].slice(-MAX_REFUSED_IDS)
   }
 
   /** Reads from the response's headers how long the target keeps the idle connection open, if at all. */
