Refuse requests that may outlast a planned stop

It could happen here: after SIGTERM every request was taken for three quarters of the grace period (4.5 s of 6). One that came in the last of these seconds and took longer than the rest was ended with 502 at 5.75 s while its target was at work, also where it can't be repeated.

Requests are all taken for 2.5 s, in which callers notice that the daemon is no longer ready. From then on one whose deadline is later than the end of the stop is refused as not run, to be sent elsewhere at once; shorter ones are still taken. Nested calls of requests that run here are judged by their deadline alone, also in the last quarter, where they were refused and failed their parents. Refusals of a stopping daemon are logged now.

--- a/packages/hop/src/daemon/gracefulShutdown.ts
+++ b/packages/hop/src/daemon/gracefulShutdown.ts
@@ -1,11 +1,23 @@
 import type { Timers } from '@lentilwheel/core'
 
+/** What a server for callers' requests does while the daemon stops. */
+export interface StoppableServer {
+  /** Time of the last request, in monotonic milliseconds. */
+  readonly lastRequestAt: number
+  /** Asks callers to connect elsewhere. */
+  startStopping (): void
+  /** Refuses requests whose deadline is after a time, in monotonic milliseconds. */
+  refuseLaterThan (endsAt: number): void
+  /** Refuses all requests of callers. */
+  startRefusing (): void
+}
+
 export interface GracefulShutdownOptions {
   timers: Timers
   /** Time from the request to stop until the process is killed. */
   graceMs: number
   /** Server for the callers' requests. */
-  server: { startStopping (): void, startRefusing (): void, readonly lastRequestAt: number }
+  server: StoppableServer
   /** Number of requests in flight, outbound and inbound. */
   inFlight (): number
 }
@@ -13,7 +25,7 @@
 /** `quiet`: no caller is left; `refused`: new requests were refused until none was in flight; `graceOver`: time ran out. */
 export type ShutdownOutcome = 'quiet' | 'refused' | 'graceOver'
 
-/** Least time for which requests are still accepted, so that callers notice that the daemon is no longer ready. */
+/** Least time for which all requests are still accepted, so that callers notice that the daemon is no longer ready. */
 const MIN_ACCEPT_MS = 2_500
 /** Time without a request after which no caller is assumed to be left. */
 const QUIET_PERIOD_MS = 400
@@ -25,7 +37,8 @@
 
 /**
  * Stops a daemon without cutting off requests: asks callers to connect elsewhere, accepts requests until none come or most
- * of the grace period is over, then refuses new ones. `done` resolves once no request is in flight or the time is over.
+ * of the grace period is over, then refuses new ones. Before that, a request that may outlast the grace period is refused
+ * as soon as callers have had time to notice. `done` resolves once no request is in flight or the time is over.
  */
 export class GracefulShutdown {
   readonly done: Promise<ShutdownOutcome>
@@ -33,7 +46,9 @@
   constructor (opts: GracefulShutdownOptions) {
     const { timers, graceMs, server } = opts
     const startedAt = timers.now()
+    const endsAt = startedAt + graceMs - CLOSE_RESERVE_MS
     server.startStopping()
+    timers.after(MIN_ACCEPT_MS, () => server.refuseLaterThan(endsAt))
     this.done = new Promise((resolve) => {
       let isRefusing = false
       const cancel = timers.every(CHECK_INTERVAL_MS, () => {
@@ -45,7 +60,7 @@
           isRefusing = true
           server.startRefusing()
         }
-        const outcome = isIdle && isQuiet ? 'quiet' : isIdle && isRefusing ? 'refused' : elapsedMs > graceMs - CLOSE_RESERVE_MS ? 'graceOver' : undefined
+        const outcome = isIdle && isQuiet ? 'quiet' : isIdle && isRefusing ? 'refused' : now > endsAt ? 'graceOver' : undefined
         if (!outcome) return
         cancel()
         resolve(outcome)
--- a/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
@@ -3,13 +3,17 @@
 import { TEST_HEADERS as names } from '../../__tests__/fixtures.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { CallMetrics } from '../../observe/callMetrics.js'
+import type { RequestOrigin } from '../../inbound/runningRequests.js'
 import type { OutboundHandler } from '../outboundHandler.js'
 import { NodeOutboundServer } from '../nodeOutboundServer.js'
 
 const MAX_BODY_BYTES = 256 * 1024
+/** Deadlines far apart, so that the time that the test takes doesn't matter. */
+const SHORT_MS = 1_000_000
+const LONG_MS = 9_000_000
 const chunk = 'x'.repeat(16 * 1024)
 
-async function startServer (events: string[]): Promise<{ server: NodeOutboundServer, port: number }> {
+async function startServer (events: string[], originOf: (id: string) => RequestOrigin = () => 'caller'): Promise<{ server: NodeOutboundServer, port: number }> {
   const metrics: CallMetrics = { request: () => {}, event: (name) => { events.push(name) }, state: () => {}, text: async () => '' }
   const echoHandler = {
     handle: (req, res) => {
@@ -17,7 +21,7 @@
       return () => {}
     }
   } as Partial<OutboundHandler> as OutboundHandler
-  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: echoHandler, log: new NoopCallLog(), metrics, names, originOf: () => 'caller' })
+  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: echoHandler, log: new NoopCallLog(), metrics, names, originOf })
   server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: MAX_BODY_BYTES, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 })
   await server.listen()
   return { server, port: server.port }
@@ -46,3 +50,21 @@
   t.true(received === '' || received.startsWith('HTTP/1.1 413'), received)
   t.true(events.includes('boundPassed'))
 })
+
+test('guards against requests that may outlast a planned stop being taken and cut off at its end', async (t) => {
+  const { server, port } = await startServer([], (id) => id === 'nested' ? 'run' : 'caller')
+  t.teardown(() => server.close())
+  const statusOf = async (id: string, deadlineMs?: number): Promise<number> => {
+    const headers = { 'x-id': id, ...deadlineMs === undefined ? {} : { 'x-deadline': String(deadlineMs) } }
+    return (await fetch(`http://127.0.0.1:${port}/b/`, { method: 'POST', headers, body: 'y' })).status
+  }
+  const statuses = async (): Promise<number[]> => await Promise.all([
+    statusOf('r1', SHORT_MS), statusOf('r2', LONG_MS), statusOf('r3'), statusOf('nested', SHORT_MS), statusOf('nested', LONG_MS)
+  ])
+  server.startStopping()
+  t.deepEqual(await statuses(), [200, 200, 200, 200, 200])
+  server.refuseLaterThan(performance.now() + (SHORT_MS + LONG_MS) / 2)
+  t.deepEqual(await statuses(), [200, 503, 503, 200, 503])
+  server.startRefusing()
+  t.deepEqual(await statuses(), [503, 503, 503, 200, 503])
+})
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { BodyBuffer } from '../buffers/bodyBuffer.js'
 import { BufferBudget } from '../buffers/bufferBudget.js'
+import type { StoppableServer } from '../daemon/gracefulShutdown.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import type { RequestOrigin } from '../inbound/runningRequests.js'
 import type { CallLog } from '../observe/callLog.js'
@@ -41,7 +42,7 @@
  * HTTP/1.1 server for callers: reads requests within the limits on headers, bodies and buffers, passes complete ones to the
  * handler, and writes the responses.
  */
-export class NodeOutboundServer {
+export class NodeOutboundServer implements StoppableServer {
   readonly #opts: OutboundServerOptions
   readonly #server: Server
   readonly #sockets = new Set<Socket>()
@@ -49,6 +50,8 @@
   #limits = DEFAULT_LIMITS
   #isStopping = false
   #isRejecting = false
+  /** Requests with a later deadline are refused, as the daemon stops then; in monotonic milliseconds. */
+  #endsAt = Infinity
   #inFlight = 0
   #lastRequestAt = 0
 
@@ -95,7 +98,12 @@
     this.#isStopping = true
   }
 
-  /** From now on requests are rejected without being run. */
+  /** From now on requests that may run longer than until `endsAt` are rejected without being run. */
+  refuseLaterThan (endsAt: number): void {
+    this.#endsAt = endsAt
+  }
+
+  /** From now on callers' requests are rejected without being run; those of requests that still run here are not. */
   startRefusing (): void {
     this.#isRejecting = true
   }
@@ -169,8 +177,12 @@
       return responder.reject(400, outcome.reason)
     }
     const { head } = outcome
-    if (this.#isRejecting) return responder.reject(503, 'stopping', RETRY_AFTER_STOPPING_MS)
     const origin = this.#opts.originOf(head.requestId)
+    const mayOutlastStop = this.#endsAt < Infinity && performance.now() + head.deadlineMs > this.#endsAt
+    if (mayOutlastStop || (this.#isRejecting && origin === 'caller')) {
+      this.#opts.log.call(false, 'outbound', { id: head.requestId, outcome: 503, reason: 'stopping', origin })
+      return responder.reject(503, 'stopping', RETRY_AFTER_STOPPING_MS)
+    }
     const onCallerLeft = this.#opts.handler.handle({ method: req.method!, url: req.url!, head, body, origin }, responder)
     res.on('close', () => { if (!res.writableEnded) onCallerLeft() })
   }
