Tell other daemons of a restore from the one that heard of it from the store

Each daemon that heard of a new epoch pushed everything to all peers, n squared messages for one restore. Now only those do that heard of it from the store itself, together with what else is due; the exchanges of all daemons carry it on.

--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -45,7 +45,7 @@
     this.#opts = opts
     this.#table = new HostTable(opts.own)
     this.#startedAt = opts.timers.now()
-    opts.epochs.onRise(() => this.#push())
+    opts.epochs.onRise((from) => { if (from === 'store') this.schedulePush() })
     opts.timers.every(KEEP_ALIVE_INTERVAL_MS, () => this.#keepLinksAlive(), { jitter: 0.2 })
     opts.timers.every(EXCHANGE_INTERVAL_MS, () => this.#exchangeWithRandomPeer(), { jitter: 0.3 })
   }
@@ -240,7 +240,7 @@
 
   /** Takes over everything that a message brings. */
   #apply (message: SyncMessage): void {
-    if (message.storeEpoch > 0) this.#opts.epochs.observe(message.storeEpoch, message.from)
+    if (message.storeEpoch > 0) this.#opts.epochs.observe(message.storeEpoch, 'peer')
     this.merge(message.records)
     this.#configVersions.set(message.from, message.configVersion)
     if (message.configVersion > this.configVersionOf(this.own.host)) this.#opts.onNewerPeerVersion()
--- /dev/null
+++ b/packages/hop/src/store/__tests__/storeWatcher.spec.ts
@@ -0,0 +1,152 @@
+import test from 'ava'
+import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
+import { HistoryGone, StoreUnavailable } from '../../errors.js'
+import { NoopCallLog } from '../../observe/callLog.js'
+import { EpochTracker } from '../epochTracker.js'
+import type { EventBatch, Listing, ObjectStore, StoredObject, StoreEvent } from '../objectStore.js'
+import type { StoreRevision } from '../storeRevision.js'
+import { StoreWatcher } from '../storeWatcher.js'
+
+const WATCH_TIMEOUT_MS = 10_000
+const BATCH_DELAY_MS = 600
+
+/** A watcher of a store in memory, which can be restored from a copy without its open watches noticing. */
+class Harness {
+  readonly timers = new VirtualTimers()
+  readonly epochs = new EpochTracker(new NoopCallLog())
+  /** Specs that the watcher brought, in order. */
+  readonly seen: unknown[] = []
+  lists = 0
+  isEnabled = true
+  isAway = false
+  #epoch = 1
+  #number = 10
+  #events: (StoreEvent & { number: number })[] = []
+  #wakeWatch = (): void => {}
+
+  constructor () {
+    const store = { list: async () => this.#list(), watch: async (...args: Parameters<ObjectStore['watch']>) => await this.#watch(...args) } as Partial<ObjectStore> as ObjectStore
+    const onObject = ({ spec }: StoredObject): void => { if (this.seen.at(-1) !== spec) this.seen.push(spec) }
+    new StoreWatcher({
+      store,
+      kind: 'k',
+      epochs: this.epochs,
+      timers: this.timers,
+      random: new SeededRandom(1),
+      log: new NoopCallLog(),
+      watchTimeoutMs: WATCH_TIMEOUT_MS,
+      batchDelayMs: BATCH_DELAY_MS,
+      isEnabled: () => this.isEnabled,
+      onList: (objects) => objects.forEach(onObject),
+      onChange: onObject
+    }).run()
+  }
+
+  put (spec: unknown): void {
+    const number = ++this.#number
+    this.#events.push({ number, deleted: false, object: { name: 'a', revision: { epoch: this.#epoch, number }, spec, status: undefined } })
+    this.#wakeWatch()
+  }
+
+  /** Loses everything after a revision, takes `specs` and raises the revision to `number` with changes of other kinds. */
+  restore (to: number, specs: unknown[], number: number): void {
+    this.#epoch++
+    this.#number = to
+    this.#events = this.#events.filter((event) => event.number <= to)
+    const wake = this.#wakeWatch
+    this.#wakeWatch = () => {}
+    for (const spec of specs) this.put(spec)
+    this.#wakeWatch = wake
+    this.#number = Math.max(this.#number, number)
+  }
+
+  async run (ms: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs <= ms; elapsedMs += 50) {
+      for (let i = 0; i < 20; i++) await Promise.resolve()
+      if (elapsedMs < ms) this.timers.advance(50)
+    }
+  }
+
+  #list (): Listing {
+    if (this.isAway) throw new StoreUnavailable('away')
+    this.lists++
+    this.epochs.observe(this.#epoch, 'store')
+    return { revision: this.#revision(), objects: this.#events.slice(-1).map(({ object }) => object) }
+  }
+
+  async #watch (_kind: string, revision: StoreRevision, waitMs: number, signal: AbortSignal): Promise<EventBatch> {
+    if (this.isAway) throw new StoreUnavailable('away')
+    if (revision.number > this.#number) throw new HistoryGone('gone')
+    const events = (): StoreEvent[] => this.#events.filter(({ number }) => number > revision.number)
+    if (events().length === 0 && waitMs > 0) {
+      await new Promise<void>((resolve, reject) => {
+        this.#wakeWatch = resolve
+        this.timers.after(waitMs, resolve)
+        signal.addEventListener('abort', () => reject(new StoreUnavailable('aborted')))
+      })
+    }
+    this.epochs.observe(this.#epoch, 'store')
+    if (this.#epoch !== revision.epoch) throw new HistoryGone('another epoch')
+    return { revision: this.#revision(), events: events() }
+  }
+
+  #revision (): StoreRevision {
+    return { epoch: this.#epoch, number: this.#number }
+  }
+}
+
+test('guards against a change being missed that was made while the store came back in the pause after another change', async (t) => {
+  const harness = new Harness()
+  await harness.run(1_000)
+  harness.put('before')
+  await harness.run(100)
+  harness.restore(10, ['after'], 40)
+  await harness.run(1_000)
+  t.deepEqual(harness.seen, ['before', 'after'])
+})
+
+test('guards against a change being missed that was made before the store answered again after an outage', async (t) => {
+  const harness = new Harness()
+  await harness.run(1_000)
+  harness.put('before')
+  await harness.run(800)
+  harness.isAway = true
+  harness.put('lost')
+  await harness.run(3_000)
+  harness.restore(10, ['after'], 40)
+  harness.isAway = false
+  await harness.run(3_000)
+  t.deepEqual(harness.seen.at(-1), 'after')
+})
+
+test('guards against a daemon that becomes a watcher after a restore continuing from a revision of before', async (t) => {
+  const harness = new Harness()
+  harness.put('before')
+  await harness.run(1_000)
+  harness.isEnabled = false
+  await harness.run(WATCH_TIMEOUT_MS)
+  harness.restore(10, ['after'], 40)
+  harness.isEnabled = true
+  await harness.run(1_000)
+  t.deepEqual(harness.seen.at(-1), 'after')
+})
+
+test('guards against an open watch that the restore has not cut off hiding a change until its time is over', async (t) => {
+  const harness = new Harness()
+  harness.put('before')
+  await harness.run(2_000)
+  harness.restore(10, ['after'], 40)
+  await harness.run(500)
+  t.deepEqual(harness.seen, ['before'], 'the watch is still open')
+  harness.epochs.observe(2, 'peer')
+  await harness.run(100)
+  t.deepEqual(harness.seen, ['before', 'after'])
+})
+
+test('guards against lists without end when peers name an epoch that the store has not', async (t) => {
+  const harness = new Harness()
+  await harness.run(2_000)
+  harness.epochs.observe(9, 'peer')
+  await harness.run(60_000)
+  t.is(harness.lists, 2)
+})
