Write records of moves and accounts again if the platform has lost them

After the platform was restored from a backup made before, they were missing until they changed again, which the record of an ended move never does.

What differs from what it wrote is written again. Test: not within 60 s before, after it is.

--- a/packages/mesh/src/__tests__/safety.spec.ts
+++ b/packages/mesh/src/__tests__/safety.spec.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check'
 import type { MoveFact } from '@lentilwheel/core'
 import { checkConfig, rootHash, toObjects, type Delta } from '@lentilwheel/config'
-import { decodeMoveRecord, moveKey } from '@lentilwheel/platform'
+import { accountKey, decodeMoveRecord, moveKey } from '@lentilwheel/platform'
 import { SnapshotStore } from '../dissemination/snapshotStore.js'
 import { splitIntoSubtrees } from '../dissemination/broadcastTree.js'
 import { FactStore } from '../facts/factStore.js'
@@ -247,6 +247,18 @@
   })
 }
 
+test('guards against records of moves and accounts missing for good because the platform was restored from a backup', async (t) => {
+  const fleet = await Fleet.ready({ daemons: 12 })
+  const { store } = fleet.platform
+  fleet.members[4]!.mesh.publishFact(rollback)
+  const keys = [moveKey('m'), accountKey('dc0')]
+  const areStored = (): boolean => keys.every((key) => store.get(key) !== undefined)
+  await fleet.until(areStored, 10_000, 'written')
+  await fleet.run(5_000)
+  for (const key of keys) store.remove(key, store.get(key)!.revision)
+  t.true(await fleet.until(areStored, 60_000, 'written again') > 0)
+})
+
 test('a daemon that missed the push of a fact gets it by an exchange within 5 s', async (t) => {
   const fleet = await Fleet.ready({ daemons: 12 })
   const isPush = (signed: Uint8Array): boolean => {
--- a/packages/mesh/src/relay/accountWriter.ts
+++ b/packages/mesh/src/relay/accountWriter.ts
@@ -1,7 +1,7 @@
 import {
   accountKey, decodeAccount, encodeJson, type Account, type Lease
 } from '@lentilwheel/platform'
-import { CHILD_TIMEOUT_MS } from '../constants.js'
+import { CHILD_TIMEOUT_MS, RECORD_CHECK_PERIOD_MS } from '../constants.js'
 import type { MeshContext } from '../context.js'
 import type { StatusCollector } from '../status/statusCollector.js'
 
@@ -16,6 +16,7 @@
   readonly #lease: Lease
   /** Revision of the stored account; undefined while it has to be read. */
   #revision: number | undefined
+  #nextCheckAt = -Infinity
   #writtenContent = ''
   #isWriting = false
   #laggingBefore: ReadonlySet<string> = new Set()
@@ -55,7 +56,7 @@
     if (this.#isWriting || !this.#lease.isHeld()) return
     this.#isWriting = true
     try {
-      if (this.#revision === undefined) await this.#load()
+      if (this.#revision === undefined || this.#ctx.opts.timers.now() >= this.#nextCheckAt) await this.#load()
       const account = this.current()
       const content = JSON.stringify({ ...account, at: 0 })
       if (content === this.#writtenContent) return
@@ -77,10 +78,13 @@
     }
   }
 
-  /** Reads the revision for the next write and takes over the refusals that the previous relay had collected. */
+  /** Reads the revision for the next write, notices that the platform holds another account than the one written, and takes over the refusals that the previous relay had collected. */
   async #load (): Promise<void> {
     const stored = await this.#ctx.opts.platform.get(accountKey(this.#ctx.table.self.dataCentre))
-    this.#revision = stored?.revision ?? 0
+    const revision = stored?.revision ?? 0
+    if (revision !== this.#revision) this.#writtenContent = ''
+    this.#revision = revision
+    this.#nextCheckAt = this.#ctx.opts.timers.now() + RECORD_CHECK_PERIOD_MS
     if (!stored) return
     this.#collector.restoreRefusals(decodeAccount(stored.value)?.refusals ?? [])
   }
--- a/packages/mesh/src/relay/moveRecordWriter.ts
+++ b/packages/mesh/src/relay/moveRecordWriter.ts
@@ -2,7 +2,7 @@
 import {
   decodeMoveRecord, encodeJson, toMoveFacts, MOVE_PREFIX, moveKey, toMoveRecord, type MoveDefinition, type MoveRecord
 } from '@lentilwheel/platform'
-import { MOVE_WRITES_PER_SECOND } from '../constants.js'
+import { MOVE_WRITES_PER_SECOND, RECORD_CHECK_PERIOD_MS } from '../constants.js'
 import type { MeshContext } from '../context.js'
 import { coordinatorOf } from './election.js'
 
@@ -16,7 +16,7 @@
   /** Revision and content of the records last seen on the platform, by move. */
   readonly #stored = new Map<string, { revision: number, content: string }>()
   #isRunning = false
-  #isLoaded = false
+  #nextLoadAt = -Infinity
 
   constructor (ctx: MeshContext) {
     this.#ctx = ctx
@@ -24,12 +24,12 @@
     this.#writeRate = new TokenBucket({ perSecond: MOVE_WRITES_PER_SECOND, burst: MOVE_WRITES_PER_SECOND, now })
   }
 
-  /** Reads all records once, then writes the facts not recorded yet if the lease is held; platform errors are thrown. */
+  /** Reads all records from time to time, and writes the facts not recorded yet if the lease is held; platform errors are thrown. */
   async syncRecords (isLeaseHeld: boolean): Promise<void> {
     if (this.#isRunning) return
     this.#isRunning = true
     try {
-      if (!this.#isLoaded) await this.load()
+      if (this.#ctx.opts.timers.now() >= this.#nextLoadAt) await this.load()
       if (!isLeaseHeld) return
       for (const [move, facts] of this.#ctx.facts.all) {
         if (coordinatorOf(this.#ctx.table, move) !== this.#ctx.table.self.id) continue
@@ -41,11 +41,13 @@
   }
 
   async load (): Promise<void> {
-    for (const object of await this.#ctx.opts.platform.list(MOVE_PREFIX)) {
+    const objects = await this.#ctx.opts.platform.list(MOVE_PREFIX)
+    this.#stored.clear()
+    for (const object of objects) {
       const record = decodeMoveRecord(object.value)
       if (record) this.#mergeStored(record, object.revision)
     }
-    this.#isLoaded = true
+    this.#nextLoadAt = this.#ctx.opts.timers.now() + RECORD_CHECK_PERIOD_MS
   }
 
   async #writeRecord (move: string, facts: MoveFacts): Promise<void> {
