--- a/packages/hop/src/store/__tests__/storeWatcher.spec.ts
+++ b/packages/hop/src/store/__tests__/storeWatcher.spec.ts
@@ -10,7 +10,7 @@
 const WATCH_TIMEOUT_MS = 10_000
 const BATCH_DELAY_MS = 600
 
-/** A watcher of a store in memory, which can be restored from a copy without its open watches noticing. */
+/** A watcher of a store in memory, which can be restored from a copy, with or without its open watch noticing. */
 class Harness {
   readonly timers = new VirtualTimers()
   readonly epochs = new EpochTracker(new NoopCallLog())
@@ -23,6 +23,7 @@
   #number = 10
   #events: (StoreEvent & { number: number })[] = []
   #wakeWatch = (): void => {}
+  #cutWatch = (): void => {}
 
   constructor () {
     const store = { list: async () => this.#list(), watch: async (...args: Parameters<ObjectStore['watch']>) => await this.#watch(...args) } as Partial<ObjectStore> as ObjectStore
@@ -60,6 +61,11 @@
     this.#number = Math.max(this.#number, number)
   }
 
+  /** Ends the open watch, if any, as a store does that goes away. */
+  cutWatch (): void {
+    this.#cutWatch()
+  }
+
   async run (ms: number): Promise<void> {
     for (let elapsedMs = 0; elapsedMs <= ms; elapsedMs += 50) {
       for (let i = 0; i < 20; i++) await Promise.resolve()
@@ -81,6 +87,7 @@
     if (events().length === 0 && waitMs > 0) {
       await new Promise<void>((resolve, reject) => {
         this.#wakeWatch = resolve
+        this.#cutWatch = () => reject(new StoreUnavailable('cut off'))
         this.timers.after(waitMs, resolve)
         signal.addEventListener('abort', () => reject(new StoreUnavailable('aborted')))
       })
@@ -150,3 +157,31 @@
   await harness.run(60_000)
   t.is(harness.lists, 2)
 })
+
+const SOAK_SEEDS = 60
+const SOAK_STEPS = 40
+/** Longer than the longest backoff and the pause after a change, but shorter than a watch. */
+const SETTLE_MS = 4_000
+
+test('guards against a change being missed in any order of changes, restores, outages and pauses', async (t) => {
+  for (let seed = 1; seed <= SOAK_SEEDS; seed++) {
+    const random = new SeededRandom(seed)
+    const harness = new Harness()
+    let last: unknown
+    for (let step = 0; step < SOAK_STEPS; step++) {
+      const dice = random.int(10)
+      if (dice < 4) harness.put(last = `${seed}.${step}`)
+      else if (dice === 4) {
+        harness.restore(10 + random.int(20), last === undefined ? [] : [last], 10 + random.int(60))
+        harness.cutWatch()
+      } else if (dice === 5) harness.isAway = !harness.isAway
+      else if (dice === 6) harness.isEnabled = !harness.isEnabled
+      else if (dice === 7) harness.epochs.observe(harness.epochs.current + random.int(2), 'peer')
+      else await harness.run(random.int(2_500))
+    }
+    harness.isAway = false
+    harness.isEnabled = true
+    await harness.run(SETTLE_MS)
+    t.is(harness.seen.at(-1), last, `seed ${seed}`)
+  }
+})
