--- a/packages/mesh/src/constants.ts
+++ b/packages/mesh/src/constants.ts
@@ -90,7 +90,7 @@
 export const ANNOUNCE_PEERS = 2
 /** Limit of the rate at which one relay writes facts about moves to the platform. */
 export const MOVE_WRITES_PER_SECOND = 10
-/** How often a relay reads its records on the platform again, which may have been restored from a backup made before they were written. */
+/** How often a relay reads its records again, as the platform may have been restored from a backup made before them. */
 export const RECORD_CHECK_PERIOD_MS = 30_000
 /** Moves whose facts are kept; beyond it the oldest ended ones are dropped. */
 export const MAX_MOVES_KEPT = 1_000
--- a/packages/mesh/src/relay/accountWriter.ts
+++ b/packages/mesh/src/relay/accountWriter.ts
@@ -78,7 +78,10 @@
     }
   }
 
-  /** Reads the revision for the next write, notices that the platform holds another account than the one written, and takes over the refusals that the previous relay had collected. */
+  /**
+   * Reads the revision for the next write, and takes over the refusals that the previous relay had collected. An account
+   * other than the one written, or none, makes the next write due.
+   */
   async #load (): Promise<void> {
     const stored = await this.#ctx.opts.platform.get(accountKey(this.#ctx.table.self.dataCentre))
     const revision = stored?.revision ?? 0
--- a/packages/mesh/src/relay/moveRecordWriter.ts
+++ b/packages/mesh/src/relay/moveRecordWriter.ts
@@ -24,7 +24,10 @@
     this.#writeRate = new TokenBucket({ perSecond: MOVE_WRITES_PER_SECOND, burst: MOVE_WRITES_PER_SECOND, now })
   }
 
-  /** Reads all records from time to time, and writes the facts not recorded yet if the lease is held; platform errors are thrown. */
+  /**
+   * Reads all records every `RECORD_CHECK_PERIOD_MS`, and writes the facts not recorded yet if the lease is held; platform
+   * errors are thrown.
+   */
   async syncRecords (isLeaseHeld: boolean): Promise<void> {
     if (this.#isRunning) return
     this.#isRunning = true
