Publish every stage of a brief move in one place

The last stage had a generator of its own beside the other stages, and its number was compared in two lines in a row. One generator enters and publishes a stage, whichever it is.

--- a/packages/moves/src/brief/briefMove.ts
+++ b/packages/moves/src/brief/briefMove.ts
@@ -131,19 +131,17 @@
     }
     const isOldVersionGone = this.#isOldVersionGone(input)
     if (input.newSlots === 0) return
-    if (isOldVersionGone) return yield * this.#enterFullStage(input)
+    if (isOldVersionGone) return yield * this.#publishStage(input, FULL_STAGE, 1)
     if (this.#stage > 0 && !this.#isStepOver(input, stageMs)) return
     const nextStage = this.#stage + 1
     if (nextStage === FULL_STAGE && input.newSlots < MIN_CAPACITY_FRACTION * input.oldSlots) return
-    if (nextStage === FULL_STAGE) return yield * this.#enterFullStage(input)
-    this.#enterStage(nextStage, input.now)
-    const share = STEPS[nextStage - 1]!.share(this.#rate(input.now), input.slotsPerTarget)
-    yield { kind: 'stage', move, stage: nextStage, share, at: input.wallNow }
+    const share = STEPS[nextStage - 1]?.share(this.#rate(input.now), input.slotsPerTarget) ?? 1
+    yield * this.#publishStage(input, nextStage, share)
   }
 
-  * #enterFullStage ({ now, wallNow }: BriefInput): Generator<MoveFact> {
-    this.#enterStage(FULL_STAGE, now)
-    yield { kind: 'stage', move: this.#opts.move, stage: FULL_STAGE, share: 1, at: wallNow }
+  * #publishStage ({ now, wallNow }: BriefInput, stage: number, share: number): Generator<MoveFact> {
+    this.#enterStage(stage, now)
+    yield { kind: 'stage', move: this.#opts.move, stage, share, at: wallNow }
   }
 
   #isOldVersionGone ({ now, newSlots, oldSlots }: BriefInput): boolean {
