--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -178,7 +178,7 @@
     }
     const { head } = outcome
     const origin = this.#opts.originOf(head.requestId)
-    const mayOutlastStop = this.#endsAt < Infinity && performance.now() + head.deadlineMs > this.#endsAt
+    const mayOutlastStop = performance.now() + head.deadlineMs > this.#endsAt
     if (mayOutlastStop || (this.#isRejecting && origin === 'caller')) {
       this.#opts.log.call(false, 'outbound', { id: head.requestId, outcome: 503, reason: 'stopping', origin })
       return responder.reject(503, 'stopping', RETRY_AFTER_STOPPING_MS)
