Take the epoch from the store, and hold orders where they are remembered

The tracker of the epoch was passed beside the store through the options of five parts; it is now part of the store's interface. The codec takes an object whole where three callers took it apart. The time for which a replaced order is held stood in MoveController, the replaced orders in SupersededOrders; both are there now.

--- a/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
+++ b/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
@@ -40,6 +40,7 @@
     this.isStoreDown = isStoreDown
     const { timers } = this
     const store = {
+      epochs: new EpochTracker(new NoopCallLog()),
       list: async () => {
         this.listCalls++
         if (this.isStoreDown) throw new StoreUnavailable('unavailable')
@@ -73,7 +74,7 @@
       })
     } as unknown as Fleet
     this.updater = new ConfigUpdater({
-      fleet, store, epochs: new EpochTracker(new NoopCallLog()), codec, timers, random: new SeededRandom(1), log: new NoopCallLog(), onConfig: (table) => this.appliedVersions.push(table.config.version)
+      fleet, store, codec, timers, random: new SeededRandom(1), log: new NoopCallLog(), onConfig: (table) => this.appliedVersions.push(table.config.version)
     })
     this.updater.start()
   }
--- a/packages/hop/src/daemon/configUpdater.ts
+++ b/packages/hop/src/daemon/configUpdater.ts
@@ -5,14 +5,12 @@
 import type { MeshConfig } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
 import { StoreWatcher } from '../store/storeWatcher.js'
-import type { EpochTracker } from '../store/epochTracker.js'
 import type { ObjectStore } from '../store/objectStore.js'
 import type { StoreCodec } from './storeCodec.js'
 
 export interface ConfigUpdaterOptions {
   fleet: Fleet
   store: ObjectStore
-  epochs: EpochTracker
   codec: StoreCodec
   timers: Timers
   random: Random
@@ -51,10 +49,9 @@
 
   constructor (opts: ConfigUpdaterOptions) {
     this.#opts = opts
-    const { store, epochs, codec, timers, random, log, fleet } = opts
+    const { store, codec, timers, random, log, fleet } = opts
     this.#watcher = new StoreWatcher({
       store,
-      epochs,
       kind: codec.config.kind,
       timers,
       random,
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -17,7 +17,6 @@
 import { ResponseSizes } from '../outbound/responseSizes.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
 import { MoveController } from '../rollout/moveController.js'
-import type { EpochTracker } from '../store/epochTracker.js'
 import type { ObjectStore } from '../store/objectStore.js'
 import type { StoreCodec } from './storeCodec.js'
 import { ConfigUpdater } from './configUpdater.js'
@@ -33,7 +32,6 @@
   metrics: CallMetrics
   names: HeaderNames
   store: ObjectStore
-  epochs: EpochTracker
   codec: StoreCodec
 }
 
@@ -75,7 +73,7 @@
   #wasReady = false
 
   constructor (opts: HopDaemonOptions) {
-    const { cfg, timers, random, log, metrics, names, store, epochs, codec } = opts
+    const { cfg, timers, random, log, metrics, names, store, codec } = opts
     this.#opts = opts
     this.#cfg = cfg
     this.#localTarget = new LocalTarget(cfg.announceMs)
@@ -94,9 +92,9 @@
       orders: () => this.#moves.orders(),
       onOrder: (order, from) => this.#moves.onOrder(order, from),
       onReport: (report) => this.#moves.onReport(report),
-      epochs
+      epochs: store.epochs
     })
-    this.#moves = new MoveController({ fleet: this.#fleet, store, epochs, codec, timers, random, log })
+    this.#moves = new MoveController({ fleet: this.#fleet, store, codec, timers, random, log })
     const client = new NodeTargetClient({
       host: cfg.target.address,
       port: cfg.target.port,
@@ -138,7 +136,6 @@
     this.#configUpdater = new ConfigUpdater({
       fleet: this.#fleet,
       store,
-      epochs,
       codec,
       timers,
       random,
@@ -149,7 +146,7 @@
         metrics.state('configVersion', table.config.version)
       }
     })
-    this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, epochs, timers, random, log, seeds: cfg.seeds })
+    this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
       ...cfg.hop, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
@@ -158,7 +155,7 @@
 
   /** Opens the servers and starts the periodic work. */
   async start (): Promise<void> {
-    const { timers, log, metrics, epochs } = this.#opts
+    const { timers, log, metrics, store } = this.#opts
     this.#startedAt = timers.now()
     log.decision('started', { incarnation: this.#fleet.own.incarnation, dataCentre: this.#cfg.dataCentre, service: this.#cfg.service })
     await Promise.all([this.#hopServer.listen(), this.#outboundServer.listen(), this.#metricsServer.listen()])
@@ -169,7 +166,7 @@
     timers.every(1_000, () => {
       metrics.state('peersUp', this.#fleet.live().length - 1)
       metrics.state('running', this.#inbound.active)
-      metrics.state('storeEpoch', epochs.current)
+      metrics.state('storeEpoch', store.epochs.current)
       const { limitPerS, sent } = this.#inbound.rate
       metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
       metrics.state('targetSent', sent)
--- a/packages/hop/src/daemon/peerDiscovery.ts
+++ b/packages/hop/src/daemon/peerDiscovery.ts
@@ -3,14 +3,12 @@
 import type { Fleet } from '../fleet/fleet.js'
 import type { HostRecord } from '../fleet/hostRecord.js'
 import type { CallLog } from '../observe/callLog.js'
-import type { EpochTracker } from '../store/epochTracker.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
 import type { Endpoint } from './resolvedHopConfig.js'
 
 export interface PeerDiscoveryOptions {
   fleet: Fleet
   store: ObjectStore
-  epochs: EpochTracker
   timers: Timers
   random: Random
   log: CallLog
@@ -43,7 +41,7 @@
 
   constructor (opts: PeerDiscoveryOptions) {
     this.#opts = opts
-    opts.epochs.onRise(() => this.#registerAgain())
+    opts.store.epochs.onRise(() => this.#registerAgain())
   }
 
   start (): void {
@@ -63,9 +61,9 @@
   }
 
   async #removeOwn (): Promise<void> {
-    const { store, fleet: { own }, epochs } = this.#opts
+    const { store, fleet: { own } } = this.#opts
     let object = this.#ownObject
-    if (object && object.revision.epoch < epochs.current) object = await store.get(DAEMON_KIND, own.host)
+    if (object && object.revision.epoch < store.epochs.current) object = await store.get(DAEMON_KIND, own.host)
     if (object) await store.remove(DAEMON_KIND, own.host, object.revision)
   }
 
--- a/packages/hop/src/daemon/storeCodec.ts
+++ b/packages/hop/src/daemon/storeCodec.ts
@@ -1,5 +1,5 @@
 import type { MeshConfig } from '../routing/meshConfig.js'
-import type { StoreRevision } from '../store/storeRevision.js'
+import type { StoredObject } from '../store/objectStore.js'
 import type { MoveOrder } from '../rollout/moveOrder.js'
 
 /** Translates between the objects that operators keep in the store and the types used here. */
@@ -11,7 +11,7 @@
   /** Decodes the spec of a configuration; undefined if it isn't valid. */
   decodeConfig (spec: unknown): MeshConfig | undefined
   /** Decodes an order to move a service's traffic; undefined if it isn't valid. */
-  decodeMove (name: string, spec: unknown, status: unknown, revision: StoreRevision): MoveOrder | undefined
+  decodeMove (object: StoredObject): MoveOrder | undefined
   /** Encodes the status that operators read in the order's object. */
   encodeMoveStatus (order: MoveOrder, state: MoveOrder['state']): unknown
 }
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -6,17 +6,15 @@
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
 import type { CallLog } from '../observe/callLog.js'
 import { StoreWatcher } from '../store/storeWatcher.js'
-import type { EpochTracker } from '../store/epochTracker.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
 import { ResultAggregator, type RequestResult } from './resultAggregator.js'
-import { SupersededOrders } from './supersededOrders.js'
+import { REWRITE_MS, SupersededOrders } from './supersededOrders.js'
 import type { MoveOrder, MoveState } from './moveOrder.js'
 import { phaseOf, VersionRules, type VersionChoice, type VersionChooser } from './versionRules.js'
 
 export interface MoveControllerOptions {
   fleet: Fleet
   store: ObjectStore
-  epochs: EpochTracker
   codec: StoreCodec
   timers: Timers
   random: Random
@@ -30,8 +28,6 @@
 const BATCH_DELAY_MS = 100
 /** Daemons that watch the orders in the store; the others get them from peers. */
 const MAX_WATCHERS = 3
-/** Time that operators have to write the orders again which a restored store has lost. */
-const REWRITE_MS = 10_000
 const TICK_INTERVAL_MS = 200
 /** Least time between a report and the next one that a failed or slow request triggers. */
 const MIN_URGENT_REPORT_INTERVAL_MS = 40
@@ -48,21 +44,22 @@
   readonly #opts: MoveControllerOptions
   readonly #rules: VersionRules
   readonly #results = new ResultAggregator()
+  readonly #superseded: SupersededOrders
   /** Moves that this daemon coordinates, by order id. */
   readonly #coordinated = new Map<string, BriefMove>()
   /** States that are not in the store yet, by order id; `since`: when the state became due, or was last tried. */
   readonly #pendingWrites = new Map<string, { state: MoveState, since: number, isWriting: boolean }>()
   #watcher: StoreWatcher | undefined
-  readonly #superseded = new SupersededOrders()
-  /** When the store's present epoch became known. */
-  #epochAt = -Infinity
   #lastReportAt = 0
   #isReportScheduled = false
 
   constructor (opts: MoveControllerOptions) {
     this.#opts = opts
     this.#rules = new VersionRules(opts.random)
-    opts.epochs.onRise(() => this.#onEpoch())
+    const { timers, store: { epochs } } = opts
+    this.#superseded = new SupersededOrders(timers, epochs)
+    // Orders that are held count once the hold is over.
+    epochs.onRise(() => timers.after(REWRITE_MS, () => this.#watcher?.relist()))
   }
 
   start (): void {
@@ -87,7 +84,7 @@
   onOrder (order: MoveOrder, from: string): void {
     const known = this.#rules.order(order.service)
     if (known && order.revision.epoch > known.revision.epoch) {
-      if (this.#isFromCopy(order)) {
+      if (this.#superseded.isHeld(order)) {
         this.#opts.log.decision('moveOrderHeld', { ...order, from, known })
         return
       }
@@ -137,18 +134,6 @@
     return this.#rules.isVersionAllowed(service, version)
   }
 
-  /** Lists the orders again once those that were held as earlier ones count. */
-  #onEpoch (): void {
-    const { timers } = this.#opts
-    this.#epochAt = timers.now()
-    timers.after(REWRITE_MS, () => this.#watcher?.relist())
-  }
-
-  /** Whether a restored store shows an order that a later one had replaced, and that one may still be written again. */
-  #isFromCopy (order: MoveOrder): boolean {
-    return this.#superseded.has(order) && this.#opts.timers.now() - this.#epochAt < REWRITE_MS
-  }
-
   /** Publishes the end of a move as a fact if a restored store shows the order without it, as it was known from there alone. */
   #keepEnd (known: MoveOrder, order: MoveOrder): void {
     if (known.id !== order.id || !isEnded(known.state) || isEnded(order.state)) return
@@ -163,15 +148,14 @@
 
   /** Starts watching the orders in the store. */
   #startWatcher (): void {
-    const { store, epochs, codec, timers, random, log } = this.#opts
-    const readOrder = ({ name, spec, status, revision }: StoredObject): void => {
-      const order = codec.decodeMove(name, spec, status, revision)
+    const { store, codec, timers, random, log } = this.#opts
+    const readOrder = (object: StoredObject): void => {
+      const order = codec.decodeMove(object)
       if (order) this.onOrder(order, 'store')
-      else log.decision('moveUnreadable', { name, revision })
+      else log.decision('moveUnreadable', { name: object.name, revision: object.revision })
     }
     this.#watcher = new StoreWatcher({
       store,
-      epochs,
       kind: codec.moves.kind,
       timers,
       random,
@@ -235,9 +219,9 @@
     const { store, codec, log, fleet } = this.#opts
     const { kind } = codec.moves
     try {
-      const { name, spec, status, revision } = await store.setStatus(kind, order.service, codec.encodeMoveStatus(order, state), order.revision)
-      log.decision('moveStateWritten', { move: order.id, state, revision })
-      const written = codec.decodeMove(name, spec, status, revision)
+      const object = await store.setStatus(kind, order.service, codec.encodeMoveStatus(order, state), order.revision)
+      log.decision('moveStateWritten', { move: order.id, state, revision: object.revision })
+      const written = codec.decodeMove(object)
       if (written) this.onOrder(written, fleet.own.host)
     } catch (err) {
       log.decision('moveStateNotWritten', { move: order.id, state, code: errorCode(err), reason: (err as Error).message })
@@ -250,7 +234,7 @@
     const { store, codec, log } = this.#opts
     try {
       const object = await store.get(codec.moves.kind, order.service)
-      const current = object && codec.decodeMove(object.name, object.spec, object.status, object.revision)
+      const current = object && codec.decodeMove(object)
       if (current) this.onOrder(current, 'store')
     } catch (err) {
       log.decision('moveStateNotRead', { move: order.id, code: errorCode(err) })
--- a/packages/hop/src/store/__tests__/storeWatcher.spec.ts
+++ b/packages/hop/src/store/__tests__/storeWatcher.spec.ts
@@ -26,12 +26,11 @@
   #cutWatch = (): void => {}
 
   constructor () {
-    const store = { list: async () => this.#list(), watch: async (...args: Parameters<ObjectStore['watch']>) => await this.#watch(...args) } as Partial<ObjectStore> as ObjectStore
+    const store = { epochs: this.epochs, list: async () => this.#list(), watch: async (...args: Parameters<ObjectStore['watch']>) => await this.#watch(...args) } as Partial<ObjectStore> as ObjectStore
     const onObject = ({ spec }: StoredObject): void => { if (this.seen.at(-1) !== spec) this.seen.push(spec) }
     new StoreWatcher({
       store,
       kind: 'k',
-      epochs: this.epochs,
       timers: this.timers,
       random: new SeededRandom(1),
       log: new NoopCallLog(),
--- a/packages/hop/src/store/objectStore.ts
+++ b/packages/hop/src/store/objectStore.ts
@@ -1,3 +1,4 @@
+import type { EpochTracker } from './epochTracker.js'
 import type { StoreRevision } from './storeRevision.js'
 
 /** An object in the platform's store. */
@@ -36,6 +37,8 @@
  * reach the restored store may take effect, and returns what the object then holds.
  */
 export interface ObjectStore {
+  /** Epoch of the store as its responses and peers have named it. */
+  readonly epochs: EpochTracker
   /** `mayBeOld`: accepts a response that is some seconds stale, which costs the store less. */
   list (kind: string, opts?: { mayBeOld: boolean }): Promise<Listing>
   get (kind: string, name: string): Promise<StoredObject | undefined>
--- a/packages/hop/src/store/storeWatcher.ts
+++ b/packages/hop/src/store/storeWatcher.ts
@@ -1,13 +1,11 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
 import { HistoryGone } from '../errors.js'
 import type { CallLog } from '../observe/callLog.js'
-import type { EpochTracker } from './epochTracker.js'
 import type { ObjectStore, StoredObject } from './objectStore.js'
 import { formatRevision, type StoreRevision } from './storeRevision.js'
 
 export interface StoreWatcherOptions {
   store: ObjectStore
-  epochs: EpochTracker
   kind: string
   timers: Timers
   random: Random
@@ -28,7 +26,6 @@
 const MAX_BACKOFF_MS = 1_500
 /** How often a daemon that doesn't watch checks whether it should. */
 const DISABLED_CHECK_INTERVAL_MS = 500
-
 const MAX_LOGGED_OBJECTS = 10
 
 /**
@@ -54,7 +51,7 @@
 
   constructor (opts: StoreWatcherOptions) {
     this.#opts = opts
-    opts.epochs.onRise(() => { if (this.#isWatching) this.relist() })
+    opts.store.epochs.onRise(() => { if (this.#isWatching) this.relist() })
   }
 
   /** Whether a watch request is open. */
@@ -89,10 +86,10 @@
   }
 
   async #runCycle (): Promise<void> {
-    const { store, kind, epochs, watchTimeoutMs, batchDelayMs, isEnabled } = this.#opts
+    const { store, kind, watchTimeoutMs, batchDelayMs, isEnabled } = this.#opts
     if (this.#revision === undefined || this.#isRelistDue) {
       this.#isRelistDue = false
-      const epochBefore = epochs.current
+      const epochBefore = store.epochs.current
       const { revision, objects } = await store.list(kind)
       this.#logList(revision, objects)
       this.#revision = revision
@@ -101,7 +98,7 @@
       return await this.#sleep(batchDelayMs)
     }
     if (isEnabled && !isEnabled()) return await this.#sleep(DISABLED_CHECK_INTERVAL_MS)
-    if (this.#listedEpoch < epochs.current) throw new HistoryGone(`the store was restored from a copy after revision ${formatRevision(this.#revision)}`)
+    if (this.#listedEpoch < store.epochs.current) throw new HistoryGone(`the store was restored from a copy after revision ${formatRevision(this.#revision)}`)
     this.#abort = new AbortController()
     this.#isWatching = true
     const batch = await store.watch(kind, this.#revision, this.#isFresh ? watchTimeoutMs : 0, this.#abort.signal).finally(() => { this.#isWatching = false })
