Log when a target crashes, and which requests ran there

No log line told a crash of a target from connections that broke one by one, or that a request is the same as an earlier one, so the hypotheses on requests that crash targets could not be told apart. After a lost connection the daemon beside the target tries a new one: a target that is gone refuses it. Line targetCrashed with a fingerprint of each request that ran there; counter targetCrash. The new connection is kept for later requests, so that a single lost connection costs none more than before.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -247,7 +247,7 @@
     })
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
-      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
+      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, onTargetCrash: () => {}, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
     })
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
--- a/packages/hop/src/__tests__/simTarget.ts
+++ b/packages/hop/src/__tests__/simTarget.ts
@@ -1,4 +1,5 @@
 import type { Random } from '@lentilwheel/core'
+import type { ConnectOutcome } from '../inbound/crashDetector.js'
 import type { TargetClient } from '../inbound/nodeTargetClient.js'
 import type { TargetRequest } from '../inbound/nodeTargetConnection.js'
 import type { TargetResult, TargetStatement } from '../inbound/targetResult.js'
@@ -32,6 +33,10 @@
     this.#random = random
   }
 
+  tryConnect (done: (outcome: ConnectOutcome) => void): void {
+    done('accepted')
+  }
+
   reset (): void {}
 
   send (request: TargetRequest, _idempotent: boolean, done: (result: TargetResult) => void): () => void {
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -125,6 +125,7 @@
       rejectionRate: (service, priority) => this.#loadBalancer.rejectionRate(service, priority),
       coldPerS: (service) => this.#outbound.table?.config.services.get(service)?.coldPerS,
       onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
+      onTargetCrash: () => metrics.event('targetCrash'),
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundHandler({
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -3,6 +3,7 @@
 import { TEST_HEADERS as names } from '../../__tests__/fixtures.js'
 import type { TargetRecord } from '../../fleet/hostRecord.js'
 import type { CallMessage, HopReply } from '../../link/messages.js'
+import type { ConnectOutcome } from '../crashDetector.js'
 import { InboundHandler } from '../inboundHandler.js'
 import type { TargetResult, TargetStatement } from '../targetResult.js'
 
@@ -17,6 +18,7 @@
   coldPerS: number | undefined
   isVersionAllowed = true
   rejectionRate = 0
+  connectOutcome: ConnectOutcome = 'accepted'
   readonly handler = new InboundHandler({
     timers: this.timers,
     random: new SeededRandom(1),
@@ -31,6 +33,7 @@
           done({ kind: 'failed', reason: 'cancelled' })
         }
       },
+      tryConnect: (done) => done(this.connectOutcome),
       reset: () => {}
     },
     target: () => this.target,
@@ -43,6 +46,7 @@
       this.target = { ...this.target!, state: 'draining' }
       this.handler.onTargetChange()
     },
+    onTargetCrash: () => {},
     onResult: () => {}
   })
 
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -2,9 +2,11 @@
 import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
+import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import type { RequestResult } from '../rollout/resultAggregator.js'
 import { Admission, type SlotRequest } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
+import { CrashDetector } from './crashDetector.js'
 import type { TargetClient } from './nodeTargetClient.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
@@ -33,6 +35,8 @@
   coldPerS (service: string): number | undefined
   /** Called when the target says in a response that it leaves. */
   onTargetLeaving (departure: Departure): void
+  /** Called when the target has crashed. */
+  onTargetCrash (target: TargetRecord | undefined): void
   /** Called with each result of a request to the target, from which versions are judged. */
   onResult (target: TargetRecord, result: RequestResult): void
 }
@@ -56,6 +60,8 @@
 const QUEUE_CHECK_INTERVAL_MS = 50
 const PRUNE_INTERVAL_MS = 1_000
 const LIMIT_LOG_INTERVAL_MS = 1_000
+/** Requests named in the log line of a crash. */
+const MAX_LOGGED_RUNS = 32
 /** Largest part of the requests rejected as displacing; the rest run, so that it shows when they no longer displace others. */
 const MAX_DISPLACING_SHARE = 0.9
 
@@ -72,13 +78,22 @@
   readonly #runningRequests = new RunningRequests()
   readonly #limit: TargetLimit
   readonly #health = new TargetHealth()
+  readonly #crashes: CrashDetector<Call>
   /** The target whose state the other fields hold. */
   #known: TargetRecord | undefined
+  /** Whether the known target has said that it leaves, or has not announced itself for long. */
+  #isLeaving = false
 
   constructor (opts: InboundOptions) {
     this.#opts = opts
     this.#limit = new TargetLimit(opts.log, () => this.#coldPerS())
     this.#admission = new Admission(this.#limit)
+    this.#crashes = new CrashDetector({
+      timers: opts.timers,
+      tryConnect: (done) => opts.client.tryConnect(done),
+      running: () => [...this.#calls.values()].filter(({ state }) => state === 'running'),
+      onCrash: (calls) => this.#onCrash(calls)
+    })
     opts.timers.every(QUEUE_CHECK_INTERVAL_MS, () => this.#checkQueue())
     opts.timers.every(PRUNE_INTERVAL_MS, () => this.#registry.prune(opts.timers.now()))
     opts.timers.every(LIMIT_LOG_INTERVAL_MS, () => this.#limit.logSent(this.#known?.id ?? '', opts.timers.now()))
@@ -162,6 +177,8 @@
   onTargetChange (): void {
     const target = this.#opts.target()
     if (target && !this.#isKnown(target)) {
+      this.#crashes.onNewStart(this.#isLeaving)
+      this.#isLeaving = false
       this.#known = target
       this.#admission.reset(target.slots)
       this.#health.reset()
@@ -169,6 +186,7 @@
       this.#opts.client.reset()
     }
     if (target?.state === 'ready') return
+    this.#isLeaving = true
     for (const slotRequest of this.#admission.dequeueAll()) {
       const call = this.#calls.get(slotRequest.key)
       if (call) this.#endCallNotRun(call, target ? 'draining' : 'noTarget')
@@ -249,11 +267,27 @@
     this.#health.recordResult(result, this.#calls.size === 0, now)
     this.#recordResult(call, result, ms)
     this.#recordStatement(call, result, now)
+    if (isConnectionLost(result)) this.#crashes.onLoss(call, () => {})
+    if (result.kind === 'failed' && result.reason === 'cancelled') this.#crashes.onCancel(call)
     this.#reply(call.message, replyOf(call, result))
     this.#logResult(call, result, ms)
     this.#startQueued()
   }
 
+  /** Logs what ran on a target that crashed, unless its stop was planned. */
+  #onCrash (calls: readonly Call[]): void {
+    if (this.#isLeaving) return
+    const now = this.#opts.timers.now()
+    this.#opts.onTargetCrash(this.#known)
+    this.#opts.log.decision('targetCrashed', {
+      target: this.#known?.id,
+      service: this.#known?.service,
+      running: calls.slice(0, MAX_LOGGED_RUNS).map(({ message, startedAt }) => ({
+        id: message.requestId, route: message.route, request: requestFingerprint(message, this.#opts.names), ms: Math.round(now - startedAt)
+      }))
+    })
+  }
+
   /** Updates what is known about the target's latency, and passes on the result. */
   #recordResult (call: Call, result: TargetResult, ms: number): void {
     if (result.kind === 'failed' && result.reason === 'cancelled') return
@@ -328,6 +362,11 @@
   }
 }
 
+/** Whether the connection to the target broke while the request ran there. */
+function isConnectionLost (result: TargetResult): boolean {
+  return result.kind === 'failed' && (result.reason === 'reset' || result.reason === 'cut')
+}
+
 /** The reply to the sender; it gets to know whether the target leaves together with the response that says so. */
 function replyOf ({ target }: Call, result: TargetResult): HopReply {
   if (result.kind === 'failed') return result
--- a/packages/hop/src/inbound/nodeTargetClient.ts
+++ b/packages/hop/src/inbound/nodeTargetClient.ts
@@ -1,4 +1,5 @@
 import type { Timers } from '@lentilwheel/core'
+import type { ConnectOutcome } from './crashDetector.js'
 import { TargetConnection, type LimitExceeded, type TargetRequest } from './nodeTargetConnection.js'
 import type { ResponseLimits } from './responseLimits.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
@@ -21,6 +22,8 @@
 export interface TargetClient {
   /** Sends a request and calls `done` with its result; returns a function that aborts the request. */
   send (request: TargetRequest, idempotent: boolean, done: (result: TargetResult) => void): () => void
+  /** Opens one more connection and tells whether the target accepted it. */
+  tryConnect (done: (outcome: ConnectOutcome) => void): void
   /** Closes all idle connections, for a target that has been replaced. */
   reset (): void
 }
@@ -31,6 +34,9 @@
  */
 const NON_IDEMPOTENT_MAX_IDLE_MS = 250
 
+/** Time for a connection on the same host to be accepted or refused, when it is tried to find out whether the target is there. */
+const CHECK_TIMEOUT_MS = 100
+
 /** Target client with a pool of keep-alive connections. The most recently used one is reused first, so that few stay open. */
 export class NodeTargetClient implements TargetClient {
   readonly #opts: TargetClientOptions
@@ -50,6 +56,22 @@
     return () => connection.close()
   }
 
+  /** The connection is kept for later requests; `done` is called once, within the time limit. */
+  tryConnect (done: (outcome: ConnectOutcome) => void): void {
+    const connection = this.#open()
+    let isDone = false
+    const finish = (outcome: ConnectOutcome): void => {
+      if (isDone) return
+      isDone = true
+      stopTimer()
+      if (outcome === 'accepted') this.#idleConnections.push(connection)
+      else connection.close()
+      done(outcome)
+    }
+    const stopTimer = this.#opts.timers.after(CHECK_TIMEOUT_MS, () => finish('unknown'))
+    connection.onceOpened(finish)
+  }
+
   reset (): void {
     for (const connection of this.#idleConnections) connection.close()
     this.#idleConnections = []
@@ -67,7 +89,10 @@
       else usable = connection
     }
     this.#idleConnections.push(...others.reverse())
-    if (usable) return usable
+    return usable ?? this.#open()
+  }
+
+  #open (): TargetConnection {
     this.#opts.onConnect()
     return new TargetConnection(this.#opts)
   }
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -5,6 +5,7 @@
 import type { BufferHolder, BufferBudget } from '../buffers/bufferBudget.js'
 import type { FailureReason } from '../link/messages.js'
 import { declaredLength, exceededLimit, type LimitName, type Received, type ResponseLimits } from './responseLimits.js'
+import type { ConnectOutcome } from './crashDetector.js'
 import { classifyMessage, headerValue, type TargetMessage } from './classifyMessage.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
@@ -114,6 +115,12 @@
     this.#socket.write(request.bytes)
   }
 
+  /** Calls `done` once, when the connection has been established or has failed. */
+  onceOpened (done: (outcome: ConnectOutcome) => void): void {
+    this.#socket.once('connect', () => done('accepted'))
+    this.#socket.once('error', (err: NodeJS.ErrnoException) => done(err.code === 'ECONNREFUSED' ? 'refused' : 'unknown'))
+  }
+
   /** Closes the connection; a pending request fails as cancelled. */
   close (): void {
     this.#fail('cancelled')
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -3,8 +3,8 @@
 /** Upper bounds of the buckets of the latency histogram. */
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5]
 
-/** `boundPassed`: a target, a caller or a peer sent a message that exceeds a size limit. */
-export type MetricEventName = 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput' | 'boundPassed'
+/** `boundPassed`: a target, a caller or a peer sent a message that exceeds a size limit. `targetCrash`: the target ended without saying that it leaves. */
+export type MetricEventName = 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput' | 'boundPassed' | 'targetCrash'
 
 /**
  * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
--- /dev/null
+++ b/packages/hop/src/quarantine/requestFingerprint.ts
@@ -0,0 +1,31 @@
+import { createHash } from 'node:crypto'
+import { headerValue } from '../inbound/classifyMessage.js'
+import type { HeaderNames } from '../inbound/targetResult.js'
+
+/** What makes a request the same as an earlier one. */
+export interface RequestIdentity {
+  method: string
+  /** Path and query. */
+  url: string
+  /** Alternating names and values, with the host and the caller's service. */
+  headers: readonly string[]
+  body: Uint8Array
+}
+
+/** Base64 characters of 6 bits each; 96 bits keep accidental collisions out. */
+const FINGERPRINT_CHARS = 16
+
+/**
+ * Hash of what makes a request the same wherever and whenever it comes again: method, host, path with query, the caller's service
+ * and the body. Ids, deadlines and other headers differ between attempts and don't count.
+ */
+export function requestFingerprint ({ method, url, headers, body }: RequestIdentity, names: Pick<HeaderNames, 'callerService'>): string {
+  const host = headerValue(headers, 'host')?.toLowerCase() ?? ''
+  const caller = headerValue(headers, names.callerService) ?? ''
+  return createHash('sha1').update(`${method}\n${host}\n${url}\n${caller}\n`).update(body).digest('base64url').slice(0, FINGERPRINT_CHARS)
+}
+
+/** Whether a value from outside has the form of a fingerprint. */
+export function isFingerprint (value: unknown): value is string {
+  return typeof value === 'string' && value.length === FINGERPRINT_CHARS
+}
