--- a/packages/hop/src/__tests__/fixtures.ts
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -1,5 +1,7 @@
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
+import { NoopCallLog } from '../observe/callLog.js'
+import { Quarantine, type QuarantineOptions } from '../quarantine/quarantine.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 
 // Values that several tests of the call path start from.
@@ -22,6 +24,11 @@
   name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
 }
 
+/** A quarantine of a daemon that tells nobody what is new in it. */
+export function testQuarantine (timers: QuarantineOptions['timers'], overrides: Partial<QuarantineOptions> = {}): Quarantine {
+  return new Quarantine({ timers, log: new NoopCallLog(), idPrefix: () => 'own', onNews: () => {}, onBlocked: () => {}, onUnblocked: () => {}, ...overrides })
+}
+
 /** Record of a host whose target is ready; the target is named after the host. */
 export function testHost (name: string, dataCentre = 'dc', target: Partial<TargetRecord> = {}): HostRecord {
   return {
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -1,5 +1,5 @@
 import { SeededRandom, VirtualTimers, type Random } from '@lentilwheel/core'
-import { TEST_HEADERS as names } from './fixtures.js'
+import { TEST_HEADERS as names, testQuarantine } from './fixtures.js'
 import { Fleet } from '../fleet/fleet.js'
 import type { PeerLink } from '../fleet/fleetTypes.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
@@ -242,17 +242,18 @@
     const { host, dataCentre, incarnation } = record
     const target = record.target!
     const log = new NoopCallLog()
+    const quarantine = testQuarantine(timers)
     const fleet = new Fleet({
-      own: record, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
+      own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
     })
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
-      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, onTargetCrash: () => {}, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
+      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
     })
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundHandler({
-      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), versions: { choose: () => undefined }, callerService: () => target.service
+      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), versions: { choose: () => undefined }, quarantine, callerService: () => target.service
     })
     this.#hosts.set(host, { record, client, fleet, inbound: inboundHandler, outbound, balancer })
   }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -17,6 +17,8 @@
 import { ResponseSizes } from '../outbound/responseSizes.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
 import { MoveController } from '../rollout/moveController.js'
+import { NewsSpreader } from '../quarantine/newsSpreader.js'
+import { Quarantine } from '../quarantine/quarantine.js'
 import type { ObjectStore } from '../store/objectStore.js'
 import type { StoreCodec } from './storeCodec.js'
 import { ConfigUpdater } from './configUpdater.js'
@@ -53,6 +55,7 @@
 export class HopDaemon {
   readonly #opts: HopDaemonOptions
   readonly #fleet: Fleet
+  readonly #quarantine: Quarantine
   readonly #localTarget: LocalTarget
   readonly #inbound: InboundHandler
   readonly #outbound: OutboundHandler
@@ -79,6 +82,15 @@
     this.#localTarget = new LocalTarget(cfg.announceMs)
     this.#loadBalancer = new LoadBalancer({ timers, random, dataCentre: cfg.dataCentre, host: cfg.host })
     this.#retryBudget = new RetryBudget(cfg.retryBudget)
+    const newsSpreader = new NewsSpreader({ timers, send: (news, peers) => this.#fleet.sendQuarantineNews(news, peers) })
+    this.#quarantine = new Quarantine({
+      timers,
+      log,
+      idPrefix: () => `${cfg.host}/${this.#fleet.own.incarnation}`,
+      onNews: (news, isOwn) => newsSpreader.spread(news, isOwn),
+      onBlocked: (block) => this.#inbound.cancelBlocked(block.fingerprint),
+      onUnblocked: () => {}
+    })
     this.#fleet = new Fleet({
       own: this.#ownRecord(),
       timers,
@@ -92,7 +104,8 @@
       orders: () => this.#moves.orders(),
       onOrder: (order, from) => this.#moves.onOrder(order, from),
       onReport: (report) => this.#moves.onReport(report),
-      epochs: store.epochs
+      epochs: store.epochs,
+      quarantine: this.#quarantine
     })
     this.#moves = new MoveController({ fleet: this.#fleet, store, codec, timers, random, log })
     const client = new NodeTargetClient({
@@ -124,12 +137,13 @@
       isVersionAllowed: (service, version) => this.#moves.isVersionAllowed(service, version),
       rejectionRate: (service, priority) => this.#loadBalancer.rejectionRate(service, priority),
       coldPerS: (service) => this.#outbound.table?.config.services.get(service)?.coldPerS,
+      quarantine: this.#quarantine,
       onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
       onTargetCrash: () => metrics.event('targetCrash'),
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundHandler({
-      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes: new ResponseSizes(), versions: this.#moves, callerService: () => this.#cfg.service
+      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes: new ResponseSizes(), versions: this.#moves, quarantine: this.#quarantine, callerService: () => this.#cfg.service
     })
     this.#outboundServer = new NodeOutboundServer({
       ...cfg.outbound, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
@@ -168,6 +182,8 @@
       metrics.state('peersUp', this.#fleet.live().length - 1)
       metrics.state('running', this.#inbound.active)
       metrics.state('storeEpoch', store.epochs.current)
+      metrics.state('suspects', this.#quarantine.counts.suspects)
+      metrics.state('blocked', this.#quarantine.counts.blocked)
       const { limitPerS, sent } = this.#inbound.rate
       metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
       metrics.state('targetSent', sent)
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -1,7 +1,10 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
+import { testQuarantine } from '../../__tests__/fixtures.js'
 import type { SyncMessage } from '../../link/messages.js'
 import { NoopCallLog } from '../../observe/callLog.js'
+import { NewsSpreader } from '../../quarantine/newsSpreader.js'
+import type { Quarantine } from '../../quarantine/quarantine.js'
 import { EpochTracker } from '../../store/epochTracker.js'
 import { Fleet } from '../fleet.js'
 import { availableTarget, type Departure, type HostRecord, type TargetRecord } from '../hostRecord.js'
@@ -19,6 +22,7 @@
   readonly departedIds = new Map<string, string[]>()
   /** Newest configuration version that each daemon has learned of from a peer. */
   readonly learnedVersions = new Map<string, number>()
+  readonly quarantines = new Map<string, Quarantine>()
   messagesSent = 0
   recordsSent = 0
 
@@ -46,7 +50,11 @@
     const own: HostRecord = { host, dataCentre: `dc${n % 4}`, address: host, port: 1, incarnation, sequence: 0, stopping: false }
     // A daemon that has been replaced by a later start sends nothing more.
     const isRunning = (): boolean => this.byHost.get(host) === fleet
+    const spreader = new NewsSpreader({ timers: this.timers, send: (news, peers) => fleet.sendQuarantineNews(news, peers) })
+    const quarantine = testQuarantine(this.timers, { idPrefix: () => `${host}/${incarnation}`, onNews: (news, isOwn) => spreader.spread(news, isOwn) })
+    this.quarantines.set(host, quarantine)
     const fleet: Fleet = new Fleet({
+      quarantine,
       own,
       timers: this.timers,
       random: new SeededRandom(Math.imul(n + 1, 0x9e3779b1)),
@@ -181,3 +189,49 @@
   await sim.advance(2_000)
   t.true(isAvailable(), 'the target started again under its id')
 })
+
+const DEADLY = 'd'.repeat(24)
+
+function standings (sim: FleetSimulation): string[] {
+  return [...new Set([...sim.quarantines.values()].map((quarantine) => quarantine.standing(DEADLY)))]
+}
+
+for (const size of [14, FLEET_SIZE, 150]) {
+  test(`guards against a daemon hearing late of a request that crashes targets, or at a cost that grows with the fleet: ${size} daemons`, async (t) => {
+    const sim = new FleetSimulation(size)
+    await sim.advance(4_000)
+    sim.resetCounts()
+    const messagesBefore = await countMessages(sim, 2_000)
+    for (let i = 0; i < 3; i++) {
+      sim.quarantines.get(`h${i}`)!.reportCrash('s', [DEADLY])
+      await sim.advance(200)
+    }
+    await sim.advance(1_400)
+    t.deepEqual(standings(sim), ['blocked'])
+    const perDaemon = (sim.messagesSent - messagesBefore) / size
+    t.true(perDaemon <= 40, `${perDaemon} messages for each daemon`)
+  })
+}
+
+test('guards against a restarted daemon and one that was cut off never hearing of a request that crashes targets', async (t) => {
+  const sim = new FleetSimulation(FLEET_SIZE)
+  await sim.advance(4_000)
+  for (let i = 0; i < 3; i++) {
+    sim.quarantines.get('h0')!.reportCrash('s', [DEADLY])
+    await sim.advance(200)
+  }
+  sim.add('h9', 9, 2)
+  const fleet = sim.byHost.get('h9')!
+  fleet.merge([sim.byHost.get('h0')!.own])
+  fleet.onLinkState('h0', true)
+  await sim.advance(100)
+  t.is(sim.quarantines.get('h9')!.standing(DEADLY), 'blocked')
+})
+
+/** Messages sent within a time in which nothing happens. */
+async function countMessages (sim: FleetSimulation, ms: number): Promise<number> {
+  await sim.advance(ms)
+  const { messagesSent } = sim
+  sim.resetCounts()
+  return messagesSent
+}
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -2,6 +2,7 @@
 import { errorCode, type MoveFact } from '@lentilwheel/core'
 import type { BriefReport } from '@lentilwheel/moves'
 import type { SyncMessage } from '../link/messages.js'
+import type { QuarantineNews } from '../quarantine/quarantineNews.js'
 import { formatRevision } from '../store/storeRevision.js'
 import { MoveFactSet } from './moveFactSet.js'
 import { HostTable } from './hostTable.js'
@@ -181,11 +182,24 @@
     this.#push()
   }
 
+  /** Tells a few random peers what is new about requests that crash targets. */
+  sendQuarantineNews (news: QuarantineNews, peers: number): void {
+    for (const host of this.#randomPeers(peers)) this.#syncWith(host, { ...this.#emptyMessage(), quarantine: news })
+  }
+
   /** Handles a peer's message; the reply holds everything known here if the peer's digest differs from the own one. */
   onSync (message: SyncMessage): SyncMessage {
     this.#apply(message)
     const isDifferent = message.digest !== undefined && message.digest !== this.digest()
-    return isDifferent ? this.#fullMessage() : { ...this.#emptyMessage(), records: this.#recordToRestore(message) }
+    const reply = isDifferent ? this.#fullMessage() : { ...this.#emptyMessage(), records: this.#recordToRestore(message) }
+    return { ...reply, ...this.#quarantineFor(message) }
+  }
+
+  /** Everything known about requests that crash targets, if the sender asks and knows something else. */
+  #quarantineFor ({ quarantineDigest }: SyncMessage): Pick<SyncMessage, 'quarantine'> {
+    const { quarantine } = this.#opts
+    const isDifferent = quarantineDigest !== undefined && quarantineDigest !== quarantine.digest() && quarantine.digest() !== ''
+    return isDifferent ? { quarantine: quarantine.all() } : {}
   }
 
   /** The sender's record as known here, if it lists departures that the sender lost in a restart. */
@@ -199,7 +213,7 @@
     if (isUp) this.#downSince.delete(host)
     else if (!this.#downSince.has(host)) this.#downSince.set(host, this.#opts.timers.now())
     this.#opts.log.decision(isUp ? 'peerUp' : 'peerDown', { peer: host })
-    if (isUp) this.#syncWith(host, this.#updateMessage([this.own]))
+    if (isUp) this.#syncWith(host, { ...this.#updateMessage([this.own]), ...this.#quarantineQuestion() })
     this.#opts.onChange()
   }
 
@@ -207,7 +221,7 @@
   async contactSeed (address: string, port: number): Promise<boolean> {
     const link = this.#opts.openLink('', address, port)
     try {
-      this.#apply(await link.sync({ ...this.#fullMessage(), digest: this.digest() }))
+      this.#apply(await link.sync({ ...this.#fullMessage(), digest: this.digest(), ...this.#quarantineQuestion() }))
       return true
     } catch (err) {
       this.#opts.log.decision('seedUnreachable', { address, code: errorCode(err) })
@@ -247,6 +261,7 @@
     for (const fact of message.facts) if (this.facts.add(fact)) this.#opts.onFact(fact)
     for (const order of message.orders) this.#opts.onOrder(order, message.from)
     for (const report of message.reports) this.#opts.onReport(report)
+    if (message.quarantine) this.#opts.quarantine.merge(message.quarantine)
   }
 
   /** A message with no content except this daemon's active configuration version and the store's epoch. */
@@ -255,6 +270,11 @@
     return { from: host, configVersion: this.configVersionOf(host), storeEpoch: this.#opts.epochs.current, records: [], facts: [], orders: [], reports: [] }
   }
 
+  /** Makes the receiver answer with what it knows about requests that crash targets, if it knows something else. */
+  #quarantineQuestion (): Pick<SyncMessage, 'quarantineDigest'> {
+    return { quarantineDigest: this.#opts.quarantine.digest() }
+  }
+
   /** A message with the given records and all facts and orders; without a digest, so no full reply is requested. */
   #updateMessage (records: HostRecord[]): SyncMessage {
     return { ...this.#emptyMessage(), records, facts: this.facts.all(), orders: this.#opts.orders() }
@@ -297,7 +317,7 @@
   }
 
   #exchangeWithRandomPeer (): void {
-    for (const host of this.#randomPeers(1)) this.#syncWith(host, { ...this.#updateMessage([]), digest: this.digest() })
+    for (const host of this.#randomPeers(1)) this.#syncWith(host, { ...this.#updateMessage([]), digest: this.digest(), ...this.#quarantineQuestion() })
   }
 
   #upPeers (): string[] {
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -4,6 +4,7 @@
 import type { CallLog } from '../observe/callLog.js'
 import type { MoveOrder } from '../rollout/moveOrder.js'
 import type { ConfigDelta } from '../routing/configDelta.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
 import type { EpochTracker } from '../store/epochTracker.js'
 import type { HostRecord, Departure } from './hostRecord.js'
 
@@ -44,4 +45,6 @@
   onReport (report: BriefReport): void
   /** Epoch of the store as far as known, which spreads with every message. */
   epochs: EpochTracker
+  /** What is known about requests that crash targets, which daemons compare in their exchanges. */
+  quarantine: Pick<Quarantine, 'all' | 'digest' | 'merge'>
 }
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -1,9 +1,10 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { TEST_HEADERS as names } from '../../__tests__/fixtures.js'
+import { TEST_HEADERS as names, testQuarantine } from '../../__tests__/fixtures.js'
 import type { TargetRecord } from '../../fleet/hostRecord.js'
 import type { CallMessage, HopReply } from '../../link/messages.js'
 import type { ConnectOutcome } from '../crashDetector.js'
+import { requestFingerprint } from '../../quarantine/requestFingerprint.js'
 import { InboundHandler } from '../inboundHandler.js'
 import type { TargetResult, TargetStatement } from '../targetResult.js'
 
@@ -13,6 +14,7 @@
   readonly sent: { id: string, done (result: TargetResult): void, isAborted: boolean }[] = []
   readonly replies = new Map<string, HopReply>()
   readonly decisions: object[] = []
+  readonly quarantine = testQuarantine(this.timers)
   target: TargetRecord | undefined = { id: 'i-1', startedAt: 1_000, service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
   isAnnouncementOverdue = false
   coldPerS: number | undefined
@@ -24,6 +26,7 @@
     random: new SeededRandom(1),
     log: { call: () => {}, decision: (what, fields) => { this.decisions.push({ what, ...fields }) } },
     names,
+    quarantine: this.quarantine,
     client: {
       send: (request, _idempotent, done) => {
         const entry = { id: request.requestId, done, isAborted: false }
@@ -56,7 +59,7 @@
 
   offer (key: string, overrides: Partial<CallMessage> = {}): void {
     const message: CallMessage = {
-      key, requestId: key, incarnation: 7, mode: 'queue', service: 's', targetId: 'i-1', route: 'r', method: 'GET', url: '/', headers: [], body: new Uint8Array(), deadlineMs: 1_200, targetLatencyMs: 600, priority: 1, idempotent: true, nested: false, repeat: false, ...overrides
+      key, requestId: key, incarnation: 7, mode: 'queue', service: 's', targetId: 'i-1', route: 'r', method: 'GET', url: '/', headers: [], body: new Uint8Array(), deadlineMs: 1_200, targetLatencyMs: 600, priority: 1, idempotent: true, nested: false, repeat: false, suspect: false, ...overrides
     }
     this.handler.offer(message, (reply) => this.replies.set(key, reply))
   }
@@ -282,3 +285,99 @@
   setup.target = { ...setup.target, coldMs: 0 }
   t.true(offerFor(1_000) >= 20)
 })
+
+const FAILED: TargetResult = { kind: 'failed', reason: 'reset' }
+
+function fail (setup: TestSetup, id: string): void {
+  setup.sent.find((entry) => entry.id === id)!.done(FAILED)
+}
+
+/** A target that has served a request, and runs two others. */
+function setupWithRunningCalls (): TestSetup {
+  const setup = new TestSetup()
+  setup.offer('first', { url: '/first' })
+  setup.respond('first')
+  setup.offer('a', { url: '/a' })
+  setup.offer('b', { url: '/b' })
+  return setup
+}
+
+test('guards against a lost connection being taken for a crash of the target', (t) => {
+  const setup = setupWithRunningCalls()
+  fail(setup, 'a')
+  t.is(setup.outcomeOf('a'), 'failed reset')
+  t.true(setup.quarantine.isEmpty)
+})
+
+test('guards against a crash being taken for a lost connection, and against other requests than those that ran being suspected', (t) => {
+  const setup = setupWithRunningCalls()
+  setup.connectOutcome = 'refused'
+  fail(setup, 'a')
+  fail(setup, 'b')
+  t.deepEqual(['a', 'b'].map((key) => setup.outcomeOf(key)), ['failed crashed', 'failed crashed'])
+  t.is(setup.quarantine.all().reports[0]!.suspects.length, 2)
+})
+
+test('guards against a crash of a target that is back at once going unnoticed', (t) => {
+  const setup = setupWithRunningCalls()
+  fail(setup, 'a')
+  setup.target = { ...setup.target!, startedAt: 2_000 }
+  setup.handler.onTargetChange()
+  t.is(setup.quarantine.all().reports[0]!.suspects.length, 1)
+})
+
+test('guards against requests being suspected because a target that had said that it leaves has ended', (t) => {
+  const setup = setupWithRunningCalls()
+  setup.target = { ...setup.target!, state: 'draining' }
+  setup.handler.onTargetChange()
+  setup.connectOutcome = 'refused'
+  fail(setup, 'a')
+  t.true(setup.quarantine.isEmpty)
+})
+
+test('guards against requests being suspected because a target crashes at its start', (t) => {
+  const setup = new TestSetup()
+  setup.offer('a')
+  setup.connectOutcome = 'refused'
+  fail(setup, 'a')
+  t.true(setup.quarantine.isEmpty)
+})
+
+test('guards against a frequent request being suspected, which targets of the version have run well', (t) => {
+  const setup = setupWithRunningCalls()
+  setup.respond('a')
+  setup.offer('again', { url: '/a' })
+  setup.connectOutcome = 'refused'
+  fail(setup, 'again')
+  t.is(setup.quarantine.all().reports[0]!.suspects.length, 1)
+})
+
+test('guards against a suspect running twice at a time, and against a blocked request running', (t) => {
+  const setup = setupWithRunningCalls()
+  setup.offer('c', { url: '/a', suspect: true })
+  t.is(setup.outcomeOf('c'), 'notRun suspect')
+  setup.respond('b')
+  setup.connectOutcome = 'refused'
+  for (let i = 0; i < 3; i++) {
+    if (i > 0) setup.offer(`a${i}`, { url: '/a' })
+    fail(setup, i === 0 ? 'a' : `a${i}`)
+    setup.timers.advance(1_000)
+  }
+  setup.offer('d', { url: '/a' })
+  t.is(setup.outcomeOf('d'), 'notRun quarantined')
+})
+
+test('guards against a run of a blocked request going on until it crashes the target', (t) => {
+  const setup = setupWithRunningCalls()
+  setup.handler.cancelBlocked(requestFingerprint({ method: 'GET', url: '/a', headers: [], body: new Uint8Array() }, names))
+  t.deepEqual(setup.sent.filter(({ isAborted }) => isAborted).map(({ id }) => id), ['a'])
+})
+
+test('guards against a request being retried though a call that it makes is refused for good', (t) => {
+  const setup = new TestSetup()
+  setup.offer('a')
+  setup.handler.recordNestedRefusal('a.1')
+  setup.sent[0]!.done({ kind: 'response', status: 500, headers: [], body: Buffer.alloc(0), unframed: false, statement: { isLeaving: false } })
+  const reply = setup.replies.get('a')
+  t.true(reply?.kind === 'response' && reply.isFinal)
+})
--- a/packages/hop/src/inbound/crashDetector.ts
+++ b/packages/hop/src/inbound/crashDetector.ts
@@ -43,6 +43,11 @@
     this.#opts = opts
   }
 
+  /** Number of losses that are not settled yet. */
+  get unsettled (): number {
+    return this.#pending.length
+  }
+
   /** Whether it is being found out if the target is gone. */
   get isChecking (): boolean {
     return this.#isChecking
--- /dev/null
+++ b/packages/hop/src/inbound/crashGuard.ts
@@ -0,0 +1,149 @@
+import type { Timers } from '@lentilwheel/core'
+import type { TargetRecord } from '../fleet/hostRecord.js'
+import type { CallMessage, NotRunReason } from '../link/messages.js'
+import type { CallLog } from '../observe/callLog.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
+import { requestFingerprint } from '../quarantine/requestFingerprint.js'
+import { CrashDetector, type ConnectOutcome } from './crashDetector.js'
+import { ProvenRequests } from './provenRequests.js'
+import type { HeaderNames } from './targetResult.js'
+
+/** A call as far as the guard needs it. */
+export interface GuardedCall {
+  readonly message: CallMessage
+  readonly startedAt: number
+}
+
+export interface CrashGuardOptions {
+  timers: Pick<Timers, 'now'>
+  log: CallLog
+  names: Pick<HeaderNames, 'callerService'>
+  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'reportCrash' | 'clear'>
+  /** Opens a connection to the target and tells how that went. */
+  tryConnect (done: (outcome: ConnectOutcome) => void): void
+  /** Calls that run on the target now. */
+  running (): GuardedCall[]
+  /** Called when the target has crashed; `isPlanned`: it had said before that it leaves. */
+  onCrash (target: TargetRecord | undefined, isPlanned: boolean): void
+}
+
+/** Requests named in the log line of a crash. */
+const MAX_LOGGED_RUNS = 32
+
+/**
+ * Protects the target beside this daemon from requests that crash targets: it notices a crash, reports the requests that may have
+ * caused it, and refuses those that are known to do so.
+ */
+export class CrashGuard {
+  readonly #opts: CrashGuardOptions
+  readonly #detector: CrashDetector<GuardedCall>
+  readonly #proven = new ProvenRequests()
+  readonly #fingerprints = new WeakMap<CallMessage, string>()
+  #target: TargetRecord | undefined
+  /** Whether the target has said that it leaves, or has not announced itself for long. */
+  #isLeaving = false
+  /** Whether the target has run a request since its start. */
+  #hasServed = false
+
+  constructor (opts: CrashGuardOptions) {
+    this.#opts = opts
+    this.#detector = new CrashDetector({
+      timers: opts.timers, tryConnect: opts.tryConnect, running: opts.running, onCrash: (calls) => this.#onCrash(calls)
+    })
+  }
+
+  /** Whether it is being found out if the target is gone. */
+  get isChecking (): boolean {
+    return this.#detector.isChecking
+  }
+
+  /** Calls whose connection was lost and of which it isn't known yet whether the target has crashed. */
+  get unsettled (): number {
+    return this.#detector.unsettled
+  }
+
+  /** Called when the target has been replaced or started again. */
+  onNewStart (target: TargetRecord): void {
+    this.#detector.onNewStart(this.#isLeaving)
+    if (target.service !== this.#target?.service || target.version !== this.#target.version) this.#proven.reset()
+    this.#target = target
+    this.#isLeaving = false
+    this.#hasServed = false
+  }
+
+  /** Called when the target has said that it leaves, or has not announced itself for long. */
+  onLeaving (): void {
+    this.#isLeaving = true
+  }
+
+  /** Why a call that may crash the target isn't run, given the calls that are queued or run here; undefined when it may run. */
+  refusalReason (message: CallMessage, calls: Iterable<GuardedCall>): NotRunReason | undefined {
+    const { quarantine } = this.#opts
+    if (message.mode === 'ask' || (quarantine.isEmpty && !message.suspect)) return undefined
+    const fingerprint = this.fingerprintOf(message)
+    const standing = quarantine.standing(fingerprint)
+    if (standing === 'blocked') return 'quarantined'
+    if (standing === 'clear' && !message.suspect) return undefined
+    for (const call of calls) if (this.fingerprintOf(call.message) === fingerprint) return 'suspect'
+    return undefined
+  }
+
+  /** Whether a call has been blocked since it was admitted. */
+  isBlocked (message: CallMessage): boolean {
+    const { quarantine } = this.#opts
+    return !quarantine.isEmpty && quarantine.standing(this.fingerprintOf(message)) === 'blocked'
+  }
+
+  fingerprintOf (message: CallMessage): string {
+    let fingerprint = this.#fingerprints.get(message)
+    if (fingerprint === undefined) {
+      fingerprint = requestFingerprint(message, this.#opts.names)
+      this.#fingerprints.set(message, fingerprint)
+    }
+    return fingerprint
+  }
+
+  /** Called when the target has run a call and is still there. */
+  onSurvival ({ message }: GuardedCall): void {
+    const fingerprint = this.fingerprintOf(message)
+    this.#hasServed = true
+    this.#proven.add(fingerprint)
+    if (!this.#opts.quarantine.isEmpty) this.#opts.quarantine.clear(fingerprint)
+  }
+
+  /** Called for a call that was cancelled here, which the target may not have noticed yet. */
+  onCancel (call: GuardedCall): void {
+    this.#detector.onCancel(call)
+  }
+
+  /** Called for a call whose connection was lost; `settle` is called once it is known whether the target has crashed. */
+  onLoss (call: GuardedCall, settle: (hasCrashed: boolean) => void): void {
+    this.#detector.onLoss(call, settle)
+  }
+
+  #onCrash (calls: readonly GuardedCall[]): void {
+    const { log, quarantine, onCrash } = this.#opts
+    onCrash(this.#target, this.#isLeaving)
+    if (this.#isLeaving) return
+    const byStart = [...calls].sort((a, b) => a.startedAt - b.startedAt)
+    const suspects = byStart.map(({ message }) => this.fingerprintOf(message)).filter((fingerprint) => this.#isSuspect(fingerprint))
+    log.decision('targetCrashed', { target: this.#target?.id, service: this.#target?.service, suspects: suspects.length, running: this.#describe(byStart) })
+    if (this.#target) quarantine.reportCrash(this.#target.service, suspects)
+  }
+
+  #describe (calls: readonly GuardedCall[]): object[] {
+    const now = this.#opts.timers.now()
+    return calls.slice(-MAX_LOGGED_RUNS).map(({ message, startedAt }) => ({
+      id: message.requestId, route: message.route, request: this.fingerprintOf(message), ms: Math.round(now - startedAt)
+    }))
+  }
+
+  /**
+   * Whether a request that ran at a crash is suspected of it. A target that has run nothing since its start may crash by
+   * itself, which only counts against requests that are suspects already.
+   */
+  #isSuspect (fingerprint: string): boolean {
+    if (this.#proven.has(fingerprint)) return false
+    return this.#hasServed || this.#opts.quarantine.standing(fingerprint) !== 'clear'
+  }
+}
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -2,11 +2,11 @@
 import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
-import { requestFingerprint } from '../quarantine/requestFingerprint.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
 import type { RequestResult } from '../rollout/resultAggregator.js'
 import { Admission, type SlotRequest } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
-import { CrashDetector } from './crashDetector.js'
+import { CrashGuard } from './crashGuard.js'
 import type { TargetClient } from './nodeTargetClient.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
@@ -33,6 +33,8 @@
   rejectionRate (service: string, priority: number): number
   /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
   coldPerS (service: string): number | undefined
+  /** What is known about requests that crash targets. */
+  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'reportCrash' | 'clear'>
   /** Called when the target says in a response that it leaves. */
   onTargetLeaving (departure: Departure): void
   /** Called when the target has crashed. */
@@ -60,8 +62,6 @@
 const QUEUE_CHECK_INTERVAL_MS = 50
 const PRUNE_INTERVAL_MS = 1_000
 const LIMIT_LOG_INTERVAL_MS = 1_000
-/** Requests named in the log line of a crash. */
-const MAX_LOGGED_RUNS = 32
 /** Largest part of the requests rejected as displacing; the rest run, so that it shows when they no longer displace others. */
 const MAX_DISPLACING_SHARE = 0.9
 
@@ -78,21 +78,19 @@
   readonly #runningRequests = new RunningRequests()
   readonly #limit: TargetLimit
   readonly #health = new TargetHealth()
-  readonly #crashes: CrashDetector<Call>
+  readonly #crashes: CrashGuard
   /** The target whose state the other fields hold. */
   #known: TargetRecord | undefined
-  /** Whether the known target has said that it leaves, or has not announced itself for long. */
-  #isLeaving = false
 
   constructor (opts: InboundOptions) {
     this.#opts = opts
     this.#limit = new TargetLimit(opts.log, () => this.#coldPerS())
     this.#admission = new Admission(this.#limit)
-    this.#crashes = new CrashDetector({
-      timers: opts.timers,
+    this.#crashes = new CrashGuard({
+      ...opts,
       tryConnect: (done) => opts.client.tryConnect(done),
       running: () => [...this.#calls.values()].filter(({ state }) => state === 'running'),
-      onCrash: (calls) => this.#onCrash(calls)
+      onCrash: (target, isPlanned) => this.#onCrash(target, isPlanned)
     })
     opts.timers.every(QUEUE_CHECK_INTERVAL_MS, () => this.#checkQueue())
     opts.timers.every(PRUNE_INTERVAL_MS, () => this.#registry.prune(opts.timers.now()))
@@ -101,7 +99,7 @@
 
   /** Number of calls that are queued or running. */
   get active (): number {
-    return this.#calls.size
+    return this.#calls.size + this.#crashes.unsettled
   }
 
   /** Requests per second that the target takes, Infinity for no limit, and the requests that it was sent in the last seconds. */
@@ -119,12 +117,22 @@
     this.#runningRequests.recordNestedCall(requestId, service)
   }
 
+  /** Records that a call of a request running on the target was refused because it crashes targets. */
+  recordNestedRefusal (requestId: string): void {
+    this.#runningRequests.recordNestedRefusal(requestId)
+  }
+
+  /** Cancels the runs of a request that has been blocked, before they crash the target; one that isn't idempotent goes on. */
+  cancelBlocked (fingerprint: string): void {
+    for (const call of this.#calls.values()) if (call.message.idempotent && this.#crashes.fingerprintOf(call.message) === fingerprint) call.abort?.()
+  }
+
   /** Takes an offered call; `reply` is called once, or not at all if the sender's connection breaks before. */
   offer (message: CallMessage, reply: (reply: HopReply) => void): void {
     const { key } = message
     if (!this.#registry.register(key, reply)) return reply({ kind: 'notRun', reason: 'revoked' })
     const target = this.#opts.target()
-    const rejection = this.#rejectionReason(message, target)
+    const rejection = this.#rejectionReason(message, target) ?? this.#crashes.refusalReason(message, this.#calls.values())
     if (rejection) return this.#replyNotRun(message, rejection)
     const now = this.#opts.timers.now()
     if (message.heardLimitPerS !== undefined) this.#limit.adopt(message.targetId, message.heardLimitPerS, now)
@@ -177,8 +185,7 @@
   onTargetChange (): void {
     const target = this.#opts.target()
     if (target && !this.#isKnown(target)) {
-      this.#crashes.onNewStart(this.#isLeaving)
-      this.#isLeaving = false
+      this.#crashes.onNewStart(target)
       this.#known = target
       this.#admission.reset(target.slots)
       this.#health.reset()
@@ -186,11 +193,8 @@
       this.#opts.client.reset()
     }
     if (target?.state === 'ready') return
-    this.#isLeaving = true
-    for (const slotRequest of this.#admission.dequeueAll()) {
-      const call = this.#calls.get(slotRequest.key)
-      if (call) this.#endCallNotRun(call, target ? 'draining' : 'noTarget')
-    }
+    this.#crashes.onLeaving()
+    this.#endQueued(target ? 'draining' : 'noTarget')
   }
 
   /** Load of the target, which other daemons use for load balancing; undefined when there is no target. */
@@ -244,9 +248,10 @@
     const { message, slotRequest } = call
     const now = this.#opts.timers.now()
     const remainingMs = slotRequest.deadlineAt - now
-    if (remainingMs <= 0) {
+    const isBlocked = this.#crashes.isBlocked(message)
+    if (remainingMs <= 0 || isBlocked) {
       this.#admission.release(slotRequest, 0, now)
-      return this.#endCallNotRun(call, 'expired')
+      return this.#endCallNotRun(call, isBlocked ? 'quarantined' : 'expired')
     }
     call.state = 'running'
     this.#health.recordStart(now)
@@ -263,29 +268,28 @@
     const ms = now - call.startedAt
     this.#admission.release(call.slotRequest, ms, now)
     this.#calls.delete(call.message.key)
+    const isDoomed = this.#runningRequests.isDoomed(call.message.requestId)
     this.#runningRequests.remove(call.message.requestId)
     this.#health.recordResult(result, this.#calls.size === 0, now)
     this.#recordResult(call, result, ms)
     this.#recordStatement(call, result, now)
-    if (isConnectionLost(result)) this.#crashes.onLoss(call, () => {})
+    if (result.kind === 'response') this.#crashes.onSurvival(call)
     if (result.kind === 'failed' && result.reason === 'cancelled') this.#crashes.onCancel(call)
-    this.#reply(call.message, replyOf(call, result))
+    if (isConnectionLost(result)) return this.#crashes.onLoss(call, (hasCrashed) => this.#endCall(call, hasCrashed ? { kind: 'failed', reason: 'crashed' } : result, ms))
+    this.#endCall(call, result, ms, isDoomed)
+  }
+
+  /** Replies to a call that ran; `isFinal`: a retry would fail likewise. */
+  #endCall (call: Call, result: TargetResult, ms: number, isFinal = false): void {
+    this.#reply(call.message, replyOf(call, result, isFinal))
     this.#logResult(call, result, ms)
     this.#startQueued()
   }
 
-  /** Logs what ran on a target that crashed, unless its stop was planned. */
-  #onCrash (calls: readonly Call[]): void {
-    if (this.#isLeaving) return
-    const now = this.#opts.timers.now()
-    this.#opts.onTargetCrash(this.#known)
-    this.#opts.log.decision('targetCrashed', {
-      target: this.#known?.id,
-      service: this.#known?.service,
-      running: calls.slice(0, MAX_LOGGED_RUNS).map(({ message, startedAt }) => ({
-        id: message.requestId, route: message.route, request: requestFingerprint(message, this.#opts.names), ms: Math.round(now - startedAt)
-      }))
-    })
+  #onCrash (target: TargetRecord | undefined, isPlanned: boolean): void {
+    this.#health.recordCrash(this.#opts.timers.now())
+    this.#endQueued('unreachable')
+    if (!isPlanned) this.#opts.onTargetCrash(target)
   }
 
   /** Updates what is known about the target's latency, and passes on the result. */
@@ -324,6 +328,14 @@
     this.#endCallNotRun(call, reason)
   }
 
+  /** Ends all queued calls as not run. */
+  #endQueued (reason: NotRunReason): void {
+    for (const slotRequest of this.#admission.dequeueAll()) {
+      const call = this.#calls.get(slotRequest.key)
+      if (call) this.#endCallNotRun(call, reason)
+    }
+  }
+
   #endCallNotRun (call: Call, reason: NotRunReason): void {
     this.#calls.delete(call.message.key)
     this.#replyNotRun(call.message, reason)
@@ -352,7 +364,9 @@
     this.#startQueued()
   }
 
+  /** While it isn't known whether the target has crashed, nothing is started. */
   #startQueued (): void {
+    if (this.#crashes.isChecking) return
     const now = this.#opts.timers.now()
     for (const slotRequest of this.#admission.dequeueReady(now)) {
       const call = this.#calls.get(slotRequest.key)
@@ -368,11 +382,11 @@
 }
 
 /** The reply to the sender; it gets to know whether the target leaves together with the response that says so. */
-function replyOf ({ target }: Call, result: TargetResult): HopReply {
+function replyOf ({ target }: Call, result: TargetResult, isFinal: boolean): HopReply {
   if (result.kind === 'failed') return result
   if (result.kind === 'notRun') return { kind: 'notRun', reason: result.reason }
   const { kind, status, headers, body, unframed, statement } = result
-  return { kind, status, headers, body, unframed, ...statement.isLeaving ? { departure: departureOf(target) } : {} }
+  return { kind, status, headers, body, unframed, ...statement.isLeaving ? { departure: departureOf(target) } : {}, ...isFinal && status >= 500 ? { isFinal } : {} }
 }
 
 function departureOf ({ id, startedAt }: TargetRecord): Departure {
--- a/packages/hop/src/inbound/runningRequests.ts
+++ b/packages/hop/src/inbound/runningRequests.ts
@@ -7,6 +7,8 @@
   route: string
   /** Whether an earlier attempt of the request may have reached a target. */
   isRetry: boolean
+  /** Whether a call that it made was refused for good. */
+  isDoomed?: boolean
 }
 
 /** Separates the id of a running request from what the target adds to it for a nested call. */
@@ -29,6 +31,17 @@
     this.#running.delete(requestId)
   }
 
+  /** Records that a call of a running request was refused because it crashes targets; `requestId` is the id of the nested call. */
+  recordNestedRefusal (requestId: string): void {
+    const parent = this.#parentOf(requestId)
+    if (parent) parent.isDoomed = true
+  }
+
+  /** Whether a running request has made a call that was refused because it crashes targets. */
+  isDoomed (requestId: string): boolean {
+    return this.#running.get(requestId)?.isDoomed ?? false
+  }
+
   /** Services that requests of the route regularly call. */
   servicesOf (route: string): string[] {
     return this.#dependencies.servicesOf(route)
--- a/packages/hop/src/inbound/targetHealth.ts
+++ b/packages/hop/src/inbound/targetHealth.ts
@@ -2,7 +2,7 @@
 
 /** Weight of a new result in the moving average of failures. */
 const FAILURE_EWMA_WEIGHT = 0.08
-/** Time for which a target gets no requests after a connection to it could not be opened. */
+/** Time for which a target gets no requests after it crashed or a connection to it could not be opened. */
 const UNREACHABLE_BACKOFF_MS = 300
 /** Time without any response after which a target that has missed an announcement counts as unresponsive. */
 const UNRESPONSIVE_MS = 800
@@ -37,6 +37,12 @@
     if (result.kind === 'notRun' && result.reason === 'unreachable') this.#unreachableAt = now
   }
 
+  /** Records that the target has crashed. */
+  recordCrash (now: number): void {
+    this.#unreachableAt = now
+    this.#unansweredSince = undefined
+  }
+
   /**
    * Whether requests can't be expected to reach the target: a connection failed just now, or it neither responds nor
    * announces itself, as it may be down although its connections are still open.
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { connect } from 'node:net'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
+import { testQuarantine } from '../../__tests__/fixtures.js'
 import { Fleet } from '../../fleet/fleet.js'
 import type { InboundHandler } from '../../inbound/inboundHandler.js'
 import { NoopCallLog } from '../../observe/callLog.js'
@@ -36,6 +37,7 @@
 function createFleet (linkedHosts: string[]): Fleet {
   return new Fleet({
     own: { ...record, host: 'own' },
+    quarantine: testQuarantine(timers),
     timers,
     random: new SeededRandom(1),
     log: new NoopCallLog(),
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -1,6 +1,7 @@
 import type { BriefReport } from '@lentilwheel/moves'
 import type { MoveOrder } from '../rollout/moveOrder.js'
 import type { Departure, HostRecord } from '../fleet/hostRecord.js'
+import type { QuarantineNews } from '../quarantine/quarantineNews.js'
 import type { MoveFact } from '@lentilwheel/core'
 
 // The messages that daemons exchange: calls, their replies, and the gossip about hosts, configuration and moves.
@@ -39,6 +40,8 @@
   nested: boolean
   /** Whether an earlier attempt of the request may have reached a target. */
   repeat: boolean
+  /** Whether the sender knows that the request ran on a target that crashed. */
+  suspect: boolean
   /** Limit on its requests per second that the sender last heard of the target; absent if it heard of none. */
   heardLimitPerS?: number
 }
@@ -68,10 +71,11 @@
  * that it states. `displacing`: calls that the request would make to other services would take the
  * place of more urgent requests there. `shed`: the target itself rejected it. `expired`: its deadline passed in the queue.
  * `revoked`: the sender cancelled or settled it before. `unsent`: it didn't reach the daemon that it was meant for.
- * `vacant`: answers an `ask` offer, a slot is free.
+ * `vacant`: answers an `ask` offer, a slot is free. `suspect`: the request may crash targets and is running here already.
+ * `quarantined`: it has crashed several targets.
  */
 export const NOT_RUN_REASONS = [
-  'busy', 'limited', 'displacing', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent', 'vacant'
+  'busy', 'limited', 'displacing', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent', 'vacant', 'suspect', 'quarantined'
 ] as const
 export type NotRunReason = typeof NOT_RUN_REASONS[number]
 
@@ -86,16 +90,17 @@
  * Why a request that may have been run has no usable response. `reset`: the connection to the target broke. `cut`: the
  * target closed it within the response. `garbled`: the response is malformed, or lacks the request's id or the signature.
  * `unbounded`: the target sent more than a response may have. `lost`: the connection to the daemon beside the target broke
- * or its reply can't be read, so the outcome is unknown.
+ * or its reply can't be read, so the outcome is unknown. `crashed`: the target ended while the request ran there.
  */
-export const FAILURE_REASONS = ['reset', 'cut', 'garbled', 'unbounded', 'timeout', 'lost', 'cancelled'] as const
+export const FAILURE_REASONS = ['reset', 'cut', 'garbled', 'unbounded', 'timeout', 'lost', 'cancelled', 'crashed'] as const
 export type FailureReason = typeof FAILURE_REASONS[number]
 
 /** Outcome of an offered request. */
 export type HopReply =
   /** `unframed`: the response had no length, so a truncated body can't be told from a complete one. */
   /** `departure`: the target said in the response that it leaves. */
-  | { kind: 'response', status: number, headers: string[], body: Uint8Array, unframed: boolean, departure?: Departure, load?: TargetLoad }
+  /** `isFinal`: a retry would fail likewise, as a call that the request makes is refused. */
+  | { kind: 'response', status: number, headers: string[], body: Uint8Array, unframed: boolean, departure?: Departure, isFinal?: boolean, load?: TargetLoad }
   /** The target has not run the request, so it may be sent again. */
   | { kind: 'notRun', reason: NotRunReason, load?: TargetLoad }
   /** The target may have run the request. */
@@ -120,6 +125,10 @@
   orders: MoveOrder[]
   /** Request results of the versions in a move, for the daemon that coordinates the move. */
   reports: BriefReport[]
+  /** What is new about requests that crash targets; absent for nothing. */
+  quarantine?: QuarantineNews
+  /** Digest of what the sender knows about them. A receiver that knows something else answers with everything; absent where that isn't wanted. */
+  quarantineDigest?: string
   /**
    * Hash of all records, facts and orders that the sender knows. A receiver whose hash differs answers with everything
    * that it knows. Absent in messages that only push changes.
--- a/packages/hop/src/link/validateSyncMessage.ts
+++ b/packages/hop/src/link/validateSyncMessage.ts
@@ -1,6 +1,7 @@
 import { BadMessage } from '../errors.js'
 import { isDeparture, TARGET_STATES, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { MOVE_STATES, type MoveOrder } from '../rollout/moveOrder.js'
+import { readQuarantineNews } from '../quarantine/quarantineNews.js'
 import { isStoreRevision } from '../store/storeRevision.js'
 import { validateFields } from './codec.js'
 import { REQUIRED_SYNC_FIELDS, type SyncMessage } from './messages.js'
@@ -18,7 +19,7 @@
   if (![records, facts, orders, reports].every(Array.isArray)) throw new BadMessage('sync message has a field that is not a list')
   for (const record of records) if (!isHostRecord(record)) throw new BadMessage(`sync message from ${from} contains an invalid host record`)
   for (const order of orders) if (!isMoveOrder(order)) throw new BadMessage(`sync message from ${from} contains an invalid order of a move`)
-  return message
+  return message.quarantine ? { ...message, quarantine: readQuarantineNews(message.quarantine) } : message
 }
 
 function isHostRecord (value: unknown): value is HostRecord {
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -8,9 +8,10 @@
 
 /**
  * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
- * within the last 4 s. `storeEpoch`: epoch of the store as this daemon knows it.
+ * within the last 4 s. `storeEpoch`: epoch of the store as this daemon knows it. `suspects`, `blocked`: requests that may crash targets, and those
+ * that are refused because they do.
  */
-export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'targetLimit' | 'targetSent' | 'storeEpoch'
+export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked'
 
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import type { HopReply } from '../../link/messages.js'
+import type { Standing } from '../../quarantine/quarantine.js'
 import type { MeshRoute } from '../../routing/meshConfig.js'
 import { callFlow, type CallCommand, type CallEvent } from '../callFlow.js'
 import type { Candidate } from '../loadBalancer.js'
@@ -15,15 +16,17 @@
 /** An event that the flow receives at a time, in milliseconds. */
 interface Step { at: number, event: CallEvent }
 /** The hosts with targets and their properties, the retries that the budget allows, and the events of one request. */
-interface Scenario { route?: MeshRoute, targets?: string[], busy?: string[], full?: string[], remote?: string[], bodyBytes?: number, retries?: number, steps: Step[] }
+interface Scenario { route?: MeshRoute, targets?: string[], busy?: string[], full?: string[], remote?: string[], bodyBytes?: number, retries?: number, standing?: Standing, crashes?: number, steps: Step[] }
 
 /** Feeds events to the flow of one request and returns its commands, one line per event. */
-function runScenario ({ route: scenarioRoute = route, targets = ['a', 'b', 'c'], busy = [], full = [], remote = [], bodyBytes = 0, retries = 9, steps }: Scenario): string[] {
+function runScenario ({ route: scenarioRoute = route, targets = ['a', 'b', 'c'], busy = [], full = [], remote = [], bodyBytes = 0, retries = 9, standing = 'clear', crashes = 0, steps }: Scenario): string[] {
   let now = 0
   const candidates: Candidate[] = targets.map((host) => ({ host, targetId: `t-${host}`, version: 'v1', isLocal: !remote.includes(host), costMs: 1, isBusy: busy.includes(host), isQueueFull: full.includes(host) }))
   const flow = callFlow({ route: scenarioRoute, deadlineAt: 1_200, bodyBytes }, {
     now: () => now,
     candidates: (exclude) => candidates.filter(({ host }) => !exclude.has(host)),
+    standing: () => standing,
+    crashes: () => crashes,
     tryWithdrawRetry: () => retries-- > 0,
     retryAfterMs: () => 250
   })
@@ -77,6 +80,13 @@
   'targets known to be busy are not offered the request for immediate start': { busy: ['a', 'b'], steps: [reply(2, 1, busyReply), reply(300, 2, ok)] },
   'a request is rejected without an offer when all targets are known to be busy and their queues full': { route: nonIdempotent, busy: ['a', 'b', 'c'], full: ['a', 'b', 'c'], steps: [] },
   'a request waits for a target, then is rejected': { targets: [], steps: [timer(60), timer(500)] },
+  'a request that a target crashed under is retried once': { steps: [reply(100, 1, { kind: 'failed', reason: 'crashed' }), reply(200, 2, { kind: 'failed', reason: 'crashed' })] },
+  'a request is not retried after a second crash counts against it': { crashes: 2, standing: 'suspect', steps: [reply(100, 1, { kind: 'failed', reason: 'crashed' })] },
+  'a suspect is not hedged': { standing: 'suspect', steps: [timer(540), reply(700, 1, ok)] },
+  'a blocked request is refused at once': { standing: 'blocked', steps: [] },
+  'a request that is blocked elsewhere is refused as not run': { steps: [reply(2, 1, { kind: 'notRun', reason: 'quarantined' })] },
+  'a suspect that runs already is refused as not run': { standing: 'suspect', targets: ['a'], steps: [reply(2, 1, { kind: 'notRun', reason: 'suspect' })] },
+  'a failure is not retried if a call that the request makes is refused for good': { steps: [reply(100, 1, { ...failure, isFinal: true })] },
   'an idempotent request is retried when the link to the daemon breaks': { steps: [reply(700, 1, { kind: 'failed', reason: 'lost' }), reply(900, 2, ok)] },
   'a large body is sent to another data centre only after a probe found a free slot': { remote: ['b', 'c'], bodyBytes: 60_000, route: nonIdempotent, steps: [reply(1, 1, busyReply), reply(4, 2, { kind: 'notRun', reason: 'vacant' }), reply(300, 3, ok)] },
   'a probe without a reply does not count as an attempt that may have run': { targets: ['a', 'b'], remote: ['a', 'b'], bodyBytes: 60_000, route: nonIdempotent, steps: [reply(100, 1, { kind: 'failed', reason: 'lost' }), timer(1_300)] },
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -1,6 +1,7 @@
 import { match } from 'ts-pattern'
 import { isFullReason, type FailureReason, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
+import type { Standing } from '../quarantine/quarantine.js'
 import type { Candidate } from './loadBalancer.js'
 
 /** What the flow of one request tells `OutboundCall` to do. */
@@ -28,6 +29,10 @@
   now (): number
   /** Targets that may get the request, best first. */
   candidates (exclude: ReadonlySet<string>): Candidate[]
+  /** What is known against the request. */
+  standing (): Standing
+  /** Number of crashes that count against the request. */
+  crashes (): number
   /** Takes a retry from the retry budget; false if none is left. */
   tryWithdrawRetry (): boolean
   /** Milliseconds after which a rejected caller should retry. */
@@ -95,6 +100,8 @@
   #rejectedOffers = 0
   #mayHaveRun = false
   #hasHedged = false
+  /** Targets that crashed while they ran the request. */
+  #crashes = 0
   #lastReason = ''
   #lastResponse: Extract<HopReply, { kind: 'response' }> | undefined
   isDone = false
@@ -131,7 +138,7 @@
 
   #onResponse (attempt: Attempt, response: Extract<HopReply, { kind: 'response' }>): CallCommand[] {
     const isFailure = response.status >= 500 || response.unframed
-    if (!isFailure || !this.#input.route.idempotent) return this.#end([{ kind: 'respond', reply: response }])
+    if (!isFailure || !this.#input.route.idempotent || response.isFinal) return this.#end([{ kind: 'respond', reply: response }])
     this.#lastResponse = response
     return this.#onFailedRun(attempt, response.unframed ? 'unframed' : `status ${response.status}`)
   }
@@ -149,6 +156,7 @@
       return this.#retryOrEnd()
     }
     if (this.#inFlight.size > 0) return []
+    if (reason === 'suspect' || reason === 'quarantined') return this.#endWithoutResponse(reason)
     if (reason === 'expired' || reason === 'displacing' || (isFullReason(reason) && attempt.mode === 'queue')) return this.#endWithoutResponse(reason)
     return this.#offerOrWait()
   }
@@ -157,6 +165,7 @@
     // A probe carries no request, so nothing can have run.
     if (attempt.mode === 'ask') return this.#onNotRun(attempt, 'unsent')
     this.#mayHaveRun = true
+    if (reason === 'crashed') this.#crashes++
     if (!this.#input.route.idempotent) return this.#end([{ kind: 'fail', status: this.#isPastDeadline ? 504 : 502, reason }])
     return this.#onFailedRun(attempt, reason)
   }
@@ -178,6 +187,7 @@
   /** Offers the request to the next target; without one, waits and tries again, or rejects the request. */
   #offerOrWait (): CallCommand[] {
     if (this.#isPastDeadline) return this.#endWithoutResponse('deadline')
+    if (this.#context.standing() === 'blocked') return this.#endWithoutResponse('quarantined')
     if (this.#rejectedOffers >= MAX_REJECTED_OFFERS) return this.#endWithoutResponse(this.#lastReason)
     const commands = this.#offerNext()
     if (commands) return commands
@@ -231,7 +241,7 @@
   /** Offers the request to another target, within the limits on attempts and time and the retry budget. */
   #retry (): CallCommand[] | undefined {
     const { route, deadlineAt } = this.#input
-    if (this.#reached.size >= route.maxAttempts) return undefined
+    if (this.#reached.size >= route.maxAttempts || !this.#mayRetryAfterCrash) return undefined
     if (deadlineAt - this.#context.now() < route.targetLatencyMs * MIN_RETRY_TIME) return undefined
     if (this.#candidates().length === 0 || !this.#context.tryWithdrawRetry()) return undefined
     this.#busy.clear()
@@ -239,7 +249,12 @@
   }
 
   #mayHedge (attempt: Attempt): boolean {
-    return !this.#hasHedged && this.#input.route.idempotent && attempt.mode === 'now'
+    return !this.#hasHedged && this.#input.route.idempotent && attempt.mode === 'now' && this.#crashes === 0 && this.#context.standing() === 'clear'
+  }
+
+  /** A request that has been on a crashed target is retried once, unless another crash counts against it. */
+  get #mayRetryAfterCrash (): boolean {
+    return this.#crashes === 0 || (this.#crashes === 1 && this.#context.crashes() <= 1)
   }
 
   /** Ends without the response of a target: as rejected if the request has surely not run, else as failed. */
--- a/packages/hop/src/outbound/loadBalancer.ts
+++ b/packages/hop/src/outbound/loadBalancer.ts
@@ -1,4 +1,4 @@
-import type { Random, Timers } from '@lentilwheel/core'
+import { rendezvousScore, type Random, type Timers } from '@lentilwheel/core'
 import { availableTarget, type HostRecord } from '../fleet/hostRecord.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 import type { TargetLoad } from '../link/messages.js'
@@ -155,6 +155,23 @@
     return candidates.sort((a, b) => Number(b.host === preferred) - Number(a.host === preferred) || a.costMs - b.costMs)
   }
 
+  /**
+   * The one eligible target for a request that must not run on several targets at a time: all daemons choose the same by rendezvous
+   * hashing of `key`, as far as they know the same targets. Empty if there is none.
+   */
+  designated (service: string, request: RequestTraits, isEligible: (record: HostRecord) => boolean, key: string): Candidate[] {
+    let chosen: HostRecord | undefined
+    let highestScore = -1
+    for (const record of this.#byService.get(service) ?? []) {
+      const score = isEligible(record) ? rendezvousScore(key, record.host) : -1
+      if (score <= highestScore) continue
+      highestScore = score
+      chosen = record
+    }
+    const now = this.#timers.now()
+    return chosen ? [this.#estimate(chosen, request, DEFAULT_UTILISATION, now)] : []
+  }
+
   /**
    * Share of the requests more urgent than `priority` that the service currently rejects, averaged over its targets
    * that have reported their load.
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -3,8 +3,11 @@
 import { NESTED_URGENCY } from '../inbound/admission.js'
 import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
+import type { Standing } from '../quarantine/quarantine.js'
+import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import type { VersionChoice } from '../rollout/versionRules.js'
 import { callFlow, type CallCommand, type CallEvent, type CallContext } from './callFlow.js'
+import type { Candidate } from './loadBalancer.js'
 import type { OutboundOptions, CallerRequest, Responder } from './outboundTypes.js'
 import { retryAfterMs } from './retryAfter.js'
 
@@ -12,7 +15,7 @@
 const MAX_DEADLINE_MS = 60_000
 const NO_BODY = new Uint8Array()
 /** Rejections, besides those of a full target, by a daemon that is reachable and whose target accepts requests; it is not avoided after them. */
-const AVAILABLE_REASONS: ReadonlySet<NotRunReason> = new Set(['shed', 'displacing', 'vacant'] as const)
+const AVAILABLE_REASONS: ReadonlySet<NotRunReason> = new Set(['shed', 'displacing', 'vacant', 'suspect', 'quarantined'] as const)
 
 /** What one call needs besides the options of the outbound side. */
 export interface OutboundCallInput {
@@ -47,6 +50,9 @@
   #isProcessing = false
   #isDone = false
   #offerCount = 0
+  /** Whether a target crashed while it ran the request. */
+  #hasCrashed = false
+  #cachedFingerprint: string | undefined
 
   constructor (opts: OutboundOptions, input: OutboundCallInput) {
     const { req, route, service } = input
@@ -83,21 +89,47 @@
   }
 
   #context (): CallContext {
-    const { timers, loadBalancer: balancer, budget, fleet, random, sizes } = this.#opts
+    const { timers, loadBalancer: balancer, budget, fleet, random, quarantine } = this.#opts
     const { req, route, service, isCallerRetry } = this.#input
     return {
       now: () => timers.now(),
-      candidates: (exclude) => balancer.rank(service, { route, urgency: this.#urgency, bytes: req.body.length + sizes.expectedBytes(route.name) }, (record) => this.#isEligible(record, exclude), this.#versionChoice?.preferredHost),
+      candidates: (exclude) => this.#candidates(exclude),
+      standing: () => this.#standing(),
+      crashes: () => quarantine.isEmpty ? 0 : quarantine.crashes(this.#fingerprint()),
       tryWithdrawRetry: () => budget.tryWithdraw(service, fleet.live().length, timers.now()),
-      retryAfterMs: () => retryAfterMs({
-        targetLatencyMs: route.targetLatencyMs,
-        remainingMs: this.#startedAt + req.head.deadlineMs - timers.now(),
-        isCallerRetry,
-        limitedMs: balancer.limitedMs(service)
-      }, random)
+      retryAfterMs: () => this.#standing() === 'blocked'
+        ? quarantine.blockedMs(this.#fingerprint())
+        : retryAfterMs({
+          targetLatencyMs: route.targetLatencyMs,
+          remainingMs: this.#startedAt + req.head.deadlineMs - timers.now(),
+          isCallerRetry,
+          limitedMs: balancer.limitedMs(service)
+        }, random)
     }
   }
 
+  /** Targets that may get the request, best first; for a suspect only the one that all daemons choose for it. */
+  #candidates (exclude: ReadonlySet<string>): Candidate[] {
+    const { loadBalancer: balancer, sizes } = this.#opts
+    const { req, route, service } = this.#input
+    const traits = { route, urgency: this.#urgency, bytes: req.body.length + sizes.expectedBytes(route.name) }
+    const isEligible = (record: HostRecord): boolean => this.#isEligible(record, exclude)
+    if (this.#standing() === 'suspect') return balancer.designated(service, traits, isEligible, this.#fingerprint())
+    return balancer.rank(service, traits, isEligible, this.#versionChoice?.preferredHost)
+  }
+
+  #standing (): Standing {
+    const { quarantine } = this.#opts
+    const standing = quarantine.isEmpty ? 'clear' : quarantine.standing(this.#fingerprint())
+    return standing === 'clear' && this.#hasCrashed ? 'suspect' : standing
+  }
+
+  #fingerprint (): string {
+    const { req } = this.#input
+    this.#cachedFingerprint ??= requestFingerprint({ method: req.method, url: req.url, headers: this.#headers(), body: req.body }, this.#opts.names)
+    return this.#cachedFingerprint
+  }
+
   #isEligible (record: HostRecord, exclude: ReadonlySet<string>): boolean {
     return !exclude.has(record.host) && this.#opts.fleet.isUp(record.host) && (this.#versionChoice?.accepts(record) ?? true)
   }
@@ -144,14 +176,26 @@
         this.#end(command.reply.status, command.reply.status < 500, {})
         return res.respond(command.reply)
       case 'reject':
-        this.#end(503, false, { reason: command.reason, retryAfterMs: Math.round(command.retryAfterMs), notRun: true })
+        this.#recordRefusal(command.reason)
+        this.#end(503, false, { reason: command.reason, retryAfterMs: Math.round(command.retryAfterMs), notRun: true, ...this.#quarantineDetails() })
         return res.reject(503, command.reason, command.retryAfterMs)
       case 'fail':
-        this.#end(command.status, false, { reason: command.reason })
+        this.#end(command.status, false, { reason: command.reason, ...this.#quarantineDetails() })
         return res.reject(command.status, command.reason)
     }
   }
 
+  /** Tells the request that makes this call, if there is one, that it is refused for good. */
+  #recordRefusal (reason: string): void {
+    const { origin, head } = this.#input.req
+    if (origin !== 'caller' && reason === 'quarantined') this.#opts.inbound.recordNestedRefusal(head.requestId)
+  }
+
+  /** What leads from the log line of a request to those of the crashes that count against it. */
+  #quarantineDetails (): object {
+    return this.#standing() === 'clear' ? {} : { request: this.#fingerprint(), standing: this.#standing() }
+  }
+
   #offer (command: Extract<CallCommand, { kind: 'offer' }>): void {
     const { attempt, candidate: { host } } = command
     this.#offerCount++
@@ -200,6 +244,7 @@
       idempotent: route.idempotent,
       nested: req.origin !== 'caller',
       repeat: isRetry || req.origin === 'repeatedRun',
+      suspect: this.#standing() === 'suspect',
       ...heardLimitPerS === undefined ? {} : { heardLimitPerS }
     }
   }
@@ -224,7 +269,8 @@
       if (mode === 'queue') balancer.markQueueFull(host, this.#urgency)
       return
     }
-    const isUnavailable = reply.kind === 'notRun' ? !AVAILABLE_REASONS.has(reply.reason) : reply.reason === 'lost' || reply.reason === 'timeout'
+    if (reply.reason === 'crashed') this.#hasCrashed = true
+    const isUnavailable = reply.kind === 'notRun' ? !AVAILABLE_REASONS.has(reply.reason) : reply.reason === 'lost' || reply.reason === 'timeout' || reply.reason === 'crashed'
     if (isUnavailable) balancer.avoid(host)
   }
 
--- a/packages/hop/src/outbound/outboundTypes.ts
+++ b/packages/hop/src/outbound/outboundTypes.ts
@@ -6,6 +6,7 @@
 import type { HopReply } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
 import type { VersionChooser } from '../rollout/versionRules.js'
 import type { LoadBalancer } from './loadBalancer.js'
 import type { RequestHead } from './requestHead.js'
@@ -42,6 +43,8 @@
   budget: RetryBudget
   sizes: ResponseSizes
   versions: VersionChooser
+  /** What is known about requests that crash targets. */
+  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'blockedMs'>
   /** Service of the target on this host; undefined when there is none. */
   callerService (): string | undefined
 }
--- a/packages/hop/src/quarantine/requestFingerprint.ts
+++ b/packages/hop/src/quarantine/requestFingerprint.ts
@@ -12,8 +12,8 @@
   body: Uint8Array
 }
 
-/** Base64 characters of 6 bits each; 96 bits keep accidental collisions out. */
-const FINGERPRINT_CHARS = 16
+/** Hexadecimal digits; 96 bits keep accidental collisions out. */
+const FINGERPRINT_CHARS = 24
 
 /**
  * Hash of what makes a request the same wherever and whenever it comes again: method, host, path with query, the caller's service
@@ -22,10 +22,10 @@
 export function requestFingerprint ({ method, url, headers, body }: RequestIdentity, names: Pick<HeaderNames, 'callerService'>): string {
   const host = headerValue(headers, 'host')?.toLowerCase() ?? ''
   const caller = headerValue(headers, names.callerService) ?? ''
-  return createHash('sha1').update(`${method}\n${host}\n${url}\n${caller}\n`).update(body).digest('base64url').slice(0, FINGERPRINT_CHARS)
+  return createHash('sha1').update(`${method}\n${host}\n${url}\n${caller}\n`).update(body).digest('hex').slice(0, FINGERPRINT_CHARS)
 }
 
 /** Whether a value from outside has the form of a fingerprint. */
 export function isFingerprint (value: unknown): value is string {
-  return typeof value === 'string' && value.length === FINGERPRINT_CHARS
+  return typeof value === 'string' && value.length === FINGERPRINT_CHARS && /^[0-9a-f]+$/.test(value)
 }
