Keep blocked requests in the store, so that they outlast a restart of all daemons

When all daemons were restarted at once, none remembered a request that had crashed three targets, and it began anew (test with real daemons red before: 502 in place of 503 and more runs, green now). The daemon that sees the last crash and the leader write the block as an object; a daemon lists them at its start, and is ready once it has read them or 0.5 s have passed. That costs one stale list for each start and two writes for each block. Retrying a step against the store stood in peerDiscovery.ts alone and is now shared.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -17,6 +17,7 @@
 import { ResponseSizes } from '../outbound/responseSizes.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
 import { MoveController } from '../rollout/moveController.js'
+import { BlockStore } from '../quarantine/blockStore.js'
 import { NewsSpreader } from '../quarantine/newsSpreader.js'
 import { Quarantine } from '../quarantine/quarantine.js'
 import type { ObjectStore } from '../store/objectStore.js'
@@ -56,6 +57,7 @@
   readonly #opts: HopDaemonOptions
   readonly #fleet: Fleet
   readonly #quarantine: Quarantine
+  readonly #blockStore: BlockStore
   readonly #localTarget: LocalTarget
   readonly #inbound: InboundHandler
   readonly #outbound: OutboundHandler
@@ -88,9 +90,13 @@
       log,
       idPrefix: () => `${cfg.host}/${this.#fleet.own.incarnation}`,
       onNews: (news, isOwn) => newsSpreader.spread(news, isOwn),
-      onBlocked: (block) => this.#inbound.cancelBlocked(block.fingerprint),
-      onUnblocked: () => {}
+      onBlocked: (block, isOwn) => {
+        this.#inbound.cancelBlocked(block.fingerprint)
+        if (isOwn || this.#fleet.rank() === 0) this.#blockStore.save(block)
+      },
+      onUnblocked: (block) => this.#blockStore.save(block)
     })
+    this.#blockStore = new BlockStore({ store, quarantine: this.#quarantine, timers, random, log, isLeader: () => this.#fleet.rank() === 0 })
     this.#fleet = new Fleet({
       own: this.#ownRecord(),
       timers,
@@ -176,6 +182,7 @@
     await Promise.all([this.#hopServer.listen(), this.#outboundServer.listen(), this.#metricsServer.listen()])
     this.#configUpdater.start()
     this.#discovery.start()
+    this.#blockStore.start()
     this.#moves.start()
     timers.every(TARGET_CHECK_INTERVAL_MS, () => this.#checkTarget())
     timers.every(1_000, () => {
@@ -208,9 +215,9 @@
     this.#checkTarget()
   }
 
-  /** Whether callers may use the daemon: it has a configuration, isn't stopping, and has found a peer or waited for one. */
+  /** Whether callers may use the daemon: it has a configuration and the blocked requests, isn't stopping, and has found a peer or waited for one. */
   get isReady (): boolean {
-    if (!this.#outbound.table || this.#shutdown) return false
+    if (!this.#outbound.table || !this.#blockStore.isLoaded || this.#shutdown) return false
     const isAlone = this.#fleet.live().length < 2
     const isReady = !isAlone || this.#opts.timers.now() - this.#startedAt > ALONE_READY_MS
     if (isReady !== this.#wasReady) this.#opts.log.decision('readiness', { isReady, peers: this.#fleet.live().length - 1 })
@@ -250,6 +257,7 @@
     log.decision('stopped', { how, outbound: this.#outbound.active, inbound: this.#inbound.active })
     this.#configUpdater.stop()
     this.#moves.stop()
+    this.#blockStore.stop()
     this.#hopServer.close()
     this.#outboundServer.close()
     this.#fleet.close()
--- a/packages/hop/src/daemon/peerDiscovery.ts
+++ b/packages/hop/src/daemon/peerDiscovery.ts
@@ -4,6 +4,7 @@
 import type { HostRecord } from '../fleet/hostRecord.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
+import { retryUntilDone } from '../store/retryUntilDone.js'
 import type { Endpoint } from './resolvedHopConfig.js'
 
 export interface PeerDiscoveryOptions {
@@ -17,8 +18,6 @@
 
 /** Kind of the objects by which daemons find each other; each daemon has one, with its address. */
 const DAEMON_KIND = 'lentilwheel-daemons'
-const MIN_RETRY_MS = 200
-const MAX_RETRY_MS = 2_000
 /** Daemons learn of others from their peers, so only a few read the store again, at this interval. */
 const RELIST_INTERVAL_MS = 30_000
 const MAX_RELISTING_DAEMONS = 2
@@ -132,18 +131,10 @@
     }
   }
 
-  /** Repeats a step with exponential backoff until it succeeds; `what` names it in the log. */
+  /** Repeats a step until it succeeds; `what` names it in the log. */
   async #retry (what: string, step: () => Promise<void>): Promise<void> {
     const { timers, random } = this.#opts
-    for (let failures = 0; !this.#isDeregistered; failures++) {
-      try {
-        return await step()
-      } catch (err) {
-        this.#logFailure(what, err)
-        const backoffMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** Math.min(failures, 6)) * (0.5 + random.next())
-        await new Promise<void>((resolve) => { timers.after(backoffMs, resolve) })
-      }
-    }
+    await retryUntilDone(step, { timers, random, isStopped: () => this.#isDeregistered, onFailure: (err) => this.#logFailure(what, err) })
   }
 
   #logFailure (what: string, err: unknown): void {
