Wait before a request runs again that has crashed targets

Cause: a suspect ran again at once, while copies of it were still running elsewhere and the targets that it had ended were missing. Now it waits 150 ms after its first crash, in which runs under way elsewhere show whether they crash as well, and 5 s after a later one, in which these targets can be back.

--- a/packages/hop/src/__tests__/fixtures.ts
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -26,7 +26,7 @@
 
 /** A quarantine of a daemon that tells nobody what is new in it. */
 export function testQuarantine (timers: QuarantineOptions['timers'], overrides: Partial<QuarantineOptions> = {}): Quarantine {
-  return new Quarantine({ timers, log: new NoopCallLog(), idPrefix: () => 'own', onNews: () => {}, onBlocked: () => {}, onUnblocked: () => {}, ...overrides })
+  return new Quarantine({ timers, log: new NoopCallLog(), idPrefix: () => 'own', onNews: () => {}, onRefused: () => {}, onBlocked: () => {}, onUnblocked: () => {}, ...overrides })
 }
 
 /** Record of a host whose target is ready; the target is named after the host. */
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -90,8 +90,8 @@
       log,
       idPrefix: () => `${cfg.host}/${this.#fleet.own.incarnation}`,
       onNews: (news, isOwn) => newsSpreader.spread(news, isOwn),
+      onRefused: (fingerprint) => this.#inbound.cancelRefused(fingerprint),
       onBlocked: (block, isOwn) => {
-        this.#inbound.cancelBlocked(block.fingerprint)
         if (isOwn || this.#fleet.rank() === 0) this.#blockStore.save(block)
       },
       onUnblocked: (block) => this.#blockStore.save(block)
--- a/packages/hop/src/inbound/crashGuard.ts
+++ b/packages/hop/src/inbound/crashGuard.ts
@@ -2,7 +2,7 @@
 import type { TargetRecord } from '../fleet/hostRecord.js'
 import type { CallMessage, NotRunReason } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
-import type { Quarantine } from '../quarantine/quarantine.js'
+import { FIRST_HOLD_MS, type Quarantine } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import { CrashDetector, type ConnectOutcome } from './crashDetector.js'
 import { ProvenRequests } from './provenRequests.js'
@@ -18,7 +18,7 @@
   timers: Pick<Timers, 'now'>
   log: CallLog
   names: Pick<HeaderNames, 'callerService'>
-  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'reportCrash' | 'clear'>
+  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'refusedMs' | 'reportCrash' | 'clear'>
   /** Opens a connection to the target and tells how that went. */
   tryConnect (done: (outcome: ConnectOutcome) => void): void
   /** Calls that run on the target now. */
@@ -83,15 +83,18 @@
     const fingerprint = this.fingerprintOf(message)
     const standing = quarantine.standing(fingerprint)
     if (standing === 'blocked') return 'quarantined'
+    if (this.#isHeldForLong(fingerprint)) return 'suspect'
     if (standing === 'clear' && !message.suspect) return undefined
     for (const call of calls) if (this.fingerprintOf(call.message) === fingerprint) return 'suspect'
     return undefined
   }
 
-  /** Whether a call has been blocked since it was admitted. */
-  isBlocked (message: CallMessage): boolean {
+  /** Whether a call has been held or blocked since it was admitted. */
+  isRefused (message: CallMessage): boolean {
     const { quarantine } = this.#opts
-    return !quarantine.isEmpty && quarantine.standing(this.fingerprintOf(message)) === 'blocked'
+    if (quarantine.isEmpty) return false
+    const fingerprint = this.fingerprintOf(message)
+    return quarantine.standing(fingerprint) === 'blocked' || this.#isHeldForLong(fingerprint)
   }
 
   fingerprintOf (message: CallMessage): string {
@@ -121,6 +124,11 @@
     this.#detector.onLoss(call, settle)
   }
 
+  /** Whether a request is held after more than one crash; a first hold is kept by the senders, whose clocks differ a little. */
+  #isHeldForLong (fingerprint: string): boolean {
+    return this.#opts.quarantine.refusedMs(fingerprint) > FIRST_HOLD_MS
+  }
+
   #onCrash (calls: readonly GuardedCall[]): void {
     const { log, quarantine, onCrash } = this.#opts
     onCrash(this.#target, this.#isLeaving)
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -34,7 +34,7 @@
   /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
   coldPerS (service: string): number | undefined
   /** What is known about requests that crash targets. */
-  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'reportCrash' | 'clear'>
+  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'refusedMs' | 'reportCrash' | 'clear'>
   /** Called when the target says in a response that it leaves. */
   onTargetLeaving (departure: Departure): void
   /** Called when the target has crashed. */
@@ -122,8 +122,8 @@
     this.#runningRequests.recordNestedRefusal(requestId)
   }
 
-  /** Cancels the runs of a request that has been blocked, before they crash the target; one that isn't idempotent goes on. */
-  cancelBlocked (fingerprint: string): void {
+  /** Cancels the runs of a request that is no longer sent, before they crash the target; one that isn't idempotent goes on. */
+  cancelRefused (fingerprint: string): void {
     for (const call of this.#calls.values()) if (call.message.idempotent && this.#crashes.fingerprintOf(call.message) === fingerprint) call.abort?.()
   }
 
@@ -248,10 +248,10 @@
     const { message, slotRequest } = call
     const now = this.#opts.timers.now()
     const remainingMs = slotRequest.deadlineAt - now
-    const isBlocked = this.#crashes.isBlocked(message)
-    if (remainingMs <= 0 || isBlocked) {
+    const isRefused = this.#crashes.isRefused(message)
+    if (remainingMs <= 0 || isRefused) {
       this.#admission.release(slotRequest, 0, now)
-      return this.#endCallNotRun(call, isBlocked ? 'quarantined' : 'expired')
+      return this.#endCallNotRun(call, isRefused ? 'suspect' : 'expired')
     }
     call.state = 'running'
     this.#health.recordStart(now)
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -1,7 +1,7 @@
 import { match } from 'ts-pattern'
 import { isFullReason, type FailureReason, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
-import type { Standing } from '../quarantine/quarantine.js'
+import { isRefused, type Standing } from '../quarantine/quarantine.js'
 import type { Candidate } from './loadBalancer.js'
 
 /** What the flow of one request tells `OutboundCall` to do. */
@@ -31,6 +31,8 @@
   candidates (exclude: ReadonlySet<string>): Candidate[]
   /** What is known against the request. */
   standing (): Standing
+  /** Milliseconds until a request that is held or blocked may be sent. */
+  refusedMs (): number
   /** Number of crashes that count against the request. */
   crashes (): number
   /** Takes a retry from the retry budget; false if none is left. */
@@ -104,6 +106,8 @@
   #crashes = 0
   #lastReason = ''
   #lastResponse: Extract<HopReply, { kind: 'response' }> | undefined
+  /** Whether a retry waits until the request is no longer held. */
+  #isRetryDue = false
   isDone = false
 
   constructor (input: CallInput, context: CallContext) {
@@ -173,7 +177,7 @@
   #onTimer (): CallCommand[] {
     const now = this.#context.now()
     if (now >= this.#input.deadlineAt + DEADLINE_GRACE_MS) return this.#endWithoutResponse('deadline')
-    if (this.#inFlight.size === 0) return this.#offerOrWait()
+    if (this.#inFlight.size === 0) return this.#isRetryDue ? this.#retryOrEnd() : this.#offerOrWait()
     const [attempt] = this.#inFlight.values()
     if (this.#mayHedge(attempt!) && now - attempt!.startedAt >= this.#hedgeDelayMs) {
       this.#hasHedged = true
@@ -187,7 +191,7 @@
   /** Offers the request to the next target; without one, waits and tries again, or rejects the request. */
   #offerOrWait (): CallCommand[] {
     if (this.#isPastDeadline) return this.#endWithoutResponse('deadline')
-    if (this.#context.standing() === 'blocked') return this.#endWithoutResponse('quarantined')
+    if (isRefused(this.#context.standing())) return this.#waitOrRefuse()
     if (this.#rejectedOffers >= MAX_REJECTED_OFFERS) return this.#endWithoutResponse(this.#lastReason)
     const commands = this.#offerNext()
     if (commands) return commands
@@ -197,6 +201,14 @@
     return [{ kind: 'timer', ms: RECHECK_MS }]
   }
 
+  /** Waits until a request that is held for a short time may be sent; refuses one that is held for longer, or blocked. */
+  #waitOrRefuse (): CallCommand[] {
+    const ms = Math.ceil(this.#context.refusedMs())
+    if (this.#context.standing() === 'blocked') return this.#endWithoutResponse('quarantined')
+    if (ms > MAX_TARGET_WAIT_MS || this.#context.now() + ms >= this.#input.deadlineAt) return this.#endWithoutResponse('suspect')
+    return [{ kind: 'timer', ms }]
+  }
+
   /** Offers the request to the best target that isn't busy; if all are, queues it at the best target whose queue isn't full. */
   #offerNext (): CallCommand[] | undefined {
     const candidates = this.#candidates()
@@ -232,6 +244,8 @@
 
   #retryOrEnd (): CallCommand[] {
     if (this.#inFlight.size > 0) return []
+    this.#isRetryDue = this.#mayRetry && this.#context.standing() === 'held'
+    if (this.#isRetryDue) return this.#waitOrRefuse()
     const commands = this.#retry()
     if (commands) return commands
     if (this.#lastResponse) return this.#end([{ kind: 'respond', reply: this.#lastResponse }])
@@ -241,7 +255,7 @@
   /** Offers the request to another target, within the limits on attempts and time and the retry budget. */
   #retry (): CallCommand[] | undefined {
     const { route, deadlineAt } = this.#input
-    if (this.#reached.size >= route.maxAttempts || !this.#mayRetryAfterCrash) return undefined
+    if (!this.#mayRetry) return undefined
     if (deadlineAt - this.#context.now() < route.targetLatencyMs * MIN_RETRY_TIME) return undefined
     if (this.#candidates().length === 0 || !this.#context.tryWithdrawRetry()) return undefined
     this.#busy.clear()
@@ -252,8 +266,9 @@
     return !this.#hasHedged && this.#input.route.idempotent && attempt.mode === 'now' && this.#crashes === 0 && this.#context.standing() === 'clear'
   }
 
-  /** A request that has been on a crashed target is retried once, unless another crash counts against it. */
-  get #mayRetryAfterCrash (): boolean {
+  /** Whether attempts are left. A request that has been on a crashed target is retried once, unless another crash counts against it. */
+  get #mayRetry (): boolean {
+    if (this.#reached.size >= this.#input.route.maxAttempts || this.#context.standing() === 'blocked') return false
     return this.#crashes === 0 || (this.#crashes === 1 && this.#context.crashes() <= 1)
   }
 
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -3,7 +3,7 @@
 import { NESTED_URGENCY } from '../inbound/admission.js'
 import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
-import type { Standing } from '../quarantine/quarantine.js'
+import { FIRST_HOLD_MS, isRefused, type Standing } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import type { VersionChoice } from '../rollout/versionRules.js'
 import { callFlow, type CallCommand, type CallEvent, type CallContext } from './callFlow.js'
@@ -50,8 +50,8 @@
   #isProcessing = false
   #isDone = false
   #offerCount = 0
-  /** Whether a target crashed while it ran the request. */
-  #hasCrashed = false
+  /** When this daemon was told that a target had crashed while it ran the request. */
+  #crashedAt: number | undefined
   #cachedFingerprint: string | undefined
 
   constructor (opts: OutboundOptions, input: OutboundCallInput) {
@@ -95,10 +95,11 @@
       now: () => timers.now(),
       candidates: (exclude) => this.#candidates(exclude),
       standing: () => this.#standing(),
+      refusedMs: () => this.#refusedMs(),
       crashes: () => quarantine.isEmpty ? 0 : quarantine.crashes(this.#fingerprint()),
       tryWithdrawRetry: () => budget.tryWithdraw(service, fleet.live().length, timers.now()),
-      retryAfterMs: () => this.#standing() === 'blocked'
-        ? quarantine.blockedMs(this.#fingerprint())
+      retryAfterMs: () => isRefused(this.#standing())
+        ? this.#refusedMs()
         : retryAfterMs({
           targetLatencyMs: route.targetLatencyMs,
           remainingMs: this.#startedAt + req.head.deadlineMs - timers.now(),
@@ -114,14 +115,22 @@
     const { req, route, service } = this.#input
     const traits = { route, urgency: this.#urgency, bytes: req.body.length + sizes.expectedBytes(route.name) }
     const isEligible = (record: HostRecord): boolean => this.#isEligible(record, exclude)
-    if (this.#standing() === 'suspect') return balancer.designated(service, traits, isEligible, this.#fingerprint())
+    if (this.#standing() !== 'clear') return balancer.designated(service, traits, isEligible, this.#fingerprint())
     return balancer.rank(service, traits, isEligible, this.#versionChoice?.preferredHost)
   }
 
   #standing (): Standing {
     const { quarantine } = this.#opts
     const standing = quarantine.isEmpty ? 'clear' : quarantine.standing(this.#fingerprint())
-    return standing === 'clear' && this.#hasCrashed ? 'suspect' : standing
+    if (standing !== 'clear' || this.#crashedAt === undefined) return standing
+    return this.#refusedMs() > 0 ? 'held' : 'suspect'
+  }
+
+  /** Milliseconds until the request may be sent, also while this daemon has not heard of the crash from the one that saw it. */
+  #refusedMs (): number {
+    const { quarantine, timers } = this.#opts
+    const ownMs = this.#crashedAt === undefined ? 0 : this.#crashedAt + FIRST_HOLD_MS - timers.now()
+    return Math.max(ownMs, quarantine.isEmpty ? 0 : quarantine.refusedMs(this.#fingerprint()))
   }
 
   #fingerprint (): string {
@@ -244,7 +253,7 @@
       idempotent: route.idempotent,
       nested: req.origin !== 'caller',
       repeat: isRetry || req.origin === 'repeatedRun',
-      suspect: this.#standing() === 'suspect',
+      suspect: this.#standing() !== 'clear',
       ...heardLimitPerS === undefined ? {} : { heardLimitPerS }
     }
   }
@@ -269,7 +278,7 @@
       if (mode === 'queue') balancer.markQueueFull(host, this.#urgency)
       return
     }
-    if (reply.reason === 'crashed') this.#hasCrashed = true
+    if (reply.reason === 'crashed') this.#crashedAt = this.#opts.timers.now()
     const isUnavailable = reply.kind === 'notRun' ? !AVAILABLE_REASONS.has(reply.reason) : reply.reason === 'lost' || reply.reason === 'timeout' || reply.reason === 'crashed'
     if (isUnavailable) balancer.avoid(host)
   }
--- a/packages/hop/src/outbound/outboundTypes.ts
+++ b/packages/hop/src/outbound/outboundTypes.ts
@@ -44,7 +44,7 @@
   sizes: ResponseSizes
   versions: VersionChooser
   /** What is known about requests that crash targets. */
-  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'blockedMs'>
+  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'refusedMs'>
   /** Service of the target on this host; undefined when there is none. */
   callerService (): string | undefined
 }
--- a/packages/hop/src/quarantine/quarantine.ts
+++ b/packages/hop/src/quarantine/quarantine.ts
@@ -5,10 +5,15 @@
 import { MAX_SUSPECTS, type Block, type CrashReport, type QuarantineNews } from './quarantineNews.js'
 
 /**
- * How a request may be sent. `suspect`: it ran on a target that crashed, and runs on one target at a time. `blocked`: it has
- * crashed several targets and isn't sent at all.
+ * How a request may be sent. `suspect`: it ran on a target that crashed, and runs on one target at a time. `held`: likewise, but it
+ * isn't sent for a while. `blocked`: it has crashed several targets and isn't sent at all.
  */
-export type Standing = 'clear' | 'suspect' | 'blocked'
+export type Standing = 'clear' | 'suspect' | 'held' | 'blocked'
+
+/** Whether a request isn't sent for now. */
+export function isRefused (standing: Standing): boolean {
+  return standing === 'held' || standing === 'blocked'
+}
 
 export interface QuarantineOptions {
   timers: Pick<Timers, 'now' | 'after' | 'every'>
@@ -17,6 +22,8 @@
   idPrefix (): string
   /** Called with what is new here, whether decided here or heard from a peer. */
   onNews (news: QuarantineNews, isOwn: boolean): void
+  /** Called when a request has crashed more than one target, so that runs under way are to be cancelled. */
+  onRefused (fingerprint: string): void
   /** Called when a request is blocked; `isOwn`: after a crash beside this daemon. */
   onBlocked (block: Block, isOwn: boolean): void
   /** Called when a blocked request has run well beside this daemon. */
@@ -38,6 +45,10 @@
 
 /** Crashes after which a request is blocked. */
 const MAX_CRASHES = 3
+/** Time for which a request isn't sent after its first crash: runs under way elsewhere show by then whether they crash as well. */
+export const FIRST_HOLD_MS = 150
+/** The same after a later crash: time for the targets that crashed to be back, so that the request doesn't take one more while they are missing. */
+const LATER_HOLD_MS = 5_000
 /** Time for which a crash counts against the requests that ran there. */
 const SUSPICION_MS = 600_000
 /** Length of the first block of a request; each later one is twice as long as the one before, up to a day. */
@@ -80,9 +91,9 @@
   }
 
   standing (fingerprint: string): Standing {
-    const block = this.#blocks.get(fingerprint)
-    if (block && this.#isInForce(block)) return 'blocked'
-    return this.crashes(fingerprint) > 0 ? 'suspect' : 'clear'
+    if (this.#isBlocked(fingerprint)) return 'blocked'
+    if (this.crashes(fingerprint) === 0) return 'clear'
+    return this.#heldMs(fingerprint) > 0 ? 'held' : 'suspect'
   }
 
   /** Crashes that count against a request. */
@@ -92,10 +103,11 @@
     return former + (this.#reportCounts.has(fingerprint) ? countCrashes(fingerprint, this.#reports.values(), this.#now) : 0)
   }
 
-  /** Milliseconds until a request is no longer blocked. */
-  blockedMs (fingerprint: string): number {
+  /** Milliseconds until a request that is held or blocked may be sent; 0 for others. */
+  refusedMs (fingerprint: string): number {
+    if (!isRefused(this.standing(fingerprint))) return 0
     const block = this.#blocks.get(fingerprint)
-    return block && this.#isInForce(block) ? block.at + blockMs(block.level) - this.#opts.timers.now() : 0
+    return block && this.#isInForce(block) ? block.at + blockMs(block.level) - this.#now : this.#heldMs(fingerprint)
   }
 
   /** Reports a crash of the target beside this daemon, with the requests that may have caused it in the order of their starts. */
@@ -150,6 +162,19 @@
     return this.#opts.timers.now()
   }
 
+  #isBlocked (fingerprint: string): boolean {
+    const block = this.#blocks.get(fingerprint)
+    return block !== undefined && this.#isInForce(block)
+  }
+
+  /** Milliseconds until a request may be sent again after its last crash. */
+  #heldMs (fingerprint: string): number {
+    let lastAt = -Infinity
+    for (const { suspects, at } of this.#reports.values()) if (suspects.has(fingerprint)) lastAt = Math.max(lastAt, at)
+    const holdMs = this.crashes(fingerprint) > 1 ? LATER_HOLD_MS : FIRST_HOLD_MS
+    return Math.max(0, lastAt + holdMs - this.#now)
+  }
+
   #isInForce ({ level, isCleared, at }: KnownBlock): boolean {
     return !isCleared && this.#now - at < blockMs(level)
   }
@@ -161,6 +186,7 @@
     }
     for (const block of news.blocks) if (!block.isCleared) this.#onBlocked(block, false)
     news.blocks.push(...this.#blockGuilty(news.reports, isOwn))
+    for (const suspect of suspectsOf(news.reports)) if (this.crashes(suspect) > 1) this.#opts.onRefused(suspect)
     if (news.reports.length > 0) this.#opts.timers.after(REPORT_DELAY_MS, () => this.#publish({ reports: [], blocks: this.#blockGuilty(news.reports, isOwn) }, isOwn))
     this.#publish(news, isOwn)
   }
@@ -173,13 +199,12 @@
 
   /** Blocks those suspects of the reports against which too many crashes count; returns the new blocks. */
   #blockGuilty (reports: readonly CrashReport[], isOwn: boolean): Block[] {
-    const suspects = new Set(reports.flatMap((report) => report.suspects))
-    return [...suspects].map((suspect) => this.#blockIfGuilty(suspect, isOwn)).filter((block) => block !== undefined)
+    return suspectsOf(reports).map((suspect) => this.#blockIfGuilty(suspect, isOwn)).filter((block) => block !== undefined)
   }
 
   /** Blocks a request against which too many crashes count; returns the new block. */
   #blockIfGuilty (fingerprint: string, isOwn: boolean): Block | undefined {
-    if (this.standing(fingerprint) === 'blocked' || this.crashes(fingerprint) < MAX_CRASHES) return undefined
+    if (this.#isBlocked(fingerprint) || this.crashes(fingerprint) < MAX_CRASHES) return undefined
     const block: Block = { fingerprint, level: (this.#blocks.get(fingerprint)?.level ?? 0) + 1, isCleared: false, ageMs: 0 }
     this.#mergeBlock(block)
     this.#onBlocked(block, isOwn)
@@ -189,7 +214,8 @@
   #onBlocked (block: Block, isOwn: boolean): void {
     const { fingerprint, level } = block
     const reports = [...this.#reports].filter(([, { suspects }]) => suspects.has(fingerprint)).map(([id]) => id)
-    this.#opts.log.decision('requestBlocked', { request: fingerprint, level, reports, forMs: Math.round(this.blockedMs(fingerprint)) })
+    this.#opts.log.decision('requestBlocked', { request: fingerprint, level, reports, forMs: Math.round(this.refusedMs(fingerprint)) })
+    this.#opts.onRefused(fingerprint)
     this.#opts.onBlocked(block, isOwn)
   }
 
@@ -246,6 +272,10 @@
   }
 }
 
+function suspectsOf (reports: readonly CrashReport[]): string[] {
+  return [...new Set(reports.flatMap(({ suspects }) => suspects))]
+}
+
 /** Length of a block, by its level. */
 function blockMs (level: number): number {
   return Math.min(MAX_BLOCK_MS, FIRST_BLOCK_MS * 2 ** (level - 1))
