Check each record that enters a daemon in one place, and leave out only the invalid one

An odd entry of another writer among the daemons' objects (a port out of range, a number too large, the name of another host) was taken from the store and passed on. A link to such a port fails with an exception, so the list was read again and again and the rest of it not followed; peers that got the record dropped the whole message and its connection. A heartbeat with a start or a sequence far too high shut out all later ones of the target. A page of invalid objects ended a list.

Cause: three checks of different strictness (store, peers, heartbeats), the one of peers on whole messages. Ruled out: deep nesting by itself (JSON is parsed without recursion; only making text of it overflows the stack, and nothing read is written again).

Now fleet/records.ts reads a record wherever it enters: from the store, from a peer, in a heartbeat. What passes is a copy of the known fields within stated bounds; what doesn't is left out alone and logged (badRecord), so it is neither kept nor passed on. An object stands only for the host or service of its own name. An invalid departure no longer costs the response beside it.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -2,7 +2,7 @@
 import { Fleet } from '../fleet/fleet.js'
 import { departuresNotIn, type HostRecord, type Departure } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
-import { LocalTarget, type Announcement } from '../inbound/localTarget.js'
+import { isAnnouncement, LocalTarget, type Announcement } from '../inbound/localTarget.js'
 import { NodeTargetClient } from '../inbound/nodeTargetClient.js'
 import { createResponseLimits } from '../inbound/responseLimits.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
@@ -197,14 +197,19 @@
     })
   }
 
-  /** Handles an announcement of the target beside this daemon. */
-  announce (announcement: Announcement): void {
+  /** Handles an announcement of the target beside this daemon; false if it is rejected, as a field of it can't be right. */
+  announce (announcement: Announcement): boolean {
+    if (!isAnnouncement(announcement, this.#opts.timers.wallNow())) {
+      this.#opts.log.decision('badRecord', { from: 'target' })
+      return false
+    }
     const outcome = this.#localTarget.announce(announcement, this.#opts.timers.now())
     if (outcome === 'stale') {
       const { id, sequence, startedAt } = announcement
       this.#opts.log.decision('staleAnnouncement', { target: id, sequence, startedAt })
     }
     this.#checkTarget()
+    return true
   }
 
   /** Handles the message by which the target beside this daemon says that it leaves. */
--- a/packages/hop/src/daemon/peerDiscovery.ts
+++ b/packages/hop/src/daemon/peerDiscovery.ts
@@ -2,6 +2,7 @@
 import { RevisionConflict } from '../errors.js'
 import type { Fleet } from '../fleet/fleet.js'
 import type { HostRecord } from '../fleet/hostRecord.js'
+import { readHostRecord } from '../fleet/records.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
 import { retryUntilDone } from '../store/retryUntilDone.js'
@@ -82,7 +83,7 @@
     const { store, fleet: { own } } = this.#opts
     const existing = await store.get(DAEMON_KIND, own.host)
     if (!existing) return false
-    const isOwn = parseRecord(existing.spec)?.[0]?.incarnation === own.incarnation
+    const isOwn = this.#readObject(existing)?.incarnation === own.incarnation
     this.#ownObject = isOwn ? existing : await store.replace(DAEMON_KIND, own.host, this.#ownSpec(), existing.revision)
     return true
   }
@@ -105,7 +106,7 @@
   async #list (mayBeOld = false): Promise<void> {
     const { fleet, store } = this.#opts
     const listing = await store.list(DAEMON_KIND, { mayBeOld })
-    fleet.merge(listing.objects.flatMap(({ spec }) => parseRecord(spec) ?? []))
+    fleet.merge(listing.objects.map((object) => this.#readObject(object)).filter((record) => record !== undefined))
     if (fleet.rank() === 0) await this.#removeGoneDaemon(listing.objects)
   }
 
@@ -137,6 +138,16 @@
     await retryUntilDone(step, { timers, random, isStopped: () => this.#isDeregistered, onFailure: (err) => this.#logFailure(what, err) })
   }
 
+  /** The daemon that an object names; undefined if another writer put something else there, or the name of another host. */
+  #readObject ({ name, spec }: StoredObject): HostRecord | undefined {
+    const { timers, log } = this.#opts
+    const fields = typeof spec === 'object' && spec !== null ? spec : {}
+    const record = readHostRecord({ ...fields, target: undefined, leavings: undefined, sequence: 0, stopping: false }, timers.wallNow())
+    if (record?.host === name) return record
+    log.decision('badRecord', { from: 'store', kind: DAEMON_KIND, name })
+    return undefined
+  }
+
   #logFailure (what: string, err: unknown): void {
     this.#opts.log.decision('directoryFailed', { what, code: errorCode(err), reason: (err as Error).message })
   }
@@ -144,12 +155,3 @@
 
 /** With the retry interval, seeds are contacted for at least 10 minutes. */
 const MAX_SEED_ROUNDS = 600
-
-/** Parses the spec of a daemon's object; undefined if another writer put something else there. */
-function parseRecord (spec: unknown): HostRecord[] | undefined {
-  if (typeof spec !== 'object' || spec === null) return undefined
-  const { host, dataCentre, address, port, incarnation } = spec as Record<string, unknown>
-  if (typeof host !== 'string' || typeof dataCentre !== 'string' || typeof address !== 'string') return undefined
-  if (typeof port !== 'number' || typeof incarnation !== 'number') return undefined
-  return [{ host, dataCentre, address, port, incarnation, sequence: 0, stopping: false }]
-}
--- a/packages/hop/src/fleet/hostRecord.ts
+++ b/packages/hop/src/fleet/hostRecord.ts
@@ -58,13 +58,6 @@
   return hasLeft ? undefined : target
 }
 
-/** Whether a value from a peer is a departure. */
-export function isDeparture (value: unknown): value is Departure {
-  if (typeof value !== 'object' || value === null) return false
-  const { id, startedAt, state } = value as Partial<Departure>
-  return typeof id === 'string' && id !== '' && Number.isFinite(startedAt) && (state === 'draining' || state === 'gone')
-}
-
 /** Whether record `a` replaces record `b` of the same daemon. */
 export function isNewer (a: HostRecord, b: HostRecord): boolean {
   return a.incarnation !== b.incarnation ? a.incarnation > b.incarnation : a.sequence > b.sequence
--- a/packages/hop/src/inbound/localTarget.ts
+++ b/packages/hop/src/inbound/localTarget.ts
@@ -1,3 +1,4 @@
+import { isSequence, readTargetRecord } from '../fleet/records.js'
 import { MAX_DEPARTURES, type Departure, type TargetRecord, type TargetState } from '../fleet/hostRecord.js'
 
 /** State of a target as it announces it to the daemon beside it, in each heartbeat. */
@@ -15,6 +16,11 @@
   startedAt: number
 }
 
+/** Whether all fields of an announcement can be right. `wallNow`: Unix milliseconds. */
+export function isAnnouncement (announcement: Announcement, wallNow: number): boolean {
+  return readTargetRecord(announcement, wallNow) !== undefined && isSequence(announcement.sequence)
+}
+
 export type AnnouncementOutcome = 'accepted' | 'stale'
 
 interface CurrentTarget extends Announcement {
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -1,6 +1,6 @@
 import { Packr } from 'msgpackr'
 import { BadMessage } from '../errors.js'
-import { isDeparture } from '../fleet/hostRecord.js'
+import { readDeparture } from '../fleet/records.js'
 import type { CallMessage, HopReply, TargetLoad } from './messages.js'
 
 // Encodes messages between daemons as MessagePack.
@@ -46,9 +46,10 @@
   return [PROTOCOL_VERSION, ...packFields({ ...reply, load }, REPLY_FIELDS)]
 }
 
-export function unpackReply (value: unknown): HopReply {
+/** `wallNow`: Unix milliseconds, against which the departure in the reply is checked; an invalid one is left out. */
+export function unpackReply (value: unknown, wallNow: number): HopReply {
   const fields = unpackFields(value, REPLY_FIELDS)
-  if (fields['departure'] !== undefined && !isDeparture(fields['departure'])) throw new BadMessage('reply from a peer contains an invalid departure')
+  if (fields['departure'] !== undefined && !readDeparture(fields['departure'], wallNow)) delete fields['departure']
   const load = fields['load']
   if (load !== undefined) fields['load'] = unpackLoad(load)
   return fields as unknown as HopReply
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -7,7 +7,7 @@
 import { packReply, unpackCall, validateFields } from './codec.js'
 import type { HopReply, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, FrameSocket, type Frame } from './nodeFrameSocket.js'
-import { validateSyncMessage } from './validateSyncMessage.js'
+import { readSyncMessage } from './readSyncMessage.js'
 
 export interface HopServerOptions {
   address: string
@@ -64,6 +64,11 @@
     this.#peers.add(peer)
   }
 
+  #readSync (payload: unknown): SyncMessage {
+    const { timers, log } = this.#opts
+    return readSyncMessage(payload, { wallNow: timers.wallNow(), onBadRecord: (field, from) => log.decision('badRecord', { from, field }) })
+  }
+
   #onFrame (peer: FrameSocket, callKeys: Map<number, string>, [kind, exchangeId, payload]: Frame): void {
     const { handler: inbound } = this.#opts
     const sendReply = (reply: HopReply): void => {
@@ -87,7 +92,7 @@
         return inbound.cancel(key!)
       }
       case FRAME_KINDS.sync: {
-        return peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(validateSyncMessage(payload))])
+        return peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(this.#readSync(payload))])
       }
       case FRAME_KINDS.config:
         return peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.deltaSince(validateFields<{ have: number }>(payload, ['have']).have)])
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -7,7 +7,7 @@
 import type { CallMessage, HopReply, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, type FrameKind } from './nodeFrameSocket.js'
 import { PeerConnection, type ExchangeOutcome } from './nodePeerConnection.js'
-import { validateSyncMessage } from './validateSyncMessage.js'
+import { readSyncMessage } from './readSyncMessage.js'
 
 export interface PeerLinkOptions {
   host: string
@@ -79,7 +79,9 @@
   }
 
   async sync (message: SyncMessage): Promise<SyncMessage> {
-    return validateSyncMessage(await this.#request(FRAME_KINDS.sync, message))
+    const { timers, log } = this.#opts
+    const reply = await this.#request(FRAME_KINDS.sync, message)
+    return readSyncMessage(reply, { wallNow: timers.wallNow(), onBadRecord: (field, from) => log.decision('badRecord', { from, field }) })
   }
 
   async fetchConfig (heldVersion: number): Promise<ConfigDelta | undefined> {
@@ -129,7 +131,7 @@
 
   #onReply (call: PendingCall, payload: unknown): void {
     try {
-      this.#end(call, unpackReply(payload))
+      this.#end(call, unpackReply(payload, this.#opts.timers.wallNow()))
     } catch (err) {
       this.#opts.log.decision('badReply', { peer: this.#opts.host, code: errorCode(err) })
       this.#end(call, { kind: 'failed', reason: 'lost' })
--- a/packages/hop/src/quarantine/quarantineNews.ts
+++ b/packages/hop/src/quarantine/quarantineNews.ts
@@ -33,13 +33,16 @@
 /** Requests that may be suspected of one crash; the ones that were started last are kept. */
 export const MAX_SUSPECTS = 64
 
-/** The valid entries of what a peer sent. */
-export function readQuarantineNews (value: unknown): QuarantineNews {
+/** The valid entries of what a peer sent; the others are left out. */
+export function readQuarantineNews (value: unknown, onInvalid: () => void): QuarantineNews {
   const { reports, blocks } = (typeof value === 'object' && value !== null ? value : {}) as Partial<Record<keyof QuarantineNews, unknown>>
-  return {
-    reports: Array.isArray(reports) ? reports.filter(isCrashReport) : [],
-    blocks: Array.isArray(blocks) ? blocks.filter(isBlock) : []
+  const readAll = <T>(entries: unknown, isValid: (entry: unknown) => entry is T): T[] => {
+    if (!Array.isArray(entries)) return []
+    const valid = entries.filter(isValid)
+    for (let i = valid.length; i < entries.length; i++) onInvalid()
+    return valid
   }
+  return { reports: readAll(reports, isCrashReport), blocks: readAll(blocks, isBlock) }
 }
 
 function isCrashReport (value: unknown): value is CrashReport {
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -4,6 +4,7 @@
 import { RevisionConflict } from '../errors.js'
 import type { Fleet } from '../fleet/fleet.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
+import { readMoveOrder } from '../fleet/records.js'
 import type { CallLog } from '../observe/callLog.js'
 import { StoreWatcher } from '../store/storeWatcher.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
@@ -150,9 +151,9 @@
   #startWatcher (): void {
     const { store, codec, timers, random, log } = this.#opts
     const readOrder = (object: StoredObject): void => {
-      const order = codec.decodeMove(object)
+      const order = this.#readOrder(object)
       if (order) this.onOrder(order, 'store')
-      else log.decision('moveUnreadable', { name: object.name, revision: object.revision })
+      else log.decision('badRecord', { from: 'store', kind: codec.moves.kind, name: object.name })
     }
     this.#watcher = new StoreWatcher({
       store,
@@ -221,7 +222,7 @@
     try {
       const object = await store.setStatus(kind, order.service, codec.encodeMoveStatus(order, state), order.revision)
       log.decision('moveStateWritten', { move: order.id, state, revision: object.revision })
-      const written = codec.decodeMove(object)
+      const written = this.#readOrder(object)
       if (written) this.onOrder(written, fleet.own.host)
     } catch (err) {
       log.decision('moveStateNotWritten', { move: order.id, state, code: errorCode(err), reason: (err as Error).message })
@@ -230,11 +231,15 @@
     }
   }
 
+  #readOrder (object: StoredObject): MoveOrder | undefined {
+    return readMoveOrder(this.#opts.codec.decodeMove(object))
+  }
+
   async #refreshOrder (order: MoveOrder): Promise<void> {
     const { store, codec, log } = this.#opts
     try {
       const object = await store.get(codec.moves.kind, order.service)
-      const current = object && codec.decodeMove(object)
+      const current = object && this.#readOrder(object)
       if (current) this.onOrder(current, 'store')
     } catch (err) {
       log.decision('moveStateNotRead', { move: order.id, code: errorCode(err) })
