Don't send a request to a target after its deadline because the connection opened late

One cause, by reading and by a test: a request is handed to the socket of a connection that is still opening, and leaves with it whenever it opens; the timer of its deadline comes later where the process gets no processor time in between. Now it is sent when the connection is open, and only if its time has not passed; otherwise it ends as not run. Test red before (the request was received), green now.

--- a/packages/hop/src/inbound/__tests__/targetClient.spec.ts
+++ b/packages/hop/src/inbound/__tests__/targetClient.spec.ts
@@ -219,3 +219,29 @@
   const client = await startClient(target)
   for (let length = 0; length < head('r00').length; length++) t.is((await send(client, `r${length}`)).kind, 'failed', `${length} bytes`)
 })
+
+/** Timers whose clock goes on while none of them is served, as in a process that gets no processor time. */
+class StalledTimers extends VirtualTimers {
+  stalledMs = 0
+
+  override now (): number {
+    return super.now() + this.stalledMs
+  }
+}
+
+test('guards against a request leaving after its deadline, with a connection that opened late', async (t) => {
+  const received: string[] = []
+  const target = new FakeTarget((id, socket) => {
+    received.push(id)
+    socket.destroy()
+  })
+  t.teardown(() => target.close())
+  const timers = new StalledTimers()
+  const client = await startClient(target, { timers })
+  const result = send(client, 'r1')
+  timers.stalledMs = 60_000
+  t.deepEqual(await result, { kind: 'notRun', reason: 'expired' })
+  t.is(target.connections, 1)
+  t.deepEqual(received, [])
+  client.reset()
+})
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -43,6 +43,8 @@
 interface Exchange {
   request: TargetRequest
   done (result: TargetResult): void
+  /** When it times out; the timer may fire later while the process is short of processor time. */
+  expiresAt: number
   stopTimer: Cancel
   /** Head of the message that is being received. */
   head?: TargetMessage
@@ -84,7 +86,7 @@
     this.#opts = opts
     this.#idleSince = opts.timers.now()
     this.#socket = connect({ host: opts.host, port: opts.port, noDelay: true, keepAlive: true, keepAliveInitialDelay: 1_000 })
-    this.#socket.on('connect', () => { this.#isConnected = true })
+    this.#socket.on('connect', () => this.#onConnect())
     this.#socket.on('data', (chunk: Buffer) => this.#onData(chunk))
     this.#socket.on('end', () => this.#onEnd())
     this.#socket.on('error', () => this.#fail('reset'))
@@ -111,8 +113,9 @@
     const stopTimer = this.#opts.timers.after(request.timeoutMs, () => this.#fail('timeout'))
     this.#requests++
     const received = { bytes: 0, bodyBytes: 0, skippedMessages: 0 }
-    this.#exchange = { request, done, stopTimer, body: new BodyBuffer(), budget: this.#opts.limits.unsizedBudget, received }
-    this.#socket.write(request.bytes)
+    const expiresAt = this.#opts.timers.now() + request.timeoutMs
+    this.#exchange = { request, expiresAt, done, stopTimer, body: new BodyBuffer(), budget: this.#opts.limits.unsizedBudget, received }
+    if (this.#isConnected) this.#socket.write(request.bytes)
   }
 
   /** Calls `done` once, when the connection has been established or has failed. */
@@ -126,6 +129,19 @@
     this.#fail('cancelled')
   }
 
+  /** Sends the request that waited for the connection, unless its time has passed meanwhile. */
+  #onConnect (): void {
+    this.#isConnected = true
+    const exchange = this.#exchange
+    if (!exchange) return
+    if (this.#opts.timers.now() < exchange.expiresAt) {
+      this.#socket.write(exchange.request.bytes)
+      return
+    }
+    this.#isReusable = false
+    this.#finish({ kind: 'notRun', reason: 'expired' })
+  }
+
   #newParser (): InstanceType<typeof HTTPParser> {
     const parser = new HTTPParser(HTTPParser.RESPONSE)
     parser[HTTPParser.kOnHeadersComplete] = (info: HeaderInfo) => this.#onHead(info)
