--- a/packages/bench/src/__tests__/fleetFaults.spec.ts
+++ b/packages/bench/src/__tests__/fleetFaults.spec.ts
@@ -152,7 +152,7 @@
   t.false(status.ready)
   t.is(status.members, 1)
   for (const other of await harness.fleet.statuses()) t.is(other?.members, 8)
-  foreignDaemon.process.kill('SIGKILL')
+  harness.fleet.group.end(foreignDaemon.process, 'SIGKILL')
   await harness.checkHistory(t)
 })
 
--- a/packages/bench/src/fleet/daemonFleet.ts
+++ b/packages/bench/src/fleet/daemonFleet.ts
@@ -59,7 +59,7 @@
     const child = this.daemons[index]!.process
     if (child.exitCode !== null || child.signalCode !== null) return
     const gone = new Promise((resolve) => child.once('exit', resolve))
-    child.kill('SIGKILL')
+    this.group.end(child, 'SIGKILL')
     await gone
   }
 
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -32,6 +32,8 @@
 export class ProcessGroup {
   readonly dir = mkdtempSync(join(tmpdir(), 'lentilwheel-'))
   readonly #children = new Set<ChildProcess>()
+  /** Daemons that were told to end, or killed; the end of another one is reported. */
+  readonly #expected = new WeakSet<ChildProcess>()
 
   startDaemon (id: string, settings: Record<string, unknown>, ports: DaemonPorts): DaemonProcess {
     const file = join(this.dir, `${id}.yaml`)
@@ -46,6 +48,7 @@
     // Executed directly, because the shebang line of the program sets the options of Node.
     const child = spawn(DAEMON_PROGRAM, [file], { stdio: ['ignore', 'ignore', 'inherit'] })
     this.#track(child)
+    child.once('exit', (code, signal) => { if (!this.#expected.has(child)) process.stderr.write(`daemon ${id} (pid ${child.pid}) ended by itself: code ${code}, signal ${signal}\n`) })
     return { id, dataCentre: String(settings['dataCentre']), ports, process: child }
   }
 
@@ -63,10 +66,16 @@
   /** Sends SIGTERM to all running children and waits until they have exited. */
   async stopAll (): Promise<void> {
     const exits = [...this.#children].map((child) => new Promise((resolve) => child.once('exit', resolve)))
-    for (const child of this.#children) child.kill('SIGTERM')
+    for (const child of this.#children) this.end(child, 'SIGTERM')
     await Promise.all(exits)
   }
 
+  /** Sends a signal that ends a child. */
+  end (child: ChildProcess, signal: 'SIGTERM' | 'SIGKILL'): void {
+    this.#expected.add(child)
+    child.kill(signal)
+  }
+
   #track (child: ChildProcess): void {
     this.#children.add(child)
     child.once('exit', () => this.#children.delete(child))
