Let innocent suspects wait for each other, and never pass on reports that others have dropped

Two faults of the quarantine found by reading. A request that is frequent but not yet proven on a target was refused while a copy of it ran at its designated target: it now waits up to 0.4 s, within which the first copy clears it. And with more reports or blocks than are kept, an entry that one daemon had dropped came back from another as news, again and again: a full table now takes only newer ones. Tests: a new scenario of the call flow, and daemons with more reports than they keep, which fall silent after one exchange.

--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -69,7 +69,7 @@
 const DEADLINE_GRACE_MS = 100
 /** Time that must be left for a retry, as a fraction of the target latency. */
 const MIN_RETRY_TIME = 0.25
-/** Pause before looking for targets again when all were unavailable. */
+/** Pause before looking for targets again when all were unavailable, or when the request runs already and may crash its target. */
 const RECHECK_MS = 60
 /** How long a request waits for any target to become available. */
 const MAX_TARGET_WAIT_MS = 400
@@ -153,13 +153,14 @@
     this.#rejectedOffers++
     this.#lastReason = reason
     if (isFullReason(reason)) this.#busy.add(attempt.candidate.host)
-    else if (reason !== 'displacing') this.#unavailable.add(attempt.candidate.host)
+    else if (reason !== 'displacing' && reason !== 'suspect') this.#unavailable.add(attempt.candidate.host)
     // The target received the request and shed it, so another offer takes a retry from the budget.
     if (reason === 'shed') {
       this.#reached.add(attempt.candidate.host)
       return this.#retryOrEnd()
     }
     if (this.#inFlight.size > 0) return []
+    if (reason === 'suspect' && this.#context.now() - this.#startedAt < MAX_TARGET_WAIT_MS) return [{ kind: 'timer', ms: RECHECK_MS }]
     if (reason === 'suspect' || reason === 'quarantined') return this.#endWithoutResponse(reason)
     if (reason === 'expired' || reason === 'displacing' || (isFullReason(reason) && attempt.mode === 'queue')) return this.#endWithoutResponse(reason)
     return this.#offerOrWait()
--- a/packages/hop/src/quarantine/__tests__/quarantine.spec.ts
+++ b/packages/hop/src/quarantine/__tests__/quarantine.spec.ts
@@ -137,6 +137,22 @@
   }), { seed: 1, numRuns: 200 })
 })
 
+test('guards against daemons that have more reports than they keep telling each other for ever', (t) => {
+  const timers = new VirtualTimers()
+  const daemons = ['a', 'b', 'c'].map((host) => new TestSetup(timers, host))
+  for (let i = 0; i < 60; i++) {
+    for (const { quarantine } of daemons) quarantine.reportCrash('s', [DEADLY])
+    timers.advance(50)
+  }
+  const exchange = (): number => {
+    for (const { news } of daemons) news.length = 0
+    for (const from of daemons) for (const to of daemons) to.quarantine.merge(from.quarantine.all())
+    return daemons.reduce((total, { news }) => total + news.length, 0)
+  }
+  exchange()
+  t.is(exchange(), 0)
+})
+
 test('guards against one odd entry of a peer\'s news costing the others', (t) => {
   const report = { id: 'a/1/1', service: 's', suspects: [DEADLY], ageMs: 5 }
   const block = { fingerprint: DEADLY, level: 1, isCleared: false, ageMs: 5 }
--- a/packages/hop/src/quarantine/quarantine.ts
+++ b/packages/hop/src/quarantine/quarantine.ts
@@ -235,10 +235,22 @@
   }
 
   #addReport ({ id, service, suspects, ageMs }: CrashReport): boolean {
-    if (ageMs >= SUSPICION_MS) return false
-    this.#reports.set(id, { service, suspects: new Set(suspects), at: this.#now - ageMs })
+    const at = this.#now - ageMs
+    if (ageMs >= SUSPICION_MS || !this.#makeRoom(this.#reports, MAX_REPORTS, at, (oldId) => this.#removeReport(oldId))) return false
+    this.#reports.set(id, { service, suspects: new Set(suspects), at })
     for (const suspect of new Set(suspects)) this.#countReport(suspect, 1)
-    if (this.#reports.size > MAX_REPORTS) this.#removeReport(oldest(this.#reports))
+    return true
+  }
+
+  /**
+   * Removes the oldest entry if there are as many as may be kept; false if the new one is older still. All daemons keep the
+   * newest, so an entry that one has dropped doesn't come back from another again and again.
+   */
+  #makeRoom (entries: ReadonlyMap<string, { at: number }>, max: number, at: number, remove: (key: string) => void): boolean {
+    if (entries.size < max) return true
+    const oldestKey = oldest(entries)
+    if (entries.get(oldestKey)!.at >= at) return false
+    remove(oldestKey)
     return true
   }
 
@@ -258,9 +270,9 @@
   #mergeBlock ({ fingerprint, level, isCleared, ageMs }: Block): boolean {
     const known = this.#blocks.get(fingerprint)
     const isNews = !known ? ageMs < blockMs(level) * PROBATION_FACTOR : level > known.level || (level === known.level && isCleared && !known.isCleared)
-    if (!isNews) return false
-    this.#blocks.set(fingerprint, { level, isCleared, at: this.#now - ageMs })
-    if (this.#blocks.size > MAX_BLOCKS) this.#blocks.delete(oldest(this.#blocks))
+    const at = this.#now - ageMs
+    if (!isNews || (!known && !this.#makeRoom(this.#blocks, MAX_BLOCKS, at, (oldFingerprint) => this.#blocks.delete(oldFingerprint)))) return false
+    this.#blocks.set(fingerprint, { level, isCleared, at })
     return true
   }
 
