Read what has arrived before acting on a request, while the event loop is behind

So call and cancellation had been waiting in one connection, and were handled in the order of their arrival. The same holds for a caller's request followed by the end of its connection.

Now a daemon whose timers are late (by 0.1 s) takes a request or a call only after everything that has arrived has been read. Otherwise nothing changes.

--- a/packages/hop/src/__tests__/fixtures.ts
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -1,3 +1,4 @@
+import { runAfterReading, type LoopLag } from '../daemon/nodeLoopLag.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import { NoopCallLog } from '../observe/callLog.js'
@@ -19,6 +20,12 @@
   signature: 'x-sig'
 }
 
+/** An event loop that is never behind. */
+export const NO_LAG: Pick<LoopLag, 'whenRead'> = { whenRead: (fn) => fn() }
+
+/** An event loop that is always behind. */
+export const ALWAYS_BEHIND: Pick<LoopLag, 'whenRead'> = { whenRead: runAfterReading }
+
 /** Route to the service of `testHost`. */
 export const TEST_ROUTE: MeshRoute = {
   name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -25,6 +25,7 @@
 import { ConfigUpdater } from './configUpdater.js'
 import { PeerDiscovery } from './peerDiscovery.js'
 import type { ResolvedHopConfig } from './resolvedHopConfig.js'
+import { LoopLag } from './nodeLoopLag.js'
 import { GracefulShutdown } from './gracefulShutdown.js'
 
 export interface HopDaemonOptions {
@@ -151,8 +152,9 @@
     this.#outbound = new OutboundHandler({
       timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes: new ResponseSizes(), versions: this.#moves, quarantine: this.#quarantine, callerService: () => this.#cfg.service
     })
+    const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
-      ...cfg.outbound, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
+      ...cfg.outbound, lag, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
     })
     this.#configUpdater = new ConfigUpdater({
       fleet: this.#fleet,
@@ -169,7 +171,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, lag, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     this.#metricsServer = new NodeMetricsServer(cfg.metrics, metrics)
   }
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { connect } from 'node:net'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { testQuarantine } from '../../__tests__/fixtures.js'
+import { NO_LAG, testQuarantine } from '../../__tests__/fixtures.js'
 import { Fleet } from '../../fleet/fleet.js'
 import type { InboundHandler } from '../../inbound/inboundHandler.js'
 import { NoopCallLog } from '../../observe/callLog.js'
@@ -73,7 +73,7 @@
     const linkedHosts: string[] = []
     const fleet = createFleet(linkedHosts)
     const server = new NodeHopServer({
-      address: '127.0.0.1', port: 0, timers, handler: {} as InboundHandler, log: new NoopCallLog(), onSync: (message) => fleet.onSync(message), deltaSince: () => undefined
+      address: '127.0.0.1', port: 0, lag: NO_LAG, timers, handler: {} as InboundHandler, log: new NoopCallLog(), onSync: (message) => fleet.onSync(message), deltaSince: () => undefined
     })
     await server.listen()
     t.teardown(() => server.close())
@@ -99,7 +99,7 @@
     const decisions: string[] = []
     const fleet = createFleet(linkedHosts, received)
     const server = new NodeHopServer({
-      address: '127.0.0.1', port: 0, timers, handler: {} as InboundHandler, log: { call: () => {}, decision: (what) => { decisions.push(what) } }, onSync: (message) => fleet.onSync(message), deltaSince: () => undefined
+      address: '127.0.0.1', port: 0, lag: NO_LAG, timers, handler: {} as InboundHandler, log: { call: () => {}, decision: (what) => { decisions.push(what) } }, onSync: (message) => fleet.onSync(message), deltaSince: () => undefined
     })
     await server.listen()
     t.teardown(() => server.close())
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import type { Timers } from '@lentilwheel/core'
+import type { LoopLag } from '../daemon/nodeLoopLag.js'
 import { BadMessage } from '../errors.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { InboundHandler } from '../inbound/inboundHandler.js'
@@ -15,6 +16,7 @@
   timers: Timers
   handler: InboundHandler
   log: CallLog
+  lag: Pick<LoopLag, 'whenRead'>
   onSync (message: SyncMessage): SyncMessage
   /** Returns the changes from the version that the peer holds to the active configuration; undefined if there is none. */
   deltaSince (heldVersion: number): ConfigDelta | undefined
@@ -59,6 +61,7 @@
         this.#peers.delete(peer)
         if (callKeys.size > 0) log.decision('peerClosed', { address: socket.remoteAddress, reason, calls: callKeys.size })
         for (const key of callKeys.values()) inbound.onSenderDisconnect(key)
+        callKeys.clear()
       }
     })
     this.#peers.add(peer)
@@ -79,7 +82,7 @@
       case FRAME_KINDS.call: {
         const message = unpackCall(payload)
         callKeys.set(exchangeId, message.key)
-        return inbound.offer(message, sendReply)
+        return this.#opts.lag.whenRead(() => { if (callKeys.get(exchangeId) === message.key) inbound.offer(message, sendReply) })
       }
       case FRAME_KINDS.settle: {
         const message = validateFields<SettleMessage>(payload, ['key', 'incarnation'])
--- a/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
@@ -1,6 +1,8 @@
 import test from 'ava'
 import { connect, type Socket } from 'node:net'
-import { TEST_HEADERS as names } from '../../__tests__/fixtures.js'
+import { once } from 'node:events'
+import { ALWAYS_BEHIND, NO_LAG, TEST_HEADERS as names } from '../../__tests__/fixtures.js'
+import type { LoopLag } from '../../daemon/nodeLoopLag.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { CallMetrics } from '../../observe/callMetrics.js'
 import type { RequestOrigin } from '../../inbound/runningRequests.js'
@@ -13,18 +15,20 @@
 const LONG_MS = 9_000_000
 const chunk = 'x'.repeat(16 * 1024)
 
-async function startServer (events: string[], originOf: (id: string) => RequestOrigin = () => 'caller'): Promise<{ server: NodeOutboundServer, port: number }> {
+async function startServer (events: string[], originOf: (id: string) => RequestOrigin = () => 'caller', lag: Pick<LoopLag, 'whenRead'> = NO_LAG): Promise<{ server: NodeOutboundServer, port: number, handledIds: string[] }> {
+  const handledIds: string[] = []
   const metrics: CallMetrics = { request: () => {}, event: (name) => { events.push(name) }, state: () => {}, text: async () => '' }
   const echoHandler = {
     handle: (req, res) => {
+      handledIds.push(req.head.requestId)
       res.respond({ kind: 'response', status: 200, headers: [], body: Buffer.from(String(req.body.length)), unframed: false })
       return () => {}
     }
   } as Partial<OutboundHandler> as OutboundHandler
-  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: echoHandler, log: new NoopCallLog(), metrics, names, originOf })
+  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: echoHandler, log: new NoopCallLog(), metrics, names, lag, originOf })
   server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: MAX_BODY_BYTES, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 })
   await server.listen()
-  return { server, port: server.port }
+  return { server, port: server.port, handledIds }
 }
 
 /** Sends a request whose body never ends; returns the bytes received until the connection is closed. */
@@ -68,3 +72,16 @@
   server.startRefusing()
   t.deepEqual(await statuses(), [503, 503, 503, 200, 503])
 })
+
+test('guards against a request being sent on after its caller has left, because the event loop was behind', async (t) => {
+  const { server, port, handledIds } = await startServer([], undefined, ALWAYS_BEHIND)
+  t.teardown(() => server.close())
+  const socket = connect(port, '127.0.0.1')
+  const request = (id: string): string => `GET /a/ HTTP/1.1\r\nHost: h\r\nx-id: ${id}\r\n\r\n`
+  socket.write(request('r1'))
+  await once(socket, 'data')
+  socket.write(request('r2'))
+  socket.destroy()
+  t.is((await fetch(`http://127.0.0.1:${port}/b/`, { headers: { 'x-id': 'r3' } })).status, 200)
+  t.deepEqual(handledIds, ['r1', 'r3'])
+})
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -3,6 +3,7 @@
 import { BodyBuffer } from '../buffers/bodyBuffer.js'
 import { BufferBudget } from '../buffers/bufferBudget.js'
 import type { StoppableServer } from '../daemon/gracefulShutdown.js'
+import type { LoopLag } from '../daemon/nodeLoopLag.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import type { RequestOrigin } from '../inbound/runningRequests.js'
 import type { CallLog } from '../observe/callLog.js'
@@ -19,6 +20,7 @@
   log: CallLog
   metrics: CallMetrics
   names: HeaderNames
+  lag: Pick<LoopLag, 'whenRead'>
   /** Who made a request, from its id: a caller, or another request that runs on the target beside this daemon. */
   originOf (requestId: string): RequestOrigin
 }
@@ -156,7 +158,7 @@
     req.on('close', release)
     req.on('end', () => {
       release()
-      if (!res.headersSent) this.#onRequestRead(req, res, body.take())
+      if (!res.headersSent) this.#opts.lag.whenRead(() => this.#onRequestRead(req, res, body.take()))
     })
   }
 
@@ -169,6 +171,7 @@
 
   /** Handles a request that has been read completely. */
   #onRequestRead (req: IncomingMessage, res: ServerResponse, body: Buffer): void {
+    if (res.destroyed || req.socket.readableEnded) return this.#opts.log.call(false, 'outbound', { outcome: 'callerLeft', reason: 'unread' })
     const outcome = parseRequestHead(req.url!, req.rawHeaders, this.#opts.names)
     const responder = this.#responder(req, res)
     if (outcome.kind === 'bad') {
