Keep a held request from running out of a target's queue, or from a sender that hasn't heard of the crash

Now the daemon beside a target keeps it too, when a call arrives and when it gets its slot, but for the last 20 ms, as daemons hear of a crash at different moments. Test red before, green now.

--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -381,3 +381,16 @@
   const reply = setup.replies.get('a')
   t.true(reply?.kind === 'response' && reply.isFinal)
 })
+
+test('guards against a request that waits for a slot running while it is held', (t) => {
+  const setup = setupWithRunningCalls()
+  setup.offer('waiting', { url: '/deadly' })
+  t.is(setup.outcomeOf('waiting'), 'open')
+  setup.quarantine.reportCrash('s', [requestFingerprint({ method: 'GET', url: '/deadly', headers: [], body: new Uint8Array() }, names)])
+  setup.respond('a')
+  t.is(setup.outcomeOf('waiting'), 'notRun suspect')
+  setup.timers.advance(150)
+  setup.offer('later', { url: '/deadly' })
+  t.is(setup.outcomeOf('later'), 'open')
+  t.true(setup.sent.some(({ id }) => id === 'later'))
+})
--- a/packages/hop/src/inbound/crashGuard.ts
+++ b/packages/hop/src/inbound/crashGuard.ts
@@ -2,7 +2,7 @@
 import type { TargetRecord } from '../fleet/hostRecord.js'
 import type { CallMessage, NotRunReason } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
-import { FIRST_HOLD_MS, type Quarantine } from '../quarantine/quarantine.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import { CrashDetector, type ConnectOutcome } from './crashDetector.js'
 import { ProvenRequests } from './provenRequests.js'
@@ -27,6 +27,8 @@
   onCrash (target: TargetRecord | undefined, isPlanned: boolean): void
 }
 
+/** Time before the end of a hold from which a request is accepted: senders heard of the crash at another moment. */
+const HOLD_TOLERANCE_MS = 20
 /** Requests named in the log line of a crash. */
 const MAX_LOGGED_RUNS = 32
 
@@ -83,7 +85,7 @@
     const fingerprint = this.fingerprintOf(message)
     const standing = quarantine.standing(fingerprint)
     if (standing === 'blocked') return 'quarantined'
-    if (this.#isHeldForLong(fingerprint)) return 'suspect'
+    if (this.#isHeld(fingerprint)) return 'suspect'
     if (standing === 'clear' && !message.suspect) return undefined
     for (const call of calls) if (this.fingerprintOf(call.message) === fingerprint) return 'suspect'
     return undefined
@@ -94,7 +96,7 @@
     const { quarantine } = this.#opts
     if (quarantine.isEmpty) return false
     const fingerprint = this.fingerprintOf(message)
-    return quarantine.standing(fingerprint) === 'blocked' || this.#isHeldForLong(fingerprint)
+    return quarantine.standing(fingerprint) === 'blocked' || this.#isHeld(fingerprint)
   }
 
   fingerprintOf (message: CallMessage): string {
@@ -124,9 +126,8 @@
     this.#detector.onLoss(call, settle)
   }
 
-  /** Whether a request is held after more than one crash; a first hold is kept by the senders, whose clocks differ a little. */
-  #isHeldForLong (fingerprint: string): boolean {
-    return this.#opts.quarantine.refusedMs(fingerprint) > FIRST_HOLD_MS
+  #isHeld (fingerprint: string): boolean {
+    return this.#opts.quarantine.refusedMs(fingerprint) > HOLD_TOLERANCE_MS
   }
 
   #onCrash (calls: readonly GuardedCall[]): void {
