--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -51,7 +51,7 @@
   }
   const calls = new Set(requestLines.map((line) => line['call']).filter((call) => call !== undefined) as unknown[])
   const lines = log.filter((line) => line['id'] === id || calls.has(line['call'])).sort((a, b) => a.at - b.at)
-  const context = contextSentences(lines, log)
+  const context = [...crashSentences(lines, log), ...contextSentences(lines, log)]
   return { id, lines, sentences: [...lines.map(lineSentence), ...context, causeSentence(lines)] }
 }
 
@@ -74,6 +74,8 @@
         `(${line['running']} running, ${line['queued']} waiting)`
     case 'boundPassed':
       return `closed the connection of its ${line['from']}, which exceeded the limit ${line['bound']} (${line['limit']}) with ${line['bytes']} bytes`
+    case 'requestBlocked':
+      return `blocked the request for ${Math.round(Number(line['forMs']) / MS_PER_MINUTE)} minutes, after the crashes ${String(line['reports'])}`
     case 'settled':
       return `was asked how call ${line['call']} ended: ${line['settlement']}`
     default:
@@ -85,6 +87,24 @@
   return line['reason'] === undefined ? '' : ` (${String(line['reason'])})`
 }
 
+/** The crashes that count against the request, and the decision to block it, from the lines of any host. */
+function crashSentences (lines: readonly LogLine[], log: readonly LogLine[]): string[] {
+  const request = lines.find((line) => typeof line['request'] === 'string')?.['request']
+  if (request === undefined) return []
+  return log.filter((line) => line.at <= lines.at(-1)!.at).flatMap((line) => {
+    if (line.what === 'requestBlocked' && line['request'] === request) return [`Before: ${lineSentence(line)}`]
+    const run = line.what === 'targetCrashed' ? runOf(line, request) : undefined
+    const time = new Date(line.at).toISOString().slice(11, 23)
+    return run ? [`Before: ${time} ${line.host}: target ${line['target']} crashed ${run.ms} ms after it began to run this request, then with id ${run.id}.`] : []
+  })
+}
+
+/** The run of a request on a target that crashed, by the request's fingerprint. */
+function runOf (line: LogLine, request: unknown): { id: string, ms: number } | undefined {
+  const running = Array.isArray(line['running']) ? line['running'] as { id: string, request: unknown, ms: number }[] : []
+  return running.find((run) => run.request === request)
+}
+
 /** State changes that the hosts of the request logged shortly before it ended, such as a lost peer. */
 function contextSentences (lines: readonly LogLine[], log: readonly LogLine[]): string[] {
   const hosts = new Set(lines.map(({ host }) => host))
@@ -94,6 +114,7 @@
   return related.slice(-MAX_CONTEXT_LINES).map((line) => `Before: ${lineSentence(line)}`)
 }
 
+const MS_PER_MINUTE = 60_000
 /** Limits of the state changes that are shown: how long before the end of the request, and how many. */
 const CONTEXT_WINDOW_MS = 3_000
 const MAX_CONTEXT_LINES = 8
@@ -119,6 +140,9 @@
   garbled: 'The target sent something that is not a valid response.',
   unbounded: 'The target sent a response that exceeds a size limit, and its connection was closed.',
   lost: 'The link to the daemon beside the target broke, and how the call ended could not be learned.',
+  quarantined: 'It has crashed several targets, so it is refused until the block ends.',
+  suspect: 'It ran on a target that crashed, and waits until it may be tried again.',
+  crashed: 'The target ended while it ran there.',
   stopping: 'The daemon was about to stop.',
   unreachable: 'The target refused connections.'
 }
