--- a/packages/hop/src/__tests__/limit.spec.ts
+++ b/packages/hop/src/__tests__/limit.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { LoadSimulator, type DaemonRestart, type StatedLimit } from './loadSimulator.js'
+import type { DaemonRestart, StatedLimit } from './loadOptions.js'
+import { LoadSimulator } from './loadSimulator.js'
 import { ATELIER_WORKLOAD } from './workloads.js'
 
 const SEEDS = [1, 2, 3]
--- a/packages/hop/src/__tests__/load.spec.ts
+++ b/packages/hop/src/__tests__/load.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { LoadSimulator, type ClassResult, type LoadOptions } from './loadSimulator.js'
+import type { ClassResult, LoadOptions } from './loadOptions.js'
+import { LoadSimulator } from './loadSimulator.js'
 import { ATELIER_WORKLOAD, CARVERS_WORKLOAD, FLOOR_SHOPS_WORKLOAD, type Workload } from './workloads.js'
 
 const SEEDS = [1, 2, 3]
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -10,62 +10,24 @@
 import { LoadBalancer } from '../outbound/loadBalancer.js'
 import { ResponseSizes } from '../outbound/responseSizes.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
+import type { QuarantineNews } from '../quarantine/quarantineNews.js'
 import type { MeshConfig, MeshRoute } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
 import { EpochTracker } from '../store/epochTracker.js'
+import type { ClassResult, DaemonRestart, LoadOptions, StatedLimit } from './loadOptions.js'
 import { SimTarget, type ParentRun } from './simTarget.js'
 import type { RequestClass, Workload } from './workloads.js'
 
-/** Length and disturbances of a simulation. */
-export interface LoadOptions {
-  seed: number
-  seconds: number
-  /** Factor on the request rate, by simulated time in seconds. */
-  rateAt (second: number): number
-  /** Factor on the work of a target, by simulated time in seconds. */
-  slowness? (host: string, service: string, second: number): number
-  /** Share of requests that a target fails. */
-  failing? (host: string, service: string, second: number): number
-  /** Share of requests that a target sheds at once. */
-  shedding? (host: string, service: string, second: number): number
-  /** Requests per second that a target states as its limit; undefined when it states none. */
-  limitPerS? (host: string, service: string, second: number): number | undefined
-  /** Daemons that are stopped and started again. */
-  restarts?: readonly DaemonRestart[]
-}
-
-/** A planned restart of one daemon: it says that it stops, and is down once its requests have ended. */
-export interface DaemonRestart {
-  host: string
-  stoppingAtS: number
-  downAtS: number
-  upAtS: number
-}
-
-/** A limit on its requests that a target stated from a time on. */
-export interface StatedLimit {
-  /** Milliseconds, when the first response stated it. */
-  at: number
-  /** Requests per second; Infinity for no limit. */
-  perS: number
-}
-
-/** Outcomes of the requests of one class, as their callers see them. */
-export interface ClassResult {
-  requests: number
-  onTime: number
-  late: number
-  rejected: number
-  failed: number
-  /** Value earned as a fraction of the value of all requests, had all responses been in time. */
-  valueShare: number
-  /** Rejections that came later than a quarter of the target latency. */
-  lateRejections: number
-  /** Requests that were served after one rejection, and those of them within the target latency. */
-  servedAfterRejection: number
-  onTimeAfterRejection: number
+/** A request of a caller, which may take several attempts. */
+interface CallerRequest {
+  cls: RequestClass
+  path: string
+  requestedAt: number
 }
 
+/** Time for which a target that crashed is gone. */
+const DOWN_MS = 3_200
 /** Simulated network latency between two daemons, one way. */
 const ONE_WAY_MS = 1
 
@@ -76,6 +38,7 @@
   inbound: InboundHandler
   outbound: OutboundHandler
   balancer: LoadBalancer
+  quarantine: Quarantine
 }
 
 /**
@@ -101,6 +64,11 @@
   readonly arrivals = new Map<string, number[]>()
   /** Limits that the targets of each host stated, one after the other, beginning with the first finite one. */
   readonly statedLimits = new Map<string, StatedLimit[]>()
+  /** Times in milliseconds at which deadly requests began to run, and at which they crashed a target. */
+  readonly deadlyArrivals: number[] = []
+  readonly deadlyCrashes: number[] = []
+  /** Refusals of requests that aren't deadly, by reason. */
+  readonly refusals = new Map<string, number>()
   /** Hosts whose daemon is down. */
   readonly #down = new Set<string>()
   #ids = 0
@@ -126,6 +94,7 @@
   run (): Record<string, ClassResult> {
     for (const cls of this.#workload.classes) if (cls.ratePerS > 0) this.#schedule(cls)
     for (const restart of this.opts.restarts ?? []) this.#scheduleRestart(restart)
+    for (const { host, atS } of this.opts.kills ?? []) this.timers.after(atS * 1000, () => this.crash(host, false))
     this.timers.advance(this.opts.seconds * 1000 + 5_000)
     const results: Record<string, ClassResult> = {}
     for (const cls of this.#workload.classes) {
@@ -137,24 +106,50 @@
     return results
   }
 
+  /** A host that is up; a deadly request always has the same caller, so it comes from hosts of the first service. */
+  #callerHost ({ cls, path }: CallerRequest): string {
+    const isDeadly = this.opts.isDeadly?.(`/${cls.name}/${path}`)
+    const hosts = this.#upHosts().filter((host) => !isDeadly || this.#hosts.get(host)!.record.target!.service === this.#workload.services[0]!.name)
+    return this.#random.pick(hosts)
+  }
+
   /** Sends one request through the daemon of a host; `done` is told whether it succeeded. */
-  sendRequest (host: string, cls: RequestClass, parent: ParentRun | undefined, done: (ok: boolean, retryAfterMs?: number, isRejected?: boolean) => void, deadlineMs = cls.deadlineMs): () => void {
+  sendRequest (host: string, cls: RequestClass, parent: ParentRun | undefined, done: (ok: boolean, retryAfterMs?: number, isRejected?: boolean) => void, deadlineMs = cls.deadlineMs, path = 'x'): () => void {
+    const url = `/${cls.name}/${path}`
     const id = parent ? `${parent.id}.${++this.#ids}` : `r${++this.#ids}`
     const counts = this.#countsOf(cls.service)
     counts.requests++
     if (parent?.isRetry) this.#retryIds.add(id)
     return this.#hosts.get(host)!.outbound.handle({
       method: cls.idempotent ? 'GET' : 'POST',
-      url: `/${cls.name}/x`,
-      head: { requestId: id, host: 'h', path: `/${cls.name}/x`, headers: [], deadlineMs },
+      url,
+      head: { requestId: id, host: 'h', path: url, headers: [], deadlineMs },
       body: new Uint8Array(cls.requestBytes ?? 0),
       origin: this.#hosts.get(host)!.inbound.originOf(id)
     }, {
       respond: (reply) => done(reply.status === 200),
-      reject: (status, _reason, retryAfterMs) => done(false, retryAfterMs, status === 503)
+      reject: (status, reason, retryAfterMs) => {
+        if (!this.opts.isDeadly?.(url)) this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1)
+        done(false, retryAfterMs, status === 503)
+      }
     })
   }
 
+  /** Crashes the target of a host. */
+  crash (host: string, isByRequest: boolean): void {
+    const hasCrashed = this.#hosts.get(host)!.client.crash(DOWN_MS)
+    if (isByRequest && hasCrashed) this.deadlyCrashes.push(this.timers.now())
+  }
+
+  /** Called when the target of a host has started again. */
+  onTargetStart (host: string): void {
+    const simHost = this.#hosts.get(host)!
+    const { record } = simHost
+    simHost.record = { ...record, sequence: record.sequence + 1, target: { ...record.target!, startedAt: this.timers.now() } }
+    simHost.inbound.onTargetChange()
+    this.#spreadRecords()
+  }
+
   /** Counts an arrival at a target; true if the run is a retry, or a nested call of one. */
   onArrival (host: string, service: string, id: string): boolean {
     const times = this.arrivals.get(host)
@@ -222,6 +217,8 @@
       this.#addDaemon({ ...record, stopping: false, incarnation: record.incarnation + 1, sequence: 1 }, client)
       this.#hosts.get(host)!.outbound.setTable(new RouteTable(this.#config()))
       this.#spreadRecords()
+      const peer = this.#upHosts().find((other) => other !== host)!
+      timers.after(2 * ONE_WAY_MS, () => this.#hosts.get(host)!.quarantine.merge(this.#hosts.get(peer)!.quarantine.all()))
     })
   }
 
@@ -240,22 +237,28 @@
   #addDaemon (record: HostRecord, client: SimTarget, random = new SeededRandom(Math.imul(this.#random.int(1e9), 0x9e3779b1))): void {
     const { timers } = this
     const { host, dataCentre, incarnation } = record
-    const target = record.target!
+    const target = (): TargetRecord => this.#hosts.get(host)?.record.target ?? record.target!
     const log = new NoopCallLog()
-    const quarantine = testQuarantine(timers)
+    const quarantine = testQuarantine(timers, { idPrefix: () => `${host}/${incarnation}`, onNews: (news, isOwn) => { if (isOwn) this.#tellOthers(host, news) } })
     const fleet = new Fleet({
       own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
     })
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
-      timers, random, log, names, client, target: () => target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
+      timers, random, log, names, client, target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
     })
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundHandler({
-      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), versions: { choose: () => undefined }, quarantine, callerService: () => target.service
+      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), versions: { choose: () => undefined }, quarantine, callerService: () => record.target!.service
     })
-    this.#hosts.set(host, { record, client, fleet, inbound: inboundHandler, outbound, balancer })
+    this.#hosts.set(host, { record, client, fleet, inbound: inboundHandler, outbound, balancer, quarantine })
+  }
+
+  #tellOthers (from: string, news: QuarantineNews): void {
+    for (const [host, { quarantine }] of this.#hosts) {
+      if (host !== from && !this.#down.has(host)) this.timers.after(ONE_WAY_MS, () => quarantine.merge(news))
+    }
   }
 
   #link (peer: string, dataCentre: string): PeerLink {
@@ -309,13 +312,14 @@
       this.#schedule(cls)
       const result = this.#results.get(cls.name)!
       result.requests++
-      this.#attempt(this.#random.pick(this.#upHosts()), cls, this.timers.now(), cls.retries)
+      this.#attempt({ cls, path: this.opts.pathOf?.(cls, this.timers.now() / 1000) ?? 'x', requestedAt: this.timers.now() }, cls.retries)
     })
   }
 
   /** One attempt of a caller, which retries as its class allows and waits for Retry-After, but no longer than a third of its time. */
-  #attempt (host: string, cls: RequestClass, requestedAt: number, retries: number, rejections = 0): void {
+  #attempt (request: CallerRequest, retries: number, rejections = 0): void {
     const { timers } = this
+    const { cls, path, requestedAt } = request
     const result = this.#results.get(cls.name)!
     const startedAt = timers.now()
     const remainingMs = requestedAt + cls.deadlineMs - startedAt
@@ -326,7 +330,7 @@
       result.failed++
       cancel()
     })
-    const cancel = this.sendRequest(host, cls, undefined, (ok, retryAfterMs, isRejected) => {
+    const cancel = this.sendRequest(this.#callerHost(request), cls, undefined, (ok, retryAfterMs, isRejected) => {
       if (isDone) return
       isDone = true
       stopDeadline()
@@ -339,13 +343,13 @@
         if (rejections === 1 && ms <= cls.targetLatencyMs) result.onTimeAfterRejection++
       } else if (retries > 0 && (isRejected || cls.idempotent)) {
         const waitMs = Math.min(retryAfterMs ?? 20, (requestedAt + cls.deadlineMs - timers.now()) / 3)
-        timers.after(waitMs, () => this.#attempt(this.#random.pick(this.#upHosts()), cls, requestedAt, retries - 1, rejections + (isRejected ? 1 : 0)))
+        timers.after(waitMs, () => this.#attempt(request, retries - 1, rejections + (isRejected ? 1 : 0)))
       } else if (isRejected) {
         result.rejected++
       } else {
         result.failed++
       }
-    }, remainingMs)
+    }, remainingMs, path)
   }
 }
 
--- a/packages/hop/src/__tests__/simTarget.ts
+++ b/packages/hop/src/__tests__/simTarget.ts
@@ -13,6 +13,8 @@
 }
 
 const DEFAULT_RESPONSE_BYTES = 100
+/** Longest time from the start of a deadly request to the crash of its target. */
+const MAX_FUSE_MS = 150
 
 /** Simulated target: runs requests in its slots at its speed, makes their nested calls, and can be slow, fail or shed. */
 export class SimTarget implements TargetClient {
@@ -23,6 +25,9 @@
   readonly #speed: number
   readonly #random: Random
   running = 0
+  #isDown = false
+  /** Ends each request that runs here. */
+  readonly #running = new Set<(result: TargetResult) => void>()
 
   constructor (simulator: LoadSimulator, host: string, service: string, slots: number, speed: number, random: Random) {
     this.#simulator = simulator
@@ -34,7 +39,19 @@
   }
 
   tryConnect (done: (outcome: ConnectOutcome) => void): void {
-    done('accepted')
+    this.#simulator.timers.after(1, () => done(this.#isDown ? 'refused' : 'accepted'))
+  }
+
+  /** Ends at once with all that runs here, and is back after a time; false if it is gone already. */
+  crash (downMs: number): boolean {
+    if (this.#isDown) return false
+    this.#isDown = true
+    for (const finish of [...this.#running]) finish({ kind: 'failed', reason: 'reset' })
+    this.#simulator.timers.after(downMs, () => {
+      this.#isDown = false
+      this.#simulator.onTargetStart(this.#host)
+    })
+    return true
   }
 
   reset (): void {}
@@ -42,22 +59,32 @@
   send (request: TargetRequest, _idempotent: boolean, done: (result: TargetResult) => void): () => void {
     const { timers, opts } = this.#simulator
     const second = timers.now() / 1000
+    if (this.#isDown) {
+      timers.after(1, () => done({ kind: 'notRun', reason: 'unreachable' }))
+      return () => {}
+    }
     const head = request.bytes.toString('latin1').split('\r\n')
+    const url = head[0]!.split(' ')[1]!
     const isRetry = this.#simulator.onArrival(this.#host, this.#service, request.requestId)
-    const cls = this.#simulator.classOf(head[0]!.split(' ')[1]!)
+    const cls = this.#simulator.classOf(url)
     let isDone = false
     const end = (status: number, bytes?: number): void => finish(response(status, this.#statement(), bytes))
     const finish = (result: TargetResult): void => {
       if (isDone) return
       isDone = true
+      this.#running.delete(finish)
       this.running--
       stopDeadline()
       done(result)
     }
+    this.#running.add(finish)
     this.running++
     if (this.running > this.#slots) throw new Error(`${this.#host} got more requests than it has slots`)
     const stopDeadline = timers.after(request.timeoutMs, () => end(504))
-    if (this.#random.next() < (opts.shedding?.(this.#host, this.#service, second) ?? 0)) {
+    if (opts.isDeadly?.(url)) {
+      this.#simulator.deadlyArrivals.push(timers.now())
+      timers.after(MAX_FUSE_MS * this.#random.next(), () => this.#simulator.crash(this.#host, true))
+    } else if (this.#random.next() < (opts.shedding?.(this.#host, this.#service, second) ?? 0)) {
       timers.after(1, () => finish({ kind: 'notRun', reason: 'shed', statement: this.#statement() }))
     } else {
       const tailFactor = this.#random.next() < 0.01 ? 4 : 1
