--- a/packages/hop/src/daemon/nodeLoopLag.ts
+++ b/packages/hop/src/daemon/nodeLoopLag.ts
@@ -2,7 +2,7 @@
 
 const TICK_MS = 50
 /** Delay of a tick from which on the event loop counts as behind. */
-const LAG_MS = 100
+const LAG_MS = 20
 /** Time for which it still does after a late tick, while what has arrived in between is being read. */
 const RECOVERY_MS = 500
 
