--- a/packages/hop/src/inbound/crashGuard.ts
+++ b/packages/hop/src/inbound/crashGuard.ts
@@ -18,7 +18,7 @@
   timers: Pick<Timers, 'now'>
   log: CallLog
   names: Pick<HeaderNames, 'callerService'>
-  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'refusedMs' | 'reportCrash' | 'clear'>
+  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'refusedMs' | 'reportCrash' | 'clear'>
   /** Opens a connection to the target and tells how that went. */
   tryConnect (done: (outcome: ConnectOutcome) => void): void
   /** Calls that run on the target now. */
@@ -87,7 +87,7 @@
     if (standing === 'blocked') return 'quarantined'
     if (this.#isHeld(fingerprint)) return 'suspect'
     if (standing === 'clear' && !message.suspect) return undefined
-    for (const call of calls) if (this.fingerprintOf(call.message) === fingerprint) return 'suspect'
+    for (const call of calls) if (this.#areAmbiguous(fingerprint, this.fingerprintOf(call.message))) return 'suspect'
     return undefined
   }
 
@@ -126,6 +126,15 @@
     this.#detector.onLoss(call, settle)
   }
 
+  /**
+   * Whether a crash under two requests would not tell which of them caused it, or whether they are the same. One crash is no more
+   * than a suspicion, so only those with two or more are kept apart.
+   */
+  #areAmbiguous (a: string, b: string): boolean {
+    const { quarantine } = this.#opts
+    return a === b || (quarantine.crashes(a) > 1 && quarantine.crashes(b) > 1)
+  }
+
   #isHeld (fingerprint: string): boolean {
     return this.#opts.quarantine.refusedMs(fingerprint) > HOLD_TOLERANCE_MS
   }
@@ -137,7 +146,8 @@
     const byStart = [...calls].sort((a, b) => a.startedAt - b.startedAt)
     const suspects = byStart.map(({ message }) => this.fingerprintOf(message)).filter((fingerprint) => this.#isSuspect(fingerprint))
     log.decision('targetCrashed', { target: this.#target?.id, service: this.#target?.service, suspects: suspects.length, running: this.#describe(byStart) })
-    if (this.#target) quarantine.reportCrash(this.#target.service, suspects)
+    const retried = byStart.filter(({ message }) => message.repeat).map(({ message }) => this.fingerprintOf(message))
+    if (this.#target) quarantine.reportCrash(this.#target.service, suspects, retried)
   }
 
   #describe (calls: readonly GuardedCall[]): object[] {
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -34,7 +34,7 @@
   /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
   coldPerS (service: string): number | undefined
   /** What is known about requests that crash targets. */
-  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'refusedMs' | 'reportCrash' | 'clear'>
+  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'refusedMs' | 'reportCrash' | 'clear'>
   /** Called when the target says in a response that it leaves. */
   onTargetLeaving (departure: Departure): void
   /** Called when the target has crashed. */
--- a/packages/hop/src/quarantine/__tests__/quarantine.spec.ts
+++ b/packages/hop/src/quarantine/__tests__/quarantine.spec.ts
@@ -65,6 +65,16 @@
   t.is(quarantine.refusedMs(DEADLY), 0)
 })
 
+test('guards against a request being held for long because its retry landed on a target that was killed, too', (t) => {
+  const timers = new VirtualTimers()
+  const quarantine = testQuarantine(timers)
+  quarantine.reportCrash('s', [OTHER])
+  timers.advance(300)
+  quarantine.reportCrash('s', [OTHER], [OTHER])
+  t.is(quarantine.crashes(OTHER), 2)
+  t.is(quarantine.refusedMs(OTHER), 150)
+})
+
 test('guards against a request that runs well being blocked with one that crashes targets beside it', (t) => {
   const setup = new TestSetup()
   setup.crash([DEADLY, OTHER], [DEADLY, OTHER])
@@ -154,9 +164,9 @@
 })
 
 test('guards against one odd entry of a peer\'s news costing the others', (t) => {
-  const report = { id: 'a/1/1', service: 's', suspects: [DEADLY], ageMs: 5 }
+  const report = { id: 'a/1/1', service: 's', suspects: [DEADLY], retried: [DEADLY], ageMs: 5 }
   const block = { fingerprint: DEADLY, level: 1, isCleared: false, ageMs: 5 }
-  const odd = [null, 7, 'x', [], { ...report, suspects: ['short'] }, { ...report, suspects: DEADLY }, { ...report, ageMs: -1 }, { ...report, ageMs: Infinity }, { ...report, id: '' }]
+  const odd = [null, 7, 'x', [], { ...report, suspects: ['short'] }, { ...report, retried: undefined }, { ...report, suspects: DEADLY }, { ...report, ageMs: -1 }, { ...report, ageMs: Infinity }, { ...report, id: '' }]
   const oddBlocks = [null, { ...block, level: 0 }, { ...block, level: 1.5 }, { ...block, fingerprint: 7 }, { ...block, isCleared: 'no' }, { ...block, ageMs: NaN }]
   let invalid = 0
   t.deepEqual(readQuarantineNews({ reports: [...odd, report], blocks: [...oddBlocks, block] }, () => { invalid++ }), { reports: [report], blocks: [block] })
--- a/packages/hop/src/quarantine/quarantine.ts
+++ b/packages/hop/src/quarantine/quarantine.ts
@@ -34,6 +34,7 @@
 interface KnownReport {
   service: string
   suspects: Set<string>
+  retried: ReadonlySet<string>
   at: number
 }
 
@@ -47,7 +48,7 @@
 const MAX_CRASHES = 3
 /** Time for which a request isn't sent after its first crash: runs under way elsewhere show by then whether they crash as well. */
 export const FIRST_HOLD_MS = 150
-/** The same after a later crash: time for the targets that crashed to be back, so that the request doesn't take one more while they are missing. */
+/** The same after crashes under two copies of it, a daemon's own retry not counted: time for the targets that crashed to be back, so that the request doesn't take one more while they are missing. */
 const LATER_HOLD_MS = 5_000
 /** Time for which a crash counts against the requests that ran there. */
 const SUSPICION_MS = 600_000
@@ -110,11 +111,14 @@
     return block && this.#isInForce(block) ? block.at + blockMs(block.level) - this.#now : this.#heldMs(fingerprint)
   }
 
-  /** Reports a crash of the target beside this daemon, with the requests that may have caused it in the order of their starts. */
-  reportCrash (service: string, fingerprints: readonly string[]): void {
+  /**
+   * Reports a crash of the target beside this daemon, with the requests that may have caused it in the order of their starts. `retried`: those
+   * that ran as a daemon's retry.
+   */
+  reportCrash (service: string, fingerprints: readonly string[], retried: readonly string[] = []): void {
     const id = `${this.#opts.idPrefix()}/${++this.#lastReport}`
     const suspects = [...new Set(fingerprints)].slice(-MAX_SUSPECTS)
-    this.#apply({ reports: [{ id, service, suspects, ageMs: 0 }], blocks: [] }, true)
+    this.#apply({ reports: [{ id, service, suspects, retried: suspects.filter((suspect) => retried.includes(suspect)), ageMs: 0 }], blocks: [] }, true)
   }
 
   /** Takes a request that has run well beside this daemon off all reports and blocks. */
@@ -170,8 +174,13 @@
   /** Milliseconds until a request may be sent again after its last crash. */
   #heldMs (fingerprint: string): number {
     let lastAt = -Infinity
-    for (const { suspects, at } of this.#reports.values()) if (suspects.has(fingerprint)) lastAt = Math.max(lastAt, at)
-    const holdMs = this.crashes(fingerprint) > 1 ? LATER_HOLD_MS : FIRST_HOLD_MS
+    let copies = 0
+    for (const { suspects, retried, at } of this.#reports.values()) {
+      if (!suspects.has(fingerprint)) continue
+      lastAt = Math.max(lastAt, at)
+      if (!retried.has(fingerprint)) copies++
+    }
+    const holdMs = copies > 1 && this.crashes(fingerprint) > 1 ? LATER_HOLD_MS : FIRST_HOLD_MS
     return Math.max(0, lastAt + holdMs - this.#now)
   }
 
@@ -234,10 +243,10 @@
     return gone.length > 0
   }
 
-  #addReport ({ id, service, suspects, ageMs }: CrashReport): boolean {
+  #addReport ({ id, service, suspects, retried, ageMs }: CrashReport): boolean {
     const at = this.#now - ageMs
     if (ageMs >= SUSPICION_MS || !this.#makeRoom(this.#reports, MAX_REPORTS, at, (oldId) => this.#removeReport(oldId))) return false
-    this.#reports.set(id, { service, suspects: new Set(suspects), at })
+    this.#reports.set(id, { service, suspects: new Set(suspects), retried: new Set(retried), at })
     for (const suspect of new Set(suspects)) this.#countReport(suspect, 1)
     return true
   }
@@ -293,8 +302,8 @@
   return Math.min(MAX_BLOCK_MS, FIRST_BLOCK_MS * 2 ** (level - 1))
 }
 
-function formatReport (id: string, { service, suspects, at }: KnownReport, now: number): CrashReport {
-  return { id, service, suspects: [...suspects], ageMs: now - at }
+function formatReport (id: string, { service, suspects, retried, at }: KnownReport, now: number): CrashReport {
+  return { id, service, suspects: [...suspects], retried: [...retried], ageMs: now - at }
 }
 
 function formatBlock (fingerprint: string, { level, isCleared, at }: KnownBlock, now: number): Block {
--- a/packages/hop/src/quarantine/quarantineNews.ts
+++ b/packages/hop/src/quarantine/quarantineNews.ts
@@ -10,6 +10,8 @@
   service: string
   /** Fingerprints of the requests. */
   suspects: string[]
+  /** Those of them that ran there as a daemon's retry. */
+  retried: string[]
   /** Milliseconds since the crash, when the report was sent. */
   ageMs: number
 }
@@ -47,8 +49,8 @@
 
 function isCrashReport (value: unknown): value is CrashReport {
   if (typeof value !== 'object' || value === null) return false
-  const { id, service, suspects, ageMs } = value as Partial<CrashReport>
-  return typeof id === 'string' && id !== '' && typeof service === 'string' && Array.isArray(suspects) && suspects.length <= MAX_SUSPECTS && suspects.every(isFingerprint) && isAge(ageMs)
+  const { id, service, suspects, retried, ageMs } = value as Partial<CrashReport>
+  return typeof id === 'string' && id !== '' && typeof service === 'string' && areSuspects(suspects) && areSuspects(retried) && isAge(ageMs)
 }
 
 /** Whether a value from a peer or the store is a block. */
@@ -58,6 +60,10 @@
   return isFingerprint(fingerprint) && Number.isInteger(level) && level! > 0 && typeof isCleared === 'boolean' && isAge(ageMs)
 }
 
+function areSuspects (value: unknown): value is string[] {
+  return Array.isArray(value) && value.length <= MAX_SUSPECTS && value.every(isFingerprint)
+}
+
 function isAge (value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0
 }
