Log invalid records of sync messages in one place, and drop what nobody uses

Found on reading the change once more: both ends of a link wrote the same reader for sync messages, which now takes the timers and the log itself; the target that a crash callback passed on had no reader, and the type of the quarantine that a target's side needs stood twice; two gauges counted the blocked requests twice a second; explain-request formatted a line's time in two places. No behaviour changes.

--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -52,12 +52,12 @@
   const calls = new Set(requestLines.map((line) => line['call']).filter((call) => call !== undefined) as unknown[])
   const lines = log.filter((line) => line['id'] === id || calls.has(line['call'])).sort((a, b) => a.at - b.at)
   const context = [...crashSentences(lines, log), ...contextSentences(lines, log)]
-  return { id, lines, sentences: [...lines.map(lineSentence), ...context, causeSentence(lines)] }
+  return { id, lines, sentences: [...lines.map((line) => lineSentence(line)), ...context, causeSentence(lines)] }
 }
 
-function lineSentence (line: LogLine): string {
+function lineSentence (line: LogLine, description = describeLine(line)): string {
   const time = new Date(line.at).toISOString().slice(11, 23)
-  return `${time} ${line.host}: ${describeLine(line)}.`
+  return `${time} ${line.host}: ${description}.`
 }
 
 function describeLine (line: LogLine): string {
@@ -94,8 +94,7 @@
   return log.filter((line) => line.at <= lines.at(-1)!.at).flatMap((line) => {
     if (line.what === 'requestBlocked' && line['request'] === request) return [`Before: ${lineSentence(line)}`]
     const run = line.what === 'targetCrashed' ? runOf(line, request) : undefined
-    const time = new Date(line.at).toISOString().slice(11, 23)
-    return run ? [`Before: ${time} ${line.host}: target ${line['target']} crashed ${run.ms} ms after it began to run this request, then with id ${run.id}.`] : []
+    return run ? [`Before: ${lineSentence(line, `target ${line['target']} crashed ${run.ms} ms after it began to run this request, then with id ${run.id}`)}`] : []
   })
 }
 
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -191,8 +191,9 @@
       metrics.state('peersUp', this.#fleet.live().length - 1)
       metrics.state('running', this.#inbound.active)
       metrics.state('storeEpoch', store.epochs.current)
-      metrics.state('suspects', this.#quarantine.counts.suspects)
-      metrics.state('blocked', this.#quarantine.counts.blocked)
+      const { suspects, blocked } = this.#quarantine.counts
+      metrics.state('suspects', suspects)
+      metrics.state('blocked', blocked)
       const { limitPerS, sent } = this.#inbound.rate
       metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
       metrics.state('targetSent', sent)
--- a/packages/hop/src/inbound/crashGuard.ts
+++ b/packages/hop/src/inbound/crashGuard.ts
@@ -24,7 +24,7 @@
   /** Calls that run on the target now. */
   running (): GuardedCall[]
   /** Called when the target has crashed; `isPlanned`: it had said before that it leaves. */
-  onCrash (target: TargetRecord | undefined, isPlanned: boolean): void
+  onCrash (isPlanned: boolean): void
 }
 
 /** Time before the end of a hold from which a request is accepted: senders heard of the crash at another moment. */
@@ -141,7 +141,7 @@
 
   #onCrash (calls: readonly GuardedCall[]): void {
     const { log, quarantine, onCrash } = this.#opts
-    onCrash(this.#target, this.#isLeaving)
+    onCrash(this.#isLeaving)
     if (this.#isLeaving) return
     const byStart = [...calls].sort((a, b) => a.startedAt - b.startedAt)
     const suspects = byStart.map(({ message }) => this.fingerprintOf(message)).filter((fingerprint) => this.#isSuspect(fingerprint))
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -2,11 +2,10 @@
 import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
-import type { Quarantine } from '../quarantine/quarantine.js'
 import type { RequestResult } from '../rollout/resultAggregator.js'
 import { Admission, type SlotRequest } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
-import { CrashGuard } from './crashGuard.js'
+import { CrashGuard, type CrashGuardOptions } from './crashGuard.js'
 import type { TargetClient } from './nodeTargetClient.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
@@ -34,11 +33,11 @@
   /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
   coldPerS (service: string): number | undefined
   /** What is known about requests that crash targets. */
-  quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'refusedMs' | 'reportCrash' | 'clear'>
+  quarantine: CrashGuardOptions['quarantine']
   /** Called when the target says in a response that it leaves. */
   onTargetLeaving (departure: Departure): void
   /** Called when the target has crashed. */
-  onTargetCrash (target: TargetRecord | undefined): void
+  onTargetCrash (): void
   /** Called with each result of a request to the target, from which versions are judged. */
   onResult (target: TargetRecord, result: RequestResult): void
 }
@@ -90,7 +89,7 @@
       ...opts,
       tryConnect: (done) => opts.client.tryConnect(done),
       running: () => [...this.#calls.values()].filter(({ state }) => state === 'running'),
-      onCrash: (target, isPlanned) => this.#onCrash(target, isPlanned)
+      onCrash: (isPlanned) => this.#onCrash(isPlanned)
     })
     opts.timers.every(QUEUE_CHECK_INTERVAL_MS, () => this.#checkQueue())
     opts.timers.every(PRUNE_INTERVAL_MS, () => this.#registry.prune(opts.timers.now()))
@@ -286,10 +285,10 @@
     this.#startQueued()
   }
 
-  #onCrash (target: TargetRecord | undefined, isPlanned: boolean): void {
+  #onCrash (isPlanned: boolean): void {
     this.#health.recordCrash(this.#opts.timers.now())
     this.#endQueued('unreachable')
-    if (!isPlanned) this.#opts.onTargetCrash(target)
+    if (!isPlanned) this.#opts.onTargetCrash()
   }
 
   /** Updates what is known about the target's latency, and passes on the result. */
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -67,11 +67,6 @@
     this.#peers.add(peer)
   }
 
-  #readSync (payload: unknown): SyncMessage {
-    const { timers, log } = this.#opts
-    return readSyncMessage(payload, { wallNow: timers.wallNow(), onBadRecord: (field, from) => log.decision('badRecord', { from, field }) })
-  }
-
   #onFrame (peer: FrameSocket, callKeys: Map<number, string>, [kind, exchangeId, payload]: Frame): void {
     const { handler: inbound } = this.#opts
     const sendReply = (reply: HopReply): void => {
@@ -95,7 +90,7 @@
         return inbound.cancel(key!)
       }
       case FRAME_KINDS.sync: {
-        return peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(this.#readSync(payload))])
+        return peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(readSyncMessage(payload, this.#opts))])
       }
       case FRAME_KINDS.config:
         return peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.deltaSince(validateFields<{ have: number }>(payload, ['have']).have)])
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -79,9 +79,7 @@
   }
 
   async sync (message: SyncMessage): Promise<SyncMessage> {
-    const { timers, log } = this.#opts
-    const reply = await this.#request(FRAME_KINDS.sync, message)
-    return readSyncMessage(reply, { wallNow: timers.wallNow(), onBadRecord: (field, from) => log.decision('badRecord', { from, field }) })
+    return readSyncMessage(await this.#request(FRAME_KINDS.sync, message), this.#opts)
   }
 
   async fetchConfig (heldVersion: number): Promise<ConfigDelta | undefined> {
