Count crashes that daemons notice at different moments as one event

Callers saw: requests that had crashed nothing were refused, for 5 s as suspects or for an hour as blocked, after all targets of a service were killed at the same moment, once or twice, while copies of the request ran on some of them.

Cause: crashes count as one event only within 30 ms of each other, by the time at which each daemon noticed its own or heard of another. And two events that are known as such still made the request wait for 5 s, as if it had taken two targets alone.

Ruled out: the retry after the restart (fails alike when it is refused first), the store (no block is read in the test), proven requests (the request is one that has never run well).

A request waits 150 ms after each crash, so no run after a crash falls into the moment of the crash before: at most three moments, as before. Runs under way are cancelled once the moment is over, if it wasn't one event.

--- a/packages/hop/src/quarantine/__tests__/quarantine.spec.ts
+++ b/packages/hop/src/quarantine/__tests__/quarantine.spec.ts
@@ -3,7 +3,7 @@
 import { VirtualTimers } from '@lentilwheel/core'
 import { TEST_HEADERS as names, testQuarantine } from '../../__tests__/fixtures.js'
 import { countCrashes, type CountedReport } from '../countCrashes.js'
-import type { Quarantine } from '../quarantine.js'
+import { FIRST_HOLD_MS, type Quarantine } from '../quarantine.js'
 import { readQuarantineNews, type QuarantineNews } from '../quarantineNews.js'
 import { requestFingerprint, type RequestIdentity } from '../requestFingerprint.js'
 
@@ -54,7 +54,7 @@
   const timers = new VirtualTimers()
   const quarantine = testQuarantine(timers, { onRefused: (fingerprint) => { refused.push(fingerprint) } })
   quarantine.reportCrash('s', [DEADLY])
-  timers.advance(100)
+  timers.advance(FIRST_HOLD_MS)
   quarantine.reportCrash('s', [DEADLY, OTHER])
   t.deepEqual(refused, [DEADLY])
   timers.advance(200)
@@ -65,6 +65,32 @@
   t.is(quarantine.refusedMs(DEADLY), 0)
 })
 
+test('guards against copies of a request that crash targets at once going on elsewhere', (t) => {
+  const refused: string[] = []
+  const timers = new VirtualTimers()
+  const quarantine = testQuarantine(timers, { onRefused: (fingerprint) => { refused.push(fingerprint) } })
+  quarantine.reportCrash('s', [DEADLY])
+  timers.advance(50)
+  quarantine.reportCrash('s', [DEADLY])
+  timers.advance(FIRST_HOLD_MS - 1)
+  t.deepEqual(refused, [DEADLY])
+  t.true(quarantine.refusedMs(DEADLY) > 4_000)
+})
+
+test('guards against a request being refused because all targets were killed at the same moment, and again, and the daemons were slow to notice', (t) => {
+  const timers = new VirtualTimers()
+  const quarantine = testQuarantine(timers)
+  for (let round = 0; round < 2; round++) {
+    for (const suspects of [[OTHER], [OTHER], [OTHER], []]) {
+      quarantine.reportCrash('s', suspects)
+      timers.advance(100)
+    }
+  }
+  timers.advance(FIRST_HOLD_MS)
+  t.is(quarantine.crashes(OTHER), 2)
+  t.is(quarantine.standing(OTHER), 'suspect')
+})
+
 test('guards against a request being held for long because its retry landed on a target that was killed, too', (t) => {
   const timers = new VirtualTimers()
   const quarantine = testQuarantine(timers)
@@ -124,6 +150,7 @@
   'at the same moment, each under the request': [{ at: 0, suspects: [DEADLY] }, { at: 5, suspects: [DEADLY] }, { at: 10, suspects: [DEADLY] }],
   'at the same moment, one of them without the request': [{ at: 0, suspects: [DEADLY] }, { at: 5, suspects: [DEADLY] }, { at: 10, suspects: [OTHER] }, { at: 12, suspects: [DEADLY] }],
   'at the same moment as a target of another service': [{ at: 0, suspects: [DEADLY] }, { at: 5, suspects: [DEADLY] }, { at: 10, suspects: [], service: 't' }],
+  'at one event that daemons notice at different times, one of them without the request': [{ at: 0, suspects: [DEADLY] }, { at: 70, suspects: [DEADLY] }, { at: 100, suspects: [DEADLY] }, { at: 400, suspects: [OTHER] }],
   'two at a moment that may not be over': [{ at: 9_980, suspects: [DEADLY] }, { at: 9_990, suspects: [DEADLY] }]
 }
 for (const [name, reports] of Object.entries(moments)) {
--- a/packages/hop/src/quarantine/quarantine.ts
+++ b/packages/hop/src/quarantine/quarantine.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import type { Timers } from '@lentilwheel/core'
 import type { CallLog } from '../observe/callLog.js'
-import { countCrashes, REPORT_DELAY_MS } from './countCrashes.js'
+import { countCrashes, REPORT_DELAY_MS, type CrashCounts } from './countCrashes.js'
 import { MAX_SUSPECTS, type Block, type CrashReport, type QuarantineNews } from './quarantineNews.js'
 
 /**
@@ -48,7 +48,7 @@
 const MAX_CRASHES = 3
 /** Time for which a request isn't sent after its first crash: runs under way elsewhere show by then whether they crash as well. */
 export const FIRST_HOLD_MS = 150
-/** The same after crashes under two copies of it, a daemon's own retry not counted: time for the targets that crashed to be back, so that the request doesn't take one more while they are missing. */
+/** The same after crashes under two copies of it, a daemon's own retry and crashes with other targets not counted: time for the targets that crashed to be back, so that the request doesn't take one more while they are missing. */
 const LATER_HOLD_MS = 5_000
 /** Time for which a crash counts against the requests that ran there. */
 const SUSPICION_MS = 600_000
@@ -101,7 +101,7 @@
   crashes (fingerprint: string): number {
     const block = this.#blocks.get(fingerprint)
     const former = block && !block.isCleared && !this.#isInForce(block) ? MAX_CRASHES - 1 : 0
-    return former + (this.#reportCounts.has(fingerprint) ? countCrashes(fingerprint, this.#reports.values(), this.#now) : 0)
+    return former + this.#crashCounts(fingerprint).total
   }
 
   /** Milliseconds until a request that is held or blocked may be sent; 0 for others. */
@@ -162,6 +162,10 @@
     }
   }
 
+  #crashCounts (fingerprint: string): CrashCounts {
+    return this.#reportCounts.has(fingerprint) ? countCrashes(fingerprint, this.#reports.values(), this.#now) : { total: 0, lone: 0 }
+  }
+
   get #now (): number {
     return this.#opts.timers.now()
   }
@@ -180,7 +184,7 @@
       lastAt = Math.max(lastAt, at)
       if (!retried.has(fingerprint)) copies++
     }
-    const holdMs = copies > 1 && this.crashes(fingerprint) > 1 ? LATER_HOLD_MS : FIRST_HOLD_MS
+    const holdMs = copies > 1 && this.#crashCounts(fingerprint).lone > 1 ? LATER_HOLD_MS : FIRST_HOLD_MS
     return Math.max(0, lastAt + holdMs - this.#now)
   }
 
@@ -195,11 +199,22 @@
     }
     for (const block of news.blocks) if (!block.isCleared) this.#onBlocked(block, false)
     news.blocks.push(...this.#blockGuilty(news.reports, isOwn))
-    for (const suspect of suspectsOf(news.reports)) if (this.crashes(suspect) > 1) this.#opts.onRefused(suspect)
-    if (news.reports.length > 0) this.#opts.timers.after(REPORT_DELAY_MS, () => this.#publish({ reports: [], blocks: this.#blockGuilty(news.reports, isOwn) }, isOwn))
+    this.#refuseSuspects(news.reports)
+    if (news.reports.length > 0) this.#opts.timers.after(REPORT_DELAY_MS, () => this.#onSettled(news.reports, isOwn))
     this.#publish(news, isOwn)
   }
 
+  /** Called when the reports of other crashes of the same moment have arrived. */
+  #onSettled (reports: readonly CrashReport[], isOwn: boolean): void {
+    const blocks = this.#blockGuilty(reports, isOwn)
+    this.#refuseSuspects(reports)
+    this.#publish({ reports: [], blocks }, isOwn)
+  }
+
+  #refuseSuspects (reports: readonly CrashReport[]): void {
+    for (const suspect of suspectsOf(reports)) if (this.crashes(suspect) > 1) this.#opts.onRefused(suspect)
+  }
+
   #publish (news: QuarantineNews, isOwn: boolean): void {
     if (news.reports.length === 0 && news.blocks.length === 0) return
     this.#digest = undefined
