Split the callers off the load simulator

The file had 356 lines and two duties: daemons with their network, and callers that retry. Only test support is touched.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -16,16 +16,10 @@
 import { RouteTable } from '../routing/routeTable.js'
 import { EpochTracker } from '../store/epochTracker.js'
 import type { ClassResult, DaemonRestart, LoadOptions, StatedLimit } from './loadOptions.js'
+import { SimCallers, type RequestDone } from './simCallers.js'
 import { SimTarget, type ParentRun } from './simTarget.js'
 import type { RequestClass, Workload } from './workloads.js'
 
-/** A request of a caller, which may take several attempts. */
-interface CallerRequest {
-  cls: RequestClass
-  path: string
-  requestedAt: number
-}
-
 /** Time for which a target that crashed is gone. */
 const DOWN_MS = 3_200
 /** Simulated network latency between two daemons, one way. */
@@ -51,7 +45,7 @@
   readonly #workload: Workload
   readonly #random: Random
   readonly #hosts = new Map<string, SimHost>()
-  readonly #results = new Map<string, ClassResult>()
+  readonly #callers: SimCallers
   /** Requests for each service, and those that arrived at its targets as retries. */
   readonly counts = new Map<string, { requests: number, retries: number }>()
   readonly #arrivedIds = new Set<string>()
@@ -77,7 +71,13 @@
     this.#workload = workload
     this.opts = opts
     this.#random = new SeededRandom(Math.imul(opts.seed, 0x9e3779b1))
-    for (const cls of workload.classes) this.#results.set(cls.name, { requests: 0, onTime: 0, late: 0, rejected: 0, failed: 0, valueShare: 0, lateRejections: 0, servedAfterRejection: 0, onTimeAfterRejection: 0 })
+    this.#callers = new SimCallers({
+      timers: this.timers,
+      random: this.#random,
+      load: opts,
+      classes: workload.classes,
+      send: (cls, path, deadlineMs, done) => this.sendRequest(this.#callerHost(cls, path), cls, undefined, done, deadlineMs, path)
+    })
     this.#build()
   }
 
@@ -92,29 +92,22 @@
 
   /** Runs the workload, and returns the outcomes by class. */
   run (): Record<string, ClassResult> {
-    for (const cls of this.#workload.classes) if (cls.ratePerS > 0) this.#schedule(cls)
+    this.#callers.start()
     for (const restart of this.opts.restarts ?? []) this.#scheduleRestart(restart)
     for (const { host, atS } of this.opts.kills ?? []) this.timers.after(atS * 1000, () => this.crash(host, false))
     this.timers.advance(this.opts.seconds * 1000 + 5_000)
-    const results: Record<string, ClassResult> = {}
-    for (const cls of this.#workload.classes) {
-      const result = this.#results.get(cls.name)!
-      const maxValue = result.requests * cls.value
-      result.valueShare = maxValue > 0 ? (result.onTime * cls.value + result.late * cls.lateValue) / maxValue : 0
-      results[cls.name] = result
-    }
-    return results
+    return this.#callers.results()
   }
 
   /** A host that is up; a deadly request always has the same caller, so it comes from hosts of the first service. */
-  #callerHost ({ cls, path }: CallerRequest): string {
+  #callerHost (cls: RequestClass, path: string): string {
     const isDeadly = this.opts.isDeadly?.(`/${cls.name}/${path}`)
     const hosts = this.#upHosts().filter((host) => !isDeadly || this.#hosts.get(host)!.record.target!.service === this.#workload.services[0]!.name)
     return this.#random.pick(hosts)
   }
 
   /** Sends one request through the daemon of a host; `done` is told whether it succeeded. */
-  sendRequest (host: string, cls: RequestClass, parent: ParentRun | undefined, done: (ok: boolean, retryAfterMs?: number, isRejected?: boolean) => void, deadlineMs = cls.deadlineMs, path = 'x'): () => void {
+  sendRequest (host: string, cls: RequestClass, parent: ParentRun | undefined, done: RequestDone, deadlineMs = cls.deadlineMs, path = 'x'): () => void {
     const url = `/${cls.name}/${path}`
     const id = parent ? `${parent.id}.${++this.#ids}` : `r${++this.#ids}`
     const counts = this.#countsOf(cls.service)
@@ -302,55 +295,6 @@
     }))
     return { version: 1, routes, services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
   }
-
-  /** Schedules the requests of a class as a Poisson process. */
-  #schedule (cls: RequestClass): void {
-    const perMs = cls.ratePerS * this.opts.rateAt(this.timers.now() / 1000) / 1000
-    const delayMs = -Math.log(1 - this.#random.next()) / perMs
-    if (this.timers.now() + delayMs > this.opts.seconds * 1000) return
-    this.timers.after(delayMs, () => {
-      this.#schedule(cls)
-      const result = this.#results.get(cls.name)!
-      result.requests++
-      this.#attempt({ cls, path: this.opts.pathOf?.(cls, this.timers.now() / 1000) ?? 'x', requestedAt: this.timers.now() }, cls.retries)
-    })
-  }
-
-  /** One attempt of a caller, which retries as its class allows and waits for Retry-After, but no longer than a third of its time. */
-  #attempt (request: CallerRequest, retries: number, rejections = 0): void {
-    const { timers } = this
-    const { cls, path, requestedAt } = request
-    const result = this.#results.get(cls.name)!
-    const startedAt = timers.now()
-    const remainingMs = requestedAt + cls.deadlineMs - startedAt
-    let isDone = false
-    const stopDeadline = timers.after(remainingMs, () => {
-      if (isDone) return
-      isDone = true
-      result.failed++
-      cancel()
-    })
-    const cancel = this.sendRequest(this.#callerHost(request), cls, undefined, (ok, retryAfterMs, isRejected) => {
-      if (isDone) return
-      isDone = true
-      stopDeadline()
-      const ms = timers.now() - requestedAt
-      if (isRejected && timers.now() - startedAt > cls.targetLatencyMs / 4) result.lateRejections++
-      if (ok) {
-        if (ms <= cls.targetLatencyMs) result.onTime++
-        else result.late++
-        if (rejections === 1) result.servedAfterRejection++
-        if (rejections === 1 && ms <= cls.targetLatencyMs) result.onTimeAfterRejection++
-      } else if (retries > 0 && (isRejected || cls.idempotent)) {
-        const waitMs = Math.min(retryAfterMs ?? 20, (requestedAt + cls.deadlineMs - timers.now()) / 3)
-        timers.after(waitMs, () => this.#attempt(request, retries - 1, rejections + (isRejected ? 1 : 0)))
-      } else if (isRejected) {
-        result.rejected++
-      } else {
-        result.failed++
-      }
-    }, remainingMs, path)
-  }
 }
 
 const noMetrics: CallMetrics = { request: () => {}, event: () => {}, state: () => {}, text: async () => '' }
