Let a retry wait for a target as long as a first run does

Callers saw: 502 (suspect) or 502 (noTarget) at once for an idempotent request whose first run had failed after 0.4 s or more, though its time was far from over and a target would have taken it within some ms.

Cause: a request waits up to 0.4 s for a target, but the time was counted from its start, so a retry that came later than that had no wait at all. It hit innocent requests above all: after a crash their retry goes to one target for all copies and meets another copy there.

Evidence: two new flows of callFlow.spec.ts end with 502 at 402 ms before, and with the response after.

--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -90,6 +90,8 @@
   'a blocked request is refused at once': { standing: 'blocked', steps: [] },
   'a request that is blocked elsewhere is refused as not run': { steps: [reply(2, 1, { kind: 'notRun', reason: 'quarantined' })] },
   'a suspect that runs already waits, and is refused as not run if that takes long': { standing: 'suspect', targets: ['a'], steps: [reply(2, 1, { kind: 'notRun', reason: 'suspect' }), timer(62), reply(64, 2, { kind: 'notRun', reason: 'suspect' }), timer(401), reply(403, 3, { kind: 'notRun', reason: 'suspect' })] },
+  'the retry of a suspect waits for its target no shorter than a first run does': { standing: 'suspect', crashes: 1, steps: [reply(390, 1, { kind: 'failed', reason: 'crashed' }), reply(402, 2, { kind: 'notRun', reason: 'suspect' }), timer(462), reply(464, 3, ok)] },
+  'the retry of a request waits for a target no shorter than a first run does': { targets: ['a', 'b'], steps: [reply(390, 1, { kind: 'failed', reason: 'reset' }), reply(402, 2, { kind: 'notRun', reason: 'unreachable' }), timer(462), reply(464, 3, ok)] },
   'a failure is not retried if a call that the request makes is refused for good': { steps: [reply(100, 1, { ...failure, isFinal: true })] },
   'an idempotent request is retried when the link to the daemon breaks': { steps: [reply(700, 1, { kind: 'failed', reason: 'lost' }), reply(900, 2, ok)] },
   'a large body is sent to another data centre only after a probe found a free slot': { remote: ['b', 'c'], bodyBytes: 60_000, route: nonIdempotent, steps: [reply(1, 1, busyReply), reply(4, 2, { kind: 'notRun', reason: 'vacant' }), reply(300, 3, ok)] },
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -90,7 +90,8 @@
 class Flow {
   readonly #input: CallInput
   readonly #context: CallContext
-  readonly #startedAt: number
+  /** Since when the request needs a target: its start, then the end of its last run. */
+  #waitsSince: number
   readonly #inFlight = new Map<number, Attempt>()
   /** Hosts whose target the request may have reached. */
   readonly #reached = new Set<string>()
@@ -113,7 +114,7 @@
   constructor (input: CallInput, context: CallContext) {
     this.#input = input
     this.#context = context
-    this.#startedAt = context.now()
+    this.#waitsSince = context.now()
   }
 
   start (): CallCommand[] {
@@ -160,7 +161,7 @@
       return this.#retryOrEnd()
     }
     if (this.#inFlight.size > 0) return []
-    if (reason === 'suspect' && this.#context.now() - this.#startedAt < MAX_TARGET_WAIT_MS) return [{ kind: 'timer', ms: RECHECK_MS }]
+    if (reason === 'suspect' && this.#mayWait) return [{ kind: 'timer', ms: RECHECK_MS }]
     if (reason === 'suspect' || reason === 'quarantined') return this.#endWithoutResponse(reason)
     if (reason === 'expired' || reason === 'displacing' || (isFullReason(reason) && attempt.mode === 'queue')) return this.#endWithoutResponse(reason)
     return this.#offerOrWait()
@@ -197,7 +198,7 @@
     const commands = this.#offerNext()
     if (commands) return commands
     if (this.#candidates().length > 0) return this.#endWithoutResponse('busy')
-    if (this.#context.now() - this.#startedAt >= MAX_TARGET_WAIT_MS) return this.#endWithoutResponse('noTarget')
+    if (!this.#mayWait) return this.#endWithoutResponse('noTarget')
     this.#unavailable.clear()
     return [{ kind: 'timer', ms: RECHECK_MS }]
   }
@@ -238,6 +239,7 @@
   /** A request of an idempotent route failed and may have run: retries it elsewhere, or ends with the failure. */
   #onFailedRun (attempt: Attempt, reason: string): CallCommand[] {
     this.#mayHaveRun = true
+    this.#waitsSince = this.#context.now()
     this.#lastReason = reason
     this.#reached.add(attempt.candidate.host)
     return this.#retryOrEnd()
@@ -298,6 +300,10 @@
     return { kind: 'timer', ms: Math.max(1, Math.min(untilDeadlineMs, attempt.startedAt + this.#hedgeDelayMs - now)) }
   }
 
+  get #mayWait (): boolean {
+    return this.#context.now() - this.#waitsSince < MAX_TARGET_WAIT_MS
+  }
+
   get #hedgeDelayMs (): number {
     return HEDGE_DELAY * this.#input.route.targetLatencyMs
   }
