Tell callers' daemons when a target ended under a request that had run well there

Cause: the daemon beside the target takes a request that its targets have run well off its suspects, but told the caller's daemon only that the target had crashed. That one held the request and its retry as a suspect: it had to run alone on the one target for all copies, where another copy waited in the queue longer than the retry could.

Change: the reply says `targetEnded` for such a request, and it is retried as after any other failure. Requests that never ran well there stay suspects of the caller's daemon, also where the report doesn't name them. A request that crashes targets has never run well, so nothing changes for it.

Evidence: new test in crashes.spec.ts red before.

--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -142,6 +142,7 @@
   quarantined: 'It has crashed several targets, so it is refused until the block ends.',
   suspect: 'It ran on a target that crashed, and waits until it may be tried again.',
   crashed: 'The target ended while it ran there.',
+  targetEnded: 'The target ended while it ran there, by something else: the request had run well there before.',
   stopping: 'The daemon was about to stop.',
   unreachable: 'The target refused connections.'
 }
--- a/packages/hop/src/inbound/__tests__/crashes.spec.ts
+++ b/packages/hop/src/inbound/__tests__/crashes.spec.ts
@@ -70,6 +70,16 @@
   t.is(setup.quarantine.all().reports[0]!.suspects.length, 1)
 })
 
+test('guards against a caller\'s daemon treating a request as a suspect that has run well where the target ended', (t) => {
+  const setup = setupWithRunningCalls()
+  setup.respond('a')
+  setup.offer('again', { url: '/a' })
+  setup.connectOutcome = 'refused'
+  fail(setup, 'again')
+  fail(setup, 'b')
+  t.deepEqual(['again', 'b'].map((key) => setup.outcomeOf(key)), ['failed targetEnded', 'failed crashed'])
+})
+
 test('guards against a suspect running twice at a time, and against a blocked request running', (t) => {
   const setup = setupWithRunningCalls()
   setup.offer('c', { url: '/a', suspect: true })
--- a/packages/hop/src/inbound/crashGuard.ts
+++ b/packages/hop/src/inbound/crashGuard.ts
@@ -1,6 +1,6 @@
 import type { Timers } from '@lentilwheel/core'
 import type { TargetRecord } from '../fleet/hostRecord.js'
-import type { CallMessage, NotRunReason } from '../link/messages.js'
+import type { CallMessage, FailureReason, NotRunReason } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
@@ -14,6 +14,9 @@
   readonly startedAt: number
 }
 
+/** Why a request that ran on a target that crashed has no response. */
+export type CrashReason = Extract<FailureReason, 'crashed' | 'targetEnded'>
+
 export interface CrashGuardOptions {
   timers: Pick<Timers, 'now'>
   log: CallLog
@@ -121,9 +124,10 @@
     this.#detector.onCancel(call)
   }
 
-  /** Called for a call whose connection was lost; `settle` is called once it is known whether the target has crashed. */
-  onLoss (call: GuardedCall, settle: (hasCrashed: boolean) => void): void {
-    this.#detector.onLoss(call, settle)
+  /** Called for a call whose connection was lost; `settle` is called once it is known whether the target has crashed, with undefined if not. */
+  onLoss (call: GuardedCall, settle: (reason: CrashReason | undefined) => void): void {
+    const reason = this.#proven.has(this.fingerprintOf(call.message)) ? 'targetEnded' : 'crashed'
+    this.#detector.onLoss(call, (hasCrashed) => settle(hasCrashed ? reason : undefined))
   }
 
   /**
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -274,7 +274,7 @@
     this.#recordStatement(call, result, now)
     if (result.kind === 'response') this.#crashes.onSurvival(call)
     if (result.kind === 'failed' && result.reason === 'cancelled') this.#crashes.onCancel(call)
-    if (isConnectionLost(result)) return this.#crashes.onLoss(call, (hasCrashed) => this.#endCall(call, hasCrashed ? { kind: 'failed', reason: 'crashed' } : result, ms))
+    if (isConnectionLost(result)) return this.#crashes.onLoss(call, (reason) => this.#endCall(call, reason ? { kind: 'failed', reason } : result, ms))
     this.#endCall(call, result, ms, isDoomed)
   }
 
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -91,8 +91,9 @@
  * target closed it within the response. `garbled`: the response is malformed, or lacks the request's id or the signature.
  * `unbounded`: the target sent more than a response may have. `lost`: the connection to the daemon beside the target broke
  * or its reply can't be read, so the outcome is unknown. `crashed`: the target ended while the request ran there.
+ * `targetEnded`: likewise, but the request has run well there before, so something else ended it.
  */
-export const FAILURE_REASONS = ['reset', 'cut', 'garbled', 'unbounded', 'timeout', 'lost', 'cancelled', 'crashed'] as const
+export const FAILURE_REASONS = ['reset', 'cut', 'garbled', 'unbounded', 'timeout', 'lost', 'cancelled', 'crashed', 'targetEnded'] as const
 export type FailureReason = typeof FAILURE_REASONS[number]
 
 /** Outcome of an offered request. */
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -1,7 +1,7 @@
 import type { Cancel } from '@lentilwheel/core'
 import type { HostRecord } from '../fleet/hostRecord.js'
 import { NESTED_URGENCY } from '../inbound/admission.js'
-import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
+import { isFullReason, type CallMessage, type FailureReason, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 import { FIRST_HOLD_MS, isRefused, type Standing } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
@@ -17,6 +17,9 @@
 /** Rejections, besides those of a full target, by a daemon that is reachable and whose target accepts requests; it is not avoided after them. */
 const AVAILABLE_REASONS: ReadonlySet<NotRunReason> = new Set(['shed', 'displacing', 'vacant', 'suspect', 'quarantined'] as const)
 
+/** Failures after which a daemon is avoided: it or its target is not to be reached. */
+const UNREACHABLE_REASONS: ReadonlySet<FailureReason> = new Set(['lost', 'timeout', 'crashed', 'targetEnded'] as const)
+
 /** What one call needs besides the options of the outbound side. */
 export interface OutboundCallInput {
   req: CallerRequest
@@ -279,7 +282,7 @@
       return
     }
     if (reply.reason === 'crashed') this.#crashedAt = this.#opts.timers.now()
-    const isUnavailable = reply.kind === 'notRun' ? !AVAILABLE_REASONS.has(reply.reason) : reply.reason === 'lost' || reply.reason === 'timeout' || reply.reason === 'crashed'
+    const isUnavailable = reply.kind === 'notRun' ? !AVAILABLE_REASONS.has(reply.reason) : UNREACHABLE_REASONS.has(reply.reason)
     if (isUnavailable) balancer.avoid(host)
   }
 
