Read what holds a request once, not twice, when asked how long it is refused

refusedMs asked for the standing first, which counts the crashes and reads the holds, and then read the holds again; a daemon asks it for each decision on a suspect. A block in force is refused for its rest, anything else for its hold, which is 0 for requests on no report.

--- a/packages/hop/src/quarantine/quarantine.ts
+++ b/packages/hop/src/quarantine/quarantine.ts
@@ -106,9 +106,9 @@
 
   /** Milliseconds until a request that is held or blocked may be sent; 0 for others. */
   refusedMs (fingerprint: string): number {
-    if (!isRefused(this.standing(fingerprint))) return 0
     const block = this.#blocks.get(fingerprint)
-    return block && this.#isInForce(block) ? block.at + blockMs(block.level) - this.#now : this.#heldMs(fingerprint)
+    if (block && this.#isInForce(block)) return block.at + blockMs(block.level) - this.#now
+    return this.#reportCounts.has(fingerprint) ? this.#heldMs(fingerprint) : 0
   }
 
   /**
