--- a/packages/hop/src/inbound/__tests__/crashes.spec.ts
+++ b/packages/hop/src/inbound/__tests__/crashes.spec.ts
@@ -20,6 +20,14 @@
   return setup
 }
 
+/** Likewise, but one of the two runs for the second time after it ran well. */
+function setupWithRepeatedCall (): TestSetup {
+  const setup = setupWithRunningCalls()
+  setup.respond('a')
+  setup.offer('again', { url: '/a' })
+  return setup
+}
+
 test('guards against a lost connection being taken for a crash of the target', (t) => {
   const setup = setupWithRunningCalls()
   fail(setup, 'a')
@@ -62,18 +70,14 @@
 })
 
 test('guards against a frequent request being suspected, which targets of the version have run well', (t) => {
-  const setup = setupWithRunningCalls()
-  setup.respond('a')
-  setup.offer('again', { url: '/a' })
+  const setup = setupWithRepeatedCall()
   setup.connectOutcome = 'refused'
   fail(setup, 'again')
   t.is(setup.quarantine.all().reports[0]!.suspects.length, 1)
 })
 
 test('guards against a caller\'s daemon treating a request as a suspect that has run well where the target ended', (t) => {
-  const setup = setupWithRunningCalls()
-  setup.respond('a')
-  setup.offer('again', { url: '/a' })
+  const setup = setupWithRepeatedCall()
   setup.connectOutcome = 'refused'
   fail(setup, 'again')
   fail(setup, 'b')
