Compute the pause before a call to the store is repeated in one place

Bounds and spread stay as they are; the cap of the exponent went, as the pause itself is capped. core's backoffMs spreads by 0.5 to 1 and would change both.

--- a/packages/hop/src/store/retryUntilDone.ts
+++ b/packages/hop/src/store/retryUntilDone.ts
@@ -1,4 +1,5 @@
 import type { Random, Timers } from '@lentilwheel/core'
+import { storeBackoffMs, type StoreBackoff } from './storeBackoff.js'
 
 export interface RetryOptions {
   timers: Pick<Timers, 'after'>
@@ -8,8 +9,7 @@
   onFailure (err: unknown): void
 }
 
-const MIN_RETRY_MS = 200
-const MAX_RETRY_MS = 2_000
+const BACKOFF: StoreBackoff = { minMs: 200, maxMs: 2_000 }
 
 /** Repeats a step with exponential backoff and jitter until it succeeds; for calls to a store that may be unavailable. */
 export async function retryUntilDone (step: () => Promise<void>, { timers, random, isStopped, onFailure }: RetryOptions): Promise<void> {
@@ -18,8 +18,7 @@
       return await step()
     } catch (err) {
       onFailure(err)
-      const backoffMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** Math.min(failures, 6)) * (0.5 + random.next())
-      await new Promise<void>((resolve) => { timers.after(backoffMs, resolve) })
+      await new Promise<void>((resolve) => { timers.after(storeBackoffMs(failures, BACKOFF, random), resolve) })
     }
   }
 }
--- a/packages/hop/src/store/storeWatcher.ts
+++ b/packages/hop/src/store/storeWatcher.ts
@@ -2,6 +2,7 @@
 import { HistoryGone } from '../errors.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { ObjectStore, StoredObject } from './objectStore.js'
+import { storeBackoffMs, type StoreBackoff } from './storeBackoff.js'
 import { formatRevision, type StoreRevision } from './storeRevision.js'
 
 export interface StoreWatcherOptions {
@@ -22,8 +23,7 @@
   onChange (object: StoredObject, deleted: boolean): void
 }
 
-const MIN_BACKOFF_MS = 150
-const MAX_BACKOFF_MS = 1_500
+const BACKOFF: StoreBackoff = { minMs: 150, maxMs: 1_500 }
 /** How often a daemon that doesn't watch checks whether it should. */
 const DISABLED_CHECK_INTERVAL_MS = 500
 const MAX_LOGGED_OBJECTS = 10
@@ -134,8 +134,7 @@
     if (this.#failures === 1) {
       this.#opts.log.decision('storeLost', { kind: this.#opts.kind, code: errorCode(err), reason: (err as Error).message })
     }
-    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (this.#failures - 1))
-    await this.#sleep(backoffMs * (0.5 + this.#opts.random.next()))
+    await this.#sleep(storeBackoffMs(this.#failures - 1, BACKOFF, this.#opts.random))
   }
 
   /** Waits, unless woken earlier. */
