--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -23,7 +23,7 @@
   #sockets = new Set()
   #timer
 
-  /** `answer(run)`: returns the bytes of the answer, or a promise of them. */
+  /** `answer(run, socket)`: returns the bytes of the answer, or a promise of them; anything else if it has answered on the socket itself. */
   constructor (opts) {
     this.#opts = { slots: 6, version: 'v1', answer: ({ id }) => answerOf(id, 200, `ran ${id}`), ...opts }
     this.born = Date.now()
@@ -120,7 +120,7 @@
     this.runs.push(run)
     this.#opts.onRun?.(run)
     const bytes = await this.#opts.answer(run, socket)
-    if (bytes && !socket.destroyed) socket.write(bytes)
+    if (Buffer.isBuffer(bytes) && !socket.destroyed) socket.write(bytes)
   }
 }
 
