--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -36,6 +36,7 @@
     port: ports.app,
     controlPort: ports.control,
     beatMs: BEAT_MS,
+    onRun: ({ id }) => deployment.record(`i-${name} of ${service} runs ${id}`),
     answer: async ({ id }) => {
       await sleep(20)
       return answerOf(id, 200, service)
