--- a/review/lib/runCase.mjs
+++ b/review/lib/runCase.mjs
@@ -22,6 +22,10 @@
     process.exit(code)
   }
   for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => end(NOT_RUN))
+  process.on('uncaughtException', (err) => {
+    deployment.record(`the case couldn't run: ${err.stack}`)
+    end(NOT_RUN)
+  })
   setTimeout(() => {
     deployment.record('the case took too long')
     end(NOT_RUN)
