Keep departures of targets in the store before they are confirmed

Cause: a departure was kept in the memory of daemons only. A late announcement from before it made the target ready again, as nobody was left who knew better.

Ruled out by departures.spec.ts on untouched code: a restart of one daemon and of all in turn hold, as peers give departures back; the late announcement comes after all are ready, so it isn't a race at the start.

Now the object that each daemon has in the store lists the departures from its host, and a departure is confirmed once that is written. Without it within 0.8 s the answer is 503; the target gets no new requests all the same and is confirmed when it announces itself again. A daemon reads its object when it starts, before it takes an announcement for true. One write a departure, no more calls at a start.

Beside it: an announcement of a leaving target that a later one on the address had overtaken is recorded as well, and a later start under an id whose earlier start is gone can be recorded as leaving.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -1,6 +1,6 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
 import { Fleet } from '../fleet/fleet.js'
-import { departuresNotIn, type HostRecord, type Departure } from '../fleet/hostRecord.js'
+import { departuresNotIn, type Departure, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
 import { isAnnouncement, LocalTarget, type Announcement } from '../inbound/localTarget.js'
 import { NodeTargetClient } from '../inbound/nodeTargetClient.js'
@@ -23,6 +23,7 @@
 import type { ObjectStore } from '../store/objectStore.js'
 import type { StoreCodec } from './storeCodec.js'
 import { ConfigUpdater } from './configUpdater.js'
+import { DaemonRegistration } from './daemonRegistration.js'
 import { PeerDiscovery } from './peerDiscovery.js'
 import type { ResolvedHopConfig } from './resolvedHopConfig.js'
 import { LoopLag } from './nodeLoopLag.js'
@@ -39,6 +40,9 @@
   codec: StoreCodec
 }
 
+/** What became of a target's message. `unconfirmed`: it was handled, but what it says would be forgotten if all daemons restarted now. */
+export type ReceiptOutcome = 'confirmed' | 'unconfirmed' | 'invalid'
+
 const TARGET_CHECK_INTERVAL_MS = 250
 /** Time for the last responses to be sent before the servers are closed. */
 const LAST_RESPONSES_MS = 50
@@ -68,6 +72,7 @@
   readonly #hopServer: NodeHopServer
   readonly #metricsServer: NodeMetricsServer
   readonly #configUpdater: ConfigUpdater
+  readonly #registration: DaemonRegistration
   readonly #discovery: PeerDiscovery
   readonly #moves: MoveController
   #cfg: ResolvedHopConfig
@@ -138,7 +143,7 @@
       log,
       names,
       client,
-      target: () => this.#localTarget.record(timers.now()),
+      target: () => this.#target(),
       isAnnouncementOverdue: () => this.#localTarget.isAnnouncementOverdue(timers.now()),
       incarnation: () => this.#fleet.own.incarnation,
       isVersionAllowed: (service, version) => this.#moves.isVersionAllowed(service, version),
@@ -169,6 +174,16 @@
         metrics.state('configVersion', table.config.version)
       }
     })
+    this.#registration = new DaemonRegistration({
+      fleet: this.#fleet,
+      store,
+      timers,
+      random,
+      log,
+      departures: () => this.#localTarget.departures(),
+      onEarlierDepartures: (departures) => this.#onDepartures(departures),
+      onLoaded: () => this.#checkTarget()
+    })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
       ...cfg.hop, lag, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
@@ -183,6 +198,7 @@
     log.decision('started', { incarnation: this.#fleet.own.incarnation, dataCentre: this.#cfg.dataCentre, service: this.#cfg.service })
     await Promise.all([this.#hopServer.listen(), this.#outboundServer.listen(), this.#metricsServer.listen()])
     this.#configUpdater.start()
+    this.#registration.start()
     this.#discovery.start()
     this.#blockStore.start()
     this.#moves.start()
@@ -200,27 +216,27 @@
     })
   }
 
-  /** Handles an announcement of the target beside this daemon; false if it is rejected, as a field of it can't be right. */
-  announce (announcement: Announcement): boolean {
+  /** Handles an announcement of the target beside this daemon. */
+  async announce (announcement: Announcement): Promise<ReceiptOutcome> {
     if (!isAnnouncement(announcement, this.#opts.timers.wallNow())) {
       this.#opts.log.decision('badRecord', { from: 'target' })
-      return false
+      return 'invalid'
     }
+    const { id, sequence, startedAt, state } = announcement
     const outcome = this.#localTarget.announce(announcement, this.#opts.timers.now())
-    if (outcome === 'stale') {
-      const { id, sequence, startedAt } = announcement
-      this.#opts.log.decision('staleAnnouncement', { target: id, sequence, startedAt })
-    }
+    if (outcome === 'stale') this.#opts.log.decision('staleAnnouncement', { target: id, sequence, startedAt })
     this.#checkTarget()
-    return true
+    const isLeaving = state === 'draining' && this.#localTarget.hasDeparted(id, startedAt)
+    return isLeaving ? await this.#confirm({ id, startedAt, state }) : 'confirmed'
   }
 
   /** Handles the message by which the target beside this daemon says that it leaves. */
-  leave (id: string): void {
+  async leave (id: string): Promise<ReceiptOutcome> {
     this.#opts.log.decision('targetLeft', { target: id })
-    this.#localTarget.leave(id, this.#opts.timers.wallNow())
+    const departure = this.#localTarget.leave(id, this.#opts.timers.wallNow())
     this.#fleet.setDepartures(this.#localTarget.departures())
     this.#checkTarget()
+    return await this.#confirm(departure)
   }
 
   /** Whether callers may use the daemon: it has a configuration and the blocked requests, isn't stopping, and has found a peer or waited for one. */
@@ -256,7 +272,8 @@
       inFlight: () => this.#outboundServer.inFlight + this.#inbound.active
     })
     this.#fleet.setStopping()
-    if (!this.#localTarget.record(timers.now())) this.#discovery.deregister()
+    this.#discovery.stop()
+    if (!this.#localTarget.record(timers.now())) this.#registration.deregister()
     const how = await this.#shutdown.done
     if (how === 'graceOver') {
       this.#outbound.abortAll()
@@ -277,9 +294,21 @@
     return { host, dataCentre, ...hop, incarnation, sequence: 0, stopping: false }
   }
 
+  /** The target beside this daemon; undefined as long as an announcement of it may be older than a departure that isn't known yet. */
+  #target (): TargetRecord | undefined {
+    return this.#registration.isLoaded ? this.#localTarget.record(this.#opts.timers.now()) : undefined
+  }
+
+  /** Confirms a departure once it can't be forgotten any more. The target gets no new requests in either case. */
+  async #confirm (departure: Departure): Promise<ReceiptOutcome> {
+    if (await this.#registration.keep(departure)) return 'confirmed'
+    this.#opts.log.decision('departureNotConfirmed', { target: departure.id, startedAt: departure.startedAt, state: departure.state })
+    return 'unconfirmed'
+  }
+
   /** Announces the target beside this daemon to peers if anything that they use has changed. */
   #checkTarget (): void {
-    const record = this.#localTarget.record(this.#opts.timers.now())
+    const record = this.#target()
     const key = record ? [record.id, record.startedAt, record.service, record.version, record.slots, record.state].join() : ''
     if (key === this.#announcedKey) return
     this.#opts.log.decision('target', { ...record, before: this.#announcedKey })
@@ -294,6 +323,7 @@
     if (this.#localTarget.record(this.#opts.timers.now())?.state !== 'ready') return
     this.#opts.log.decision('targetLeaving', { target: departure.id, startedAt: departure.startedAt })
     this.#localTarget.addDepartures([departure])
+    this.#registration.update()
     this.#checkTarget()
   }
 
@@ -303,6 +333,7 @@
     if (forgotten.length === 0) return
     this.#opts.log.decision('leavingsRecalled', { targets: forgotten.map(({ id }) => id) })
     this.#localTarget.addDepartures(forgotten)
+    this.#registration.update()
     this.#fleet.setDepartures(this.#localTarget.departures())
     this.#checkTarget()
   }
--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -148,6 +148,7 @@
   { name: 'an earlier start does not replace a later one', steps: [[0, { id: 'i-2', startedAt: 2_000 }], [10, { sequence: 9 }]], at: 30 },
   { name: 'a target that no longer announces itself counts as gone', steps: [[0, {}]], at: 7_000 },
   { name: 'an earlier start replaces a target that no longer announces itself', steps: [[0, { id: 'i-2', startedAt: 2_000 }], [9_000, { sequence: 9 }]], at: 9_010 },
+  { name: 'an announcement of an earlier start that leaves does not replace a later one', steps: [[0, { id: 'i-2', startedAt: 2_000 }], [10, { sequence: 9, state: 'draining' }]], at: 30 },
   { name: 'the departure of another target changes nothing', steps: [[0, {}], [10, { leave: 'i-0' }]], at: 30 }
 ]
 
@@ -184,6 +185,13 @@
   })
 }
 
+test('guards against forgetting that a target leaves because a later one on the same host was announced first', (t) => {
+  const local = new LocalTarget(1_500)
+  local.announce(announcement({ id: 'i-2', startedAt: 2_000 }), 0)
+  t.is(local.announce(announcement({ sequence: 9, state: 'draining' }), 10), 'stale')
+  t.deepEqual(local.departures(), [{ id: 'i-1', startedAt: 1_000, state: 'draining' }])
+})
+
 test('guards against using a target that left again after the daemon beside it restarted', (t) => {
   const before = new LocalTarget(1_500)
   const announcement: Announcement = { id: 'i', service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0, sequence: 4, startedAt: 1_000 }
--- a/packages/hop/src/inbound/localTarget.ts
+++ b/packages/hop/src/inbound/localTarget.ts
@@ -62,7 +62,10 @@
     if (current) {
       const isSameStart = current.id === id && current.startedAt === startedAt
       if (isSameStart && announcement.sequence <= current.sequence) return 'stale'
-      if (!isSameStart && startedAt < current.startedAt) return 'stale'
+      if (!isSameStart && startedAt < current.startedAt) {
+        if (announcement.state === 'draining') this.#addDeparture({ id, startedAt, state: 'draining' })
+        return 'stale'
+      }
       if (isSameStart && current.state === 'draining') announcement = { ...announcement, state: 'draining' }
     }
     this.#current = { ...announcement, lastAnnouncedAt: now, hasLeft: false }
@@ -70,11 +73,21 @@
     return 'accepted'
   }
 
-  /** Called when the target says that it has gone. `wallNow`, in Unix milliseconds, is used as the time of its start when that is unknown. */
-  leave (id: string, wallNow: number): void {
+  /**
+   * Called when the target says that it has gone. `wallNow`, in Unix milliseconds, is used as the time of its start when that is
+   * unknown. Returns the departure.
+   */
+  leave (id: string, wallNow: number): Departure {
     const current = this.#current?.id === id ? this.#current : undefined
     if (current) current.hasLeft = true
-    this.#addDeparture({ id, startedAt: current?.startedAt ?? wallNow, state: 'gone' })
+    const departure: Departure = { id, startedAt: current?.startedAt ?? wallNow, state: 'gone' }
+    this.#addDeparture(departure)
+    return departure
+  }
+
+  /** Whether a start of a target has said that it leaves. */
+  hasDeparted (id: string, startedAt: number): boolean {
+    return startedAt <= (this.#departures.get(id)?.startedAt ?? -Infinity)
   }
 
   /** Targets that left recently, the latest last. */
@@ -86,7 +99,7 @@
   addDepartures (departures: readonly Departure[]): void {
     for (const departure of departures) {
       const known = this.#departures.get(departure.id)
-      if (known && (known.startedAt > departure.startedAt || known.state === 'gone')) continue
+      if (known && (known.startedAt > departure.startedAt || (known.startedAt === departure.startedAt && known.state === 'gone'))) continue
       this.#addDeparture(departure)
       const current = this.#current
       if (current?.id !== departure.id || current.startedAt > departure.startedAt) continue
@@ -97,6 +110,8 @@
 
   /** Adds a departure as the latest; the oldest ones above the limit are forgotten. */
   #addDeparture (departure: Departure): void {
+    const known = this.#departures.get(departure.id)
+    if (known?.startedAt === departure.startedAt && known.state === departure.state) return
     this.#departures.delete(departure.id)
     this.#departures.set(departure.id, departure)
     for (const oldestId of this.#departures.keys()) {
