End a call whose response can't be passed on

Cause: http.ServerResponse.writeHead throws on a control character, and by then the call had been ended, so nothing answered the caller. The parser accepted any value, and read heads as ASCII, which made control characters of UTF-8 too.

Ruled out: damage between the daemons (it happens beside the same daemon as well).

Now the daemon beside the target takes a response with such a header for garbled, bytes above 127 pass unchanged, and a response is written before its call ends. An error that escapes a step of a request, its start, an offer or a result ends that request, once, with a line that has the error; a peer's response with fields of another type is rejected when it is read.

--- a/packages/hop/src/errors.ts
+++ b/packages/hop/src/errors.ts
@@ -29,3 +29,8 @@
 export class WriteOutcomeUnknown extends LentilwheelError {
   readonly code = 'write-unknown'
 }
+
+/** A response of a target can't be passed on to the caller, as HTTP doesn't allow a part of it. */
+export class NotForwardable extends LentilwheelError {
+  readonly code = 'not-forwardable'
+}
--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -176,6 +176,12 @@
   ['limit and leaving', 200, ['x-id', 'r1', 'x-sig', 's', 'X-Limit', '17.5', 'x-leaving', '1']],
   ['limit of a target that rejected it', 503, ['x-id', 'r1', 'x-not-run', '1', 'x-limit', '0']],
   ['limit that cannot be read', 200, ['x-id', 'r1', 'x-sig', 's', 'x-limit', '1e9']],
+  ['control character in a header value', 200, ['x-id', 'r1', 'x-sig', 's', 'X-Note', 'a\x01b']],
+  ['line break in a header value', 200, ['x-id', 'r1', 'x-sig', 's', 'X-Note', 'a\nX-Other: b']],
+  ['name of a header that is no token', 200, ['x-id', 'r1', 'x-sig', 's', 'X Note', 'a']],
+  ['empty name of a header', 200, ['x-id', 'r1', 'x-sig', 's', '', 'a']],
+  ['bytes above 127 in a header value', 200, ['x-id', 'r1', 'x-sig', 's', 'X-Note', '\u00e3\u0081\u008b\tb']],
+  ['control character in a rejection', 503, ['x-id', 'r1', 'x-not-run', '1', 'X-Note', 'a\x01b']],
   ['load that cannot be read', 200, ['x-id', 'r1', 'x-sig', 's', 'x-load', '2,many,6']]
 ]
 
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -211,3 +211,14 @@
   setup.target = { ...setup.target, coldMs: 0 }
   t.true(offerFor(1_000) >= 20)
 })
+
+test('guards against a call without an end, and a slot that stays taken, when handling the result fails', (t) => {
+  const setup = new TestSetup()
+  for (const key of ['a', 'b', 'c']) setup.offer(key)
+  setup.failOnResult = true
+  setup.respond('a')
+  setup.failOnResult = false
+  setup.respond('b')
+  t.deepEqual(['a', 'b', 'c'].map((key) => setup.outcomeOf(key)), ['failed lost', '200', 'open'])
+  t.deepEqual(setup.sent.map(({ id }) => id), ['a', 'b', 'c'])
+})
--- a/packages/hop/src/inbound/__tests__/inboundSetup.ts
+++ b/packages/hop/src/inbound/__tests__/inboundSetup.ts
@@ -18,6 +18,8 @@
   coldPerS: number | undefined
   isVersionAllowed = true
   rejectionRate = 0
+  /** Whether the part that judges versions fails. */
+  failOnResult = false
   connectOutcome: ConnectOutcome = 'accepted'
   readonly handler = new InboundHandler({
     timers: this.timers,
@@ -48,7 +50,7 @@
       this.handler.onTargetChange()
     },
     onTargetCrash: () => {},
-    onResult: () => {}
+    onResult: () => { if (this.failOnResult) throw new Error('result not handled') }
   })
 
   constructor () {
--- a/packages/hop/src/inbound/__tests__/targetClient.spec.ts
+++ b/packages/hop/src/inbound/__tests__/targetClient.spec.ts
@@ -71,6 +71,17 @@
   client.reset()
 })
 
+test('guards against bytes above 127 in a header of a target being changed', async (t) => {
+  const target = new FakeTarget((id, socket) => {
+    socket.write(Buffer.from(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-sig: s\r\nX-Note: \u5e02\r\nContent-Length: 0\r\n\r\n`, 'utf8'))
+  })
+  t.teardown(() => target.close())
+  const client = await startClient(target)
+  const result = await send(client, 'r1')
+  t.deepEqual(result.kind === 'response' && Buffer.from(result.headers[5]!, 'latin1'), Buffer.from('\u5e02', 'utf8'))
+  client.reset()
+})
+
 const CHUNK_BYTES = 64 * 1024
 const filler = 'x'.repeat(CHUNK_BYTES)
 
--- a/packages/hop/src/inbound/classifyMessage.ts
+++ b/packages/hop/src/inbound/classifyMessage.ts
@@ -20,7 +20,8 @@
 
 /**
  * Decides what a message from the target means for the pending request: its result, or a message to skip. A response
- * without the request's id or the target's signature is a failure, unless it says that the request was not run. Without
+ * without the request's id or the target's signature, or with a header that can't be forwarded, is a failure, unless it says that the
+ * request was not run. Without
  * the id it can say so only of the first request on a connection: later it may repeat what it said of an earlier one.
  */
 export function classifyMessage (message: TargetMessage, requestId: string, isFirst: boolean, names: HeaderNames): MessageClass {
@@ -35,7 +36,7 @@
   if (status === MISDIRECTED_STATUS) return { kind: 'result', result: { kind: 'notRun', reason: 'otherTarget', ...extra } }
   const statement = parseStatement(headers, names)
   if (headerValue(headers, names.notRun) !== undefined) return { kind: 'result', result: { kind: 'notRun', reason: 'shed', statement, ...extra } }
-  if (id === undefined || headerValue(headers, names.signature) === undefined) return garbled
+  if (id === undefined || headerValue(headers, names.signature) === undefined || !canBeForwarded(headers)) return garbled
   return { kind: 'result', result: { kind: 'response', status, headers, body, unframed, statement, ...extra } }
 }
 
@@ -48,6 +49,15 @@
   return undefined
 }
 
+/** Whether HTTP allows the names and values of all headers. */
+function canBeForwarded (headers: readonly string[]): boolean {
+  return headers.every((text, i) => (i % 2 === 0 ? HEADER_NAME : HEADER_VALUE).test(text))
+}
+
+const HEADER_NAME = /^[\w!#$%&'*+\-.^`|~]+$/
+/** Visible characters, blanks, tabs, and bytes above 127 as one character each. */
+const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
+
 function parseStatement (headers: readonly string[], names: HeaderNames): TargetStatement {
   const limitPerS = parseLimit(headerValue(headers, names.limit))
   return { isLeaving: headerValue(headers, names.leaving) === '1', ...limitPerS === undefined ? {} : { limitPerS } }
--- /dev/null
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -0,0 +1,67 @@
+import type { Random, Timers } from '@lentilwheel/core'
+import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
+import type { CallMessage, HopReply } from '../link/messages.js'
+import type { CallLog } from '../observe/callLog.js'
+import type { RequestResult } from '../rollout/resultAggregator.js'
+import type { SlotRequest } from './admission.js'
+import type { CrashGuardOptions } from './crashGuard.js'
+import type { TargetClient } from './nodeTargetClient.js'
+import type { HeaderNames, TargetResult } from './targetResult.js'
+
+/** What the inbound side of a daemon needs of the rest of it. */
+export interface InboundOptions {
+  timers: Timers
+  random: Random
+  log: CallLog
+  names: HeaderNames
+  client: TargetClient
+  /** Current record of the target; undefined when there is none. */
+  target (): TargetRecord | undefined
+  /** Whether the target has missed an announcement. */
+  isAnnouncementOverdue (): boolean
+  /** Incarnation of this daemon, which increases with each start. */
+  incarnation (): number
+  /** Whether a request for the target's version may be started. */
+  isVersionAllowed (service: string, version: string): boolean
+  /** Share of the requests more urgent than `priority` that a service currently rejects, as far as this daemon knows. */
+  rejectionRate (service: string, priority: number): number
+  /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
+  coldPerS (service: string): number | undefined
+  /** What is known about requests that crash targets. */
+  quarantine: CrashGuardOptions['quarantine']
+  /** Called when the target says in a response that it leaves. */
+  onTargetLeaving (departure: Departure): void
+  /** Called when the target has crashed. */
+  onTargetCrash (): void
+  /** Called with each result of a request to the target, from which versions are judged. */
+  onResult (target: TargetRecord, result: RequestResult): void
+}
+
+/** An admitted call that has not ended. */
+export interface InboundCall {
+  message: CallMessage
+  /** The target as it was when the call arrived. */
+  target: TargetRecord
+  slotRequest: SlotRequest
+  state: 'queued' | 'running'
+  startedAt: number
+  /** Aborts the request to the target; set once the call runs. */
+  abort?: () => void
+}
+
+/** Whether the connection to the target broke while the request ran there. */
+export function isConnectionLost (result: TargetResult): boolean {
+  return result.kind === 'failed' && (result.reason === 'reset' || result.reason === 'cut')
+}
+
+/** The reply to the sender; it gets to know whether the target leaves together with the response that says so. */
+export function replyOf ({ target }: InboundCall, result: TargetResult, isFinal: boolean): HopReply {
+  if (result.kind === 'failed') return result
+  if (result.kind === 'notRun') return { kind: 'notRun', reason: result.reason }
+  const { kind, status, headers, body, unframed, statement } = result
+  return { kind, status, headers, body, unframed, ...statement.isLeaving ? { departure: departureOf(target) } : {}, ...isFinal && status >= 500 ? { isFinal } : {} }
+}
+
+export function departureOf ({ id, startedAt }: TargetRecord): Departure {
+  return { id, startedAt, state: 'draining' }
+}
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -1,58 +1,14 @@
-import type { Random, Timers } from '@lentilwheel/core'
 import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type TargetLoad } from '../link/messages.js'
-import type { CallLog } from '../observe/callLog.js'
-import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
-import type { RequestResult } from '../rollout/resultAggregator.js'
+import type { TargetRecord } from '../fleet/hostRecord.js'
 import { Admission, type SlotRequest } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
-import { CrashGuard, type CrashGuardOptions } from './crashGuard.js'
-import type { TargetClient } from './nodeTargetClient.js'
+import { CrashGuard } from './crashGuard.js'
+import { departureOf, isConnectionLost, replyOf, type InboundCall as Call, type InboundOptions } from './inboundCall.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
 import { isSuccess, TargetHealth } from './targetHealth.js'
 import { TargetLimit } from './targetLimit.js'
-import type { HeaderNames, TargetResult } from './targetResult.js'
-
-/** What the inbound side of a daemon needs of the rest of it. */
-export interface InboundOptions {
-  timers: Timers
-  random: Random
-  log: CallLog
-  names: HeaderNames
-  client: TargetClient
-  /** Current record of the target; undefined when there is none. */
-  target (): TargetRecord | undefined
-  /** Whether the target has missed an announcement. */
-  isAnnouncementOverdue (): boolean
-  /** Incarnation of this daemon, which increases with each start. */
-  incarnation (): number
-  /** Whether a request for the target's version may be started. */
-  isVersionAllowed (service: string, version: string): boolean
-  /** Share of the requests more urgent than `priority` that a service currently rejects, as far as this daemon knows. */
-  rejectionRate (service: string, priority: number): number
-  /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
-  coldPerS (service: string): number | undefined
-  /** What is known about requests that crash targets. */
-  quarantine: CrashGuardOptions['quarantine']
-  /** Called when the target says in a response that it leaves. */
-  onTargetLeaving (departure: Departure): void
-  /** Called when the target has crashed. */
-  onTargetCrash (): void
-  /** Called with each result of a request to the target, from which versions are judged. */
-  onResult (target: TargetRecord, result: RequestResult): void
-}
-
-/** An admitted call that has not ended. */
-interface Call {
-  message: CallMessage
-  /** The target as it was when the call arrived. */
-  target: TargetRecord
-  slotRequest: SlotRequest
-  state: 'queued' | 'running'
-  startedAt: number
-  /** Aborts the request to the target; set once the call runs. */
-  abort?: () => void
-}
+import type { TargetResult } from './targetResult.js'
 
 /** Time after the deadline in which the target's own response to it may still arrive. */
 const DEADLINE_GRACE_MS = 60
@@ -128,8 +84,16 @@
 
   /** Takes an offered call; `reply` is called once, or not at all if the sender's connection breaks before. */
   offer (message: CallMessage, reply: (reply: HopReply) => void): void {
+    if (!this.#registry.register(message.key, reply)) return reply({ kind: 'notRun', reason: 'revoked' })
+    try {
+      this.#admit(message)
+    } catch (err) {
+      this.#endFailed(message, err)
+    }
+  }
+
+  #admit (message: CallMessage): void {
     const { key } = message
-    if (!this.#registry.register(key, reply)) return reply({ kind: 'notRun', reason: 'revoked' })
     const target = this.#opts.target()
     const rejection = this.#rejectionReason(message, target) ?? this.#crashes.refusalReason(message, this.#calls.values())
     if (rejection) return this.#replyNotRun(message, rejection)
@@ -259,7 +223,20 @@
     this.#limit.recordSent(message, now)
     const bytes = serializeRequest(message, remainingMs, this.#opts.names)
     const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: remainingMs + DEADLINE_GRACE_MS }
-    call.abort = this.#opts.client.send(request, message.idempotent, (result) => this.#onResult(call, result))
+    call.abort = this.#opts.client.send(request, message.idempotent, (result) => {
+      try {
+        this.#onResult(call, result)
+      } catch (err) {
+        this.#endFailed(message, err)
+      }
+    })
+  }
+
+  /** Ends a call whose handling failed unexpectedly; the target may have run it. */
+  #endFailed ({ key, requestId: id }: CallMessage, err: unknown): void {
+    this.#opts.log.call(false, 'inbound', { id, call: key, outcome: 'internalError', error: (err as Error).stack })
+    this.#calls.delete(key)
+    this.#registry.complete(key, { kind: 'failed', reason: 'lost' }, this.#opts.timers.now())
   }
 
   #onResult (call: Call, result: TargetResult): void {
@@ -374,20 +351,3 @@
     }
   }
 }
-
-/** Whether the connection to the target broke while the request ran there. */
-function isConnectionLost (result: TargetResult): boolean {
-  return result.kind === 'failed' && (result.reason === 'reset' || result.reason === 'cut')
-}
-
-/** The reply to the sender; it gets to know whether the target leaves together with the response that says so. */
-function replyOf ({ target }: Call, result: TargetResult, isFinal: boolean): HopReply {
-  if (result.kind === 'failed') return result
-  if (result.kind === 'notRun') return { kind: 'notRun', reason: result.reason }
-  const { kind, status, headers, body, unframed, statement } = result
-  return { kind, status, headers, body, unframed, ...statement.isLeaving ? { departure: departureOf(target) } : {}, ...isFinal && status >= 500 ? { isFinal } : {} }
-}
-
-function departureOf ({ id, startedAt }: TargetRecord): Departure {
-  return { id, startedAt, state: 'draining' }
-}
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -56,6 +56,9 @@
   result?: TargetResult
 }
 
+/** Header values may have bytes above 127, which are forwarded as they are. */
+HTTPParser.encoding = 'latin1'
+
 const CONNECT_TIMEOUT_MS = 1_000
 /** Idle time after which a connection isn't reused when the target's Keep-Alive header gives none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000
--- a/packages/hop/src/link/__tests__/codec.spec.ts
+++ b/packages/hop/src/link/__tests__/codec.spec.ts
@@ -39,3 +39,11 @@
   const reply = { kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, departure: { id: 'i', state: 'draining' } } as unknown as HopReply
   t.deepEqual(unpackReply(packReply(reply), NOW), { kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false })
 })
+
+const oddResponses: Record<string, object> = { 'no headers': { headers: null }, 'a status that is no number': { status: 'ok' }, 'a body that is a text': { body: 'x' } }
+for (const [name, odd] of Object.entries(oddResponses)) {
+  test(`guards against a response of a peer reaching a caller with a field of another type: ${name}`, (t) => {
+    const reply = { kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, ...odd } as unknown as HopReply
+    t.is(errorCode(t.throws(() => unpackReply(packReply(reply), NOW), { any: true })), 'bad-message')
+  })
+}
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -50,11 +50,17 @@
 export function unpackReply (value: unknown, wallNow: number): HopReply {
   const fields = unpackFields(value, REPLY_FIELDS)
   if (fields['departure'] !== undefined && !readDeparture(fields['departure'], wallNow)) delete fields['departure']
+  if (fields['kind'] === 'response') checkResponse(fields)
   const load = fields['load']
   if (load !== undefined) fields['load'] = unpackLoad(load)
   return fields as unknown as HopReply
 }
 
+/** A response is passed on to a caller, so a field of another type mustn't get that far. */
+function checkResponse ({ status, headers, body }: Record<string, unknown>): void {
+  if (!Number.isInteger(status) || !Array.isArray(headers) || !(body instanceof Uint8Array)) throw new BadMessage('response from a peer has a field of another type')
+}
+
 function unpackLoad (value: unknown): Record<string, unknown> {
   const load = unpackFields([PROTOCOL_VERSION, ...Array.isArray(value) ? value as unknown[] : []], LOAD_FIELDS)
   if (load['limitPerS'] === NO_LIMIT_CODE) load['limitPerS'] = Infinity
--- a/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { errorCode } from '@lentilwheel/core'
 import { connect, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { ALWAYS_BEHIND, NO_LAG, TEST_HEADERS as names } from '../../__tests__/fixtures.js'
@@ -15,7 +16,22 @@
 const LONG_MS = 9_000_000
 const chunk = 'x'.repeat(16 * 1024)
 
-async function startServer (events: string[], originOf: (id: string) => RequestOrigin = () => 'caller', lag: Pick<LoopLag, 'whenRead'> = NO_LAG): Promise<{ server: NodeOutboundServer, port: number, handledIds: string[] }> {
+/** Passes on a response to each request, like `OutboundCall`; answers 502 if that fails. */
+function respondingHandler (reply: object): OutboundHandler {
+  const handler: Partial<OutboundHandler> = {
+    handle: (_req, res) => {
+      try {
+        res.respond({ kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, ...reply })
+      } catch (err) {
+        res.reject(502, errorCode(err))
+      }
+      return () => {}
+    }
+  }
+  return handler as OutboundHandler
+}
+
+async function startServer (events: string[], originOf: (id: string) => RequestOrigin = () => 'caller', lag: Pick<LoopLag, 'whenRead'> = NO_LAG, handler?: OutboundHandler): Promise<{ server: NodeOutboundServer, port: number, handledIds: string[] }> {
   const handledIds: string[] = []
   const metrics: CallMetrics = { request: () => {}, event: (name) => { events.push(name) }, state: () => {}, text: async () => '' }
   const echoHandler = {
@@ -25,7 +41,7 @@
       return () => {}
     }
   } as Partial<OutboundHandler> as OutboundHandler
-  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: echoHandler, log: new NoopCallLog(), metrics, names, lag, originOf })
+  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: handler ?? echoHandler, log: new NoopCallLog(), metrics, names, lag, originOf })
   server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: MAX_BODY_BYTES, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 })
   await server.listen()
   return { server, port: server.port, handledIds }
@@ -85,3 +101,40 @@
   t.is((await fetch(`http://127.0.0.1:${port}/b/`, { headers: { 'x-id': 'r3' } })).status, 200)
   t.deepEqual(handledIds, ['r1', 'r3'])
 })
+
+const notForwardable: [name: string, reply: object][] = [
+  ['control character in a value', { headers: ['X-Note', 'a\x01b'] }],
+  ['line break in a value', { headers: ['X-Note', 'a\r\nX-Other: b'] }],
+  ['character above 255 in a value', { headers: ['X-Note', '\u5e02'] }],
+  ['name that is no token', { headers: ['X Note', 'a'] }],
+  ['name without a value', { headers: ['X-Note'] }],
+  ['no headers', { headers: null }],
+  ['status below 100', { status: 42 }],
+  ['status that is no number', { status: 'ok' }]
+]
+
+for (const [name, reply] of notForwardable) {
+  test(`guards against a caller without an answer because a response cannot be written: ${name}`, async (t) => {
+    const { server, port } = await startServer([], undefined, NO_LAG, respondingHandler(reply))
+    t.teardown(() => server.close())
+    const res = await fetch(`http://127.0.0.1:${port}/a/`, { headers: { 'x-id': 'r1' } })
+    t.is(res.status, 502)
+    t.is(await res.text(), 'not-forwardable\n')
+    t.is(server.inFlight, 0)
+  })
+}
+
+test('guards against a caller without an end because a response fails after its head was written', async (t) => {
+  const { server, port } = await startServer([], undefined, NO_LAG, respondingHandler({ body: { length: 3 } }))
+  t.teardown(() => server.close())
+  await t.throwsAsync(fetch(`http://127.0.0.1:${port}/a/`, { headers: { 'x-id': 'r1' } }))
+  t.is(server.inFlight, 0)
+})
+
+test('guards against a caller without an answer because the handling of its request fails', async (t) => {
+  const failing = { handle: () => { throw new Error('request not handled') } } as Partial<OutboundHandler> as OutboundHandler
+  const { server, port } = await startServer([], undefined, NO_LAG, failing)
+  t.teardown(() => server.close())
+  t.is((await fetch(`http://127.0.0.1:${port}/a/`, { headers: { 'x-id': 'r1' } })).status, 502)
+  t.is(server.inFlight, 0)
+})
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -4,13 +4,14 @@
 import { BufferBudget } from '../buffers/bufferBudget.js'
 import type { StoppableServer } from '../daemon/gracefulShutdown.js'
 import type { LoopLag } from '../daemon/nodeLoopLag.js'
+import { NotForwardable } from '../errors.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import type { RequestOrigin } from '../inbound/runningRequests.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
 import type { RequestLimits } from '../routing/meshConfig.js'
 import type { OutboundHandler } from './outboundHandler.js'
-import type { Responder } from './outboundTypes.js'
+import type { ForwardedResponse, Responder } from './outboundTypes.js'
 import { parseRequestHead, forwardedResponseHeaders } from './requestHead.js'
 
 export interface OutboundServerOptions {
@@ -186,21 +187,25 @@
       this.#opts.log.call(false, 'outbound', { id: head.requestId, outcome: 503, reason: 'stopping', origin })
       return responder.reject(503, 'stopping', RETRY_AFTER_STOPPING_MS)
     }
-    const onCallerLeft = this.#opts.handler.handle({ method: req.method!, url: req.url!, head, body, origin }, responder)
-    res.on('close', () => { if (!res.writableEnded) onCallerLeft() })
+    try {
+      const onCallerLeft = this.#opts.handler.handle({ method: req.method!, url: req.url!, head, body, origin }, responder)
+      res.on('close', () => { if (!res.writableEnded) onCallerLeft() })
+    } catch (err) {
+      this.#opts.log.call(false, 'outbound', { id: head.requestId, outcome: 502, reason: 'internalError', error: (err as Error).stack })
+      responder.reject(502, 'internalError')
+    }
   }
 
   #responder (req: IncomingMessage, res: ServerResponse): Responder {
     return {
       respond: (reply) => {
         if (res.destroyed) return
-        const headers = forwardedResponseHeaders(reply.headers)
-        const isBodiless = reply.status === 204 || reply.status === 304
-        if (reply.unframed) endBodyByClosing(res)
-        else if (!isBodiless && req.method !== 'HEAD') headers.push('Content-Length', String(reply.body.length))
-        this.#closeIfStopping(headers)
-        res.writeHead(reply.status, headers)
-        res.end(isBodiless ? undefined : reply.body)
+        try {
+          this.#writeReply(req, res, reply)
+        } catch (err) {
+          if (res.headersSent) res.destroy()
+          throw new NotForwardable('the response of a target cannot be written', err)
+        }
       },
       reject: (status, reason, retryAfterMs) => {
         if (res.destroyed || res.headersSent) return
@@ -214,6 +219,16 @@
     }
   }
 
+  #writeReply (req: IncomingMessage, res: ServerResponse, reply: ForwardedResponse): void {
+    const headers = forwardedResponseHeaders(reply.headers)
+    const isBodiless = reply.status === 204 || reply.status === 304
+    if (reply.unframed) endBodyByClosing(res)
+    else if (!isBodiless && req.method !== 'HEAD') headers.push('Content-Length', String(reply.body.length))
+    this.#closeIfStopping(headers)
+    res.writeHead(reply.status, headers)
+    res.end(isBodiless ? undefined : reply.body)
+  }
+
   #closeIfStopping (headers: string[]): void {
     if (this.#isStopping) headers.push('Connection', 'close')
   }
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -1,4 +1,5 @@
 import type { Cancel } from '@lentilwheel/core'
+import { NotForwardable } from '../errors.js'
 import type { HostRecord } from '../fleet/hostRecord.js'
 import { NESTED_URGENCY } from '../inbound/admission.js'
 import { isFullReason, type CallMessage, type FailureReason, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
@@ -75,7 +76,7 @@
     if (req.origin !== 'caller') this.#opts.inbound.recordNestedCall(req.head.requestId, service)
     if (req.origin === 'repeatedRun') budget.recordNestedRetry(service, this.#startedAt)
     this.#isProcessing = true
-    this.#executeAll(this.#flow.next())
+    this.#endOnError(() => this.#executeAll(this.#flow.next()))
     this.#processEvents()
   }
 
@@ -155,10 +156,28 @@
   }
 
   #processEvents (): void {
-    while (this.#pendingEvents.length > 0) this.#executeAll(this.#flow.next(this.#pendingEvents.shift()!))
+    this.#endOnError(() => {
+      while (this.#pendingEvents.length > 0) this.#executeAll(this.#flow.next(this.#pendingEvents.shift()!))
+    })
     this.#isProcessing = false
   }
 
+  /** Ends the request when a step of it fails unexpectedly: nothing else would answer its caller. */
+  #endOnError (step: () => void): void {
+    try {
+      step()
+    } catch (err) {
+      this.#pendingEvents.length = 0
+      for (const cancel of this.#cancels.values()) cancel()
+      this.#cancels.clear()
+      const error = (err as Error).stack
+      if (this.#isDone) return this.#opts.log.call(false, 'afterEnd', { id: this.#input.req.head.requestId, error })
+      const reason = err instanceof NotForwardable ? 'notForwardable' : 'internalError'
+      this.#end(502, false, { reason, error })
+      this.#input.res.reject(502, reason)
+    }
+  }
+
   #executeAll (result: IteratorResult<CallCommand[], void>): void {
     for (const command of result.value ?? []) this.#execute(command)
   }
@@ -184,9 +203,9 @@
     const { res } = this.#input
     switch (command.kind) {
       case 'respond':
+        res.respond(command.reply)
         this.#opts.sizes.record(this.#input.route.name, command.reply.body.length)
-        this.#end(command.reply.status, command.reply.status < 500, {})
-        return res.respond(command.reply)
+        return this.#end(command.reply.status, command.reply.status < 500, {})
       case 'reject':
         this.#recordRefusal(command.reason)
         this.#end(503, false, { reason: command.reason, retryAfterMs: Math.round(command.retryAfterMs), notRun: true, ...this.#quarantineDetails() })
