Notice within a second and a half that connections to the store are silent

In a data centre whose watchers couldn't reach the store, the others, which could, learned nothing at all.

Cause: only the end of a watch, after 10 s, shows that its connection lives, and all watchers begin their watches together, as a change wakes all. A daemon without the store kept its duty to watch.

Now the watches of a kind end in turn, one each second, by the time of day; one that is overdue by 0.5 s is given up (more while the store is slow). Calls open their own connections, so none meets a silent one. A daemon says in its messages that it has lost the store, and the next one of its data centre watches in its place. One call a second in the whole fleet, for any number of watchers.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -234,7 +234,7 @@
     const log = new NoopCallLog()
     const quarantine = testQuarantine(timers, { idPrefix: () => `${host}/${incarnation}`, onNews: (news, isOwn) => { if (isOwn) this.#tellOthers(host, news) } })
     const fleet = new Fleet({
-      own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
+      own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onWatchersChange: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
     })
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
--- a/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
+++ b/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
@@ -60,7 +60,8 @@
     const fleet = {
       own: { host: 'a9', dataCentre: 'a' },
       isWarmedUp: true,
-      rankInDataCentre: () => rankInDataCentre,
+      turnInDataCentres: () => rankInDataCentre < 2 ? { position: rankInDataCentre, watchers: 2 } : undefined,
+      setStoreLost: () => {},
       records: () => [...this.peerVersions.keys()].map((host) => ({ host, dataCentre: host[0] })),
       configVersionOf: (host: string) => this.peerVersions.get(host) ?? 0,
       isUp: () => true,
--- a/packages/hop/src/daemon/configUpdater.ts
+++ b/packages/hop/src/daemon/configUpdater.ts
@@ -19,7 +19,7 @@
   onConfig (table: RouteTable): void
 }
 
-/** Daemons of each data centre that watch the store; the others get changes from them. */
+/** Daemons of each data centre that watch the configuration; the others get changes from them. */
 const WATCHERS_PER_DATA_CENTRE = 2
 /** Time for the own watch to bring a version that a peer already has, before the peer is asked for it. */
 const OWN_WATCH_WAIT_MS = 300
@@ -29,7 +29,8 @@
 const CATCH_UP_RETRY_MS = 100
 /** Pause after a change, so that changes in quick succession are read together. */
 const BATCH_DELAY_MS = 600
-const WATCH_TIMEOUT_MS = 10_000
+/** Time between two proofs that the watches bring what changes; short against the time in which a change has to be in force. */
+const TURN_INTERVAL_MS = 1_000
 /** Versions kept as bases of deltas; a peer that holds an older one gets the whole configuration. */
 const MAX_KEPT_VERSIONS = 8
 
@@ -56,9 +57,10 @@
       timers,
       random,
       log,
-      watchTimeoutMs: WATCH_TIMEOUT_MS,
+      turnIntervalMs: TURN_INTERVAL_MS,
       batchDelayMs: BATCH_DELAY_MS,
-      isEnabled: () => fleet.isWarmedUp && fleet.rankInDataCentre() < WATCHERS_PER_DATA_CENTRE,
+      turn: () => fleet.turnInDataCentres(WATCHERS_PER_DATA_CENTRE),
+      onReachable: (isReachable) => fleet.setStoreLost(!isReachable),
       onList: (objects) => { for (const { name, spec } of objects) this.#applySpec(name, spec) },
       onChange: (object, deleted) => { if (!deleted) this.#applySpec(object.name, object.spec) }
     })
@@ -72,6 +74,11 @@
     this.#watcher.stop()
   }
 
+  /** Begins to watch at once if this daemon takes the place of a watcher that can't reach the store. */
+  checkTurn (): void {
+    if (this.#watcher.isPaused && this.#opts.fleet.turnInDataCentres(WATCHERS_PER_DATA_CENTRE)) this.#watcher.relist()
+  }
+
   /** Delta from a peer's version to the active configuration of this daemon; undefined if there is none. */
   deltaSince (heldVersion: number): ConfigDelta | undefined {
     const config = this.#versions.at(-1)
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -111,6 +111,7 @@
       openLink: (host, address, port) => new NodePeerLink({ host, address, port, timers, log, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp) }),
       onChange: () => this.#onFleetChange(),
       onNewerPeerVersion: () => this.#configUpdater.catchUp(),
+      onWatchersChange: () => this.#configUpdater.checkTurn(),
       onDepartures: (departures) => this.#onDepartures(departures),
       onFact: (fact) => this.#moves.onFact(fact),
       orders: () => this.#moves.orders(),
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -72,6 +72,7 @@
         close: () => {}
       }),
       onChange: () => {},
+      onWatchersChange: () => {},
       onNewerPeerVersion: () => this.learnedVersions.set(host, Math.max(0, ...fleet.records().map((record) => fleet.configVersionOf(record.host)))),
       onDepartures: (departures) => this.departedIds.set(host, departures.map(({ id }) => id)),
       onFact: () => {},
@@ -95,7 +96,7 @@
   const sim = new FleetSimulation(FLEET_SIZE)
   await sim.advance(4_000)
   sim.resetCounts()
-  for (const fleet of sim.byHost.values()) fleet.setConfigVersion(5, fleet.rankInDataCentre() < 2)
+  for (const fleet of sim.byHost.values()) fleet.setConfigVersion(5, fleet.turnInDataCentres(2) !== undefined)
   await sim.advance(1_000)
   t.true(sim.messagesSent <= FLEET_SIZE * 12, `${sim.messagesSent} messages`)
   t.is(sim.recordsSent, 0)
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -4,8 +4,10 @@
 import type { SyncMessage } from '../link/messages.js'
 import type { QuarantineNews } from '../quarantine/quarantineNews.js'
 import { formatRevision } from '../store/storeRevision.js'
+import type { WatchTurn } from '../store/storeWatcher.js'
 import { MoveFactSet } from './moveFactSet.js'
 import { HostTable } from './hostTable.js'
+import { WatchDuty } from './watchDuty.js'
 import type { FleetOptions, PeerLink } from './fleetTypes.js'
 import type { HostRecord, Departure, TargetRecord } from './hostRecord.js'
 
@@ -34,6 +36,7 @@
   readonly facts = new MoveFactSet()
   readonly #opts: FleetOptions
   readonly #table: HostTable
+  readonly #watchDuty: WatchDuty
   readonly #links = new Map<string, PeerLink>()
   /** When the link to a peer went down. */
   readonly #downSince = new Map<string, number>()
@@ -45,6 +48,7 @@
   constructor (opts: FleetOptions) {
     this.#opts = opts
     this.#table = new HostTable(opts.own)
+    this.#watchDuty = new WatchDuty(opts.timers)
     this.#startedAt = opts.timers.now()
     opts.epochs.onRise((from) => { if (from === 'store') this.schedulePush() })
     opts.timers.every(KEEP_ALIVE_INTERVAL_MS, () => this.#keepLinksAlive(), { jitter: 0.2 })
@@ -82,9 +86,28 @@
     return this.#rankedBefore().length
   }
 
-  /** Rank among the daemons of the own data centre, for duties that are assigned in each data centre. */
-  rankInDataCentre (): number {
-    return this.#rankedBefore().filter((record) => record.dataCentre === this.own.dataCentre).length
+  /** Place of this daemon among those that watch something, so many in each data centre; undefined if it need not watch. */
+  turnInDataCentres (perDataCentre: number): WatchTurn | undefined {
+    if (!this.isWarmedUp) return undefined
+    const groups = new Map<string, HostRecord[]>()
+    for (const record of this.#dutyCandidates()) {
+      const group = groups.get(record.dataCentre)
+      if (group) group.push(record)
+      else groups.set(record.dataCentre, [record])
+    }
+    return this.#watchDuty.turn(this.own, groups.values(), perDataCentre)
+  }
+
+  /** Place of this daemon among those that watch something for the whole fleet; undefined if it need not watch. */
+  turnInFleet (count: number): WatchTurn | undefined {
+    return this.isWarmedUp ? this.#watchDuty.turn(this.own, [this.#dutyCandidates()], count) : undefined
+  }
+
+  /** Records whether this daemon can reach the store, and tells all peers if that has changed, as another one has to watch in its place. */
+  setStoreLost (isLost: boolean): void {
+    if (!this.#watchDuty.setStoreLost(this.own.host, isLost)) return
+    this.#opts.log.decision('storeReach', { isLost })
+    this.#push()
   }
 
   /** Host of the daemon ranked first, which performs the duties of a single daemon. */
@@ -256,6 +279,7 @@
   #apply (message: SyncMessage): void {
     if (message.storeEpoch > 0) this.#opts.epochs.observe(message.storeEpoch, 'peer')
     this.merge(message.records)
+    if (this.#watchDuty.setStoreLost(message.from, message.isStoreLost === true)) this.#opts.onWatchersChange()
     this.#configVersions.set(message.from, message.configVersion)
     if (message.configVersion > this.configVersionOf(this.own.host)) this.#opts.onNewerPeerVersion()
     for (const fact of message.facts) if (this.facts.add(fact)) this.#opts.onFact(fact)
@@ -267,7 +291,8 @@
   /** A message with no content except this daemon's active configuration version and the store's epoch. */
   #emptyMessage (): SyncMessage {
     const { host } = this.own
-    return { from: host, configVersion: this.configVersionOf(host), storeEpoch: this.#opts.epochs.current, records: [], facts: [], orders: [], reports: [] }
+    const reach = this.#watchDuty.isStoreLost(host) ? { isStoreLost: true } : {}
+    return { ...reach, from: host, configVersion: this.configVersionOf(host), storeEpoch: this.#opts.epochs.current, records: [], facts: [], orders: [], reports: [] }
   }
 
   /** Makes the receiver answer with what it knows about requests that crash targets, if it knows something else. */
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -35,6 +35,8 @@
   onChange (): void
   /** Called when the active configuration of a peer is newer than that of this daemon. */
   onNewerPeerVersion (): void
+  /** Called when other daemons than before may have to watch the store. */
+  onWatchersChange (): void
   /** Called with departures of the own host as peers remember them; this daemon may have lost them in a restart. */
   onDepartures (departures: readonly Departure[]): void
   onFact (fact: MoveFact): void
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -59,6 +59,7 @@
     },
     onChange: () => {},
     onNewerPeerVersion: () => {},
+    onWatchersChange: () => {},
     onDepartures: () => {},
     onFact: (fact) => { received.push(fact) },
     orders: () => [],
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -126,6 +126,8 @@
   orders: MoveOrder[]
   /** Request results of the versions in a move, for the daemon that coordinates the move. */
   reports: BriefReport[]
+  /** Whether the sender can't reach the store, so that another daemon has to watch in its place; absent for no. */
+  isStoreLost?: boolean
   /** What is new about requests that crash targets; absent for nothing. */
   quarantine?: QuarantineNews
   /** Digest of what the sender knows about them. A receiver that knows something else answers with everything; absent where that isn't wanted. */
--- a/packages/hop/src/link/readSyncMessage.ts
+++ b/packages/hop/src/link/readSyncMessage.ts
@@ -18,7 +18,7 @@
  */
 export function readSyncMessage (value: unknown, { timers, log }: SyncReader): SyncMessage {
   const message = validateFields<SyncMessage>(value, REQUIRED_SYNC_FIELDS)
-  const { from, configVersion, storeEpoch, digest, quarantine, quarantineDigest } = message
+  const { from, configVersion, storeEpoch, isStoreLost, digest, quarantine, quarantineDigest } = message
   if (typeof from !== 'string' || !isCount(configVersion) || !isCount(storeEpoch)) throw new BadMessage('sync message has an invalid sender, version or epoch')
   const wallNow = timers.wallNow()
   const onBadRecord = (field: keyof SyncMessage): void => log.decision('badRecord', { from, field })
@@ -39,6 +39,7 @@
     facts: readAll('facts', (entry) => readMoveFact(entry, wallNow)),
     orders: readAll('orders', readMoveOrder),
     reports: readAll('reports', readBriefReport),
+    ...isStoreLost === true ? { isStoreLost } : {},
     ...typeof digest === 'string' ? { digest } : {},
     ...quarantine ? { quarantine: readQuarantineNews(quarantine, () => onBadRecord('quarantine')) } : {},
     ...typeof quarantineDigest === 'string' ? { quarantineDigest } : {}
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -24,7 +24,8 @@
 
 /** How often a daemon checks whether it should watch the orders in the store; its links are up by the first check. */
 const WATCHER_CHECK_INTERVAL_MS = 500
-const WATCH_TIMEOUT_MS = 12_000
+/** Time between two proofs that the watches bring new orders. */
+const TURN_INTERVAL_MS = 2_000
 /** Pause after a change, so that changes in quick succession are read together. */
 const BATCH_DELAY_MS = 100
 /** Daemons that watch the orders in the store; the others get them from peers. */
@@ -65,7 +66,7 @@
 
   start (): void {
     this.#opts.timers.every(TICK_INTERVAL_MS, () => this.#tick(), { jitter: 0.2 })
-    this.#opts.timers.every(WATCHER_CHECK_INTERVAL_MS, () => { if (!this.#watcher && this.#isWatcher()) this.#startWatcher() })
+    this.#opts.timers.every(WATCHER_CHECK_INTERVAL_MS, () => { if (!this.#watcher && this.#opts.fleet.turnInFleet(MAX_WATCHERS)) this.#startWatcher() })
   }
 
   stop (): void {
@@ -143,13 +144,9 @@
     fleet.publishFact(known.state === 'rolledBack' ? { kind: 'rollback', ...origin, daemon: fleet.own.host } : { kind: 'outcome', ...origin, outcome: 'done' })
   }
 
-  #isWatcher (): boolean {
-    return this.#opts.fleet.isWarmedUp && this.#opts.fleet.rank() < MAX_WATCHERS
-  }
-
   /** Starts watching the orders in the store. */
   #startWatcher (): void {
-    const { store, codec, timers, random, log } = this.#opts
+    const { fleet, store, codec, timers, random, log } = this.#opts
     const readOrder = (object: StoredObject): void => {
       const order = this.#readOrder(object)
       if (order) this.onOrder(order, 'store')
@@ -161,9 +158,10 @@
       timers,
       random,
       log,
-      watchTimeoutMs: WATCH_TIMEOUT_MS,
+      turnIntervalMs: TURN_INTERVAL_MS,
       batchDelayMs: BATCH_DELAY_MS,
-      isEnabled: () => this.#isWatcher(),
+      turn: () => fleet.turnInFleet(MAX_WATCHERS),
+      onReachable: (isReachable) => fleet.setStoreLost(!isReachable),
       onList: (objects) => objects.forEach(readOrder),
       onChange: (object, deleted) => { if (!deleted) readOrder(object) }
     })
--- a/packages/hop/src/store/__tests__/storeWatcher.spec.ts
+++ b/packages/hop/src/store/__tests__/storeWatcher.spec.ts
@@ -7,7 +7,7 @@
 import type { StoreRevision } from '../storeRevision.js'
 import { StoreWatcher } from '../storeWatcher.js'
 
-const WATCH_TIMEOUT_MS = 10_000
+const TURN_INTERVAL_MS = 10_000
 const BATCH_DELAY_MS = 600
 
 /** A watcher of a store in memory, which can be restored from a copy, with or without its open watch noticing. */
@@ -34,9 +34,9 @@
       timers: this.timers,
       random: new SeededRandom(1),
       log: new NoopCallLog(),
-      watchTimeoutMs: WATCH_TIMEOUT_MS,
+      turnIntervalMs: TURN_INTERVAL_MS,
       batchDelayMs: BATCH_DELAY_MS,
-      isEnabled: () => this.isEnabled,
+      turn: () => this.isEnabled ? { position: 0, watchers: 1 } : undefined,
       onList: (objects) => objects.forEach(onObject),
       onChange: onObject
     }).run()
@@ -130,7 +130,7 @@
   harness.put('before')
   await harness.run(1_000)
   harness.isEnabled = false
-  await harness.run(WATCH_TIMEOUT_MS)
+  await harness.run(TURN_INTERVAL_MS)
   harness.restore(10, ['after'], 40)
   harness.isEnabled = true
   await harness.run(1_000)
@@ -184,3 +184,36 @@
     t.is(harness.seen.at(-1), last, `seed ${seed}`)
   }
 })
+
+test('guards against all watchers being deaf for long when their connections go silent together', async (t) => {
+  const watchers = 8
+  const turnIntervalMs = 1_000
+  const timers = new VirtualTimers()
+  const ends: number[] = []
+  const revision = { epoch: 1, number: 1 }
+  const store = {
+    epochs: new EpochTracker(new NoopCallLog()),
+    list: async () => ({ revision, objects: [] }),
+    watch: async (_kind: string, _revision: StoreRevision, waitMs: number) => {
+      if (waitMs > 0) await new Promise<void>((resolve) => { timers.after(waitMs, resolve) })
+      if (waitMs > 0) ends.push(timers.now())
+      return { revision, events: [] }
+    }
+  } as Partial<ObjectStore> as ObjectStore
+  for (let position = 0; position < watchers; position++) {
+    // Daemons start at any time.
+    timers.advance(position * 137)
+    new StoreWatcher({
+      store, kind: 'k', timers, random: new SeededRandom(1), log: new NoopCallLog(), turnIntervalMs, batchDelayMs: BATCH_DELAY_MS, turn: () => ({ position, watchers }), onList: () => {}, onChange: () => {}
+    }).run()
+  }
+  const runMs = 60_000
+  for (let elapsedMs = 0; elapsedMs < runMs; elapsedMs += 50) {
+    for (let i = 0; i < 20; i++) await Promise.resolve()
+    timers.advance(50)
+  }
+  const steady = ends.slice(2 * watchers)
+  const gaps = steady.slice(1).map((at, i) => at - steady[i]!)
+  t.true(Math.max(...gaps) <= turnIntervalMs + 100, `${Math.max(...gaps)} ms without a proof`)
+  t.true(steady.length <= runMs / turnIntervalMs, `${steady.length} watches`)
+})
