Find out that a link to a peer is silent from any message on it, and then check the others

A message to a peer (a new version, a departure, a fact about a move) was lost on a silent connection, and the next one too: only a pending call made the daemon ping its peer. A quiet link was found dead after 3.8 s, with 195 peers after 20 s, by the call that needed it, which then waited for 1.2 s.

Cause: messages and fetches that timed out after 0.7 s left their connection as it was.

Now any request without a reply makes the daemon ping (after 0.25 s of silence, dead 0.8 s later), and a link that turns out to be dead makes it ping up to 64 others, once a second at most, as links often go silent together. The side that accepts connections lets the system probe them; before, it kept silent ones for good.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -285,6 +285,7 @@
       sync: async (message) => message,
       fetchConfig: async () => undefined,
       keepAlive: () => {},
+      check: () => {},
       close: () => {}
     }
   }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -108,7 +108,9 @@
       timers,
       random,
       log,
-      openLink: (host, address, port) => new NodePeerLink({ host, address, port, timers, log, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp) }),
+      openLink: (host, address, port) => new NodePeerLink({
+        host, address, port, timers, log, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
+      }),
       onChange: () => this.#onFleetChange(),
       onNewerPeerVersion: () => this.#configUpdater.catchUp(),
       onWatchersChange: () => this.#configUpdater.checkTurn(),
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -25,6 +25,8 @@
   readonly quarantines = new Map<string, Quarantine>()
   messagesSent = 0
   recordsSent = 0
+  /** Number of links that were checked. */
+  checks = 0
 
   constructor (size: number) {
     for (let i = 0; i < size; i++) this.add(`h${i}`, i)
@@ -69,6 +71,7 @@
         },
         fetchConfig: async () => undefined,
         keepAlive: () => {},
+        check: () => { this.checks++ },
         close: () => {}
       }),
       onChange: () => {},
@@ -236,3 +239,14 @@
   sim.resetCounts()
   return messagesSent
 }
+
+test('guards against a daemon checking none of its links, or all of them again and again, when some turn out to be silent', (t) => {
+  const sim = new FleetSimulation(100)
+  const [fleet] = sim.byHost.values()
+  fleet!.onSilentLink()
+  fleet!.onSilentLink()
+  t.is(sim.checks, 64)
+  sim.timers.advance(1_000)
+  fleet!.onSilentLink()
+  t.is(sim.checks, 128)
+})
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -20,6 +20,9 @@
 const IDLE_PING_MS_PER_PEER = 100
 /** Least time between a push and the next scheduled one; urgent changes are pushed at once. */
 const MIN_PUSH_INTERVAL_MS = 400
+/** Links that are pinged when one turned out to be silent, and the least time between two such rounds. */
+const MAX_CHECKED_LINKS = 64
+const MIN_CHECK_INTERVAL_MS = 1_000
 /** Random peers that a daemon notifies of a new configuration version; each of them notifies others. */
 const VERSION_FANOUT = 3
 /** Time without a working link after which a peer counts as gone. */
@@ -44,6 +47,7 @@
   readonly #startedAt: number
   #isPushScheduled = false
   #lastPushAt = -Infinity
+  #checkedAt = -Infinity
 
   constructor (opts: FleetOptions) {
     this.#opts = opts
@@ -240,6 +244,17 @@
     this.#opts.onChange()
   }
 
+  /**
+   * Called when a link turned out to be dead although nothing had ended it. Often many go silent together, so others are pinged before they are
+   * needed; not more than a number of them, as a host that is gone makes each of its peers do so.
+   */
+  onSilentLink (): void {
+    const now = this.#opts.timers.now()
+    if (now - this.#checkedAt < MIN_CHECK_INTERVAL_MS) return
+    this.#checkedAt = now
+    for (const host of this.#randomPeers(MAX_CHECKED_LINKS)) this.#links.get(host)?.check()
+  }
+
   /** Exchanges all records with a daemon of which only the address is known; tells whether it answered. */
   async contactSeed (address: string, port: number): Promise<boolean> {
     const link = this.#opts.openLink('', address, port)
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -20,6 +20,8 @@
   fetchConfig (heldVersion: number): Promise<ConfigDelta | undefined>
   /** Reconnects a broken link and pings a silent one; called periodically. */
   keepAlive (): void
+  /** Pings the peer if it has been silent for a moment. */
+  check (): void
   close (): void
 }
 
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -55,7 +55,7 @@
     log: new NoopCallLog(),
     openLink: (host) => {
       linkedHosts.push(host)
-      return { isUp: false, endpoint: { address: '', port: 0 }, call: () => () => {}, sync: async (message) => message, fetchConfig: async () => undefined, keepAlive: () => {}, close: () => {} }
+      return { isUp: false, endpoint: { address: '', port: 0 }, call: () => () => {}, sync: async (message) => message, fetchConfig: async () => undefined, keepAlive: () => {}, check: () => {}, close: () => {} }
     },
     onChange: () => {},
     onNewerPeerVersion: () => {},
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -22,6 +22,9 @@
   deltaSince (heldVersion: number): ConfigDelta | undefined
 }
 
+/** Silence after which the system probes a connection; only the side that opened it sends pings. */
+const KEEP_ALIVE_DELAY_MS = 10_000
+
 /** Accepts the connections of other daemons: passes their calls to the inbound handler and answers sync and config requests. */
 export class NodeHopServer {
   readonly #opts: HopServerOptions
@@ -30,7 +33,7 @@
 
   constructor (opts: HopServerOptions) {
     this.#opts = opts
-    this.#server = createServer({ noDelay: true }, (socket) => this.#onConnection(socket))
+    this.#server = createServer({ noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS }, (socket) => this.#onConnection(socket))
   }
 
   async listen (): Promise<void> {
--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -11,19 +11,26 @@
   log: CallLog
   /** Whether to stay connected while there is nothing to send; otherwise a request opens the connection. */
   isPersistent: boolean
-  /** When the oldest pending call was sent; undefined if none is pending. A silent peer is pinged sooner while a call waits. */
-  oldestCallSentAt (): number | undefined
   /** Silence after which an idle connection is pinged. */
   idlePingMs (): number
   onStateChange (isUp: boolean): void
+  /** Called when the connection was closed because the peer left a ping unanswered. */
+  onSilent (): void
+}
+
+interface PendingRequest {
+  sentAt: number
+  done (outcome: ExchangeOutcome): void
 }
 
 /** Result of a request: the payload of the reply, or whether the connection was established before it broke. */
 export type ExchangeOutcome = { kind: 'payload', payload: unknown } | { kind: 'broken', wasConnected: boolean }
 
 const CONNECT_TIMEOUT_MS = 700
-/** Silence after which the peer is pinged while a call is pending. */
-const PENDING_CALL_PING_MS = 250
+/** Silence after which the peer is pinged while a request is pending. */
+const PENDING_PING_MS = 250
+/** Silence after which the peer is pinged when other connections have turned out to be silent. */
+const CHECK_PING_MS = 500
 /** Time without an answer to a ping after which the connection is closed. */
 const PING_TIMEOUT_MS = 800
 /** Bounds of the exponential delay before another attempt to connect to an unreachable peer. */
@@ -36,7 +43,8 @@
  */
 export class PeerConnection {
   readonly #opts: PeerConnectionOptions
-  readonly #pending = new Map<number, (outcome: ExchangeOutcome) => void>()
+  /** Requests without a reply, by exchange id, in the order in which they were sent. */
+  readonly #pending = new Map<number, PendingRequest>()
   #socket: FrameSocket | undefined
   #isConnected = false
   #pingedAt = -Infinity
@@ -61,7 +69,7 @@
       return 0
     }
     const exchangeId = ++this.#lastExchangeId
-    this.#pending.set(exchangeId, done)
+    this.#pending.set(exchangeId, { sentAt: this.#opts.timers.now(), done })
     socket.send([kind, exchangeId, payload])
     return exchangeId
   }
@@ -94,9 +102,9 @@
     const socket = new FrameSocket(tcp, {
       timers,
       onFrame: ([, exchangeId, payload]) => {
-        const done = this.#pending.get(exchangeId)
+        const request = this.#pending.get(exchangeId)
         this.#pending.delete(exchangeId)
-        done?.({ kind: 'payload', payload })
+        request?.done({ kind: 'payload', payload })
       },
       onClose: (reason) => {
         stopTimeout()
@@ -127,7 +135,7 @@
     this.#pending.clear()
     if (!this.#isClosed) this.#opts.onStateChange(false)
     if (wasConnected && this.#opts.isPersistent) this.#open()
-    for (const done of pending) done({ kind: 'broken', wasConnected })
+    for (const { done } of pending) done({ kind: 'broken', wasConnected })
   }
 
   /** Called at intervals: opens a persistent connection, pings a silent peer, and disconnects if a ping stays unanswered. */
@@ -136,14 +144,29 @@
     if (!socket || !this.#isConnected) return
     const now = this.#opts.timers.now()
     const silentMs = now - socket.lastReceivedAt
-    const isPingPending = this.#pingedAt > socket.lastReceivedAt
-    if (isPingPending && now - this.#pingedAt > PING_TIMEOUT_MS) {
+    if (this.#isPingPending(socket)) {
+      if (now - this.#pingedAt <= PING_TIMEOUT_MS) return
       socket.destroy(`peer silent for ${Math.round(silentMs)} ms`)
-      return
+      return this.#opts.onSilent()
     }
-    const callSilentMs = now - Math.max(socket.lastReceivedAt, this.#opts.oldestCallSentAt() ?? now)
-    if (isPingPending || (callSilentMs < PENDING_CALL_PING_MS && silentMs < this.#opts.idlePingMs())) return
-    this.#pingedAt = now
+    const [oldest] = this.#pending.values()
+    const pendingSilentMs = now - Math.max(socket.lastReceivedAt, oldest?.sentAt ?? now)
+    if (pendingSilentMs >= PENDING_PING_MS || silentMs >= this.#opts.idlePingMs()) this.#ping(socket)
+  }
+
+  /** Pings a peer that has been silent for a moment, as connections to others have turned out to be dead. */
+  check (): void {
+    const socket = this.#socket
+    if (!socket || !this.#isConnected || this.#isPingPending(socket)) return
+    if (this.#opts.timers.now() - socket.lastReceivedAt >= CHECK_PING_MS) this.#ping(socket)
+  }
+
+  #isPingPending (socket: FrameSocket): boolean {
+    return this.#pingedAt > socket.lastReceivedAt
+  }
+
+  #ping (socket: FrameSocket): void {
+    this.#pingedAt = this.#opts.timers.now()
     socket.send([FRAME_KINDS.ping, 0])
   }
 }
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -19,11 +19,12 @@
   idlePingMs (): number
   /** Called when the peer becomes reachable and when the connection to it is lost. */
   onStateChange (host: string, isUp: boolean): void
+  /** Called when a connection turned out to be dead although nothing had ended it. */
+  onSilent (): void
 }
 
 interface PendingCall {
   message: CallMessage
-  sentAt: number
   reply: (reply: HopReply) => void
   deadlineAt: number
   /** When the connection broke on which the call was sent. */
@@ -44,7 +45,7 @@
  */
 export class NodePeerLink implements PeerLink {
   readonly #opts: PeerLinkOptions
-  /** Pending calls in the order in which they were sent. */
+  /** Calls that have not ended. */
   readonly #pending = new Set<PendingCall>()
   readonly #connection: PeerConnection
   /** Carries large requests and responses, so that small ones don't wait behind them. */
@@ -53,8 +54,8 @@
 
   constructor (opts: PeerLinkOptions) {
     this.#opts = opts
-    const { host, address, port, timers, log, idlePingMs } = opts
-    const shared = { peer: host, address, port, timers, log, idlePingMs, oldestCallSentAt: () => this.#oldestSentAt() }
+    const { host, address, port, timers, log, idlePingMs, onSilent } = opts
+    const shared = { peer: host, address, port, timers, log, idlePingMs, onSilent }
     this.#connection = new PeerConnection({ ...shared, isPersistent: true, onStateChange: (isUp) => opts.onStateChange(host, isUp) })
     this.#bulkConnection = new PeerConnection({ ...shared, isPersistent: false, onStateChange: () => {} })
   }
@@ -69,10 +70,9 @@
 
   /** Offers a call to the peer. Returns a function that cancels the call. */
   call (message: CallMessage, isBulky: boolean, reply: (reply: HopReply) => void): () => void {
-    const sentAt = this.#opts.timers.now()
-    const deadlineAt = sentAt + message.deadlineMs
+    const deadlineAt = this.#opts.timers.now() + message.deadlineMs
     const connection = isBulky ? this.#bulkConnection : this.#connection
-    const call: PendingCall = { message, sentAt, reply, deadlineAt, brokenAt: 0, connection, exchangeId: 0, hasEnded: false }
+    const call: PendingCall = { message, reply, deadlineAt, brokenAt: 0, connection, exchangeId: 0, hasEnded: false }
     this.#pending.add(call)
     call.exchangeId = connection.request(FRAME_KINDS.call, packCall(message), (outcome) => this.#onOutcome(call, outcome))
     return () => this.#cancel(call)
@@ -93,6 +93,12 @@
     this.#bulkConnection.keepAlive()
   }
 
+  /** Finds out whether the connections still live, though nothing waits on them. */
+  check (): void {
+    this.#connection.check()
+    this.#bulkConnection.check()
+  }
+
   close (): void {
     this.#isClosed = true
     this.#connection.close()
@@ -100,11 +106,6 @@
     for (const call of this.#pending) this.#end(call, { kind: 'failed', reason: 'lost' })
   }
 
-  #oldestSentAt (): number | undefined {
-    const [oldest] = this.#pending
-    return oldest?.sentAt
-  }
-
   async #request (kind: FrameKind, payload: unknown): Promise<unknown> {
     return await new Promise((resolve, reject) => {
       const exchangeId = this.#connection.request(kind, payload, (outcome) => {
