Ask another peer for a version after a fetch has failed

Cause: ConfigUpdater always took the peer with the newest version, also after it had just failed. Now such a peer is asked again only if no other has a newer version than the own.

Evidence: configUpdater.spec.ts, the new case red before (asks a1 twice), green after.

--- a/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
+++ b/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { StoreUnavailable } from '../../errors.js'
+import { PeerLost, StoreUnavailable } from '../../errors.js'
 import type { Fleet } from '../../fleet/fleet.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { ConfigDelta } from '../../routing/configDelta.js'
@@ -26,6 +26,8 @@
   /** Active versions of the peers, by host; a host's first letter is its data centre. */
   readonly peerVersions = new Map<string, number>()
   readonly fetchedFrom: string[] = []
+  /** Peers whose link is up but that don't answer. */
+  readonly silentPeers = new Set<string>()
   /** Versions that the updater made active, in order. */
   readonly appliedVersions: number[] = []
   storedVersion = 1
@@ -69,6 +71,7 @@
       link: (host: string) => ({
         fetchConfig: async (heldVersion: number): Promise<ConfigDelta> => {
           this.fetchedFrom.push(host)
+          if (this.silentPeers.has(host)) throw new PeerLost('no reply')
           const version = this.peerVersions.get(host)!
           return { version, base: this.claimedBase ?? heldVersion, put: [...config(version).routes], gone: [], services: [], limits: LIMITS }
         }
@@ -178,3 +181,14 @@
   await harness.run(1_000)
   t.is(harness.appliedVersions.at(-1), 7)
 })
+
+test('guards against a daemon asking the same silent peer again and again for a version that others have too', async (t) => {
+  const harness = new Harness(NON_WATCHER_RANK)
+  await harness.run(2_000)
+  harness.isStoreDown = true
+  harness.silentPeers.add('a1')
+  harness.announceVersion('a1', 6)
+  harness.announceVersion('a2', 5)
+  await harness.run(1_000)
+  t.deepEqual([harness.appliedVersions, harness.fetchedFrom.slice(0, 2)], [[1, 5], ['a1', 'a2']])
+})
--- a/packages/hop/src/daemon/configUpdater.ts
+++ b/packages/hop/src/daemon/configUpdater.ts
@@ -27,6 +27,8 @@
 const STORE_WAIT_MS = 500
 /** Pause before a daemon that is still behind its peers tries again. */
 const CATCH_UP_RETRY_MS = 100
+/** Time after a failed fetch in which other peers are asked first. */
+const FAILED_PEER_MS = 5_000
 /** Pause after a change, so that changes in quick succession are read together. */
 const BATCH_DELAY_MS = 600
 /** Time between two proofs that the watches bring what changes; short against the time in which a change has to be in force. */
@@ -47,6 +49,8 @@
   /** Last delta that was computed, for peers that ask for the same one. */
   #cachedDelta: ConfigDelta | undefined
   #isCatchingUp = false
+  /** When a fetch from a peer failed last. */
+  readonly #failedAt = new Map<string, number>()
 
   constructor (opts: ConfigUpdaterOptions) {
     this.#opts = opts
@@ -128,27 +132,34 @@
     try {
       const delta = await link.fetchConfig(this.#currentVersion)
       const config = delta && applyDelta(this.#versions.at(-1), delta)
-      if (!config) return false
-      this.#apply(config, peer!)
-      return true
+      if (config) {
+        this.#failedAt.delete(peer!)
+        this.#apply(config, peer!)
+        return true
+      }
     } catch (err) {
       log.decision('configNotFetched', { peer, code: errorCode(err) })
-      return false
     }
+    this.#failedAt.set(peer!, this.#opts.timers.now())
+    return false
   }
 
-  /** Reachable peer with the newest version, in one data centre or anywhere; undefined if none is newer than the own. */
+  /**
+   * Reachable peer to fetch from, in one data centre or anywhere; undefined if none has a newer version than the own. Of those whose last fetch didn't just fail
+   * it is the one with the newest version; one that failed is asked again only if there is no other.
+   */
   #peerWithNewest (dataCentre?: string): string | undefined {
-    const { fleet } = this.#opts
-    let newest: string | undefined
-    let version = this.#currentVersion
+    const { fleet, timers } = this.#opts
+    const hasFailed = (host: string): boolean => timers.now() - (this.#failedAt.get(host) ?? -Infinity) < FAILED_PEER_MS
+    let best: { host: string, version: number, hasFailed: boolean } | undefined
     for (const { host, dataCentre: peerDataCentre } of fleet.records()) {
-      const peerVersion = fleet.configVersionOf(host)
-      if (peerVersion <= version || !fleet.isUp(host) || (dataCentre !== undefined && peerDataCentre !== dataCentre)) continue
-      version = peerVersion
-      newest = host
+      const version = fleet.configVersionOf(host)
+      if (version <= this.#currentVersion || !fleet.isUp(host) || (dataCentre !== undefined && peerDataCentre !== dataCentre)) continue
+      const peer = { host, version, hasFailed: hasFailed(host) }
+      const isBetter = !best || (best.hasFailed === peer.hasFailed ? version > best.version : best.hasFailed)
+      if (isBetter) best = peer
     }
-    return newest
+    return best?.host
   }
 
   /** Applies an object from the store if it is the configuration. */
