Close idle connections to a target after a request got no response on one like them

When the open connections to a target went silent, each idle one cost one more request its whole time: a time-out closed only the connection on which it happened.

Now a time-out closes the connections that have been idle since before the request was sent. New connections cost a target little; a request that can't be repeated its caller.

Evidence: targetClient.spec.ts, the new case red before (the next request is sent on another silent connection and never ends), green after.

--- a/packages/hop/src/inbound/__tests__/targetClient.spec.ts
+++ b/packages/hop/src/inbound/__tests__/targetClient.spec.ts
@@ -71,6 +71,28 @@
   client.reset()
 })
 
+test('guards against each idle connection that went silent costing a request its time', async (t) => {
+  const silent = new Set<Socket>()
+  const sockets = new Set<Socket>()
+  const target = new FakeTarget((id, socket) => {
+    sockets.add(socket)
+    if (!silent.has(socket)) socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-sig: s\r\nKeep-Alive: timeout=600\r\nContent-Length: 0\r\n\r\n`)
+  })
+  t.teardown(() => target.close())
+  const timers = new VirtualTimers()
+  const client = await startClient(target, { timers })
+  await Promise.all([send(client, 'r1'), send(client, 'r2'), send(client, 'r3')])
+  t.is(target.connections, 3)
+  for (const socket of sockets) silent.add(socket)
+  timers.advance(1_000)
+  const lost = send(client, 'r4')
+  timers.advance(60_000)
+  t.deepEqual(await lost, { kind: 'failed', reason: 'timeout' })
+  t.is((await send(client, 'r5')).kind, 'response')
+  t.is(target.connections, 4)
+  client.reset()
+})
+
 test('guards against bytes above 127 in a header of a target being changed', async (t) => {
   const target = new FakeTarget((id, socket) => {
     socket.write(Buffer.from(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-sig: s\r\nX-Note: \u5e02\r\nContent-Length: 0\r\n\r\n`, 'utf8'))
--- a/packages/hop/src/inbound/nodeTargetClient.ts
+++ b/packages/hop/src/inbound/nodeTargetClient.ts
@@ -48,9 +48,11 @@
 
   send (request: TargetRequest, idempotent: boolean, done: (result: TargetResult) => void): () => void {
     const connection = this.#acquire(request.requestId, idempotent)
+    const sentAt = this.#opts.timers.now()
     connection.send(request, (result) => {
       if (connection.isUsable()) this.#idleConnections.push(connection)
       else connection.close()
+      if (result.kind === 'failed' && result.reason === 'timeout') this.#closeIdleSince(sentAt)
       done(result)
     })
     return () => connection.close()
@@ -77,6 +79,12 @@
     this.#idleConnections = []
   }
 
+  /** Closes idle connections that may have gone silent together with one on which a request, sent at the given time, got no response. */
+  #closeIdleSince (sentAt: number): void {
+    for (const connection of this.#idleConnections) if (connection.idleSince < sentAt) connection.close()
+    this.#idleConnections = this.#idleConnections.filter((connection) => connection.isUsable())
+  }
+
   /** Returns an idle connection, or a new one if none is usable. */
   #acquire (requestId: string, idempotent: boolean): TargetConnection {
     const maxIdleMs = idempotent ? Infinity : NON_IDEMPOTENT_MAX_IDLE_MS
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -112,6 +112,11 @@
     return this.#isReusable && !this.#exchange && !this.#socket.destroyed && idleMs < Math.min(this.#idleTimeoutMs, maxIdleMs)
   }
 
+  /** When the last response ended; bytes have come through until then. */
+  get idleSince (): number {
+    return this.#idleSince
+  }
+
   send (request: TargetRequest, done: (result: TargetResult) => void): void {
     const stopTimer = this.#opts.timers.after(request.timeoutMs, () => this.#fail('timeout'))
     this.#requests++
