Reject the head of a response that has the status line of another one in it

Cause: the parser passes over lines in a head that are no headers, so the first status line stood for the headers, id and signature of the second response.

Ruled out: that an id or a signature check helps (both belong to the second response).

Now such a line, a status line within a reason phrase or at the end of a value, and a second id, signature or refusal header make the response garbled.

--- a/packages/hop/src/inbound/__tests__/targetClient.spec.ts
+++ b/packages/hop/src/inbound/__tests__/targetClient.spec.ts
@@ -253,6 +253,31 @@
   for (let length = 0; length < head('r00').length; length++) t.is((await send(client, `r${length}`)).kind, 'failed', `${length} bytes`)
 })
 
+/** Extra responses that a target may write late and break off, before its response to the next request. */
+const extraResponses: Record<string, string> = {
+  'a success': 'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-sig: s\r\nX-Note: abc\r\nContent-Length: 4\r\n\r\nbody',
+  'a refusal': 'HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-id: r1\r\nContent-Length: 0\r\n\r\n',
+  'a refusal without an id': 'HTTP/1.1 503 Service Unavailable\r\nX-Note: abc\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n'
+}
+
+for (const [name, extra] of Object.entries(extraResponses)) {
+  test(`guards against an extra response that breaks off at any byte turning a failure into something else: ${name}`, async (t) => {
+    let length = 0
+    const target = new FakeTarget((id, socket) => {
+      if (id === 'r1') return socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-sig: s\r\nKeep-Alive: timeout=600\r\nContent-Length: 0\r\n\r\n`)
+      socket.end(`${extra.slice(0, length)}HTTP/1.1 500 Internal Server Error\r\nx-id: ${id}\r\nx-sig: s\r\nContent-Length: 6\r\n\r\nfailed`)
+    })
+    t.teardown(() => target.close())
+    const client = await startClient(target)
+    for (; length <= extra.length; length++) {
+      await send(client, 'r1')
+      const result = await send(client, 'r2')
+      const isOwn = result.kind === 'response' && result.status === 500 && String(result.body) === 'failed'
+      t.true(isOwn || (result.kind === 'failed' && result.reason !== 'timeout'), `${length} bytes: ${JSON.stringify(result)}`)
+    }
+  })
+}
+
 /** Timers whose clock goes on while none of them is served, as in a process that gets no processor time. */
 class StalledTimers extends VirtualTimers {
   stalledMs = 0
--- a/packages/hop/src/inbound/classifyMessage.ts
+++ b/packages/hop/src/inbound/classifyMessage.ts
@@ -27,9 +27,10 @@
 export function classifyMessage (message: TargetMessage, requestId: string, isFirst: boolean, names: HeaderNames): MessageClass {
   const { status, headers, body, unframed } = message
   if (status < 200) return { kind: 'skip', why: 'interim' }
+  const garbled: MessageClass = { kind: 'result', result: { kind: 'failed', reason: 'garbled' } }
+  if ([names.requestId, names.signature, names.notRun].some((name) => countHeader(headers, name) > 1)) return garbled
   const id = headerValue(headers, names.requestId)
   if (id !== undefined && id !== requestId) return { kind: 'skip', why: 'otherRequest' }
-  const garbled: MessageClass = { kind: 'result', result: { kind: 'failed', reason: 'garbled' } }
   if (id === undefined && !isFirst) return garbled
   const reported = parseLoad(headerValue(headers, names.load))
   const extra = reported ? { reported } : {}
@@ -58,6 +59,16 @@
 /** Visible characters, blanks, tabs, and bytes above 127 as one character each. */
 const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
 
+/** How often a header occurs in a list of alternating names and values. */
+export function countHeader (headers: readonly string[], name: string): number {
+  const lowerCaseName = name.toLowerCase()
+  let count = 0
+  for (let i = 0; i < headers.length; i += 2) {
+    if (headers[i]!.length === lowerCaseName.length && headers[i]!.toLowerCase() === lowerCaseName) count++
+  }
+  return count
+}
+
 function parseStatement (headers: readonly string[], names: HeaderNames): TargetStatement {
   const limitPerS = parseLimit(headerValue(headers, names.limit))
   return { isLeaving: headerValue(headers, names.leaving) === '1', ...limitPerS === undefined ? {} : { limitPerS } }
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -6,6 +6,7 @@
 import type { FailureReason } from '../link/messages.js'
 import { declaredLength, exceededLimit, type LimitName, type Received, type ResponseLimits } from './responseLimits.js'
 import type { ConnectOutcome } from './crashDetector.js'
+import { isSpliced, parseHeaderLine } from './headerLines.js'
 import { classifyMessage, headerValue, type TargetMessage } from './classifyMessage.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
@@ -152,6 +153,7 @@
 
   #newParser (): InstanceType<typeof HTTPParser> {
     const parser = new HTTPParser(HTTPParser.RESPONSE)
+    parser.parseHeader = parseHeaderLine
     parser[HTTPParser.kOnHeadersComplete] = (info: HeaderInfo) => this.#onHead(info)
     parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
       this.#onBody(chunk.subarray(offset, offset + length))
@@ -168,6 +170,10 @@
       return 0
     }
     const headers = info.headers.slice()
+    if (isSpliced(info.statusMessage, headers)) {
+      this.#fail('garbled')
+      return 0
+    }
     const { limits: responseLimits } = this.#opts
     const length = declaredLength(headers)
     const isBodiless = this.#exchange.request.method === 'HEAD'
--- a/packages/hop/src/outbound/requestHead.ts
+++ b/packages/hop/src/outbound/requestHead.ts
@@ -1,5 +1,5 @@
 import { hostName } from '@lentilwheel/core'
-import { headerValue } from '../inbound/classifyMessage.js'
+import { countHeader, headerValue } from '../inbound/classifyMessage.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 
 /** Hop-by-hop headers, which are not forwarded; nor is the length, which is set again from the body. */
@@ -58,9 +58,3 @@
   }
   return result
 }
-
-function countHeader (headers: readonly string[], name: string): number {
-  let n = 0
-  for (let i = 0; i < headers.length; i += 2) if (headers[i]!.toLowerCase() === name) n++
-  return n
-}
