Settle a call as lost when it may have run and been forgotten

Cause: the registry forgets an ended call after 4 s, and took an unknown key for a call that had never arrived.

Now it keeps the number of the latest forgotten call of each host: keys increase, so earlier ones may have run.

Evidence: inboundHandler.spec.ts, the new case red before (notRun revoked), green after.

--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -222,3 +222,19 @@
   t.deepEqual(['a', 'b', 'c'].map((key) => setup.outcomeOf(key)), ['failed lost', '200', 'open'])
   t.deepEqual(setup.sent.map(({ id }) => id), ['a', 'b', 'c'])
 })
+
+test('guards against a call that ran being settled as not run because its reply was forgotten meanwhile', (t) => {
+  const setup = new TestSetup()
+  setup.offer('h1/1/1', { idempotent: false })
+  setup.handler.onSenderDisconnect('h1/1/1')
+  setup.respond('h1/1/1')
+  setup.timers.advance(20_000)
+  const settle = (key: string): HopReply | undefined => {
+    let settled: HopReply | undefined
+    setup.handler.settle(key, 7, (reply) => { settled = reply })
+    return settled
+  }
+  t.deepEqual(settle('h1/1/1'), { kind: 'failed', reason: 'lost' })
+  t.like(settle('h1/1/2'), { kind: 'notRun', reason: 'revoked' }, 'a later call of the sender')
+  t.like(settle('h1/2/1'), { kind: 'notRun', reason: 'revoked' }, 'a later start of the sender')
+})
--- a/packages/hop/src/inbound/callRegistry.ts
+++ b/packages/hop/src/inbound/callRegistry.ts
@@ -5,11 +5,19 @@
   | { state: 'ended', reply: HopReply, at: number, bytes: number }
   | { state: 'revoked', at: number }
 
+/** Number of a call of one host; both parts increase. */
+interface CallNumber {
+  /** Start of the daemon that made the call. */
+  incarnation: number
+  count: number
+}
+
 /**
  * What settling a call did. `ended`: its reply was sent again. `attached`: the reply will be sent when the call ends.
- * `revoked`: the call had not arrived, and is rejected if it still does.
+ * `revoked`: the call had not arrived, and is rejected if it still does. `forgotten`: it may have run, as calls that its sender made later
+ * have ended and been forgotten.
  */
-export type Settlement = 'ended' | 'attached' | 'revoked'
+export type Settlement = 'ended' | 'attached' | 'revoked' | 'forgotten'
 
 /** Time for which the reply of an ended call can be fetched again. */
 const REPLY_RETENTION_MS = 4_000
@@ -24,6 +32,8 @@
  */
 export class CallRegistry {
   readonly #entries = new Map<string, Entry>()
+  /** The latest forgotten call of each host: it and earlier ones may have run. */
+  readonly #lastForgotten = new Map<string, CallNumber>()
   #retainedBytes = 0
 
   /** Adds a call; false if it was revoked before it arrived, or if it arrived twice. */
@@ -55,9 +65,13 @@
     entry.listener?.(reply)
   }
 
-  /** Revokes a call that has not arrived; otherwise passes on its reply, now or when it ends. */
+  /** Revokes a call that has surely not arrived; otherwise passes on its reply, now or when it ends, or that it may have run. */
   settle (key: string, listener: (reply: HopReply) => void, now: number): Settlement {
     const entry = this.#entries.get(key)
+    if (!entry && this.#mayBeForgotten(key)) {
+      listener({ kind: 'failed', reason: 'lost' })
+      return 'forgotten'
+    }
     if (!entry) {
       this.#entries.set(key, { state: 'revoked', at: now })
       listener({ kind: 'notRun', reason: 'revoked' })
@@ -77,8 +91,30 @@
       if (entry.state === 'open') continue
       const retentionMs = entry.state === 'ended' ? REPLY_RETENTION_MS : REVOKED_RETENTION_MS
       if (now - entry.at < retentionMs && !(entry.state === 'ended' && this.#retainedBytes > MAX_RETAINED_BYTES)) continue
-      if (entry.state === 'ended') this.#retainedBytes -= entry.bytes
+      if (entry.state === 'ended') {
+        this.#retainedBytes -= entry.bytes
+        this.#recordForgotten(key)
+      }
       this.#entries.delete(key)
     }
   }
+
+  #recordForgotten (key: string): void {
+    if (this.#mayBeForgotten(key)) return
+    const { host, ...number } = parseKey(key)
+    this.#lastForgotten.set(host, number)
+  }
+
+  #mayBeForgotten (key: string): boolean {
+    const { host, incarnation, count } = parseKey(key)
+    const last = this.#lastForgotten.get(host)
+    if (!last) return false
+    return incarnation === last.incarnation ? count <= last.count : incarnation < last.incarnation
+  }
+}
+
+/** Takes apart a key: the host whose daemon made the call, and the number that the daemon gave it. */
+function parseKey (key: string): CallNumber & { host: string } {
+  const [count, incarnation, ...host] = key.split('/').reverse()
+  return { host: host.reverse().join('/'), incarnation: Number(incarnation), count: Number(count) }
 }
