--- a/packages/hop/src/errors.ts
+++ b/packages/hop/src/errors.ts
@@ -34,3 +34,8 @@
 export class NotForwardable extends LentilwheelError {
   readonly code = 'not-forwardable'
 }
+
+/** A target sent a response whose head isn't one. */
+export class BadResponse extends LentilwheelError {
+  readonly code = 'bad-response'
+}
--- a/packages/hop/src/inbound/headerLines.ts
+++ b/packages/hop/src/inbound/headerLines.ts
@@ -1,4 +1,4 @@
-import { BadMessage } from '../errors.js'
+import { BadResponse } from '../errors.js'
 
 const HEADER_LINE = /^([\w!#$%&'*+\-.^`|~]+):[ \t]*(.*?)[ \t]*$/
 const STATUS_LINE = /HTTP\/\d/
@@ -11,7 +11,7 @@
  */
 export function parseHeaderLine (line: string, headers: string[]): void {
   const [, name, value] = HEADER_LINE.exec(line) ?? []
-  if (name === undefined || value === undefined) throw new BadMessage('a line in the head of a response is no header')
+  if (name === undefined || value === undefined) throw new BadResponse('a line in the head of a response is no header')
   headers.push(name, value)
 }
 
