Bound answers of targets by a limit of their own

Cause: max_body_bytes, which bounds what callers send, was the bound on answers too.

Now an answer's body may have 64 MB, beside the budgets for unfinished ones.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -46,8 +46,6 @@
 const TARGET_CHECK_INTERVAL_MS = 250
 /** Time for the last responses to be sent before the servers are closed. */
 const LAST_RESPONSES_MS = 50
-/** Largest body of a target's response that is accepted before a configuration is known. */
-const DEFAULT_MAX_BODY_BYTES = 1024 * 1024
 /** Value of the metric for the limit of a target that states none. */
 const NO_LIMIT = -1
 /** Time after which a daemon without any peer reports that it is ready nevertheless. */
@@ -132,7 +130,7 @@
         metrics.event('strayBytes')
         log.call(false, 'strayBytes', { why })
       },
-      limits: createResponseLimits(() => this.#outbound.table?.config.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES),
+      limits: createResponseLimits(),
       onLimitExceeded: (exceeded) => {
         metrics.event('boundPassed')
         const { requestId: id, ...rest } = exceeded
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -180,7 +180,7 @@
     this.#exchange.head = { status: info.statusCode, headers, body: Buffer.alloc(0), unframed: false }
     this.#exchange.budget = length === undefined ? responseLimits.unsizedBudget : responseLimits.sizedBudget
     if (!info.shouldKeepAlive) this.#isReusable = false
-    if (!isBodiless && length !== undefined && length > responseLimits.maxBodyBytes()) this.#onLimitExceeded('body', responseLimits.maxBodyBytes())
+    if (!isBodiless && length !== undefined && length > responseLimits.maxBodyBytes) this.#onLimitExceeded('body', responseLimits.maxBodyBytes)
     return isBodiless ? 1 : 0
   }
 
@@ -190,7 +190,7 @@
     const { body, received, budget } = exchange
     const capacityBefore = body.capacity
     received.bodyBytes += chunk.length
-    if (received.bodyBytes > this.#opts.limits.maxBodyBytes()) return
+    if (received.bodyBytes > this.#opts.limits.maxBodyBytes) return
     body.append(chunk)
     if (body.capacity > capacityBefore) budget.grow(this, body.capacity - capacityBefore)
   }
--- a/packages/hop/src/inbound/responseLimits.ts
+++ b/packages/hop/src/inbound/responseLimits.ts
@@ -4,7 +4,7 @@
 /** Limits on what a target may send in response to one request, and on the unfinished responses of all requests together. */
 export interface ResponseLimits {
   /** Largest body, in bytes. */
-  maxBodyBytes (): number
+  readonly maxBodyBytes: number
   /** Budget for unfinished responses with a declared length. */
   readonly sizedBudget: BufferBudget
   /** Budget for unfinished responses without a declared length, which may never end. */
@@ -21,11 +21,13 @@
 const MAX_FRAMING_BYTES = 64 * 1024
 /** Interim responses and responses to other requests that may come before the awaited one. */
 const MAX_SKIPPED_MESSAGES = 16
+/** Largest body of a response; the limits of the configuration bound only what callers send. */
+const MAX_BODY_BYTES = 64 * 1024 * 1024
 const SIZED_BUDGET_BYTES = 96 * 1024 * 1024
 const UNSIZED_BUDGET_BYTES = 12 * 1024 * 1024
 
-/** Creates the limits of one daemon; `maxBodyBytes` returns the limit in the current configuration. */
-export function createResponseLimits (maxBodyBytes: () => number): ResponseLimits {
+/** Creates the limits of one daemon. */
+export function createResponseLimits (maxBodyBytes = MAX_BODY_BYTES): ResponseLimits {
   return { maxBodyBytes, sizedBudget: new BufferBudget(SIZED_BUDGET_BYTES), unsizedBudget: new BufferBudget(UNSIZED_BUDGET_BYTES) }
 }
 
@@ -40,7 +42,7 @@
 export function exceededLimit (
   { bytes, bodyBytes, skippedMessages }: Received, limits: ResponseLimits
 ): { name: LimitName, limit: number } | undefined {
-  const maxBodyBytes = limits.maxBodyBytes()
+  const { maxBodyBytes } = limits
   if (bodyBytes > maxBodyBytes) return { name: 'body', limit: maxBodyBytes }
   if (bytes - bodyBytes > MAX_FRAMING_BYTES + bodyBytes) return { name: 'head', limit: MAX_FRAMING_BYTES }
   if (skippedMessages > MAX_SKIPPED_MESSAGES) return { name: 'messages', limit: MAX_SKIPPED_MESSAGES }
