--- a/packages/hop/src/rollout/__tests__/versionRules.spec.ts
+++ b/packages/hop/src/rollout/__tests__/versionRules.spec.ts
@@ -63,3 +63,12 @@
   rules.setHosts(hosts.slice(0, 2))
   t.true(rules.choose('s')!.accepts(hosts[0]!))
 })
+
+test('guards against traffic to a version that no order has named, after the order of another one was rolled back', (t) => {
+  const rules = new VersionRules(new SeededRandom(1))
+  rules.setHosts(hosts.slice(0, 2))
+  rules.setOrder({ ...order, state: 'rolledBack' })
+  const unnamed = testHost('e', 'dc', { version: 'v3' })
+  rules.setHosts([...hosts, unnamed])
+  t.deepEqual([...hosts, unnamed].filter((record) => rules.choose('s')!.accepts(record)).map(({ target }) => target!.version), ['v1', 'v1'])
+})
