Read a daemon's object again after any failure to write it

Departures were never confirmed once another daemon had removed the object that lists them, as the leader does with the object of a daemon that it couldn't reach for a minute: each write met 404 and was repeated as it was. Found in reading the change.

Now the object is read again after any failure, and created again if it is gone; what is known of it is dropped also when a write from before a restore of the store ends late.

Evidence: departures.spec.ts (removed the object) red before, green after.

--- a/packages/hop/src/daemon/daemonRegistration.ts
+++ b/packages/hop/src/daemon/daemonRegistration.ts
@@ -112,10 +112,16 @@
       random,
       isStopped: () => false,
       onFailure: (err) => log.decision('directoryFailed', { what: 'register', code: errorCode(err), reason: (err as Error).message })
-    }).finally(() => { this.#isWriting = false })
+    }).finally(() => {
+      this.#isWriting = false
+      if (this.#isWriteDue) this.#write()
+    })
   }
 
-  /** A conflict means that the object isn't what this daemon takes it for: it is read again at once, unless that doesn't help. */
+  /**
+   * After a failure the object may not be what this daemon takes it for, or may be gone, so it is read again; after a conflict at once, unless that doesn't
+   * help.
+   */
   async #writeWhileDue (): Promise<void> {
     for (let conflicts = 0; this.#isWriteDue;) {
       this.#isWriteDue = false
@@ -123,8 +129,8 @@
         await this.#writeOnce()
       } catch (err) {
         this.#isWriteDue = true
-        if (!(err instanceof RevisionConflict) || ++conflicts > MAX_CONFLICTS) throw err
         this.#object = undefined
+        if (!(err instanceof RevisionConflict) || ++conflicts > MAX_CONFLICTS) throw err
       }
     }
   }
@@ -133,7 +139,7 @@
     const { store, fleet: { own } } = this.#opts
     if (this.#stoppedAt !== undefined && this.#opts.departures().length === 0) {
       if (this.#object) await store.remove(DAEMON_KIND, own.host, this.#object.revision)
-      return
+      return this.#forget()
     }
     this.#object ??= await this.#createOrRead()
     const { spec, departures } = this.#desired()
@@ -197,11 +203,19 @@
   /** A restored store may have lost the object or its last change; many daemons check that, so each waits for a random time. */
   #onRestored (): void {
     const { fleet, timers, random } = this.#opts
+    this.#forget()
+    const spreadMs = Math.max(MIN_CHECK_SPREAD_MS, fleet.live().length * CHECK_SPREAD_MS_PER_DAEMON)
+    timers.after(random.next() * spreadMs, () => {
+      // A write from before the restore may have ended meanwhile.
+      this.#forget()
+      this.#write()
+    })
+  }
+
+  #forget (): void {
     this.#object = undefined
     this.#writtenSpec = ''
     this.#kept = []
-    const spreadMs = Math.max(MIN_CHECK_SPREAD_MS, fleet.live().length * CHECK_SPREAD_MS_PER_DAEMON)
-    timers.after(random.next() * spreadMs, () => this.#write())
   }
 }
 
