Tell where requests wait, by kind and host: placing, queue, target, way between daemons

Callers of a grown deployment got late answers and failed deposits, and neither logs nor metrics told whether the time went into the search for a slot, the queue for it, the target, or the way between two daemons; only totals were kept. Replies now carry how long the daemon beside the target held the call, so that its caller's daemon can split the time of each request, in the outbound line, in a histogram by place and route, and in a traffic line every 5 s. That line and the gauges also have refusals by reason, slots, queue, processor time and bytes that connections have not taken yet. No decision is changed.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -6,6 +6,7 @@
 import { InboundHandler } from '../inbound/inboundHandler.js'
 import { NoopCallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
+import { TrafficSummary } from '../observe/trafficSummary.js'
 import { OutboundHandler } from '../outbound/outboundHandler.js'
 import { LoadBalancer } from '../outbound/loadBalancer.js'
 import { ResponseSizes } from '../outbound/responseSizes.js'
@@ -238,12 +239,12 @@
     })
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
-      timers, random, log, names, client, target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
+      timers, random, log, names, client, target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, onRefusal: () => {}, onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
     })
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundHandler({
-      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), versions: { choose: () => undefined }, quarantine, callerService: () => record.target!.service
+      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), traffic: new TrafficSummary(noMetrics), versions: { choose: () => undefined }, quarantine, callerService: () => record.target!.service
     })
     this.#hosts.set(host, { record, client, fleet, inbound: inboundHandler, outbound, balancer, quarantine })
   }
@@ -298,4 +299,4 @@
   }
 }
 
-const noMetrics: CallMetrics = { request: () => {}, event: () => {}, state: () => {}, text: async () => '' }
+const noMetrics: CallMetrics = { request: () => {}, wait: () => {}, refusal: () => {}, event: () => {}, state: () => {}, text: async () => '' }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -10,6 +10,7 @@
 import { NodePeerLink } from '../link/nodePeerLink.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
+import { TrafficSummary } from '../observe/trafficSummary.js'
 import { NodeMetricsServer } from '../observe/nodeMetricsServer.js'
 import { NodeOutboundServer } from '../outbound/nodeOutboundServer.js'
 import { OutboundHandler } from '../outbound/outboundHandler.js'
@@ -28,6 +29,7 @@
 import type { ResolvedHopConfig } from './resolvedHopConfig.js'
 import { LoopLag } from './nodeLoopLag.js'
 import { GracefulShutdown } from './gracefulShutdown.js'
+import { processorMs } from './nodeProcessorTime.js'
 
 export interface HopDaemonOptions {
   cfg: ResolvedHopConfig
@@ -44,6 +46,7 @@
 export type ReceiptOutcome = 'confirmed' | 'unconfirmed' | 'invalid'
 
 const TARGET_CHECK_INTERVAL_MS = 250
+const TRAFFIC_LOG_INTERVAL_MS = 5_000
 /** Time for the last responses to be sent before the servers are closed. */
 const LAST_RESPONSES_MS = 50
 /** Value of the metric for the limit of a target that states none. */
@@ -66,6 +69,7 @@
   readonly #outbound: OutboundHandler
   readonly #loadBalancer: LoadBalancer
   readonly #retryBudget: RetryBudget
+  readonly #traffic: TrafficSummary
   readonly #outboundServer: NodeOutboundServer
   readonly #hopServer: NodeHopServer
   readonly #metricsServer: NodeMetricsServer
@@ -88,6 +92,7 @@
     this.#localTarget = new LocalTarget(cfg.announceMs)
     this.#loadBalancer = new LoadBalancer({ timers, random, dataCentre: cfg.dataCentre, host: cfg.host })
     this.#retryBudget = new RetryBudget(cfg.retryBudget)
+    this.#traffic = new TrafficSummary(metrics)
     const newsSpreader = new NewsSpreader({ timers, send: (news, peers) => this.#fleet.sendQuarantineNews(news, peers) })
     this.#quarantine = new Quarantine({
       timers,
@@ -152,11 +157,12 @@
       coldPerS: (service) => this.#outbound.table?.config.services.get(service)?.coldPerS,
       quarantine: this.#quarantine,
       onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
+      onRefusal: (route, reason) => this.#traffic.recordRefusal(route, reason),
       onTargetCrash: () => metrics.event('targetCrash'),
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundHandler({
-      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes: new ResponseSizes(), versions: this.#moves, quarantine: this.#quarantine, callerService: () => this.#cfg.service
+      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes: new ResponseSizes(), traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, callerService: () => this.#cfg.service
     })
     const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
@@ -204,9 +210,15 @@
     this.#blockStore.start()
     this.#moves.start()
     timers.every(TARGET_CHECK_INTERVAL_MS, () => this.#checkTarget())
+    timers.every(TRAFFIC_LOG_INTERVAL_MS, () => this.#logTraffic())
     timers.every(1_000, () => {
       metrics.state('peersUp', this.#fleet.live().length - 1)
       metrics.state('running', this.#inbound.active)
+      const { queued, slots } = this.#inbound.occupancy
+      metrics.state('queued', queued)
+      metrics.state('slots', slots)
+      metrics.state('unsentBytes', this.#hopServer.unsentBytes)
+      metrics.state('processorMs', processorMs())
       metrics.state('storeEpoch', store.epochs.current)
       const { suspects, blocked } = this.#quarantine.counts
       metrics.state('suspects', suspects)
@@ -217,6 +229,14 @@
     })
   }
 
+  /** Logs where requests waited since the last time, and what there is of each resource. */
+  #logTraffic (): void {
+    const routes = this.#traffic.take()
+    if (!routes) return
+    const unsentBytes = this.#hopServer.unsentBytes
+    this.#opts.log.decision('traffic', { ...this.#inbound.occupancy, running: this.#inbound.active, unsentBytes, processorMs: processorMs(), routes })
+  }
+
   /** Handles an announcement of the target beside this daemon. */
   async announce (announcement: Announcement): Promise<ReceiptOutcome> {
     if (!isAnnouncement(announcement, this.#opts.timers.wallNow())) {
--- a/packages/hop/src/inbound/__tests__/inboundSetup.ts
+++ b/packages/hop/src/inbound/__tests__/inboundSetup.ts
@@ -49,6 +49,7 @@
       this.target = { ...this.target!, state: 'draining' }
       this.handler.onTargetChange()
     },
+    onRefusal: () => {},
     onTargetCrash: () => {},
     onResult: () => { if (this.failOnResult) throw new Error('result not handled') }
   })
--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -1,6 +1,6 @@
 import type { Random, Timers } from '@lentilwheel/core'
 import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
-import type { CallMessage, HopReply } from '../link/messages.js'
+import type { CallMessage, HeldTimes, HopReply, NotRunReason } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { RequestResult } from '../rollout/resultAggregator.js'
 import type { SlotRequest } from './admission.js'
@@ -31,6 +31,8 @@
   quarantine: CrashGuardOptions['quarantine']
   /** Called when the target says in a response that it leaves. */
   onTargetLeaving (departure: Departure): void
+  /** Called when an offer of a route is rejected. */
+  onRefusal (route: string, reason: NotRunReason): void
   /** Called when the target has crashed. */
   onTargetCrash (): void
   /** Called with each result of a request to the target, from which versions are judged. */
@@ -45,6 +47,8 @@
   slotRequest: SlotRequest
   state: 'queued' | 'running'
   startedAt: number
+  /** Milliseconds that it ran on the target; 0 until it has ended. */
+  ranMs: number
   /** Aborts the request to the target; set once the call runs. */
   abort?: () => void
 }
@@ -54,6 +58,11 @@
   return result.kind === 'failed' && (result.reason === 'reset' || result.reason === 'cut')
 }
 
+/** How long a call that ran waited for its slot, and ran. */
+export function heldTimes ({ slotRequest, startedAt, ranMs }: InboundCall): HeldTimes {
+  return { queuedMs: startedAt - slotRequest.arrivedAt, ranMs }
+}
+
 /** The reply to the sender; it gets to know whether the target leaves together with the response that says so. */
 export function replyOf ({ target }: InboundCall, result: TargetResult, isFinal: boolean): HopReply {
   if (result.kind === 'failed') return result
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -3,7 +3,7 @@
 import { Admission, type SlotRequest } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
 import { CrashGuard } from './crashGuard.js'
-import { departureOf, isConnectionLost, replyOf, type InboundCall as Call, type InboundOptions } from './inboundCall.js'
+import { departureOf, heldTimes, isConnectionLost, replyOf, type InboundCall as Call, type InboundOptions } from './inboundCall.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
 import { isSuccess, TargetHealth } from './targetHealth.js'
@@ -57,6 +57,12 @@
     return this.#calls.size + this.#crashes.unsettled
   }
 
+  /** Requests that wait for a slot of the target, and its slots. */
+  get occupancy (): { queued: number, slots: number } {
+    const { queued, slots } = this.#admission
+    return { queued, slots }
+  }
+
   /** Requests per second that the target takes, Infinity for no limit, and the requests that it was sent in the last seconds. */
   get rate (): { limitPerS: number, sent: number } {
     return { limitPerS: this.#limit.perS, sent: this.#limit.sentCounts(this.#opts.timers.now()).all }
@@ -112,7 +118,7 @@
     }
     const decision = this.#admission.admit(slotRequest, message.mode === 'queue', now)
     if (decision === 'busy' || decision === 'limited') return this.#replyNotRun(message, decision)
-    const call: Call = { message, target: target!, slotRequest, state: 'queued', startedAt: now }
+    const call: Call = { message, target: target!, slotRequest, state: 'queued', startedAt: now, ranMs: 0 }
     this.#calls.set(key, call)
     if (decision === 'start') this.#start(call)
   }
@@ -242,6 +248,7 @@
   #onResult (call: Call, result: TargetResult): void {
     const now = this.#opts.timers.now()
     const ms = now - call.startedAt
+    call.ranMs = ms
     this.#admission.release(call.slotRequest, ms, now)
     this.#calls.delete(call.message.key)
     const isDoomed = this.#runningRequests.isDoomed(call.message.requestId)
@@ -257,7 +264,7 @@
 
   /** Replies to a call that ran; `isFinal`: a retry would fail likewise. */
   #endCall (call: Call, result: TargetResult, ms: number, isFinal = false): void {
-    this.#reply(call.message, replyOf(call, result, isFinal))
+    this.#reply(call.message, { ...replyOf(call, result, isFinal), held: heldTimes(call) })
     this.#logResult(call, result, ms)
     this.#startQueued()
   }
@@ -318,6 +325,7 @@
   }
 
   #replyNotRun (message: CallMessage, reason: NotRunReason, details: object = {}): void {
+    if (reason !== 'vacant') this.#opts.onRefusal(message.route, reason)
     this.#reply(message, { kind: 'notRun', reason })
     this.#log(message, message.mode !== 'queue' && (isFullReason(reason) || reason === 'vacant'), reason, details)
   }
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -1,21 +1,22 @@
 import { Packr } from 'msgpackr'
 import { BadMessage } from '../errors.js'
 import { readDeparture } from '../fleet/records.js'
-import type { CallMessage, HopReply, TargetLoad } from './messages.js'
+import type { CallMessage, HeldTimes, HopReply, TargetLoad } from './messages.js'
 
 // Encodes messages between daemons as MessagePack.
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true, int64AsType: 'number' })
 
 /** Has to be raised whenever the field lists below change; messages with another number are rejected. */
-const PROTOCOL_VERSION = 6
+const PROTOCOL_VERSION = 7
 
 /** Calls and replies make up most of the traffic between daemons, so their fields are sent by position without names. */
 const CALL_FIELDS = [
   'key', 'requestId', 'incarnation', 'mode', 'service', 'targetId', 'route', 'method', 'url', 'headers', 'body', 'deadlineMs',
   'targetLatencyMs', 'priority', 'idempotent', 'nested', 'repeat', 'suspect', 'heardLimitPerS'
 ] as const satisfies readonly (keyof CallMessage)[]
-const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'isFinal', 'load'] as const
+const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'isFinal', 'load', 'held'] as const
+const HELD_FIELDS = ['queuedMs', 'ranMs'] as const satisfies readonly (keyof HeldTimes)[]
 const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs'] as const satisfies readonly (keyof TargetLoad)[]
 
 type FieldValues = Readonly<Record<string, unknown>>
@@ -43,7 +44,8 @@
 
 export function packReply (reply: HopReply): unknown[] {
   const load = reply.load && packFields(compactLoad(reply.load) as unknown as FieldValues, LOAD_FIELDS)
-  return [PROTOCOL_VERSION, ...packFields({ ...reply, load }, REPLY_FIELDS)]
+  const held = reply.held && HELD_FIELDS.map((name) => Math.round(reply.held![name]))
+  return [PROTOCOL_VERSION, ...packFields({ ...reply, load, held }, REPLY_FIELDS)]
 }
 
 /** `wallNow`: Unix milliseconds, against which the departure in the reply is checked; an invalid one is left out. */
@@ -53,6 +55,7 @@
   if (fields['kind'] === 'response') checkResponse(fields)
   const load = fields['load']
   if (load !== undefined) fields['load'] = unpackLoad(load)
+  if (fields['held'] !== undefined) fields['held'] = unpackFields([PROTOCOL_VERSION, ...listOf(fields['held'])], HELD_FIELDS)
   return fields as unknown as HopReply
 }
 
@@ -62,11 +65,15 @@
 }
 
 function unpackLoad (value: unknown): Record<string, unknown> {
-  const load = unpackFields([PROTOCOL_VERSION, ...Array.isArray(value) ? value as unknown[] : []], LOAD_FIELDS)
+  const load = unpackFields([PROTOCOL_VERSION, ...listOf(value)], LOAD_FIELDS)
   if (load['limitPerS'] === NO_LIMIT_CODE) load['limitPerS'] = Infinity
   return load
 }
 
+function listOf (value: unknown): unknown[] {
+  return Array.isArray(value) ? value : []
+}
+
 function packFields (message: FieldValues, names: readonly string[]): unknown[] {
   return names.map((name) => message[name])
 }
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -96,8 +96,14 @@
 export const FAILURE_REASONS = ['reset', 'cut', 'garbled', 'unbounded', 'timeout', 'lost', 'cancelled', 'crashed', 'targetEnded'] as const
 export type FailureReason = typeof FAILURE_REASONS[number]
 
-/** Outcome of an offered request. */
-export type HopReply =
+/** Time that an offered request spent at the daemon beside the target, in milliseconds: for a slot, and at the target. */
+export interface HeldTimes {
+  queuedMs: number
+  ranMs: number
+}
+
+/** Outcome of an offered request; `held` is absent where the daemon did not handle it. */
+export type HopReply = { held?: HeldTimes } & (
   /** `unframed`: the response had no length, so a truncated body can't be told from a complete one. */
   /** `departure`: the target said in the response that it leaves. */
   /** `isFinal`: a retry would fail likewise, as a call that the request makes is refused. */
@@ -106,6 +112,7 @@
   | { kind: 'notRun', reason: NotRunReason, load?: TargetLoad }
   /** The target may have run the request. */
   | { kind: 'failed', reason: FailureReason, load?: TargetLoad }
+)
 
 /** Asks for the outcome of a call whose connection broke. Revokes the call if it has not started. */
 export interface SettleMessage {
--- a/packages/hop/src/link/nodeFrameSocket.ts
+++ b/packages/hop/src/link/nodeFrameSocket.ts
@@ -59,6 +59,10 @@
     this.#socket.write(encode(frame))
   }
 
+  get unsentBytes (): number {
+    return this.#socket.writableLength
+  }
+
   /** Closes the connection once everything sent so far is flushed. */
   end (): void {
     this.#socket.end()
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -48,6 +48,13 @@
     return (this.#server.address() as AddressInfo).port
   }
 
+  /** Bytes of replies that the connections to other daemons have not taken yet. */
+  get unsentBytes (): number {
+    let bytes = 0
+    for (const peer of this.#peers) bytes += peer.unsentBytes
+    return bytes
+  }
+
   close (): void {
     this.#server.close()
     for (const peer of this.#peers) peer.end()
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { CallWaits } from './trafficSummary.js'
 
 /** Upper bounds of the buckets of the latency histogram. */
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5]
@@ -8,14 +9,19 @@
 
 /**
  * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
- * within the last 4 s. `storeEpoch`: epoch of the store as this daemon knows it. `suspects`, `blocked`: requests that may crash targets, and those
+ * within the last 4 s. `queued`: requests that wait for one of the target's `slots`. `unsentBytes`: bytes for other daemons that
+ * their connections have not taken yet. `processorMs`: processor time since the start. `storeEpoch`: epoch of the store as this daemon knows it. `suspects`, `blocked`: requests that may crash targets, and those
  * that are refused because they do.
  */
-export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked'
+export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked'
 
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
   request (route: string, outcome: string, ms: number): void
+  /** Time that a request spent in one place. */
+  wait (place: keyof CallWaits, route: string, ms: number): void
+  /** An offer that this daemon rejected. */
+  refusal (route: string, reason: string): void
   event (name: MetricEventName): void
   state (name: MetricStateName, value: number): void
   /** The metrics in the Prometheus text format. */
@@ -33,6 +39,14 @@
     name: 'lentilwheel_request_seconds', help: 'Time from a request to its answer', labelNames: ['route'], buckets: LATENCY_BUCKETS_S, registers: [this.#registry]
   })
 
+  readonly #waits = new Histogram({
+    name: 'lentilwheel_wait_seconds', help: 'Time that answered requests spent in one place', labelNames: ['place', 'route'], buckets: LATENCY_BUCKETS_S, registers: [this.#registry]
+  })
+
+  readonly #refusals = new Counter({
+    name: 'lentilwheel_refusals_total', help: 'Offers rejected by the daemon beside the target', labelNames: ['route', 'reason'], registers: [this.#registry]
+  })
+
   readonly #events = new Counter({
     name: 'lentilwheel_events_total', help: 'Other events by name', labelNames: ['event'], registers: [this.#registry]
   })
@@ -46,6 +60,14 @@
     this.#latency.observe({ route }, ms / 1000)
   }
 
+  wait (place: keyof CallWaits, route: string, ms: number): void {
+    this.#waits.observe({ place, route }, ms / 1000)
+  }
+
+  refusal (route: string, reason: string): void {
+    this.#refusals.inc({ route, reason })
+  }
+
   event (name: MetricEventName): void {
     this.#events.inc({ event: name })
   }
--- /dev/null
+++ b/packages/hop/src/observe/trafficSummary.ts
@@ -0,0 +1,77 @@
+import type { CallMetrics } from './callMetrics.js'
+
+/**
+ * Where the time of a request went, in milliseconds. `placing`: until the offer was sent that got the final reply, offers that
+ * were rejected included. `queue`: at the daemon beside the target, for a slot. `target`: at the target. `transit`: the rest of that
+ * offer's time, on the way to the target's daemon and back.
+ */
+export interface CallWaits {
+  placing: number
+  queue: number
+  target: number
+  transit: number
+}
+
+export const WAIT_PLACES = ['placing', 'queue', 'target', 'transit'] as const satisfies readonly (keyof CallWaits)[]
+
+/** What one kind of request met since the last summary; the waits are sums. */
+interface RouteTraffic extends CallWaits {
+  requests: number
+  longestTransit: number
+  /** Bytes of the response bodies. */
+  bytes: number
+  /** Rejected offers and requests, by reason. */
+  refusals: Record<string, number>
+}
+
+/** Sums up, for each route, where requests wait, their bytes and what was refused, for metrics and a periodic log line. */
+export class TrafficSummary {
+  readonly #metrics: Pick<CallMetrics, 'wait' | 'refusal'>
+  readonly #routes = new Map<string, RouteTraffic>()
+
+  constructor (metrics: Pick<CallMetrics, 'wait' | 'refusal'>) {
+    this.#metrics = metrics
+  }
+
+  /** Records a request that ended with the response of a target. */
+  record (route: string, waits: CallWaits, bytes: number): void {
+    const traffic = this.#routeTraffic(route)
+    traffic.requests++
+    traffic.bytes += bytes
+    traffic.longestTransit = Math.max(traffic.longestTransit, waits.transit)
+    for (const place of WAIT_PLACES) {
+      traffic[place] += waits[place]
+      this.#metrics.wait(place, route, waits[place])
+    }
+  }
+
+  /** Records an offer that was rejected here for a reason. */
+  recordRefusal (route: string, reason: string): void {
+    const { refusals } = this.#routeTraffic(route)
+    refusals[reason] = (refusals[reason] ?? 0) + 1
+    this.#metrics.refusal(route, reason)
+  }
+
+  /** Returns the sums by route, rounded, and starts anew; undefined if there was nothing. */
+  take (): Record<string, RouteTraffic> | undefined {
+    if (this.#routes.size === 0) return undefined
+    const summary = Object.fromEntries([...this.#routes].map(([route, traffic]) => [route, rounded(traffic)]))
+    this.#routes.clear()
+    return summary
+  }
+
+  #routeTraffic (route: string): RouteTraffic {
+    let traffic = this.#routes.get(route)
+    if (!traffic) {
+      traffic = { requests: 0, placing: 0, queue: 0, target: 0, transit: 0, longestTransit: 0, bytes: 0, refusals: {} }
+      this.#routes.set(route, traffic)
+    }
+    return traffic
+  }
+}
+
+function rounded (traffic: RouteTraffic): RouteTraffic {
+  const result = { ...traffic }
+  for (const key of [...WAIT_PLACES, 'longestTransit'] as const) result[key] = Math.round(result[key])
+  return result
+}
--- a/packages/hop/src/outbound/__tests__/outboundCall.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundCall.spec.ts
@@ -41,6 +41,7 @@
     loadBalancer: { rank, recordOffer: () => {}, recordReply: () => {}, heardLimitPerS: () => undefined, avoid: () => {} },
     budget: { deposit: () => {} },
     sizes: { expectedBytes: () => 0, record: () => {} },
+    traffic: { record: () => {} },
     versions: { choose: () => undefined },
     quarantine: { isEmpty: true },
     callerService: () => 's'
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -1,5 +1,6 @@
 import type { Cancel } from '@lentilwheel/core'
 import { NotForwardable } from '../errors.js'
+import { WAIT_PLACES, type CallWaits } from '../observe/trafficSummary.js'
 import type { HostRecord } from '../fleet/hostRecord.js'
 import { NESTED_URGENCY } from '../inbound/admission.js'
 import { isFullReason, type CallMessage, type FailureReason, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
@@ -54,6 +55,8 @@
   #isProcessing = false
   #isDone = false
   #offerCount = 0
+  /** When the offer was sent that was replied to last. */
+  #repliedOfferAt: number
   /** When this daemon was told that a target had crashed while it ran the request. */
   #crashedAt: number | undefined
   #cachedFingerprint: string | undefined
@@ -63,6 +66,7 @@
     this.#opts = opts
     this.#input = input
     this.#startedAt = opts.timers.now()
+    this.#repliedOfferAt = this.#startedAt
     this.#deadlineAt = this.#startedAt + Math.min(req.head.deadlineMs, route.timeoutMs, MAX_DEADLINE_MS)
     this.#urgency = req.origin === 'caller' ? route.priority : NESTED_URGENCY
     this.#versionChoice = opts.versions.choose(service)
@@ -204,8 +208,9 @@
     switch (command.kind) {
       case 'respond':
         res.respond(command.reply)
+        this.#opts.traffic.record(this.#input.route.name, this.#waits(command.reply), command.reply.body.length)
         this.#opts.sizes.record(this.#input.route.name, command.reply.body.length)
-        return this.#end(command.reply.status, command.reply.status < 500, {})
+        return this.#end(command.reply.status, command.reply.status < 500, { waits: this.#roundedWaits(command.reply) })
       case 'reject':
         this.#recordRefusal(command.reason)
         this.#end(503, false, { reason: command.reason, retryAfterMs: Math.round(command.retryAfterMs), notRun: true, ...this.#quarantineDetails() })
@@ -216,6 +221,19 @@
     }
   }
 
+  /** Where the time of a request went that ends with this reply, which has just arrived. */
+  #waits ({ held }: HopReply): CallWaits {
+    const queue = held?.queuedMs ?? 0
+    const target = held?.ranMs ?? 0
+    const offerMs = this.#opts.timers.now() - this.#repliedOfferAt
+    return { placing: this.#repliedOfferAt - this.#startedAt, queue, target, transit: Math.max(0, offerMs - queue - target) }
+  }
+
+  #roundedWaits (reply: HopReply): number[] {
+    const waits = this.#waits(reply)
+    return WAIT_PLACES.map((place) => Math.round(waits[place]))
+  }
+
   /** Tells the request that makes this call, if there is one, that it is refused for good. */
   #recordRefusal (reason: string): void {
     const { origin, head } = this.#input.req
@@ -231,9 +249,11 @@
     const { attempt, candidate: { host } } = command
     this.#offerCount++
     const message = this.#message(command)
+    const offeredAt = this.#opts.timers.now()
     this.#opts.loadBalancer.recordOffer(host)
     this.#cancels.set(attempt, this.#send(host, message, (reply) => {
       this.#cancels.delete(attempt)
+      this.#repliedOfferAt = offeredAt
       this.#recordReply(host, reply, message.mode)
       if (reply.kind !== 'response' || reply.status >= 500) this.#logAttempt(message, host, reply)
       this.#handleEvent({ kind: 'reply', attempt, reply })
--- a/packages/hop/src/outbound/outboundTypes.ts
+++ b/packages/hop/src/outbound/outboundTypes.ts
@@ -6,6 +6,7 @@
 import type { HopReply } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
+import type { TrafficSummary } from '../observe/trafficSummary.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
 import type { VersionChooser } from '../rollout/versionRules.js'
 import type { LoadBalancer } from './loadBalancer.js'
@@ -44,6 +45,7 @@
   loadBalancer: LoadBalancer
   budget: RetryBudget
   sizes: ResponseSizes
+  traffic: Pick<TrafficSummary, 'record'>
   versions: VersionChooser
   /** What is known about requests that crash targets. */
   quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'refusedMs'>
