--- /dev/null
+++ b/packages/hop/src/__tests__/links.spec.ts
@@ -0,0 +1,35 @@
+import test from 'ava'
+import type { ClassResult, LoadOptions } from './loadOptions.js'
+import { LoadSimulator } from './loadSimulator.js'
+import { GROWN_CARVERS_WORKLOAD } from './workloads.js'
+
+const SEEDS = [1, 2]
+/** A link of 7.7 Mbit/s, in bytes a millisecond. */
+const NARROW_LINK = 962
+/** Least value that each class may earn on an evening with room for all, of what it would be if all responses were in time. */
+const MIN_VALUE = 0.9
+/** Least part of the requests of any class that is served, also in a burst. */
+const MIN_SERVED_IN_BURST = 0.7
+
+function run (seed: number, opts: Partial<LoadOptions>): Record<string, ClassResult> {
+  return new LoadSimulator(GROWN_CARVERS_WORKLOAD, { seed, seconds: 12, rateAt: () => 1, linkBytesPerMs: () => NARROW_LINK, ...opts }).run()
+}
+
+function servedShare ({ requests, onTime, late }: ClassResult): number {
+  return (onTime + late) / requests
+}
+
+test('guards against small urgent answers being late behind large ones in the link of their host', (t) => {
+  for (const seed of SEEDS) {
+    const results = run(seed, {})
+    for (const name of ['deposit', 'status', 'browse', 'download']) t.true(results[name]!.valueShare >= MIN_VALUE, `${name}, seed ${seed}: ${JSON.stringify(results[name])}`)
+  }
+})
+
+test('guards against requests failing because their nested calls wait behind large answers in a burst, and against large answers being starved for them', (t) => {
+  for (const seed of SEEDS) {
+    const results = run(seed, { rateAt: (second) => second > 3 && second < 6 ? 1.7 : 1 })
+    t.true(servedShare(results['deposit']!) >= 0.95 && servedShare(results['status']!) >= 0.95, JSON.stringify(results))
+    for (const name of ['browse', 'download']) t.true(servedShare(results[name]!) >= MIN_SERVED_IN_BURST, `${name}, seed ${seed}: ${JSON.stringify(results[name])}`)
+  }
+})
--- a/packages/hop/src/__tests__/loadOptions.ts
+++ b/packages/hop/src/__tests__/loadOptions.ts
@@ -14,6 +14,8 @@
   shedding? (host: string, service: string, second: number): number
   /** Requests per second that a target states as its limit; undefined when it states none. */
   limitPerS? (host: string, service: string, second: number): number | undefined
+  /** What the link of a host carries, in bytes a millisecond; unlimited unless given. */
+  linkBytesPerMs? (host: string): number
   /** Path of a request after its class; requests of a class are the same unless it is given. */
   pathOf? (cls: RequestClass, second: number): string
   /** Whether a request crashes each target that runs it. */
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -13,11 +13,13 @@
 import { RetryBudget } from '../outbound/retryBudget.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
 import type { QuarantineNews } from '../quarantine/quarantineNews.js'
+import type { HopReply } from '../link/messages.js'
 import type { MeshConfig, MeshRoute } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
 import { EpochTracker } from '../store/epochTracker.js'
 import type { ClassResult, DaemonRestart, LoadOptions, StatedLimit } from './loadOptions.js'
 import { SimCallers, type RequestDone } from './simCallers.js'
+import { SimLinks } from './simLinks.js'
 import { SimTarget, type ParentRun } from './simTarget.js'
 import type { RequestClass, Workload } from './workloads.js'
 
@@ -47,6 +49,7 @@
   readonly #random: Random
   readonly #hosts = new Map<string, SimHost>()
   readonly #callers: SimCallers
+  readonly #links: SimLinks
   /** Requests for each service, and those that arrived at its targets as retries. */
   readonly counts = new Map<string, { requests: number, retries: number }>()
   readonly #arrivedIds = new Set<string>()
@@ -72,6 +75,7 @@
     this.#workload = workload
     this.opts = opts
     this.#random = new SeededRandom(Math.imul(opts.seed, 0x9e3779b1))
+    this.#links = new SimLinks(this.timers, ONE_WAY_MS, opts.linkBytesPerMs ?? (() => Infinity))
     this.#callers = new SimCallers({
       timers: this.timers,
       random: this.#random,
@@ -121,7 +125,11 @@
       body: new Uint8Array(cls.requestBytes ?? 0),
       origin: this.#hosts.get(host)!.inbound.originOf(id)
     }, {
-      respond: (reply) => done(reply.status === 200),
+      respond: (reply) => {
+        // A target reaches the daemon beside it without the link.
+        if (parent) return done(reply.status === 200)
+        this.#links.send(host, reply.body.length, () => done(reply.status === 200))
+      },
       reject: (status, reason, retryAfterMs) => {
         if (!this.opts.isDeadly?.(url)) this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1)
         done(false, retryAfterMs, status === 503)
@@ -235,7 +243,7 @@
     const log = new NoopCallLog()
     const quarantine = testQuarantine(timers, { idPrefix: () => `${host}/${incarnation}`, onNews: (news, isOwn) => { if (isOwn) this.#tellOthers(host, news) } })
     const fleet = new Fleet({
-      own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onWatchersChange: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
+      own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(host, peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onWatchersChange: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
     })
     const balancer = new LoadBalancer({ timers, random, dataCentre, host })
     const inboundHandler = new InboundHandler({
@@ -255,8 +263,7 @@
     }
   }
 
-  #link (peer: string, dataCentre: string): PeerLink {
-    const { timers } = this
+  #link (from: string, peer: string, dataCentre: string): PeerLink {
     const isDown = (): boolean => this.#down.has(peer)
     return {
       get isUp () { return !isDown() },
@@ -266,7 +273,7 @@
         const { inbound, record } = this.#hosts.get(peer)!
         const isRemote = record.dataCentre !== dataCentre
         if (isRemote) this.#countRemoteBytes(message.route, message.body.length)
-        timers.after(ONE_WAY_MS, () => {
+        this.#links.send(from, message.body.length, () => {
           if (isCancelled) return
           if (isDown()) return reply({ kind: 'notRun', reason: 'unsent' })
           inbound.offer(message, (hopReply) => {
@@ -275,12 +282,12 @@
               this.servedByLocation.remote++
               this.#countRemoteBytes(message.route, hopReply.body.length)
             }
-            timers.after(ONE_WAY_MS, () => { if (!isCancelled) reply(hopReply) })
+            this.#links.send(peer, bodyBytes(hopReply), () => { if (!isCancelled) reply(hopReply) })
           })
         })
         return () => {
           isCancelled = true
-          timers.after(ONE_WAY_MS, () => inbound.cancel(message.key))
+          this.#links.send(from, 0, () => inbound.cancel(message.key))
         }
       },
       sync: async (message) => message,
@@ -299,4 +306,8 @@
   }
 }
 
+function bodyBytes (reply: HopReply): number {
+  return reply.kind === 'response' ? reply.body.length : 0
+}
+
 const noMetrics: CallMetrics = { request: () => {}, wait: () => {}, refusal: () => {}, event: () => {}, state: () => {}, text: async () => '' }
--- a/packages/hop/src/__tests__/workloads.ts
+++ b/packages/hop/src/__tests__/workloads.ts
@@ -61,6 +61,24 @@
   ]
 }
 
+/** Workload of the carvers' consortium with many more hosts, most of them small, and archives whose files fill the links of their hosts. */
+export const GROWN_CARVERS_WORKLOAD: Workload = {
+  dataCentres: ['a', 'b', 'c', 'd', 'e'],
+  services: [
+    { name: 'catalogue', targets: 36, slots: 8, speeds: [0.6, 1, 1.4] },
+    { name: 'commissions', targets: 19, slots: 8, speeds: [0.5, 1, 1, 1.5] },
+    { name: 'archives', targets: 7, slots: 8, speeds: [0.6, 1, 1.4] }
+  ],
+  classes: [
+    { name: 'browse', service: 'catalogue', idempotent: true, ratePerS: 487, workMs: 229, targetLatencyMs: 843, deadlineMs: 5_272, timeoutMs: 2_500, priority: 2, value: 1, lateValue: 0.5, retries: 2, responseBytes: 1_500, calls: { class: 'stock', times: 2, share: 0.7 } },
+    { name: 'deposit', service: 'commissions', idempotent: false, ratePerS: 126, workMs: 295, targetLatencyMs: 1_044, deadlineMs: 6_263, timeoutMs: 3_000, priority: 1, value: 2, lateValue: 1, retries: 2, requestBytes: 300, responseBytes: 1_500, calls: { class: 'rights', times: 2, share: 0.7 } },
+    { name: 'download', service: 'archives', idempotent: true, bulky: true, ratePerS: 58.2, workMs: 181, targetLatencyMs: 1_126, deadlineMs: 6_757, timeoutMs: 6_757, priority: 2, value: 1, lateValue: 0.5, retries: 2, responseBytes: 90_000 },
+    { name: 'status', service: 'archives', idempotent: true, ratePerS: 102, workMs: 90.5, targetLatencyMs: 447, deadlineMs: 2_792, timeoutMs: 1_200, priority: 1, value: 2, lateValue: 1, retries: 2, responseBytes: 5_000 },
+    { name: 'stock', service: 'commissions', idempotent: true, ratePerS: 0, workMs: 56, targetLatencyMs: 293, deadlineMs: 936, timeoutMs: 936, priority: 1, value: 0, lateValue: 0, retries: 0 },
+    { name: 'rights', service: 'archives', idempotent: true, ratePerS: 0, workMs: 56, targetLatencyMs: 293, deadlineMs: 936, timeoutMs: 936, priority: 1, value: 0, lateValue: 0, retries: 0 }
+  ]
+}
+
 /** Workload of the floor shops, with the rates of a busy day. */
 export const FLOOR_SHOPS_WORKLOAD: Workload = {
   dataCentres: ['a', 'b', 'c', 'd'],
