Send answers in order of urgency, no faster than the link of their host

Callers: on the grown carvers' deployment deposits failed with 500, as their rights look-ups had no answer in time, and look-ups of a status came late, on calm seconds too.

Cause: each answer went to its connection as one frame at once. What a socket has taken can't be put in order any more, so an answer of 1 KB waited for up to 2 MB of downloads before it in the link of the host; so did pings, cancellations and news.

Ruled out: slots (0 ms of waiting), processor time (the same without it charged), the data centres' distance (stock look-ups over the same links: 5 ms).

Now all that leaves a host goes through one queue, which gives out what the link of the settings carries and no more: by urgency (pings and news, nested calls, the routes' priorities), short before long, then by age; long frames in parts, so that an urgent one waits 10 ms at most. The oldest gets a part in nine whatever else there is, so nothing is starved. Calls, answers to callers and configurations pass the same queue, so the order holds at each place where kinds meet; what is cancelled is dropped from it.

--- a/packages/hop/src/__tests__/fixtures.ts
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -1,6 +1,8 @@
+import { VirtualTimers } from '@lentilwheel/core'
 import { runAfterReading, type LoopLag } from '../daemon/nodeLoopLag.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
+import { SendQueue } from '../link/sendQueue.js'
 import { NoopCallLog } from '../observe/callLog.js'
 import { Quarantine, type QuarantineOptions } from '../quarantine/quarantine.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
@@ -26,6 +28,11 @@
 /** An event loop that is always behind. */
 export const ALWAYS_BEHIND: Pick<LoopLag, 'whenRead'> = { whenRead: runAfterReading }
 
+/** The queue of a link without limits. */
+export function unlimitedQueue (): SendQueue {
+  return new SendQueue({ timers: new VirtualTimers(), bytesPerMs: Infinity })
+}
+
 /** Route to the service of `testHost`. */
 export const TEST_ROUTE: MeshRoute = {
   name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -14,6 +14,7 @@
 import type { Quarantine } from '../quarantine/quarantine.js'
 import type { QuarantineNews } from '../quarantine/quarantineNews.js'
 import type { HopReply } from '../link/messages.js'
+import { CONTROL_URGENCY, urgencyOf } from '../link/urgency.js'
 import type { MeshConfig, MeshRoute } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
 import { EpochTracker } from '../store/epochTracker.js'
@@ -125,10 +126,10 @@
       body: new Uint8Array(cls.requestBytes ?? 0),
       origin: this.#hosts.get(host)!.inbound.originOf(id)
     }, {
-      respond: (reply) => {
+      respond: (reply, urgency) => {
         // A target reaches the daemon beside it without the link.
         if (parent) return done(reply.status === 200)
-        this.#links.send(host, reply.body.length, () => done(reply.status === 200))
+        this.#links.send(host, reply.body.length, urgency, () => done(reply.status === 200))
       },
       reject: (status, reason, retryAfterMs) => {
         if (!this.opts.isDeadly?.(url)) this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1)
@@ -270,10 +271,12 @@
       endpoint: { address: peer, port: 1 },
       call: (message, _bulky, reply) => {
         let isCancelled = false
+        let dropReply = (): void => {}
         const { inbound, record } = this.#hosts.get(peer)!
         const isRemote = record.dataCentre !== dataCentre
         if (isRemote) this.#countRemoteBytes(message.route, message.body.length)
-        this.#links.send(from, message.body.length, () => {
+        const urgency = urgencyOf(message)
+        this.#links.send(from, message.body.length, urgency, () => {
           if (isCancelled) return
           if (isDown()) return reply({ kind: 'notRun', reason: 'unsent' })
           inbound.offer(message, (hopReply) => {
@@ -282,12 +285,15 @@
               this.servedByLocation.remote++
               this.#countRemoteBytes(message.route, hopReply.body.length)
             }
-            this.#links.send(peer, bodyBytes(hopReply), () => { if (!isCancelled) reply(hopReply) })
+            dropReply = this.#links.send(peer, bodyBytes(hopReply), urgency, () => { if (!isCancelled) reply(hopReply) })
           })
         })
         return () => {
           isCancelled = true
-          this.#links.send(from, 0, () => inbound.cancel(message.key))
+          this.#links.send(from, 0, CONTROL_URGENCY, () => {
+            dropReply()
+            inbound.cancel(message.key)
+          })
         }
       },
       sync: async (message) => message,
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -7,6 +7,7 @@
 import { createResponseLimits } from '../inbound/responseLimits.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import { NodeHopServer } from '../link/nodeHopServer.js'
+import { SendQueue } from '../link/sendQueue.js'
 import { NodePeerLink } from '../link/nodePeerLink.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
@@ -70,6 +71,7 @@
   readonly #loadBalancer: LoadBalancer
   readonly #retryBudget: RetryBudget
   readonly #traffic: TrafficSummary
+  readonly #sendQueue: SendQueue
   readonly #outboundServer: NodeOutboundServer
   readonly #hopServer: NodeHopServer
   readonly #metricsServer: NodeMetricsServer
@@ -87,6 +89,7 @@
 
   constructor (opts: HopDaemonOptions) {
     const { cfg, timers, random, log, metrics, names, store, codec } = opts
+    const queue = this.#sendQueue = new SendQueue({ timers, bytesPerMs: cfg.linkBytesPerMs })
     this.#opts = opts
     this.#cfg = cfg
     this.#localTarget = new LocalTarget(cfg.announceMs)
@@ -112,7 +115,7 @@
       random,
       log,
       openLink: (host, address, port) => new NodePeerLink({
-        host, address, port, timers, log, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
+        host, address, port, timers, log, queue, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
       }),
       onChange: () => this.#onFleetChange(),
       onNewerPeerVersion: () => this.#configUpdater.catchUp(),
@@ -166,7 +169,7 @@
     })
     const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
-      ...cfg.outbound, lag, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
+      ...cfg.outbound, lag, queue, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
     })
     this.#configUpdater = new ConfigUpdater({
       fleet: this.#fleet,
@@ -193,7 +196,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, lag, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     this.#metricsServer = new NodeMetricsServer(cfg.metrics, metrics)
   }
@@ -217,7 +220,7 @@
       const { queued, slots } = this.#inbound.occupancy
       metrics.state('queued', queued)
       metrics.state('slots', slots)
-      metrics.state('unsentBytes', this.#hopServer.unsentBytes)
+      metrics.state('unsentBytes', this.#unsentBytes)
       metrics.state('processorMs', processorMs())
       metrics.state('storeEpoch', store.epochs.current)
       const { suspects, blocked } = this.#quarantine.counts
@@ -229,11 +232,16 @@
     })
   }
 
+  /** Bytes that wait for the link, or that connections to other daemons have not taken yet. */
+  get #unsentBytes (): number {
+    return this.#sendQueue.backlogBytes + this.#hopServer.unsentBytes
+  }
+
   /** Logs where requests waited since the last time, and what there is of each resource. */
   #logTraffic (): void {
     const routes = this.#traffic.take()
     if (!routes) return
-    const unsentBytes = this.#hopServer.unsentBytes
+    const unsentBytes = this.#unsentBytes
     this.#opts.log.decision('traffic', { ...this.#inbound.occupancy, running: this.#inbound.active, unsentBytes, processorMs: processorMs(), routes })
   }
 
@@ -290,7 +298,7 @@
       timers,
       graceMs: this.#cfg.graceMs,
       server: this.#outboundServer,
-      inFlight: () => this.#outboundServer.inFlight + this.#inbound.active
+      inFlight: () => this.#outboundServer.inFlight + this.#inbound.active + this.#sendQueue.waiting
     })
     this.#fleet.setStopping()
     this.#discovery.stop()
--- a/packages/hop/src/daemon/resolvedHopConfig.ts
+++ b/packages/hop/src/daemon/resolvedHopConfig.ts
@@ -26,4 +26,6 @@
   /** Time from the request to stop until the process is killed. */
   graceMs: number
   retryBudget: RetryBudgetLimits
+  /** What the link of this host carries, in bytes a millisecond; Infinity if that isn't known. */
+  linkBytesPerMs: number
 }
--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -7,7 +7,7 @@
 import type { HopReply } from '../../link/messages.js'
 
 function slotRequest (key: string, overrides: Partial<SlotRequest> = {}): SlotRequest {
-  return { key, isNested: false, priority: 1, targetLatencyMs: 600, deadlineAt: 2_000, arrivedAt: 0, ...overrides }
+  return { key, nested: false, priority: 1, targetLatencyMs: 600, deadlineAt: 2_000, arrivedAt: 0, ...overrides }
 }
 
 test('guards against more requests at the target than it has slots', (t) => {
@@ -26,7 +26,7 @@
   for (const key of ['1', '2', '3', '4']) admission.admit(slotRequest(key), true, 0)
   admission.admit(slotRequest('low', { priority: 2 }), true, 0)
   admission.admit(slotRequest('high', { priority: 1, arrivedAt: 1 }), true, 1)
-  admission.admit(slotRequest('nested', { isNested: true, priority: 9, arrivedAt: 2, targetLatencyMs: 200, deadlineAt: 600 }), true, 2)
+  admission.admit(slotRequest('nested', { nested: true, priority: 9, arrivedAt: 2, targetLatencyMs: 200, deadlineAt: 600 }), true, 2)
   const order: string[] = []
   for (let i = 0; i < 3; i++) {
     admission.release(slotRequest('1'), 100, 100)
@@ -48,7 +48,7 @@
   admission.reset(2)
   for (let i = 0; i < 50; i++) admission.recordLatency(140, 600)
   for (const key of ['1', '2']) admission.admit(slotRequest(key), true, 0)
-  const nested = slotRequest('n', { isNested: true, arrivedAt: 2_000, deadlineAt: 4_000 })
+  const nested = slotRequest('n', { nested: true, arrivedAt: 2_000, deadlineAt: 4_000 })
   for (let now = 0; now < 2_000; now += 100) for (let slot = 0; slot < 2; slot++) admission.release(nested, 95, now)
   for (let slot = 0; slot < 2; slot++) admission.admit(nested, true, 2_000)
   t.is(admission.admit(slotRequest('late', { arrivedAt: 2_000, deadlineAt: 4_000 }), true, 2_000), 'busy')
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -1,4 +1,5 @@
 import type { FullReason } from '../link/messages.js'
+import { urgencyOf } from '../link/urgency.js'
 import { RejectionRates, type RejectionRate } from './rejectionRates.js'
 import { SlotUsage } from './slotUsage.js'
 import { NO_LIMIT, type SendLimit } from './targetLimit.js'
@@ -7,7 +8,7 @@
 export interface SlotRequest {
   readonly key: string
   /** Whether the request is made by another request that holds a slot while it waits for this one. */
-  readonly isNested: boolean
+  readonly nested: boolean
   /** Priority of the route; lower numbers are more urgent. */
   readonly priority: number
   readonly targetLatencyMs: number
@@ -15,9 +16,6 @@
   readonly arrivedAt: number
 }
 
-/** Urgency of nested calls. Other requests have the priority of their route as urgency, which starts at 0; lower is more urgent. */
-export const NESTED_URGENCY = -1
-
 /** `start`: the request has got a slot. `queued`: it waits for one. Otherwise it is to be rejected for the reason. */
 export type AdmissionDecision = 'start' | 'queued' | FullReason
 
@@ -99,7 +97,7 @@
   /** Asks for a slot; with `mayQueue`, a request that can't start is queued if it can still be served in time. */
   admit (request: SlotRequest, mayQueue: boolean, now: number): AdmissionDecision {
     const isFree = this.canStart(now)
-    if (!request.isNested && (isFree || mayQueue)) this.#rejectionRates.countRequest(request.priority, now)
+    if (!request.nested && (isFree || mayQueue)) this.#rejectionRates.countRequest(request.priority, now)
     if (isFree) {
       this.#occupySlot(now)
       return 'start'
@@ -108,7 +106,7 @@
       this.#enqueue(request)
       return 'queued'
     }
-    if (!request.isNested && mayQueue) this.#rejectionRates.countRejection(request.priority, now)
+    if (!request.nested && mayQueue) this.#rejectionRates.countRejection(request.priority, now)
     return this.fullReason(now)
   }
 
@@ -136,8 +134,8 @@
   dequeueExpired (now: number): SlotRequest[] {
     const expired = this.#queue.filter((request) => !this.#isInTime(request, now))
     if (expired.length > 0) this.#queue = this.#queue.filter((request) => !expired.includes(request))
-    for (const { isNested, priority } of expired) {
-      if (isNested) continue
+    for (const { nested, priority } of expired) {
+      if (nested) continue
       this.#rejectionRates.countRejection(priority, now)
       this.#setWaitFactor(Math.min(MAX_WAIT_FACTOR, this.#waitFactorAt(now) * WAIT_FACTOR_INCREASE), now)
     }
@@ -149,7 +147,7 @@
     const ready: SlotRequest[] = []
     while (this.#queue.length > 0 && this.#canStartNext(now)) {
       const request = this.#queue.shift()!
-      if (!request.isNested) this.#setWaitFactor(Math.max(1, this.#waitFactorAt(now) * WAIT_FACTOR_DECREASE), now)
+      if (!request.nested) this.#setWaitFactor(Math.max(1, this.#waitFactorAt(now) * WAIT_FACTOR_DECREASE), now)
       ready.push(request)
       this.#occupySlot(now)
     }
@@ -188,7 +186,7 @@
     for (const other of this.#queue) if (!isMoreUrgent(request, other)) ahead++
     const urgentShare = this.#slotUsage.slotsOfMoreUrgent(urgencyOf(request), now) / this.#slots
     const slotWaitMs = (ahead + 1) * this.#serviceTimeMs / this.#slots / Math.max(MIN_SLOT_SHARE, 1 - urgentShare) *
-      (request.isNested ? 1 : this.#waitFactorAt(now))
+      (request.nested ? 1 : this.#waitFactorAt(now))
     return now + Math.max(slotWaitMs, this.#limit.waitMs(ahead, now)) <= this.#latestStart(request)
   }
 
@@ -202,10 +200,10 @@
    * that made it is lost.
    */
   #latestStart (request: SlotRequest): number {
-    const { targetLatencyMs, arrivedAt, deadlineAt, isNested } = request
+    const { targetLatencyMs, arrivedAt, deadlineAt, nested } = request
     const expectedMs = this.#pace * targetLatencyMs
     const lastStart = deadlineAt - expectedMs
-    if (isNested) return lastStart
+    if (nested) return lastStart
     return Math.min(lastStart, arrivedAt + this.#maxWaitMs(request))
   }
 
@@ -241,11 +239,6 @@
 /** Part of the target latency for which any request may wait, so that short bursts are smoothed. */
 const MIN_WAIT_SHARE = 0.1
 
-/** Nested calls are more urgent than any route's requests. */
-function urgencyOf ({ isNested, priority }: SlotRequest): number {
-  return isNested ? NESTED_URGENCY : priority
-}
-
 function isMoreUrgent (a: SlotRequest, b: SlotRequest): boolean {
   const difference = urgencyOf(a) - urgencyOf(b)
   return difference !== 0 ? difference < 0 : a.arrivedAt < b.arrivedAt
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -110,7 +110,7 @@
     if (message.mode === 'ask') return this.#replyNotRun(message, this.#admission.canStart(now) ? 'vacant' : this.#admission.fullReason(now))
     const slotRequest: SlotRequest = {
       key,
-      isNested: message.nested,
+      nested: message.nested,
       priority: message.priority,
       targetLatencyMs: message.targetLatencyMs,
       deadlineAt: now + message.deadlineMs,
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -1,14 +1,15 @@
 import test from 'ava'
 import { connect } from 'node:net'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { NO_LAG, testQuarantine } from '../../__tests__/fixtures.js'
+import { NO_LAG, testQuarantine, unlimitedQueue } from '../../__tests__/fixtures.js'
 import { Fleet } from '../../fleet/fleet.js'
 import type { InboundHandler } from '../../inbound/inboundHandler.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import { EpochTracker } from '../../store/epochTracker.js'
 import { encode } from '../codec.js'
 import type { SyncMessage } from '../messages.js'
-import { FRAME_KINDS, FrameSocket, type Frame } from '../nodeFrameSocket.js'
+import { FRAME_KINDS, type Frame } from '../frames.js'
+import { FrameSocket } from '../nodeFrameSocket.js'
 import { NodeHopServer } from '../nodeHopServer.js'
 
 const timers = new VirtualTimers()
@@ -74,7 +75,7 @@
     const linkedHosts: string[] = []
     const fleet = createFleet(linkedHosts)
     const server = new NodeHopServer({
-      address: '127.0.0.1', port: 0, lag: NO_LAG, timers, handler: {} as InboundHandler, log: new NoopCallLog(), onSync: (message) => fleet.onSync(message), deltaSince: () => undefined
+      address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: new NoopCallLog(), onSync: (message) => fleet.onSync(message), deltaSince: () => undefined
     })
     await server.listen()
     t.teardown(() => server.close())
@@ -85,7 +86,7 @@
     t.deepEqual(fleet.records().map(({ host }) => host), ['own'])
     t.deepEqual(linkedHosts, [])
     const reply = await new Promise<Frame>((resolve) => {
-      const pingSocket = new FrameSocket(connect(server.port, '127.0.0.1'), { timers, onFrame: resolve, onClose: () => {} })
+      const pingSocket = new FrameSocket(connect(server.port, '127.0.0.1'), { timers, queue: unlimitedQueue(), onFrame: resolve, onClose: () => {} })
       t.teardown(() => pingSocket.end())
       pingSocket.send([FRAME_KINDS.ping, 0])
     })
@@ -100,14 +101,14 @@
     const decisions: string[] = []
     const fleet = createFleet(linkedHosts, received)
     const server = new NodeHopServer({
-      address: '127.0.0.1', port: 0, lag: NO_LAG, timers, handler: {} as InboundHandler, log: { call: () => {}, decision: (what) => { decisions.push(what) } }, onSync: (message) => fleet.onSync(message), deltaSince: () => undefined
+      address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: { call: () => {}, decision: (what) => { decisions.push(what) } }, onSync: (message) => fleet.onSync(message), deltaSince: () => undefined
     })
     await server.listen()
     t.teardown(() => server.close())
     const good = { ...record, host: 'good', extra: 'not passed on' }
     const message = { ...syncMessage, ...fields, records: [...fields.records ?? [], good], digest: 'other' }
     const reply = await new Promise<Frame>((resolve) => {
-      const socket = new FrameSocket(connect(server.port, '127.0.0.1'), { timers, onFrame: resolve, onClose: () => {} })
+      const socket = new FrameSocket(connect(server.port, '127.0.0.1'), { timers, queue: unlimitedQueue(), onFrame: resolve, onClose: () => {} })
       t.teardown(() => socket.end())
       socket.send([FRAME_KINDS.sync, 1, message])
     })
--- a/packages/hop/src/link/__tests__/lateCancel.spec.ts
+++ b/packages/hop/src/link/__tests__/lateCancel.spec.ts
@@ -2,13 +2,14 @@
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { NodeTimers, SeededRandom } from '@lentilwheel/core'
-import { ALWAYS_BEHIND, NO_LAG } from '../../__tests__/fixtures.js'
+import { ALWAYS_BEHIND, NO_LAG, unlimitedQueue } from '../../__tests__/fixtures.js'
 import type { LoopLag } from '../../daemon/nodeLoopLag.js'
 import type { InboundHandler } from '../../inbound/inboundHandler.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import { packCall } from '../codec.js'
 import type { CallMessage } from '../messages.js'
-import { FRAME_KINDS, FrameSocket } from '../nodeFrameSocket.js'
+import { FRAME_KINDS } from '../frames.js'
+import { FrameSocket } from '../nodeFrameSocket.js'
 import { NodeHopServer } from '../nodeHopServer.js'
 
 const timers = new NodeTimers(new SeededRandom(1))
@@ -23,9 +24,9 @@
 async function offeredKeys (lag: Pick<LoopLag, 'whenRead'>): Promise<string[]> {
   const offered: string[] = []
   const handler = { offer: ({ key }) => { offered.push(key) }, cancel: () => {}, onSenderDisconnect: () => {} } as Partial<InboundHandler> as InboundHandler
-  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, handler, log: new NoopCallLog(), lag, onSync: (message) => message, deltaSince: () => undefined })
+  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue: unlimitedQueue(), handler, log: new NoopCallLog(), lag, onSync: (message) => message, deltaSince: () => undefined })
   await server.listen()
-  const peer = new FrameSocket(connect(server.port, '127.0.0.1'), { timers, onFrame: () => {}, onClose: () => {} })
+  const peer = new FrameSocket(connect(server.port, '127.0.0.1'), { timers, queue: unlimitedQueue(), onFrame: () => {}, onClose: () => {} })
   sendThreeCalls(peer)
   while (!offered.includes('c3')) await sleep(5)
   peer.end()
--- a/packages/hop/src/link/__tests__/peerConnection.spec.ts
+++ b/packages/hop/src/link/__tests__/peerConnection.spec.ts
@@ -1,8 +1,10 @@
 import test, { type ExecutionContext } from 'ava'
 import { createServer, type AddressInfo } from 'node:net'
 import { VirtualTimers } from '@lentilwheel/core'
+import { unlimitedQueue } from '../../__tests__/fixtures.js'
 import { NoopCallLog } from '../../observe/callLog.js'
-import { FRAME_KINDS, FrameSocket } from '../nodeFrameSocket.js'
+import { FRAME_KINDS } from '../frames.js'
+import { FrameSocket } from '../nodeFrameSocket.js'
 import { PeerConnection, type ExchangeOutcome } from '../nodePeerConnection.js'
 
 const IDLE_PING_MS = 3_000
@@ -22,7 +24,7 @@
     let onConnected = (): void => {}
     this.#connected = new Promise<void>((resolve) => { onConnected = resolve })
     this.connection = new PeerConnection({
-      peer: 'p', address: '127.0.0.1', port, timers: this.timers, log: new NoopCallLog(), isPersistent: true, idlePingMs: () => IDLE_PING_MS, onStateChange: () => onConnected(), onSilent: () => { this.silent++ }
+      peer: 'p', address: '127.0.0.1', port, timers: this.timers, log: new NoopCallLog(), queue: unlimitedQueue(), isPersistent: true, idlePingMs: () => IDLE_PING_MS, onStateChange: () => onConnected(), onSilent: () => { this.silent++ }
     })
   }
 
@@ -30,6 +32,7 @@
     const server = createServer((socket) => {
       const frames = new FrameSocket(socket, {
         timers: harness.timers,
+        queue: unlimitedQueue(),
         onFrame: ([kind]) => {
           harness.receivedKinds.push(kind)
           harness.#onReceived()
--- a/packages/hop/src/link/nodeFrameSocket.ts
+++ b/packages/hop/src/link/nodeFrameSocket.ts
@@ -1,31 +1,50 @@
-import { UnpackrStream } from 'msgpackr'
+import { Unpackr, UnpackrStream } from 'msgpackr'
 import type { Socket } from 'node:net'
 import { errorCode, type Timers } from '@lentilwheel/core'
 import { BadMessage } from '../errors.js'
 import { encode } from './codec.js'
-
-/** Kinds of frames between two daemons. The side that opened the connection sends requests, the other side answers them. */
-export const FRAME_KINDS = { call: 1, cancel: 2, settle: 3, sync: 4, config: 5, reply: 6, ping: 7, pong: 8 } as const
-export type FrameKind = typeof FRAME_KINDS[keyof typeof FRAME_KINDS]
-
-/** `exchangeId` pairs a reply with its request on one connection. */
-export type Frame = readonly [kind: FrameKind, exchangeId: number, payload?: unknown]
+import { FRAME_KINDS, type Frame } from './frames.js'
+import { FrameTransfer } from './nodeFrameTransfer.js'
+import { PartAssembler } from './partAssembler.js'
+import type { SendQueue } from './sendQueue.js'
+import { CONTROL_URGENCY } from './urgency.js'
 
 export interface FrameSocketOptions {
   timers: Pick<Timers, 'now'>
+  /** Queue of this host's link. */
+  queue: SendQueue
   onFrame (frame: Frame): void
   onClose (reason: string): void
 }
 
+/** A frame that was handed over for sending. */
+export interface SentFrame {
+  /** Whether bytes of it wait for the link. */
+  readonly isWaiting: boolean
+  /** Drops it if bytes of it wait: true if the peer doesn't get it. */
+  revoke (): boolean
+}
+
 /** Limit for buffering an incomplete message of a peer; a longer message closes the connection. */
 const MAX_MESSAGE_BYTES = 80 * 1024 * 1024
+const SENT: SentFrame = { isWaiting: false, revoke: () => false }
+const UNPACK_OPTIONS = { useRecords: false, int64AsType: 'number' } as const
 
-/** Sends and receives frames over one TCP connection, as consecutive MessagePack values. A malformed frame closes the connection. */
+/**
+ * Sends and receives frames over one TCP connection, as consecutive MessagePack values. Frames wait for their turn at the link of this
+ * host and may overtake each other. A malformed frame closes the connection.
+ */
 export class FrameSocket {
   readonly #socket: Socket
   readonly #opts: FrameSocketOptions
+  readonly #unpackr = new Unpackr(UNPACK_OPTIONS as object)
+  readonly #parts = new PartAssembler(MAX_MESSAGE_BYTES)
+  /** Frames that wait for the link, and what drops them. */
+  readonly #waiting = new Map<FrameTransfer, () => void>()
+  #lastTransferId = 0
   #closeReason = 'closed'
   #isCorked = false
+  #isEnding = false
   /** Monotonic milliseconds at which the last bytes arrived. */
   lastReceivedAt: number
 
@@ -33,39 +52,42 @@
     this.#socket = socket
     this.#opts = opts
     this.lastReceivedAt = opts.timers.now()
-    const unpackr = new UnpackrStream({ useRecords: false, int64AsType: 'number', maxIncompleteBufferSize: MAX_MESSAGE_BYTES } as object)
+    const unpackr = new UnpackrStream({ ...UNPACK_OPTIONS, maxIncompleteBufferSize: MAX_MESSAGE_BYTES } as object)
     unpackr.on('data', (value: unknown) => this.#onValue(value))
     unpackr.on('error', (err: Error) => this.destroy(err.message))
     socket.on('data', (chunk: Buffer) => {
       this.lastReceivedAt = opts.timers.now()
       unpackr.write(chunk)
     })
+    socket.on('drain', () => opts.queue.resume())
     socket.on('error', (err) => { this.#closeReason = err.message })
     socket.on('end', () => socket.end())
-    socket.on('close', () => opts.onClose(this.#closeReason))
+    socket.on('close', () => {
+      for (const drop of this.#waiting.values()) drop()
+      this.#waiting.clear()
+      opts.onClose(this.#closeReason)
+    })
   }
 
-  /** Sends a frame. Frames sent in the same tick are combined into one write. */
-  send (frame: Frame): void {
-    if (this.#socket.destroyed) return
-    if (!this.#isCorked) {
-      this.#isCorked = true
-      this.#socket.cork()
-      process.nextTick(() => {
-        this.#isCorked = false
-        this.#socket.uncork()
-      })
-    }
-    this.#socket.write(encode(frame))
+  /** Sends a frame when it is its turn. */
+  send (frame: Frame, urgency = CONTROL_URGENCY): SentFrame {
+    if (this.#socket.destroyed) return SENT
+    const { queue } = this.#opts
+    const bytes = encode(frame)
+    if (!queue.trySendNow(bytes.length)) return this.#enqueue(bytes, urgency)
+    this.#write(bytes)
+    return SENT
   }
 
+  /** Bytes that the connection has not taken yet. */
   get unsentBytes (): number {
     return this.#socket.writableLength
   }
 
   /** Closes the connection once everything sent so far is flushed. */
   end (): void {
-    this.#socket.end()
+    this.#isEnding = true
+    if (this.#waiting.size === 0) this.#socket.end()
   }
 
   /** Closes the connection at once; `reason` is passed to `onClose`. */
@@ -74,14 +96,73 @@
     this.#socket.destroy()
   }
 
+  #enqueue (bytes: Buffer, urgency: number): SentFrame {
+    const transfer = new FrameTransfer(this.#socket, (part) => this.#write(part), ++this.#lastTransferId, bytes, urgency)
+    const drop = this.#opts.queue.submit(transfer, () => this.#onSent(transfer))
+    if (transfer.remaining === 0) return SENT
+    this.#waiting.set(transfer, drop)
+    const waiting = this.#waiting
+    return {
+      get isWaiting () { return waiting.has(transfer) },
+      revoke: () => {
+        if (waiting.has(transfer)) this.#revoke(transfer)
+        return transfer.remaining > 0
+      }
+    }
+  }
+
+  #revoke (transfer: FrameTransfer): void {
+    this.#waiting.get(transfer)!()
+    transfer.abort()
+    this.#onSent(transfer)
+  }
+
+  #onSent (transfer: FrameTransfer): void {
+    this.#waiting.delete(transfer)
+    if (this.#isEnding && this.#waiting.size === 0) this.#socket.end()
+  }
+
+  /** Writes made in the same tick are combined into one. */
+  #write (bytes: Buffer): void {
+    if (!this.#isCorked) {
+      this.#isCorked = true
+      this.#socket.cork()
+      process.nextTick(() => {
+        this.#isCorked = false
+        this.#socket.uncork()
+      })
+    }
+    this.#socket.write(bytes)
+  }
+
   #onValue (value: unknown): void {
     try {
-      if (!Array.isArray(value) || typeof value[0] !== 'number' || typeof value[1] !== 'number') {
-        throw new BadMessage('value from a peer is not a frame')
-      }
-      this.#opts.onFrame(value as unknown as Frame)
+      this.#onFrame(toFrame(value))
     } catch (err) {
       this.destroy(`${errorCode(err)}: ${(err as Error).message}`)
     }
   }
+
+  #onFrame (frame: Frame): void {
+    const [kind, id, payload] = frame
+    switch (kind) {
+      case FRAME_KINDS.part:
+      case FRAME_KINDS.lastPart: {
+        const whole = this.#parts.add(id, payload, kind === FRAME_KINDS.lastPart)
+        if (whole) this.#opts.onFrame(toFrame(this.#unpackr.unpack(whole)))
+        return
+      }
+      case FRAME_KINDS.abortedParts:
+        return this.#parts.drop(id)
+      default:
+        return this.#opts.onFrame(frame)
+    }
+  }
+}
+
+function toFrame (value: unknown): Frame {
+  if (!Array.isArray(value) || typeof value[0] !== 'number' || typeof value[1] !== 'number') {
+    throw new BadMessage('value from a peer is not a frame')
+  }
+  return value as unknown as Frame
 }
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -7,8 +7,11 @@
 import type { ConfigDelta } from '../routing/configDelta.js'
 import { packReply, unpackCall, validateFields } from './codec.js'
 import type { HopReply, SettleMessage, SyncMessage } from './messages.js'
-import { FRAME_KINDS, FrameSocket, type Frame } from './nodeFrameSocket.js'
+import { FRAME_KINDS, type Frame } from './frames.js'
+import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
 import { readSyncMessage } from './readSyncMessage.js'
+import type { SendQueue } from './sendQueue.js'
+import { NESTED_URGENCY, urgencyOf } from './urgency.js'
 
 export interface HopServerOptions {
   address: string
@@ -17,6 +20,8 @@
   handler: InboundHandler
   log: CallLog
   lag: Pick<LoopLag, 'whenRead'>
+  /** Queue of this host's link. */
+  queue: SendQueue
   onSync (message: SyncMessage): SyncMessage
   /** Returns the changes from the version that the peer holds to the active configuration; undefined if there is none. */
   deltaSince (heldVersion: number): ConfigDelta | undefined
@@ -61,53 +66,75 @@
   }
 
   #onConnection (socket: Socket): void {
-    const { handler: inbound, log, timers } = this.#opts
-    /** Keys of the pending calls of this connection, by exchange id. */
-    const callKeys = new Map<number, string>()
+    const { handler: inbound, log, timers, queue } = this.#opts
+    const exchanges: Exchanges = { calls: new Map(), replies: new Map() }
     const peer = new FrameSocket(socket, {
       timers,
-      onFrame: (frame) => this.#onFrame(peer, callKeys, frame),
+      queue,
+      onFrame: (frame) => this.#onFrame(peer, exchanges, frame),
       onClose: (reason) => {
         this.#peers.delete(peer)
-        if (callKeys.size > 0) log.decision('peerClosed', { address: socket.remoteAddress, reason, calls: callKeys.size })
-        for (const key of callKeys.values()) inbound.onSenderDisconnect(key)
-        callKeys.clear()
+        const { calls } = exchanges
+        if (calls.size > 0) log.decision('peerClosed', { address: socket.remoteAddress, reason, calls: calls.size })
+        for (const key of calls.values()) inbound.onSenderDisconnect(key)
+        calls.clear()
       }
     })
     this.#peers.add(peer)
   }
 
-  #onFrame (peer: FrameSocket, callKeys: Map<number, string>, [kind, exchangeId, payload]: Frame): void {
+  #onFrame (peer: FrameSocket, exchanges: Exchanges, [kind, exchangeId, payload]: Frame): void {
     const { handler: inbound } = this.#opts
-    const sendReply = (reply: HopReply): void => {
-      callKeys.delete(exchangeId)
-      peer.send([FRAME_KINDS.reply, exchangeId, packReply(reply)])
-    }
+    const { calls } = exchanges
     switch (kind) {
       case FRAME_KINDS.call: {
         const message = unpackCall(payload)
-        callKeys.set(exchangeId, message.key)
-        return this.#opts.lag.whenRead(() => { if (callKeys.get(exchangeId) === message.key) inbound.offer(message, sendReply) })
+        calls.set(exchangeId, message.key)
+        const sendReply = (reply: HopReply): void => sendCallReply(peer, exchanges, exchangeId, reply, urgencyOf(message))
+        return this.#opts.lag.whenRead(() => { if (calls.get(exchangeId) === message.key) inbound.offer(message, sendReply) })
       }
       case FRAME_KINDS.settle: {
         const message = validateFields<SettleMessage>(payload, ['key', 'incarnation'])
-        callKeys.set(exchangeId, message.key)
-        return inbound.settle(message.key, message.incarnation, sendReply)
-      }
-      case FRAME_KINDS.cancel: {
-        const key = callKeys.get(exchangeId)
-        if (!callKeys.delete(exchangeId)) return
-        return inbound.cancel(key!)
-      }
-      case FRAME_KINDS.sync: {
-        return peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(readSyncMessage(payload, this.#opts))])
+        calls.set(exchangeId, message.key)
+        return inbound.settle(message.key, message.incarnation, (reply) => sendCallReply(peer, exchanges, exchangeId, reply, NESTED_URGENCY))
       }
+      case FRAME_KINDS.cancel:
+        return this.#cancel(exchanges, exchangeId)
+      case FRAME_KINDS.sync:
+        peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(readSyncMessage(payload, this.#opts))])
+        return
       case FRAME_KINDS.config:
-        return peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.deltaSince(validateFields<{ have: number }>(payload, ['have']).have)])
+        peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.deltaSince(validateFields<{ have: number }>(payload, ['have']).have)])
+        return
       case FRAME_KINDS.ping:
-        return peer.send([FRAME_KINDS.pong, 0])
+        peer.send([FRAME_KINDS.pong, 0])
+        return
       default:
         throw new BadMessage(`frame from a peer has the unknown kind ${kind}`)
     }
   }
+
+  /** Cancels a call, or drops what has not been sent of its reply. */
+  #cancel ({ calls, replies }: Exchanges, exchangeId: number): void {
+    const key = calls.get(exchangeId)
+    calls.delete(exchangeId)
+    if (key !== undefined) return this.#opts.handler.cancel(key)
+    replies.get(exchangeId)?.revoke()
+    replies.delete(exchangeId)
+  }
+}
+
+/** State of one connection, by exchange id. */
+interface Exchanges {
+  /** Keys of the calls that have no reply yet. */
+  calls: Map<number, string>
+  /** Replies that wait for the link, or did when they were last looked at. */
+  replies: Map<number, SentFrame>
+}
+
+function sendCallReply (peer: FrameSocket, { calls, replies }: Exchanges, exchangeId: number, reply: HopReply, urgency: number): void {
+  calls.delete(exchangeId)
+  for (const [id, frame] of replies) if (!frame.isWaiting) replies.delete(id)
+  const frame = peer.send([FRAME_KINDS.reply, exchangeId, packReply(reply)], urgency)
+  if (frame.isWaiting) replies.set(exchangeId, frame)
 }
--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -1,7 +1,10 @@
 import { connect } from 'node:net'
 import type { Timers } from '@lentilwheel/core'
 import type { CallLog } from '../observe/callLog.js'
-import { FRAME_KINDS, FrameSocket, type FrameKind } from './nodeFrameSocket.js'
+import { FRAME_KINDS, type FrameKind } from './frames.js'
+import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
+import type { SendQueue } from './sendQueue.js'
+import { CONTROL_URGENCY } from './urgency.js'
 
 export interface PeerConnectionOptions {
   peer: string
@@ -9,6 +12,8 @@
   port: number
   timers: Timers
   log: CallLog
+  /** Queue of this host's link. */
+  queue: SendQueue
   /** Whether to stay connected while there is nothing to send; otherwise a request opens the connection. */
   isPersistent: boolean
   /** Silence after which an idle connection is pinged. */
@@ -20,6 +25,7 @@
 
 interface PendingRequest {
   sentAt: number
+  frame: SentFrame
   done (outcome: ExchangeOutcome): void
 }
 
@@ -62,21 +68,24 @@
   }
 
   /** Sends one frame and passes the outcome to `done`. Returns the exchange id, or 0 if there is no connection. */
-  request (kind: FrameKind, payload: unknown, done: (outcome: ExchangeOutcome) => void): number {
+  request (kind: FrameKind, payload: unknown, done: (outcome: ExchangeOutcome) => void, urgency = CONTROL_URGENCY): number {
     const socket = this.#open()
     if (!socket) {
       done({ kind: 'broken', wasConnected: false })
       return 0
     }
     const exchangeId = ++this.#lastExchangeId
-    this.#pending.set(exchangeId, { sentAt: this.#opts.timers.now(), done })
-    socket.send([kind, exchangeId, payload])
+    const frame = socket.send([kind, exchangeId, payload], urgency)
+    this.#pending.set(exchangeId, { sentAt: this.#opts.timers.now(), frame, done })
     return exchangeId
   }
 
-  /** Stops waiting for the reply and asks the peer to cancel the request. */
+  /** Stops waiting for the reply, and drops the request or asks the peer to cancel it. */
   cancel (exchangeId: number): void {
-    if (this.#pending.delete(exchangeId)) this.#socket?.send([FRAME_KINDS.cancel, exchangeId])
+    const request = this.#pending.get(exchangeId)
+    if (!request) return
+    this.#pending.delete(exchangeId)
+    if (!request.frame.revoke()) this.#socket?.send([FRAME_KINDS.cancel, exchangeId])
   }
 
   /** Stops waiting for the reply without telling the peer. */
@@ -97,10 +106,11 @@
   }
 
   #connect (): FrameSocket {
-    const { address, port, timers, peer, log } = this.#opts
+    const { address, port, timers, peer, log, queue } = this.#opts
     const tcp = connect({ host: address, port, noDelay: true })
     const socket = new FrameSocket(tcp, {
       timers,
+      queue,
       onFrame: ([, exchangeId, payload]) => {
         const request = this.#pending.get(exchangeId)
         this.#pending.delete(exchangeId)
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -5,9 +5,11 @@
 import { DELTA_FIELDS, type ConfigDelta } from '../routing/configDelta.js'
 import { packCall, unpackReply, validateFields } from './codec.js'
 import type { CallMessage, HopReply, SettleMessage, SyncMessage } from './messages.js'
-import { FRAME_KINDS, type FrameKind } from './nodeFrameSocket.js'
+import { FRAME_KINDS, type FrameKind } from './frames.js'
 import { PeerConnection, type ExchangeOutcome } from './nodePeerConnection.js'
 import { readSyncMessage } from './readSyncMessage.js'
+import type { SendQueue } from './sendQueue.js'
+import { urgencyOf } from './urgency.js'
 
 export interface PeerLinkOptions {
   host: string
@@ -15,6 +17,8 @@
   port: number
   timers: Timers
   log: CallLog
+  /** Queue of this host's link. */
+  queue: SendQueue
   /** Silence after which an idle connection is pinged. */
   idlePingMs (): number
   /** Called when the peer becomes reachable and when the connection to it is lost. */
@@ -54,8 +58,8 @@
 
   constructor (opts: PeerLinkOptions) {
     this.#opts = opts
-    const { host, address, port, timers, log, idlePingMs, onSilent } = opts
-    const shared = { peer: host, address, port, timers, log, idlePingMs, onSilent }
+    const { host, address, port, timers, log, queue, idlePingMs, onSilent } = opts
+    const shared = { peer: host, address, port, timers, log, queue, idlePingMs, onSilent }
     this.#connection = new PeerConnection({ ...shared, isPersistent: true, onStateChange: (isUp) => opts.onStateChange(host, isUp) })
     this.#bulkConnection = new PeerConnection({ ...shared, isPersistent: false, onStateChange: () => {} })
   }
@@ -74,7 +78,7 @@
     const connection = isBulky ? this.#bulkConnection : this.#connection
     const call: PendingCall = { message, reply, deadlineAt, brokenAt: 0, connection, exchangeId: 0, hasEnded: false }
     this.#pending.add(call)
-    call.exchangeId = connection.request(FRAME_KINDS.call, packCall(message), (outcome) => this.#onOutcome(call, outcome))
+    call.exchangeId = connection.request(FRAME_KINDS.call, packCall(message), (outcome) => this.#onOutcome(call, outcome), urgencyOf(message))
     return () => this.#cancel(call)
   }
 
--- a/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
@@ -2,7 +2,7 @@
 import { errorCode } from '@lentilwheel/core'
 import { connect, type Socket } from 'node:net'
 import { once } from 'node:events'
-import { ALWAYS_BEHIND, NO_LAG, TEST_HEADERS as names } from '../../__tests__/fixtures.js'
+import { ALWAYS_BEHIND, NO_LAG, TEST_HEADERS as names, unlimitedQueue } from '../../__tests__/fixtures.js'
 import type { LoopLag } from '../../daemon/nodeLoopLag.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { CallMetrics } from '../../observe/callMetrics.js'
@@ -21,7 +21,7 @@
   const handler: Partial<OutboundHandler> = {
     handle: (_req, res) => {
       try {
-        res.respond({ kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, ...reply })
+        res.respond({ kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, ...reply }, 1)
       } catch (err) {
         res.reject(502, errorCode(err))
       }
@@ -37,11 +37,11 @@
   const echoHandler = {
     handle: (req, res) => {
       handledIds.push(req.head.requestId)
-      res.respond({ kind: 'response', status: 200, headers: [], body: Buffer.from(String(req.body.length)), unframed: false })
+      res.respond({ kind: 'response', status: 200, headers: [], body: Buffer.from(String(req.body.length)), unframed: false }, 1)
       return () => {}
     }
   } as Partial<OutboundHandler> as OutboundHandler
-  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: handler ?? echoHandler, log: new NoopCallLog(), metrics, names, lag, originOf })
+  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: handler ?? echoHandler, log: new NoopCallLog(), metrics, names, lag, queue: unlimitedQueue(), originOf })
   server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: MAX_BODY_BYTES, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 })
   await server.listen()
   return { server, port: server.port, handledIds }
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -7,11 +7,13 @@
 import { NotForwardable } from '../errors.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
 import type { RequestOrigin } from '../inbound/runningRequests.js'
+import type { SendQueue } from '../link/sendQueue.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
 import type { RequestLimits } from '../routing/meshConfig.js'
 import type { OutboundHandler } from './outboundHandler.js'
 import type { ForwardedResponse, Responder } from './outboundTypes.js'
+import { sendBody } from './nodeResponseTransfer.js'
 import { parseRequestHead, forwardedResponseHeaders } from './requestHead.js'
 
 export interface OutboundServerOptions {
@@ -22,6 +24,8 @@
   metrics: CallMetrics
   names: HeaderNames
   lag: Pick<LoopLag, 'whenRead'>
+  /** Queue of this host's link. */
+  queue: SendQueue
   /** Who made a request, from its id: a caller, or another request that runs on the target beside this daemon. */
   originOf (requestId: string): RequestOrigin
 }
@@ -174,14 +178,14 @@
   #onRequestRead (req: IncomingMessage, res: ServerResponse, body: Buffer): void {
     if (res.destroyed || req.socket.readableEnded) return this.#opts.log.call(false, 'outbound', { outcome: 'callerLeft', reason: 'unread' })
     const outcome = parseRequestHead(req.url!, req.rawHeaders, this.#opts.names)
-    const responder = this.#responder(req, res)
     if (outcome.kind === 'bad') {
       this.#opts.metrics.event('badInput')
       this.#opts.log.call(false, 'outbound', { outcome: 400, reason: outcome.reason })
-      return responder.reject(400, outcome.reason)
+      return this.#responder(req, res, 'caller').reject(400, outcome.reason)
     }
     const { head } = outcome
     const origin = this.#opts.originOf(head.requestId)
+    const responder = this.#responder(req, res, origin)
     const mayOutlastStop = performance.now() + head.deadlineMs > this.#endsAt
     if (mayOutlastStop || (this.#isRejecting && origin === 'caller')) {
       this.#opts.log.call(false, 'outbound', { id: head.requestId, outcome: 503, reason: 'stopping', origin })
@@ -196,12 +200,12 @@
     }
   }
 
-  #responder (req: IncomingMessage, res: ServerResponse): Responder {
+  #responder (req: IncomingMessage, res: ServerResponse, origin: RequestOrigin): Responder {
     return {
-      respond: (reply) => {
+      respond: (reply, urgency) => {
         if (res.destroyed) return
         try {
-          this.#writeReply(req, res, reply)
+          this.#writeReply(req, res, reply, origin === 'caller' ? urgency : undefined)
         } catch (err) {
           if (res.headersSent) res.destroy()
           throw new NotForwardable('the response of a target cannot be written', err)
@@ -219,14 +223,16 @@
     }
   }
 
-  #writeReply (req: IncomingMessage, res: ServerResponse, reply: ForwardedResponse): void {
+  /** `urgency`: at the link of this host; undefined for the target beside this daemon, which is reached without it. */
+  #writeReply (req: IncomingMessage, res: ServerResponse, reply: ForwardedResponse, urgency: number | undefined): void {
     const headers = forwardedResponseHeaders(reply.headers)
     const isBodiless = reply.status === 204 || reply.status === 304
     if (reply.unframed) endBodyByClosing(res)
     else if (!isBodiless && req.method !== 'HEAD') headers.push('Content-Length', String(reply.body.length))
     this.#closeIfStopping(headers)
     res.writeHead(reply.status, headers)
-    res.end(isBodiless ? undefined : reply.body)
+    if (isBodiless || urgency === undefined) res.end(isBodiless ? undefined : reply.body)
+    else sendBody(res, reply.body, urgency, this.#opts.queue)
   }
 
   #closeIfStopping (headers: string[]): void {
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -2,8 +2,8 @@
 import { NotForwardable } from '../errors.js'
 import { WAIT_PLACES, type CallWaits } from '../observe/trafficSummary.js'
 import type { HostRecord } from '../fleet/hostRecord.js'
-import { NESTED_URGENCY } from '../inbound/admission.js'
 import { isFullReason, type CallMessage, type FailureReason, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
+import { urgencyOf } from '../link/urgency.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 import { FIRST_HOLD_MS, isRefused, type Standing } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
@@ -68,7 +68,7 @@
     this.#startedAt = opts.timers.now()
     this.#repliedOfferAt = this.#startedAt
     this.#deadlineAt = this.#startedAt + Math.min(req.head.deadlineMs, route.timeoutMs, MAX_DEADLINE_MS)
-    this.#urgency = req.origin === 'caller' ? route.priority : NESTED_URGENCY
+    this.#urgency = urgencyOf({ nested: req.origin !== 'caller', priority: route.priority })
     this.#versionChoice = opts.versions.choose(service)
     this.#flow = callFlow({ route, deadlineAt: this.#deadlineAt, bodyBytes: req.body.length }, this.#context())
   }
@@ -207,7 +207,7 @@
     const { res } = this.#input
     switch (command.kind) {
       case 'respond':
-        res.respond(command.reply)
+        res.respond(command.reply, this.#urgency)
         this.#opts.traffic.record(this.#input.route.name, this.#waits(command.reply), command.reply.body.length)
         this.#opts.sizes.record(this.#input.route.name, command.reply.body.length)
         return this.#end(command.reply.status, command.reply.status < 500, { waits: this.#roundedWaits(command.reply) })
--- a/packages/hop/src/outbound/outboundTypes.ts
+++ b/packages/hop/src/outbound/outboundTypes.ts
@@ -27,8 +27,8 @@
 
 /** Responds to the caller: exactly one of the methods is called, once; `reject` also after `respond` has failed. */
 export interface Responder {
-  /** Passes on the response of a target; throws NotForwardable if HTTP doesn't allow it. */
-  respond (reply: ForwardedResponse): void
+  /** Passes on the response of a target when its turn comes by its urgency; throws NotForwardable if HTTP doesn't allow it. */
+  respond (reply: ForwardedResponse, urgency: number): void
   /** Responds with a status and a reason of the daemon itself, because no target's response can be passed on. */
   reject (status: number, reason: string, retryAfterMs?: number): void
 }
