Don't run a request again while its answer only waits for a link

Until the whole answer was there, the caller's daemon couldn't tell a target that hangs from an answer that waits for a full link, and the second run put one more answer into a link as full.

The daemon beside the target now says at once that an answer is ready and waits, in a message of a few bytes that goes before all others. After it no second run is started. A link that breaks, a target that is silent and a deadline are handled as before.

Test: the scenario 'an attempt whose answer waits for the link is not hedged' (on the code before, the event is unknown and the timer at 540 ms starts the second run, as in the scenario before it).

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -269,7 +269,7 @@
     return {
       get isUp () { return !isDown() },
       endpoint: { address: peer, port: 1 },
-      call: (message, _bulky, reply) => {
+      call: (message, _bulky, reply, onAnswered) => {
         let isCancelled = false
         let dropReply = (): void => {}
         const { inbound, record } = this.#hosts.get(peer)!
@@ -285,6 +285,7 @@
               this.servedByLocation.remote++
               this.#countRemoteBytes(message.route, hopReply.body.length)
             }
+            if (hopReply.kind === 'response') this.#links.send(peer, 0, CONTROL_URGENCY, () => { if (!isCancelled) onAnswered() })
             dropReply = this.#links.send(peer, bodyBytes(hopReply), urgency, () => { if (!isCancelled) reply(hopReply) })
           })
         })
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -12,8 +12,11 @@
 export interface PeerLink {
   readonly isUp: boolean
   readonly endpoint: { address: string, port: number }
-  /** Offers a request to the peer; returns a function that cancels it. `bulky`: the request or its response may be large. */
-  call (message: CallMessage, bulky: boolean, reply: (reply: HopReply) => void): () => void
+  /**
+   * Offers a request to the peer; returns a function that cancels it. `bulky`: the request or its response may be large.
+   * `onAnswered`: called if the reply is ready but waits for the link of the peer's host.
+   */
+  call (message: CallMessage, bulky: boolean, reply: (reply: HopReply) => void, onAnswered: () => void): () => void
   /** Exchanges what the two daemons know; resolves to the peer's reply. */
   sync (message: SyncMessage): Promise<SyncMessage>
   /** Fetches the delta from `heldVersion` to the active configuration of the peer; undefined if the peer has none. */
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -136,5 +136,7 @@
   calls.delete(exchangeId)
   for (const [id, frame] of replies) if (!frame.isWaiting) replies.delete(id)
   const frame = peer.send([FRAME_KINDS.reply, exchangeId, packReply(reply)], urgency)
-  if (frame.isWaiting) replies.set(exchangeId, frame)
+  if (!frame.isWaiting) return
+  replies.set(exchangeId, frame)
+  peer.send([FRAME_KINDS.answered, exchangeId])
 }
--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -26,6 +26,7 @@
 interface PendingRequest {
   sentAt: number
   frame: SentFrame
+  onAnswered (): void
   done (outcome: ExchangeOutcome): void
 }
 
@@ -67,8 +68,11 @@
     return this.#isConnected
   }
 
-  /** Sends one frame and passes the outcome to `done`. Returns the exchange id, or 0 if there is no connection. */
-  request (kind: FrameKind, payload: unknown, done: (outcome: ExchangeOutcome) => void, urgency = CONTROL_URGENCY): number {
+  /**
+   * Sends one frame and passes the outcome to `done`; before that, calls `onAnswered` if the reply is ready but waits for the link.
+   * Returns the exchange id, or 0 if there is no connection.
+   */
+  request (kind: FrameKind, payload: unknown, done: (outcome: ExchangeOutcome) => void, urgency = CONTROL_URGENCY, onAnswered = (): void => {}): number {
     const socket = this.#open()
     if (!socket) {
       done({ kind: 'broken', wasConnected: false })
@@ -76,7 +80,7 @@
     }
     const exchangeId = ++this.#lastExchangeId
     const frame = socket.send([kind, exchangeId, payload], urgency)
-    this.#pending.set(exchangeId, { sentAt: this.#opts.timers.now(), frame, done })
+    this.#pending.set(exchangeId, { sentAt: this.#opts.timers.now(), frame, done, onAnswered })
     return exchangeId
   }
 
@@ -111,8 +115,9 @@
     const socket = new FrameSocket(tcp, {
       timers,
       queue,
-      onFrame: ([, exchangeId, payload]) => {
+      onFrame: ([kind, exchangeId, payload]) => {
         const request = this.#pending.get(exchangeId)
+        if (kind === FRAME_KINDS.answered) return request?.onAnswered()
         this.#pending.delete(exchangeId)
         request?.done({ kind: 'payload', payload })
       },
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -73,12 +73,12 @@
   }
 
   /** Offers a call to the peer. Returns a function that cancels the call. */
-  call (message: CallMessage, isBulky: boolean, reply: (reply: HopReply) => void): () => void {
+  call (message: CallMessage, isBulky: boolean, reply: (reply: HopReply) => void, onAnswered: () => void): () => void {
     const deadlineAt = this.#opts.timers.now() + message.deadlineMs
     const connection = isBulky ? this.#bulkConnection : this.#connection
     const call: PendingCall = { message, reply, deadlineAt, brokenAt: 0, connection, exchangeId: 0, hasEnded: false }
     this.#pending.add(call)
-    call.exchangeId = connection.request(FRAME_KINDS.call, packCall(message), (outcome) => this.#onOutcome(call, outcome), urgencyOf(message))
+    call.exchangeId = connection.request(FRAME_KINDS.call, packCall(message), (outcome) => this.#onOutcome(call, outcome), urgencyOf(message), () => { if (!call.hasEnded) onAnswered() })
     return () => this.#cancel(call)
   }
 
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -73,6 +73,7 @@
   'an offer after a shed request counts as a retry also after a busy target': { steps: [reply(10, 1, { kind: 'notRun', reason: 'shed' }), reply(12, 2, busyReply), reply(200, 3, ok)] },
   'a shed request is rejected as not run when the retry budget is used up': { route: nonIdempotent, retries: 0, steps: [reply(10, 1, { kind: 'notRun', reason: 'shed' })] },
   'an attempt without a reply is hedged and the first response wins': { steps: [timer(540), reply(700, 2, ok)] },
+  'an attempt whose answer waits for the link is not hedged': { steps: [{ at: 300, event: { kind: 'answered', attempt: 1 } }, timer(540), reply(900, 1, ok)] },
   'a non-idempotent request is not hedged': { route: nonIdempotent, steps: [timer(540), timer(1_300)] },
   'a request that may have run fails at the deadline and is not reported as not run': { route: nonIdempotent, steps: [timer(1_300)] },
   'a response without a length is retried elsewhere': { steps: [reply(100, 1, { ...ok, unframed: true }), reply(200, 2, ok)] },
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -20,6 +20,8 @@
 export type CallEvent =
   | { kind: 'reply', attempt: number, reply: HopReply }
   | { kind: 'timer' }
+  /** The reply to an offer is ready, and waits for the link of its host. */
+  | { kind: 'answered', attempt: number }
   | { kind: 'callerLeft' }
   /** The daemon is about to exit; attempts in flight will get no reply. */
   | { kind: 'stopping' }
@@ -55,6 +57,8 @@
   candidate: Candidate
   mode: OfferMode
   startedAt: number
+  /** Whether its reply is known to be ready. */
+  isAnswered: boolean
 }
 
 /** Number of targets without a free slot after which the request queues at the best target. */
@@ -126,10 +130,19 @@
       .with({ kind: 'callerLeft' }, () => this.#end([]))
       .with({ kind: 'stopping' }, () => this.#endWithoutResponse('stopping'))
       .with({ kind: 'timer' }, () => this.#onTimer())
+      .with({ kind: 'answered' }, ({ attempt }) => this.#onAnswered(attempt))
       .with({ kind: 'reply' }, ({ attempt, reply }) => this.#onReply(attempt, reply))
       .exhaustive()
   }
 
+  /** The answer is only on its way: a second run would make another one wait for a link. */
+  #onAnswered (number: number): CallCommand[] {
+    const attempt = this.#inFlight.get(number)
+    if (!attempt) return []
+    attempt.isAnswered = true
+    return [this.#nextTimer()]
+  }
+
   #onReply (number: number, reply: HopReply): CallCommand[] {
     const attempt = this.#inFlight.get(number)
     if (!attempt) return []
@@ -230,7 +243,7 @@
   }
 
   #offer (candidate: Candidate, mode: OfferMode): CallCommand[] {
-    const attempt: Attempt = { number: ++this.#attempts, candidate, mode, startedAt: this.#context.now() }
+    const attempt: Attempt = { number: ++this.#attempts, candidate, mode, startedAt: this.#context.now(), isAnswered: false }
     this.#inFlight.set(attempt.number, attempt)
     const isRetry = this.#reached.size > 0
     return [{ kind: 'offer', attempt: attempt.number, candidate, mode, isRetry }, this.#nextTimer()]
@@ -266,7 +279,7 @@
   }
 
   #mayHedge (attempt: Attempt): boolean {
-    return !this.#hasHedged && this.#input.route.idempotent && attempt.mode === 'now' && this.#crashes === 0 && this.#context.standing() === 'clear'
+    return !this.#hasHedged && this.#input.route.idempotent && attempt.mode === 'now' && !attempt.isAnswered && this.#crashes === 0 && this.#context.standing() === 'clear'
   }
 
   /** Whether attempts are left. A request that has been on a crashed target is retried once, unless another crash counts against it. */
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -257,18 +257,18 @@
       this.#recordReply(host, reply, message.mode)
       if (reply.kind !== 'response' || reply.status >= 500) this.#logAttempt(message, host, reply)
       this.#handleEvent({ kind: 'reply', attempt, reply })
-    }))
+    }, () => this.#handleEvent({ kind: 'answered', attempt })))
   }
 
   /** Offers a call to the daemon of a host, which may be this one; returns a function that cancels it. */
-  #send (host: string, message: CallMessage, reply: (reply: HopReply) => void): () => void {
+  #send (host: string, message: CallMessage, reply: (reply: HopReply) => void, onAnswered: () => void): () => void {
     const { fleet, inbound: inboundHandler } = this.#opts
     if (host === fleet.own.host) {
       inboundHandler.offer(message, reply)
       return () => inboundHandler.cancel(message.key)
     }
     const link = fleet.link(host)
-    if (link) return link.call(message, this.#input.route.bulky && message.mode !== 'ask', reply)
+    if (link) return link.call(message, this.#input.route.bulky && message.mode !== 'ask', reply, onAnswered)
     reply({ kind: 'notRun', reason: 'unsent' })
     return () => {}
   }
