Place requests with long answers by the links of hosts

Cause: choosing, admission and the load that daemons tell each other know slots and time, not the bytes that wait at a host. A slot is free again when the target has answered, so a host whose link is seconds behind looked idle and drew more.

A daemon now forecasts for how long its link is taken: by what waits, and by the answers that running requests will have, from the sizes that routes had. That and the speed of the link go with the load. The chooser counts the wait for the link beside the wait for a slot, and the second way of an answer over the own link. A host refuses a long answer's request that may go elsewhere if the link is taken for a quarter of its target latency, and rejects it at once if it would be late for certain. Short answers and nested calls are exempt, since they go first.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -3,6 +3,7 @@
 import { Fleet } from '../fleet/fleet.js'
 import type { PeerLink } from '../fleet/fleetTypes.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
+import { LinkForecast } from '../inbound/linkForecast.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
 import { NoopCallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
@@ -246,14 +247,16 @@
     const fleet = new Fleet({
       own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(host, peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onWatchersChange: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
     })
-    const balancer = new LoadBalancer({ timers, random, dataCentre, host })
+    const sizes = new ResponseSizes()
+    const link = new LinkForecast(this.#links.queue(host), sizes)
+    const balancer = new LoadBalancer({ timers, random, dataCentre, host, link })
     const inboundHandler = new InboundHandler({
-      timers, random, log, names, client, target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, coldPerS: () => undefined, onTargetLeaving: () => {}, onRefusal: () => {}, onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
+      timers, random, log, names, client, target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, link, coldPerS: () => undefined, onTargetLeaving: () => {}, onRefusal: () => {}, onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
     })
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundHandler({
-      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes: new ResponseSizes(), traffic: new TrafficSummary(noMetrics), versions: { choose: () => undefined }, quarantine, callerService: () => record.target!.service
+      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes, traffic: new TrafficSummary(noMetrics), versions: { choose: () => undefined }, quarantine, callerService: () => record.target!.service
     })
     this.#hosts.set(host, { record, client, fleet, inbound: inboundHandler, outbound, balancer, quarantine })
   }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -3,6 +3,7 @@
 import { departuresNotIn, type Departure, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
 import { isAnnouncement, LocalTarget, type Announcement } from '../inbound/localTarget.js'
+import { LinkForecast } from '../inbound/linkForecast.js'
 import { NodeTargetClient } from '../inbound/nodeTargetClient.js'
 import { createResponseLimits } from '../inbound/responseLimits.js'
 import type { HeaderNames } from '../inbound/targetResult.js'
@@ -93,7 +94,9 @@
     this.#opts = opts
     this.#cfg = cfg
     this.#localTarget = new LocalTarget(cfg.announceMs)
-    this.#loadBalancer = new LoadBalancer({ timers, random, dataCentre: cfg.dataCentre, host: cfg.host })
+    const sizes = new ResponseSizes()
+    const link = new LinkForecast(queue, sizes)
+    this.#loadBalancer = new LoadBalancer({ timers, random, dataCentre: cfg.dataCentre, host: cfg.host, link })
     this.#retryBudget = new RetryBudget(cfg.retryBudget)
     this.#traffic = new TrafficSummary(metrics)
     const newsSpreader = new NewsSpreader({ timers, send: (news, peers) => this.#fleet.sendQuarantineNews(news, peers) })
@@ -158,6 +161,7 @@
       isVersionAllowed: (service, version) => this.#moves.isVersionAllowed(service, version),
       rejectionRate: (service, priority) => this.#loadBalancer.rejectionRate(service, priority),
       coldPerS: (service) => this.#outbound.table?.config.services.get(service)?.coldPerS,
+      link,
       quarantine: this.#quarantine,
       onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
       onRefusal: (route, reason) => this.#traffic.recordRefusal(route, reason),
@@ -165,7 +169,7 @@
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundHandler({
-      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes: new ResponseSizes(), traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, callerService: () => this.#cfg.service
+      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes, traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, callerService: () => this.#cfg.service
     })
     const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
--- a/packages/hop/src/inbound/__tests__/inboundSetup.ts
+++ b/packages/hop/src/inbound/__tests__/inboundSetup.ts
@@ -1,9 +1,11 @@
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { TEST_HEADERS as names, testQuarantine } from '../../__tests__/fixtures.js'
+import { TEST_HEADERS as names, testQuarantine, unlimitedQueue } from '../../__tests__/fixtures.js'
 import type { TargetRecord } from '../../fleet/hostRecord.js'
 import type { CallMessage, HopReply } from '../../link/messages.js'
+import { ResponseSizes } from '../../outbound/responseSizes.js'
 import type { ConnectOutcome } from '../crashDetector.js'
 import { InboundHandler } from '../inboundHandler.js'
+import { LinkForecast } from '../linkForecast.js'
 import type { TargetResult, TargetStatement } from '../targetResult.js'
 
 /** An inbound handler with a target whose responses the test sends, and a record of what was sent and replied. */
@@ -26,6 +28,7 @@
     random: new SeededRandom(1),
     log: { call: () => {}, decision: (what, fields) => { this.decisions.push({ what, ...fields }) } },
     names,
+    link: new LinkForecast(unlimitedQueue(), new ResponseSizes()),
     quarantine: this.quarantine,
     client: {
       send: (request, _idempotent, done) => {
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -14,6 +14,8 @@
   readonly targetLatencyMs: number
   readonly deadlineAt: number
   readonly arrivedAt: number
+  /** Milliseconds until the link of this host would begin to send its answer, if that were ready on arrival. */
+  readonly linkWaitMs: number
 }
 
 /** `start`: the request has got a slot. `queued`: it waits for one. Otherwise it is to be rejected for the reason. */
@@ -71,9 +73,9 @@
     return this.#pace
   }
 
-  /** Whether a request would start at once. */
-  canStart (now: number): boolean {
-    return this.#queue.length === 0 && this.#canStartNext(now)
+  /** Whether a request would start at once that may not queue: not if its answer would then wait for the link. */
+  canStart (request: SlotRequest, now: number): boolean {
+    return this.#hasFreeSlot(now) && !isLinkBusy(request)
   }
 
   /** Why a request can't start at once. */
@@ -96,7 +98,7 @@
 
   /** Asks for a slot; with `mayQueue`, a request that can't start is queued if it can still be served in time. */
   admit (request: SlotRequest, mayQueue: boolean, now: number): AdmissionDecision {
-    const isFree = this.canStart(now)
+    const isFree = mayQueue ? this.#hasFreeSlot(now) && this.#isLinkInTime(request, now) : this.canStart(request, now)
     if (!request.nested && (isFree || mayQueue)) this.#rejectionRates.countRequest(request.priority, now)
     if (isFree) {
       this.#occupySlot(now)
@@ -161,6 +163,10 @@
     return all
   }
 
+  #hasFreeSlot (now: number): boolean {
+    return this.#queue.length === 0 && this.#canStartNext(now)
+  }
+
   /** Whether the next request in order could start now. */
   #canStartNext (now: number): boolean {
     return this.#running < this.#slots && this.#limit.allows(now)
@@ -187,7 +193,13 @@
     const urgentShare = this.#slotUsage.slotsOfMoreUrgent(urgencyOf(request), now) / this.#slots
     const slotWaitMs = (ahead + 1) * this.#serviceTimeMs / this.#slots / Math.max(MIN_SLOT_SHARE, 1 - urgentShare) *
       (request.nested ? 1 : this.#waitFactorAt(now))
-    return now + Math.max(slotWaitMs, this.#limit.waitMs(ahead, now)) <= this.#latestStart(request)
+    return this.#isLinkInTime(request, now) && now + Math.max(slotWaitMs, this.#limit.waitMs(ahead, now)) <= this.#latestStart(request)
+  }
+
+  /** Whether the link gets to the answer as soon as it has to; the request runs while the link sends what is before it. */
+  #isLinkInTime (request: SlotRequest, now: number): boolean {
+    const runMs = this.#pace * request.targetLatencyMs
+    return now + request.linkWaitMs - runMs <= this.#latestStart(request)
   }
 
   #isInTime (request: SlotRequest, now: number): boolean {
@@ -236,9 +248,15 @@
 const USABLE_LATENCY_SHARE = 0.9
 /** Duration of a slow request as a multiple of the expected one. */
 const SLOW_REQUEST_FACTOR = 1.6
+/** Part of the target latency that the link may be taken for while a request is started for whose answer another host may have room. */
+const BUSY_LINK_SHARE = 0.25
 /** Part of the target latency for which any request may wait, so that short bursts are smoothed. */
 const MIN_WAIT_SHARE = 0.1
 
+function isLinkBusy ({ nested, linkWaitMs, targetLatencyMs }: SlotRequest): boolean {
+  return !nested && linkWaitMs > BUSY_LINK_SHARE * targetLatencyMs
+}
+
 function isMoreUrgent (a: SlotRequest, b: SlotRequest): boolean {
   const difference = urgencyOf(a) - urgencyOf(b)
   return difference !== 0 ? difference < 0 : a.arrivedAt < b.arrivedAt
--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -1,10 +1,11 @@
 import type { Random, Timers } from '@lentilwheel/core'
 import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
-import type { CallMessage, HeldTimes, HopReply, NotRunReason } from '../link/messages.js'
+import type { CallMessage, HeldTimes, HopReply, NotRunReason, TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { RequestResult } from '../rollout/resultAggregator.js'
 import type { SlotRequest } from './admission.js'
 import type { CrashGuardOptions } from './crashGuard.js'
+import type { LinkForecast } from './linkForecast.js'
 import type { TargetClient } from './nodeTargetClient.js'
 import type { HeaderNames, TargetResult } from './targetResult.js'
 
@@ -15,6 +16,7 @@
   log: CallLog
   names: HeaderNames
   client: TargetClient
+  link: LinkForecast
   /** Current record of the target; undefined when there is none. */
   target (): TargetRecord | undefined
   /** Whether the target has missed an announcement. */
@@ -49,6 +51,8 @@
   startedAt: number
   /** Milliseconds that it ran on the target; 0 until it has ended. */
   ranMs: number
+  /** Tells the forecast of the link that it has ended; set once the call runs. */
+  endOnLink?: ReturnType<LinkForecast['start']>
   /** Aborts the request to the target; set once the call runs. */
   abort?: () => void
 }
@@ -71,6 +75,11 @@
   return { kind, status, headers, body, unframed, ...statement.isLeaving ? { departure: departureOf(target) } : {}, ...isFinal && status >= 500 ? { isFinal } : {} }
 }
 
+/** What daemons are told of the link of this host; nothing if it has no limit. */
+export function linkLoad ({ aheadMs, msPerKib }: LinkForecast): Pick<TargetLoad, 'linkMs' | 'linkMsPerKib'> {
+  return msPerKib === 0 ? {} : { ...aheadMs > 0 ? { linkMs: aheadMs } : {}, linkMsPerKib: msPerKib }
+}
+
 export function departureOf ({ id, startedAt }: TargetRecord): Departure {
   return { id, startedAt, state: 'draining' }
 }
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -3,7 +3,7 @@
 import { Admission, type SlotRequest } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
 import { CrashGuard } from './crashGuard.js'
-import { departureOf, heldTimes, isConnectionLost, replyOf, type InboundCall as Call, type InboundOptions } from './inboundCall.js'
+import { departureOf, heldTimes, linkLoad, isConnectionLost, replyOf, type InboundCall as Call, type InboundOptions } from './inboundCall.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
 import { isSuccess, TargetHealth } from './targetHealth.js'
@@ -107,15 +107,16 @@
     if (message.heardLimitPerS !== undefined) this.#limit.adopt(message.targetId, message.heardLimitPerS, now)
     const displaced = message.nested ? undefined : this.#findOverloadedDependency(message)
     if (displaced) return this.#replyNotRun(message, 'displacing', displaced)
-    if (message.mode === 'ask') return this.#replyNotRun(message, this.#admission.canStart(now) ? 'vacant' : this.#admission.fullReason(now))
     const slotRequest: SlotRequest = {
       key,
       nested: message.nested,
       priority: message.priority,
       targetLatencyMs: message.targetLatencyMs,
       deadlineAt: now + message.deadlineMs,
-      arrivedAt: now
+      arrivedAt: now,
+      linkWaitMs: this.#opts.link.waitMs(message.route)
     }
+    if (message.mode === 'ask') return this.#replyNotRun(message, this.#admission.canStart(slotRequest, now) ? 'vacant' : this.#admission.fullReason(now))
     const decision = this.#admission.admit(slotRequest, message.mode === 'queue', now)
     if (decision === 'busy' || decision === 'limited') return this.#replyNotRun(message, decision)
     const call: Call = { message, target: target!, slotRequest, state: 'queued', startedAt: now, ranMs: 0 }
@@ -174,7 +175,7 @@
     const { running, queued, slots, pace } = this.#admission
     const rate = this.#admission.rejectionRate(now)
     const pressed = rate ? { pressedPriority: rate.priority, pressedShare: rate.share } : {}
-    return { targetId: target.id, running, queued, slots, pace, failing: this.#health.failureRate, ...pressed, ...this.#limit.load(queued, now) }
+    return { targetId: target.id, running, queued, slots, pace, failing: this.#health.failureRate, ...pressed, ...this.#limit.load(queued, now), ...linkLoad(this.#opts.link) }
   }
 
   /** Whether the target is the one that is known, in the same start. */
@@ -227,6 +228,7 @@
     this.#runningRequests.add(message.requestId, { route: message.route, isRetry: message.repeat })
     call.startedAt = now
     this.#limit.recordSent(message, now)
+    call.endOnLink = this.#opts.link.start(message.route)
     const bytes = serializeRequest(message, remainingMs, this.#opts.names)
     const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: remainingMs + DEADLINE_GRACE_MS }
     call.abort = this.#opts.client.send(request, message.idempotent, (result) => {
@@ -249,6 +251,7 @@
     const now = this.#opts.timers.now()
     const ms = now - call.startedAt
     call.ranMs = ms
+    call.endOnLink?.(result.kind === 'response' ? result.body.length : undefined)
     this.#admission.release(call.slotRequest, ms, now)
     this.#calls.delete(call.message.key)
     const isDoomed = this.#runningRequests.isDoomed(call.message.requestId)
--- /dev/null
+++ b/packages/hop/src/inbound/linkForecast.ts
@@ -0,0 +1,41 @@
+import type { SendQueue } from '../link/sendQueue.js'
+import type { ResponseSizes } from '../outbound/responseSizes.js'
+
+const BYTES_PER_KIB = 1_024
+
+/** What the link of this host has to send for the target beside it: answers that wait, and those that running requests will have. */
+export class LinkForecast {
+  readonly #queue: SendQueue
+  readonly #sizes: ResponseSizes
+  #expectedBytes = 0
+
+  constructor (queue: SendQueue, sizes: ResponseSizes) {
+    this.#queue = queue
+    this.#sizes = sizes
+  }
+
+  /** Milliseconds for which the link is taken, if it sends all that waits and all that is expected. */
+  get aheadMs (): number {
+    return this.#queue.durationMs(this.#queue.backlogBytes + this.#expectedBytes)
+  }
+
+  /** Milliseconds that the link takes for a KiB. */
+  get msPerKib (): number {
+    return this.#queue.durationMs(BYTES_PER_KIB)
+  }
+
+  /** Milliseconds until the link would begin to send an answer of the route that were ready now; short answers don't wait for long ones. */
+  waitMs (route: string): number {
+    return this.#sizes.expectedBytes(route) > this.#queue.partBytes ? this.aheadMs : 0
+  }
+
+  /** Counts a request that starts; returns a function to call at its end, with the size of its answer if it has one. */
+  start (route: string): (answerBytes?: number) => void {
+    const bytes = this.#sizes.expectedBytes(route)
+    this.#expectedBytes += bytes
+    return (answerBytes) => {
+      this.#expectedBytes -= bytes
+      if (answerBytes !== undefined) this.#sizes.record(route, answerBytes)
+    }
+  }
+}
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -17,7 +17,7 @@
 ] as const satisfies readonly (keyof CallMessage)[]
 const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'isFinal', 'load', 'held'] as const
 const HELD_FIELDS = ['queuedMs', 'ranMs'] as const satisfies readonly (keyof HeldTimes)[]
-const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs'] as const satisfies readonly (keyof TargetLoad)[]
+const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs', 'linkMs', 'linkMsPerKib'] as const satisfies readonly (keyof TargetLoad)[]
 
 type FieldValues = Readonly<Record<string, unknown>>
 
@@ -97,13 +97,15 @@
 /** Rounds the estimates to two decimals, which is precise enough and keeps messages small. */
 function compactLoad (load: TargetLoad): TargetLoad {
   const twoDecimals = (n: number): number => Math.round(n * 100) / 100
-  const { pace, failing, pressedShare, limitPerS, limitedMs } = load
+  const { pace, failing, pressedShare, limitPerS, limitedMs, linkMs, linkMsPerKib } = load
   return {
     ...load,
     pace: twoDecimals(pace),
     failing: twoDecimals(failing),
     ...pressedShare === undefined ? {} : { pressedShare: twoDecimals(pressedShare) },
     ...limitPerS === Infinity ? { limitPerS: NO_LIMIT_CODE } : {},
-    ...limitedMs === undefined ? {} : { limitedMs: Math.ceil(limitedMs) }
+    ...limitedMs === undefined ? {} : { limitedMs: Math.ceil(limitedMs) },
+    ...linkMs === undefined ? {} : { linkMs: Math.ceil(linkMs) },
+    ...linkMsPerKib === undefined ? {} : { linkMsPerKib: twoDecimals(linkMsPerKib) }
   }
 }
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -56,6 +56,10 @@
   pace: number
   /** Share of recent requests that the target failed, 0 to 1. */
   failing: number
+  /** Milliseconds for which the link of its host is taken by answers that wait and that running requests will have; absent for 0. */
+  linkMs?: number
+  /** Milliseconds that this link takes for a KiB; absent for 0. */
+  linkMsPerKib?: number
   /** Most urgent priority at which callers' requests are being rejected; absent when none are. */
   pressedPriority?: number
   /** Share of the requests of that priority that is rejected, 0 to 1. */
--- a/packages/hop/src/link/sendQueue.ts
+++ b/packages/hop/src/link/sendQueue.ts
@@ -19,7 +19,7 @@
 }
 
 /** Part of the link that is given out; the rest is for packet headers, and for what is sent past this queue. */
-const USABLE_LINK_SHARE = 0.95
+const USABLE_LINK_SHARE = 0.98
 /** Bytes that may be given out at once, as milliseconds of the link: later timers than this leave the link idle. */
 const MAX_CREDIT_MS = 40
 /** Length of one part, as milliseconds of the link: an urgent message waits that long for the part before it. */
--- a/packages/hop/src/outbound/loadBalancer.ts
+++ b/packages/hop/src/outbound/loadBalancer.ts
@@ -25,8 +25,23 @@
   route: MeshRoute
   /** Lower is more urgent. */
   urgency: number
-  /** Size of the request body plus the expected size of the response body, in bytes. */
-  bytes: number
+  /** Size of the request body, and the expected size of the response body, in bytes. */
+  requestBytes: number
+  responseBytes: number
+}
+
+/** For how many milliseconds the link of this host is taken, and how many it takes for a KiB. */
+export interface OwnLink {
+  readonly aheadMs: number
+  readonly msPerKib: number
+}
+
+const NO_LINK: OwnLink = { aheadMs: 0, msPerKib: 0 }
+
+/** Means over the targets of a service: the fraction of slots in use, and the milliseconds for which the links of the hosts are taken. */
+interface ServiceMeans {
+  utilisation: number
+  linkMs: number
 }
 
 /** What this daemon knows of one target, from its replies and its own calls. */
@@ -77,6 +92,9 @@
 const DEFAULT_UTILISATION = 0.3
 /** Cost of a failed request, as a multiple of the target latency. */
 const FAILURE_COST = 2
+const BYTES_PER_KIB = 1_024
+/** Answers that take the link for less go before longer ones and don't wait for them. */
+const LONG_ANSWER_MS = 10
 /** Half-life of the weight of a reported load. */
 const LOAD_HALF_LIFE_MS = 400
 /** Half-life of a reported pace and failure rate, so that a target that has recovered is tried again. */
@@ -102,6 +120,7 @@
   readonly #random: Random
   readonly #dataCentre: string
   readonly #host: string
+  readonly #link: OwnLink
   readonly #stats = new Map<string, TargetStats>()
   /** Hosts with a target that is ready, by service. */
   readonly #byService = new Map<string, HostRecord[]>()
@@ -109,8 +128,9 @@
   /** The subset of these hosts that requests normally go to; the others are used only if none of the subset is eligible. */
   readonly #subsets = new Map<string, HostRecord[]>()
 
-  /** `host`: this daemon's own host, which determines the remote targets of its subset. */
-  constructor (opts: { timers: Pick<Timers, 'now'>, random: Random, dataCentre: string, host?: string }) {
+  /** `host`: this daemon's own host, which determines the remote targets of its subset; `link`: that of this host, unlimited by default. */
+  constructor (opts: { timers: Pick<Timers, 'now'>, random: Random, dataCentre: string, host?: string, link?: OwnLink }) {
+    this.#link = opts.link ?? NO_LINK
     this.#timers = opts.timers
     this.#random = opts.random
     this.#dataCentre = opts.dataCentre
@@ -146,12 +166,12 @@
     const now = this.#timers.now()
     const all = this.#byService.get(service) ?? []
     const subset = this.#subsets.get(service) ?? []
-    const meanUtilisation = this.#meanUtilisation(subset, now)
+    const means = this.#means(subset, now)
     let eligible = subset.filter(isEligible)
     if (eligible.length === 0) eligible = all.filter(isEligible)
     const isPreferredMissing = preferred !== undefined && !eligible.some(({ host }) => host === preferred)
     if (isPreferredMissing) eligible.push(...all.filter((record) => record.host === preferred && isEligible(record)))
-    const candidates = eligible.map((record) => this.#estimate(record, request, meanUtilisation, now))
+    const candidates = eligible.map((record) => this.#estimate(record, request, means, now))
     return candidates.sort((a, b) => Number(b.host === preferred) - Number(a.host === preferred) || a.costMs - b.costMs)
   }
 
@@ -169,7 +189,7 @@
       chosen = record
     }
     const now = this.#timers.now()
-    return chosen ? [this.#estimate(chosen, request, DEFAULT_UTILISATION, now)] : []
+    return chosen ? [this.#estimate(chosen, request, { utilisation: DEFAULT_UTILISATION, linkMs: 0 }, now)] : []
   }
 
   /**
@@ -238,21 +258,30 @@
     if (stats) stats.avoidUntil = this.#timers.now() + ms
   }
 
-  /** Mean fraction of slots in use, from the reported loads, weighted by their freshness. */
-  #meanUtilisation (records: readonly HostRecord[], now: number): number {
+  /** Means over the reported loads, weighted by their freshness. */
+  #means (records: readonly HostRecord[], now: number): ServiceMeans {
     let sum = DEFAULT_UTILISATION * DEFAULT_UTILISATION_WEIGHT
+    let linkSumMs = 0
     let weight = DEFAULT_UTILISATION_WEIGHT
     for (const { host } of records) {
       const { load, loadAt } = this.#stats.get(host)!
       if (!load) continue
       const freshness = freshnessAt(now - loadAt)
       sum += freshness * Math.min(1, load.running / load.slots)
+      linkSumMs += freshness * (load.linkMs ?? 0)
       weight += freshness
     }
-    return sum / weight
+    return { utilisation: sum / weight, linkMs: linkSumMs / weight }
+  }
+
+  /** Time to pass on the answer of another host over the own link; the answer of the target beside this daemon takes that link once. */
+  #passOnMs (responseBytes: number): number {
+    const { aheadMs, msPerKib } = this.#link
+    const answerMs = msPerKib * responseBytes / BYTES_PER_KIB
+    return answerMs > LONG_ANSWER_MS ? aheadMs + answerMs : answerMs
   }
 
-  #estimate (record: HostRecord, { route, urgency, bytes }: RequestTraits, meanUtilisation: number, now: number): Candidate {
+  #estimate (record: HostRecord, { route, urgency, requestBytes, responseBytes }: RequestTraits, means: ServiceMeans, now: number): Candidate {
     const target = record.target!
     const latencyMs = route.targetLatencyMs
     const stats = this.#stats.get(record.host)!
@@ -260,11 +289,15 @@
     const slots = load?.slots ?? target.slots
     const ageMs = now - stats.loadAt
     const freshness = load ? freshnessAt(ageMs) : 0
-    const occupied = Math.max(stats.inFlight, freshness * ((load?.running ?? 0) + (load?.queued ?? 0)) + (1 - freshness) * meanUtilisation * slots)
+    const occupied = Math.max(stats.inFlight, freshness * ((load?.running ?? 0) + (load?.queued ?? 0)) + (1 - freshness) * means.utilisation * slots)
     const coldFactor = now < stats.coldUntil ? COLD_LATENCY_FACTOR : 1
     const healthWeight = 0.5 ** (ageMs / HEALTH_HALF_LIFE_MS)
     const pace = load ? DEFAULT_PACE + (load.pace - DEFAULT_PACE) * healthWeight : DEFAULT_PACE
     const serviceMs = pace * coldFactor * latencyMs
+    const answerMs = (load?.linkMsPerKib ?? 0) * responseBytes / BYTES_PER_KIB
+    const linkMs = answerMs > LONG_ANSWER_MS ? freshness * (load?.linkMs ?? 0) + (1 - freshness) * means.linkMs : 0
+    const passOnMs = record.host === this.#host ? 0 : this.#passOnMs(responseBytes)
+    const runMs = Math.max(serviceMs, linkMs) + answerMs + passOnMs
     const slotWaitMs = occupied >= slots ? (occupied - slots + 1) / slots * serviceMs : 0
     const limitedMs = Math.max(0, stats.limitedUntil - now)
     const waitMs = Math.max(slotWaitMs, limitedMs)
@@ -272,10 +305,10 @@
     const failureMs = (load?.failing ?? 0) * healthWeight * FAILURE_COST * latencyMs
     const avoidMs = now < stats.avoidUntil ? 10 * latencyMs : 0
     const isLocal = record.dataCentre === this.#dataCentre
-    const networkMs = isLocal ? LOCAL_ROUND_TRIP_MS : remoteCostMs(bytes, latencyMs)
+    const networkMs = isLocal ? LOCAL_ROUND_TRIP_MS : remoteCostMs(requestBytes + responseBytes, latencyMs)
     const isUnused = !load && stats.inFlight === 0 && now >= stats.coldUntil
     const jitterMs = (1 - freshness) * UNKNOWN_LOAD_JITTER * latencyMs * this.#random.next()
-    const targetMs = weightedMs(waitMs + serviceMs, latencyMs) * (1 + JITTER * (this.#random.next() - 0.5)) + utilisationMs + failureMs + jitterMs
+    const targetMs = weightedMs(waitMs + runMs, latencyMs) * (1 + JITTER * (this.#random.next() - 0.5)) + utilisationMs + failureMs + jitterMs
     return {
       host: record.host,
       targetId: target.id,
@@ -295,7 +328,7 @@
 
 /** Cost of running a request in another data centre: the round trip, and the penalties for the distance and the bytes. */
 function remoteCostMs (bytes: number, targetLatencyMs: number): number {
-  const penaltyMs = REMOTE_PENALTY * targetLatencyMs + REMOTE_PENALTY_MS_PER_KIB * bytes / 1024
+  const penaltyMs = REMOTE_PENALTY * targetLatencyMs + REMOTE_PENALTY_MS_PER_KIB * bytes / BYTES_PER_KIB
   return REMOTE_ROUND_TRIP_MS + Math.min(penaltyMs, MAX_REMOTE_PENALTY * targetLatencyMs)
 }
 
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -121,7 +121,7 @@
   #candidates (exclude: ReadonlySet<string>): Candidate[] {
     const { loadBalancer: balancer, sizes } = this.#opts
     const { req, route, service } = this.#input
-    const traits = { route, urgency: this.#urgency, bytes: req.body.length + sizes.expectedBytes(route.name) }
+    const traits = { route, urgency: this.#urgency, requestBytes: req.body.length, responseBytes: sizes.expectedBytes(route.name) }
     const isEligible = (record: HostRecord): boolean => this.#isEligible(record, exclude)
     if (this.#standing() !== 'clear') return balancer.designated(service, traits, isEligible, this.#fingerprint())
     return balancer.rank(service, traits, isEligible, this.#versionChoice?.preferredHost)
