Keep half of the retry budget for the more urgent requests for a service

Cause: the budget of a service knew no urgency, so whoever came first took all of it. Requests less urgent than others for the service in the window now get half of it at most; without more urgent ones they get all, so they are not starved.

--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -13,9 +13,9 @@
   let retries = 0
   for (let now = 0; now < 10_000; now += 100) {
     for (const daemon of daemons) {
-      daemon.deposit('s', now)
+      daemon.deposit('s', 1, now)
       requests++
-      for (let i = 0; i < 3; i++) if (daemon.tryWithdraw('s', daemons.length, now)) retries++
+      for (let i = 0; i < 3; i++) if (daemon.tryWithdraw('s', 1, daemons.length, now)) retries++
     }
   }
   t.true(retries > 0)
@@ -24,9 +24,9 @@
 
 test('guards against a used-up retry budget not being refilled after its window', (t) => {
   const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 10 })
-  while (budget.tryWithdraw('s', 1, 0));
-  t.false(budget.tryWithdraw('s', 1, 5_000))
-  t.true(budget.tryWithdraw('s', 1, 11_000))
+  while (budget.tryWithdraw('s', 1, 1, 0));
+  t.false(budget.tryWithdraw('s', 1, 1, 5_000))
+  t.true(budget.tryWithdraw('s', 1, 1, 11_000))
 })
 
 const requestHeads: [name: string, url: string, headers: string[]][] = [
@@ -46,6 +46,17 @@
   })
 }
 
+test('guards against second tries of less urgent requests using up the budget of urgent ones, and against their getting none', (t) => {
+  const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 50 })
+  budget.deposit('s', 1, 0)
+  budget.deposit('s', 2, 0)
+  let lessUrgent = 0
+  while (budget.tryWithdraw('s', 2, 1, 0)) lessUrgent++
+  let urgent = 0
+  while (budget.tryWithdraw('s', 1, 1, 0)) urgent++
+  t.deepEqual({ lessUrgent, urgent }, { lessUrgent: 10, urgent: 10 })
+})
+
 test('guards against hop-by-hop headers of a target\'s response reaching the caller', (t) => {
   t.deepEqual(forwardedResponseHeaders(['Connection', 'close, X-Hop', 'X-Hop', '1', 'Transfer-Encoding', 'chunked', 'X-Sig', 's']), ['X-Sig', 's'])
 })
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -76,7 +76,7 @@
   start (): void {
     const { budget } = this.#opts
     const { req, service } = this.#input
-    budget.deposit(service, this.#startedAt)
+    budget.deposit(service, this.#urgency, this.#startedAt)
     if (req.origin !== 'caller') this.#opts.inbound.recordNestedCall(req.head.requestId, service)
     if (req.origin === 'repeatedRun') budget.recordNestedRetry(service, this.#startedAt)
     this.#isProcessing = true
@@ -105,7 +105,7 @@
       standing: () => this.#standing(),
       refusedMs: () => this.#refusedMs(),
       crashes: () => quarantine.isEmpty ? 0 : quarantine.crashes(this.#fingerprint()),
-      tryWithdrawRetry: () => budget.tryWithdraw(service, fleet.live().length, timers.now()),
+      tryWithdrawRetry: () => budget.tryWithdraw(service, this.#urgency, fleet.live().length, timers.now()),
       retryAfterMs: () => isRefused(this.#standing())
         ? this.#refusedMs()
         : retryAfterMs({
--- a/packages/hop/src/outbound/retryBudget.ts
+++ b/packages/hop/src/outbound/retryBudget.ts
@@ -6,6 +6,8 @@
  * many of these again.
  */
 const OWN_RETRY_SHARE = 0.4
+/** Share of these that requests may start which are less urgent than others for the service; the rest is left for the more urgent ones. */
+const LESS_URGENT_SHARE = 0.5
 
 /** How many retries of requests for a service are allowed in a window, over all daemons. */
 export interface RetryBudgetLimits {
@@ -22,6 +24,8 @@
   bucket: number
   requests: number[]
   retries: number[]
+  /** The most urgent requests; Infinity in buckets without any. */
+  urgencies: number[]
 }
 
 /**
@@ -41,8 +45,10 @@
   }
 
   /** Counts a request for a service, which raises the number of allowed retries. */
-  deposit (service: string, now: number): void {
-    this.#windowAt(service, now).requests[0]!++
+  deposit (service: string, urgency: number, now: number): void {
+    const window = this.#windowAt(service, now)
+    window.requests[0]!++
+    window.urgencies[0] = Math.min(window.urgencies[0]!, urgency)
   }
 
   /** Counts a retry that no budget can prevent: a nested call of a request that is itself a retry. */
@@ -50,11 +56,12 @@
     this.#windowAt(service, now).retries[0]!++
   }
 
-  /** Takes a retry from the budget; false if none is left. `daemons`: number of daemons that share the slack. */
-  tryWithdraw (service: string, daemons: number, now: number): boolean {
+  /** Takes a retry from the budget; false if none is left for this urgency. `daemons`: number of daemons that share the slack. */
+  tryWithdraw (service: string, urgency: number, daemons: number, now: number): boolean {
     const window = this.#windowAt(service, now)
     const requests = sum(window.requests)
-    const allowed = OWN_RETRY_SHARE * (this.#limits.ratio * requests + this.#limits.slack / Math.max(1, daemons))
+    const share = urgency > Math.min(...window.urgencies) ? LESS_URGENT_SHARE : 1
+    const allowed = share * OWN_RETRY_SHARE * (this.#limits.ratio * requests + this.#limits.slack / Math.max(1, daemons))
     if (sum(window.retries) + 1 > allowed) return false
     window.retries[0]!++
     return true
@@ -65,7 +72,7 @@
     const bucket = Math.floor(now / (this.#limits.windowMs / BUCKET_COUNT))
     let window = this.#windows.get(service)
     if (!window) {
-      window = { bucket, requests: emptyBuckets(), retries: emptyBuckets() }
+      window = { bucket, requests: emptyBuckets(), retries: emptyBuckets(), urgencies: emptyBuckets(Infinity) }
       this.#windows.set(service, window)
     }
     for (let steps = Math.min(BUCKET_COUNT, bucket - window.bucket); steps > 0; steps--) {
@@ -73,14 +80,16 @@
       window.requests.pop()
       window.retries.unshift(0)
       window.retries.pop()
+      window.urgencies.unshift(Infinity)
+      window.urgencies.pop()
     }
     window.bucket = bucket
     return window
   }
 }
 
-function emptyBuckets (): number[] {
-  return Array.from({ length: BUCKET_COUNT }, () => 0)
+function emptyBuckets (value = 0): number[] {
+  return Array.from({ length: BUCKET_COUNT }, () => value)
 }
 
 function sum (numbers: readonly number[]): number {
