Move header names and reasons into files that import none of their users

Five files of the call path imported each other in a circle: classifyMessage, targetResult, messages, quarantineNews and requestFingerprint.

--- a/packages/hop/src/__tests__/fixtures.ts
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -1,7 +1,7 @@
 import { VirtualTimers } from '@lentilwheel/core'
+import type { HeaderNames } from '../headers.js'
 import { runAfterReading, type LoopLag } from '../daemon/nodeLoopLag.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
-import type { HeaderNames } from '../inbound/targetResult.js'
 import { SendQueue } from '../link/sendQueue.js'
 import { NoopCallLog } from '../observe/callLog.js'
 import { Quarantine, type QuarantineOptions } from '../quarantine/quarantine.js'
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -1,4 +1,5 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
+import type { HeaderNames } from '../headers.js'
 import { Fleet } from '../fleet/fleet.js'
 import { departuresNotIn, type Departure, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
@@ -6,7 +7,6 @@
 import { LinkForecast } from '../inbound/linkForecast.js'
 import { NodeTargetClient } from '../inbound/nodeTargetClient.js'
 import { createResponseLimits } from '../inbound/responseLimits.js'
-import type { HeaderNames } from '../inbound/targetResult.js'
 import { NodeHopServer } from '../link/nodeHopServer.js'
 import { SendQueue } from '../link/sendQueue.js'
 import { NodePeerLink } from '../link/nodePeerLink.js'
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -1,4 +1,4 @@
-import type { FullReason } from '../link/messages.js'
+import type { FullReason } from '../link/reasons.js'
 import { urgencyOf } from '../link/urgency.js'
 import { RejectionRates, type RejectionRate } from './rejectionRates.js'
 import { SlotUsage } from './slotUsage.js'
--- a/packages/hop/src/inbound/classifyMessage.ts
+++ b/packages/hop/src/inbound/classifyMessage.ts
@@ -1,4 +1,5 @@
-import type { HeaderNames, ReportedLoad, TargetResult, TargetStatement } from './targetResult.js'
+import { countHeader, headerValue, type HeaderNames } from '../headers.js'
+import type { ReportedLoad, TargetResult, TargetStatement } from './targetResult.js'
 
 /** A complete HTTP message from a target. */
 export interface TargetMessage {
@@ -41,15 +42,6 @@
   return { kind: 'result', result: { kind: 'response', status, headers, body, unframed, statement, ...extra } }
 }
 
-/** Value of a header in a list of alternating names and values; the name's case doesn't matter. */
-export function headerValue (headers: readonly string[], name: string): string | undefined {
-  const lowerCaseName = name.toLowerCase()
-  for (let i = 0; i < headers.length; i += 2) {
-    if (headers[i]!.length === lowerCaseName.length && headers[i]!.toLowerCase() === lowerCaseName) return headers[i + 1]
-  }
-  return undefined
-}
-
 /** Whether HTTP allows the names and values of all headers. */
 function canBeForwarded (headers: readonly string[]): boolean {
   return headers.every((text, i) => (i % 2 === 0 ? HEADER_NAME : HEADER_VALUE).test(text))
@@ -59,16 +51,6 @@
 /** Visible characters, blanks, tabs, and bytes above 127 as one character each. */
 const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
 
-/** How often a header occurs in a list of alternating names and values. */
-export function countHeader (headers: readonly string[], name: string): number {
-  const lowerCaseName = name.toLowerCase()
-  let count = 0
-  for (let i = 0; i < headers.length; i += 2) {
-    if (headers[i]!.length === lowerCaseName.length && headers[i]!.toLowerCase() === lowerCaseName) count++
-  }
-  return count
-}
-
 function parseStatement (headers: readonly string[], names: HeaderNames): TargetStatement {
   const limitPerS = parseLimit(headerValue(headers, names.limit))
   return { isLeaving: headerValue(headers, names.leaving) === '1', ...limitPerS === undefined ? {} : { limitPerS } }
--- a/packages/hop/src/inbound/crashGuard.ts
+++ b/packages/hop/src/inbound/crashGuard.ts
@@ -1,12 +1,13 @@
 import type { Timers } from '@lentilwheel/core'
+import type { FailureReason, NotRunReason } from '../link/reasons.js'
+import type { HeaderNames } from '../headers.js'
 import type { TargetRecord } from '../fleet/hostRecord.js'
-import type { CallMessage, FailureReason, NotRunReason } from '../link/messages.js'
+import type { CallMessage } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import { CrashDetector, type ConnectOutcome } from './crashDetector.js'
 import { ProvenRequests } from './provenRequests.js'
-import type { HeaderNames } from './targetResult.js'
 
 /** A call as far as the guard needs it. */
 export interface GuardedCall {
--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -1,13 +1,15 @@
 import type { Random, Timers } from '@lentilwheel/core'
+import type { NotRunReason } from '../link/reasons.js'
+import type { HeaderNames } from '../headers.js'
 import type { Departure, TargetRecord } from '../fleet/hostRecord.js'
-import type { CallMessage, HeldTimes, HopReply, NotRunReason, TargetLoad } from '../link/messages.js'
+import type { CallMessage, HeldTimes, HopReply, TargetLoad } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { RequestResult } from '../rollout/resultAggregator.js'
 import type { SlotRequest } from './admission.js'
 import type { CrashGuardOptions } from './crashGuard.js'
 import type { LinkForecast } from './linkForecast.js'
 import type { TargetClient } from './nodeTargetClient.js'
-import type { HeaderNames, TargetResult } from './targetResult.js'
+import type { TargetResult } from './targetResult.js'
 
 /** What the inbound side of a daemon needs of the rest of it. */
 export interface InboundOptions {
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -1,4 +1,5 @@
-import { isFullReason, type CallMessage, type HopReply, type NotRunReason, type TargetLoad } from '../link/messages.js'
+import { isFullReason, type NotRunReason } from '../link/reasons.js'
+import type { CallMessage, HopReply, TargetLoad } from '../link/messages.js'
 import type { TargetRecord } from '../fleet/hostRecord.js'
 import { Admission, type SlotRequest } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
--- a/packages/hop/src/inbound/nodeTargetClient.ts
+++ b/packages/hop/src/inbound/nodeTargetClient.ts
@@ -1,8 +1,9 @@
 import type { Timers } from '@lentilwheel/core'
+import type { HeaderNames } from '../headers.js'
 import type { ConnectOutcome } from './crashDetector.js'
 import { TargetConnection, type LimitExceeded, type TargetRequest } from './nodeTargetConnection.js'
 import type { ResponseLimits } from './responseLimits.js'
-import type { HeaderNames, TargetResult } from './targetResult.js'
+import type { TargetResult } from './targetResult.js'
 
 export interface TargetClientOptions {
   host: string
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -1,14 +1,15 @@
 import { HTTPParser, type HeaderInfo } from 'http-parser-js'
 import { connect, type Socket } from 'node:net'
 import type { Cancel, Timers } from '@lentilwheel/core'
+import type { FailureReason } from '../link/reasons.js'
+import { headerValue, type HeaderNames } from '../headers.js'
 import { BodyBuffer } from '../buffers/bodyBuffer.js'
 import type { BufferHolder, BufferBudget } from '../buffers/bufferBudget.js'
-import type { FailureReason } from '../link/messages.js'
 import { declaredLength, exceededLimit, type LimitName, type Received, type ResponseLimits } from './responseLimits.js'
 import type { ConnectOutcome } from './crashDetector.js'
 import { isSpliced, parseHeaderLine } from './headerLines.js'
-import { classifyMessage, headerValue, type TargetMessage } from './classifyMessage.js'
-import type { HeaderNames, TargetResult } from './targetResult.js'
+import { classifyMessage, type TargetMessage } from './classifyMessage.js'
+import type { TargetResult } from './targetResult.js'
 
 /** A request as it is sent to the target. */
 export interface TargetRequest {
--- a/packages/hop/src/inbound/responseLimits.ts
+++ b/packages/hop/src/inbound/responseLimits.ts
@@ -1,5 +1,5 @@
+import { headerValue } from '../headers.js'
 import { BufferBudget } from '../buffers/bufferBudget.js'
-import { headerValue } from './classifyMessage.js'
 
 /** Limits on what a target may send in response to one request, and on the unfinished responses of all requests together. */
 export interface ResponseLimits {
--- a/packages/hop/src/inbound/serializeRequest.ts
+++ b/packages/hop/src/inbound/serializeRequest.ts
@@ -1,5 +1,5 @@
+import type { HeaderNames } from '../headers.js'
 import type { CallMessage } from '../link/messages.js'
-import type { HeaderNames } from './targetResult.js'
 
 /** Serializes a call as an HTTP/1.1 request to the target; adds the deadline, the expected target and the length of the body. */
 export function serializeRequest (call: CallMessage, deadlineMs: number, names: HeaderNames): Buffer {
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -1,5 +1,6 @@
 import { match } from 'ts-pattern'
-import { isFullReason, type FailureReason, type HopReply, type NotRunReason, type OfferMode } from '../link/messages.js'
+import { isFullReason, type FailureReason, type NotRunReason } from '../link/reasons.js'
+import type { HopReply, OfferMode } from '../link/messages.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 import { isRefused, type Standing } from '../quarantine/quarantine.js'
 import type { Candidate } from './loadBalancer.js'
--- a/packages/hop/src/outbound/requestHead.ts
+++ b/packages/hop/src/outbound/requestHead.ts
@@ -1,6 +1,5 @@
+import { countHeader, headerValue, type HeaderNames } from '../headers.js'
 import { hostName } from '@lentilwheel/core'
-import { countHeader, headerValue } from '../inbound/classifyMessage.js'
-import type { HeaderNames } from '../inbound/targetResult.js'
 
 /** Hop-by-hop headers, which are not forwarded; nor is the length, which is set again from the body. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
--- a/packages/hop/src/quarantine/quarantineNews.ts
+++ b/packages/hop/src/quarantine/quarantineNews.ts
@@ -1,4 +1,4 @@
-import { isFingerprint } from './requestFingerprint.js'
+import { isFingerprint } from './fingerprintFormat.js'
 
 // What daemons tell each other about requests that crash targets.
 
--- a/packages/hop/src/quarantine/requestFingerprint.ts
+++ b/packages/hop/src/quarantine/requestFingerprint.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto'
-import { headerValue } from '../inbound/classifyMessage.js'
-import type { HeaderNames } from '../inbound/targetResult.js'
+import { headerValue, type HeaderNames } from '../headers.js'
+import { FINGERPRINT_CHARS } from './fingerprintFormat.js'
 
 /** What makes a request the same as an earlier one. */
 export interface RequestIdentity {
@@ -12,9 +12,6 @@
   body: Uint8Array
 }
 
-/** Hexadecimal digits; 96 bits keep accidental collisions out. */
-const FINGERPRINT_CHARS = 24
-
 /**
  * Hash of what makes a request the same wherever and whenever it comes again: method, host, path with query, the caller's service
  * and the body. Ids, deadlines and other headers differ between attempts and don't count.
@@ -24,8 +21,3 @@
   const caller = headerValue(headers, names.callerService) ?? ''
   return createHash('sha1').update(`${method}\n${host}\n${url}\n${caller}\n`).update(body).digest('hex').slice(0, FINGERPRINT_CHARS)
 }
-
-/** Whether a value from outside has the form of a fingerprint. */
-export function isFingerprint (value: unknown): value is string {
-  return typeof value === 'string' && value.length === FINGERPRINT_CHARS && /^[0-9a-f]+$/.test(value)
-}
