--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -31,7 +31,7 @@
 import type { ResolvedHopConfig } from './resolvedHopConfig.js'
 import { LoopLag } from './nodeLoopLag.js'
 import { GracefulShutdown } from './gracefulShutdown.js'
-import { processorMs } from './nodeProcessorTime.js'
+import { ResourceReport } from './resourceReport.js'
 
 export interface HopDaemonOptions {
   cfg: ResolvedHopConfig
@@ -48,11 +48,8 @@
 export type ReceiptOutcome = 'confirmed' | 'unconfirmed' | 'invalid'
 
 const TARGET_CHECK_INTERVAL_MS = 250
-const TRAFFIC_LOG_INTERVAL_MS = 5_000
 /** Time for the last responses to be sent before the servers are closed. */
 const LAST_RESPONSES_MS = 50
-/** Value of the metric for the limit of a target that states none. */
-const NO_LIMIT = -1
 /** Time after which a daemon without any peer reports that it is ready nevertheless. */
 const ALONE_READY_MS = 3_000
 
@@ -217,36 +214,7 @@
     this.#blockStore.start()
     this.#moves.start()
     timers.every(TARGET_CHECK_INTERVAL_MS, () => this.#checkTarget())
-    timers.every(TRAFFIC_LOG_INTERVAL_MS, () => this.#logTraffic())
-    timers.every(1_000, () => {
-      metrics.state('peersUp', this.#fleet.live().length - 1)
-      metrics.state('running', this.#inbound.active)
-      const { queued, slots } = this.#inbound.occupancy
-      metrics.state('queued', queued)
-      metrics.state('slots', slots)
-      metrics.state('unsentBytes', this.#unsentBytes)
-      metrics.state('processorMs', processorMs())
-      metrics.state('storeEpoch', store.epochs.current)
-      const { suspects, blocked } = this.#quarantine.counts
-      metrics.state('suspects', suspects)
-      metrics.state('blocked', blocked)
-      const { limitPerS, sent } = this.#inbound.rate
-      metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
-      metrics.state('targetSent', sent)
-    })
-  }
-
-  /** Bytes that wait for the link, or that connections to other daemons have not taken yet. */
-  get #unsentBytes (): number {
-    return this.#sendQueue.backlogBytes + this.#hopServer.unsentBytes
-  }
-
-  /** Logs where requests waited since the last time, and what there is of each resource. */
-  #logTraffic (): void {
-    const routes = this.#traffic.take()
-    if (!routes) return
-    const unsentBytes = this.#unsentBytes
-    this.#opts.log.decision('traffic', { ...this.#inbound.occupancy, running: this.#inbound.active, unsentBytes, processorMs: processorMs(), routes })
+    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, traffic: this.#traffic }).start()
   }
 
   /** Handles an announcement of the target beside this daemon. */
--- a/packages/hop/src/link/sendQueue.ts
+++ b/packages/hop/src/link/sendQueue.ts
@@ -1,4 +1,4 @@
-import type { Cancel, Timers } from '@lentilwheel/core'
+import type { Timers } from '@lentilwheel/core'
 
 /** Something to send over the link of this host, whole or in parts. */
 export interface Transfer {
@@ -54,7 +54,7 @@
   #lastOrder = 0
   /** Bytes sent while an older, less urgent transfer waited. */
   #passingBytes = 0
-  #stopTimer: Cancel | undefined
+  #isTimerSet = false
   #isSending = false
 
   constructor (opts: SendQueueOptions) {
@@ -157,8 +157,12 @@
   }
 
   #scheduleResume (): void {
-    this.#stopTimer?.()
-    this.#stopTimer = this.#opts.timers.after(Math.max(1, -this.#credit / this.#bytesPerMs), () => this.resume())
+    if (this.#isTimerSet) return
+    this.#isTimerSet = true
+    this.#opts.timers.after(Math.max(1, -this.#credit / this.#bytesPerMs), () => {
+      this.#isTimerSet = false
+      this.resume()
+    })
   }
 }
 
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -3,7 +3,7 @@
 import type { Standing } from '../../quarantine/quarantine.js'
 import type { MeshRoute } from '../../routing/meshConfig.js'
 import { callFlow, type CallCommand, type CallEvent } from '../callFlow.js'
-import type { Candidate } from '../loadBalancer.js'
+import type { Candidate } from '../costEstimate.js'
 
 const route: MeshRoute = {
   name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
--- a/packages/hop/src/outbound/__tests__/statedLimits.spec.ts
+++ b/packages/hop/src/outbound/__tests__/statedLimits.spec.ts
@@ -2,7 +2,8 @@
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
 import { TEST_ROUTE as route, testHost as host } from '../../__tests__/fixtures.js'
 import type { HostRecord } from '../../fleet/hostRecord.js'
-import { LoadBalancer, type Candidate } from '../loadBalancer.js'
+import type { Candidate } from '../costEstimate.js'
+import { LoadBalancer } from '../loadBalancer.js'
 import { retryAfterMs } from '../retryAfter.js'
 
 const LOAD = { running: 0, queued: 0, slots: 6, pace: 0.4, failing: 0 }
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -3,7 +3,7 @@
 import type { HopReply, OfferMode } from '../link/messages.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 import { isRefused, type Standing } from '../quarantine/quarantine.js'
-import type { Candidate } from './loadBalancer.js'
+import type { Candidate } from './costEstimate.js'
 
 /** What the flow of one request tells `OutboundCall` to do. */
 export type CallCommand =
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -10,7 +10,7 @@
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import type { VersionChoice } from '../rollout/versionRules.js'
 import { callFlow, type CallCommand, type CallEvent, type CallContext } from './callFlow.js'
-import type { Candidate } from './loadBalancer.js'
+import type { Candidate } from './costEstimate.js'
 import type { OutboundOptions, CallerRequest, Responder } from './outboundTypes.js'
 import { retryAfterMs } from './retryAfter.js'
 
