--- a/packages/hop/src/link/__tests__/lateCancel.spec.ts
+++ b/packages/hop/src/link/__tests__/lateCancel.spec.ts
@@ -7,10 +7,11 @@
 import type { InboundHandler } from '../../inbound/inboundHandler.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import { packCall } from '../codec.js'
-import type { CallMessage } from '../messages.js'
+import type { CallMessage, HopReply } from '../messages.js'
 import { FRAME_KINDS } from '../frames.js'
 import { FrameSocket } from '../nodeFrameSocket.js'
 import { NodeHopServer } from '../nodeHopServer.js'
+import { SendQueue } from '../sendQueue.js'
 
 const timers = new NodeTimers(new SeededRandom(1))
 
@@ -46,3 +47,28 @@
 test('guards against calls being delayed while the event loop is not behind', async (t) => {
   t.deepEqual(await offeredKeys(NO_LAG), ['c1', 'c2', 'c3'])
 })
+
+test('guards against the rest of an answer being sent that nobody waits for any more', async (t) => {
+  const queue = new SendQueue({ timers, bytesPerMs: 100 })
+  const reply: HopReply = { kind: 'response', status: 200, headers: [], body: new Uint8Array(200_000), unframed: false }
+  const handler = { offer: (_message, done) => done(reply), cancel: () => {}, onSenderDisconnect: () => {} } as Partial<InboundHandler> as InboundHandler
+  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue, handler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, deltaSince: () => undefined })
+  await server.listen()
+  const kinds: number[] = []
+  const peer = new FrameSocket(connect(server.port, '127.0.0.1'), {
+    timers,
+    queue: unlimitedQueue(),
+    onFrame: ([kind]) => {
+      kinds.push(kind)
+      if (kind === FRAME_KINDS.answered) peer.send([FRAME_KINDS.cancel, 1])
+    },
+    onClose: () => {}
+  })
+  peer.send([FRAME_KINDS.call, 1, packCall(callMessage('c1'))])
+  while (!kinds.includes(FRAME_KINDS.answered) || queue.waiting > 0) await sleep(5)
+  peer.send([FRAME_KINDS.ping, 0])
+  while (!kinds.includes(FRAME_KINDS.pong)) await sleep(5)
+  t.deepEqual(kinds, [FRAME_KINDS.answered, FRAME_KINDS.pong])
+  peer.end()
+  server.close()
+})
