Count the whole delivery of a long answer when a request is admitted

Cause: a host took a download as long as the wait for its link left room in the target latency, but not the time that the answer itself takes on that link and on the one of the caller's host. With more downloads than the links carry, the queue stands at that bound, so nearly all were late. The admission now counts the whole delivery, so that those that are taken come in time and the others hear at once when to come back.

--- a/packages/hop/src/inbound/__tests__/inbound.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inbound.spec.ts
@@ -7,7 +7,7 @@
 import type { HopReply } from '../../link/messages.js'
 
 function slotRequest (key: string, overrides: Partial<SlotRequest> = {}): SlotRequest {
-  return { key, nested: false, priority: 1, targetLatencyMs: 600, deadlineAt: 2_000, arrivedAt: 0, linkWaitMs: 0, ...overrides }
+  return { key, nested: false, priority: 1, targetLatencyMs: 600, deadlineAt: 2_000, arrivedAt: 0, deliveryMs: 0, ...overrides }
 }
 
 test('guards against more requests at the target than it has slots', (t) => {
@@ -23,11 +23,11 @@
 test('guards against a request being started whose answer would wait for the link while another host may have room', (t) => {
   const admission = new Admission()
   admission.reset(2)
-  const waitsFor = (linkWaitMs: number, overrides: Partial<SlotRequest> = {}): SlotRequest => slotRequest('a', { linkWaitMs, ...overrides })
-  t.is(admission.admit(waitsFor(200), false, 0), 'busy')
-  t.is(admission.admit(waitsFor(200), true, 0), 'start', 'it ends in time')
+  const waitsFor = (deliveryMs: number, overrides: Partial<SlotRequest> = {}): SlotRequest => slotRequest('a', { deliveryMs, ...overrides })
+  t.is(admission.admit(waitsFor(300), false, 0), 'busy')
+  t.is(admission.admit(waitsFor(300), true, 0), 'start', 'it ends in time')
   t.is(admission.admit(waitsFor(900), true, 0), 'busy', 'it would be late')
-  t.is(admission.admit(waitsFor(200, { nested: true }), false, 0), 'start', 'without it the work of another request is lost')
+  t.is(admission.admit(waitsFor(300, { nested: true }), false, 0), 'start', 'without it the work of another request is lost')
 })
 
 test('guards against nested calls waiting behind new requests', (t) => {
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -14,8 +14,8 @@
   readonly targetLatencyMs: number
   readonly deadlineAt: number
   readonly arrivedAt: number
-  /** Milliseconds until the link of this host would begin to send its answer, if that were ready on arrival. */
-  readonly linkWaitMs: number
+  /** Milliseconds until the caller would have its answer, if that were ready on arrival. */
+  readonly deliveryMs: number
 }
 
 /** `start`: the request has got a slot. `queued`: it waits for one. Otherwise it is to be rejected for the reason. */
@@ -196,10 +196,10 @@
     return this.#isLinkInTime(request, now) && now + Math.max(slotWaitMs, this.#limit.waitMs(ahead, now)) <= this.#latestStart(request)
   }
 
-  /** Whether the link gets to the answer as soon as it has to; the request runs while the link sends what is before it. */
+  /** Whether the answer gets to its caller in time; the request runs while the link sends what is before it. */
   #isLinkInTime (request: SlotRequest, now: number): boolean {
     const runMs = this.#pace * request.targetLatencyMs
-    return now + request.linkWaitMs - runMs <= this.#latestStart(request)
+    return now + request.deliveryMs - runMs <= this.#latestStart(request)
   }
 
   #isInTime (request: SlotRequest, now: number): boolean {
@@ -248,13 +248,13 @@
 const USABLE_LATENCY_SHARE = 0.9
 /** Duration of a slow request as a multiple of the expected one. */
 const SLOW_REQUEST_FACTOR = 1.6
-/** Part of the target latency that the link may be taken for while a request is started for whose answer another host may have room. */
-const BUSY_LINK_SHARE = 0.25
+/** Part of the target latency that the delivery of an answer may take where another host may have more room on its link. */
+const BUSY_LINK_SHARE = 0.4
 /** Part of the target latency for which any request may wait, so that short bursts are smoothed. */
 const MIN_WAIT_SHARE = 0.1
 
-function isLinkBusy ({ nested, linkWaitMs, targetLatencyMs }: SlotRequest): boolean {
-  return !nested && linkWaitMs > BUSY_LINK_SHARE * targetLatencyMs
+function isLinkBusy ({ nested, deliveryMs, targetLatencyMs }: SlotRequest): boolean {
+  return !nested && deliveryMs > BUSY_LINK_SHARE * targetLatencyMs
 }
 
 function isMoreUrgent (a: SlotRequest, b: SlotRequest): boolean {
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -115,7 +115,7 @@
       targetLatencyMs: message.targetLatencyMs,
       deadlineAt: now + message.deadlineMs,
       arrivedAt: now,
-      linkWaitMs: this.#opts.link.waitMs(message.route)
+      deliveryMs: this.#opts.link.deliveryMs(message.route)
     }
     if (message.mode === 'ask') return this.#replyNotRun(message, this.#admission.canStart(slotRequest, now) ? 'vacant' : this.#admission.fullReason(now))
     const decision = this.#admission.admit(slotRequest, message.mode === 'queue', now)
--- a/packages/hop/src/inbound/linkForecast.ts
+++ b/packages/hop/src/inbound/linkForecast.ts
@@ -24,9 +24,13 @@
     return this.#queue.durationMs(BYTES_PER_KIB)
   }
 
-  /** Milliseconds until the link would begin to send an answer of the route that were ready now; short answers don't wait for long ones. */
-  waitMs (route: string): number {
-    return this.#sizes.expectedBytes(route) > this.#queue.partBytes ? this.aheadMs : 0
+  /**
+   * Milliseconds until a caller would have an answer of the route that were ready now: the wait for this link, and the way over it
+   * and that of the caller's host, which is taken to be as fast. 0 for short answers, which don't wait for long ones.
+   */
+  deliveryMs (route: string): number {
+    const bytes = this.#sizes.expectedBytes(route)
+    return bytes > this.#queue.partBytes ? this.aheadMs + 2 * this.#queue.durationMs(bytes) : 0
   }
 
   /** Counts a request that starts; returns a function to call at its end, with the size of its answer if it has one. */
