Give requests to no version that no order has named while another order is known

Cause: with an order that isn't completed, every version but the ordered one counted as the old one. The old version is now the one that the service ran before, which is kept as long as a target runs it, and which a completed move replaces by its own version; the version of an order that isn't completed can't become it.

Ruled out: the inbound side, which can't know the version before. Open: without any order known, a daemon that starts takes the commonest version that it sees first.

--- a/packages/hop/src/rollout/__tests__/versionRules.spec.ts
+++ b/packages/hop/src/rollout/__tests__/versionRules.spec.ts
@@ -72,3 +72,13 @@
   rules.setHosts([...hosts, unnamed])
   t.deepEqual([...hosts, unnamed].filter((record) => rules.choose('s')!.accepts(record)).map(({ target }) => target!.version), ['v1', 'v1'])
 })
+
+test('guards against traffic to a version that no order has named, after a move is completed and its old targets have gone', (t) => {
+  const rules = new VersionRules(new SeededRandom(1))
+  rules.setHosts(hosts)
+  rules.setOrder({ ...order, state: 'completed' })
+  const unnamed = ['e', 'f', 'g'].map((name) => testHost(name, 'dc', { version: 'v3' }))
+  rules.setHosts([...hosts.slice(2), ...unnamed])
+  rules.setOrder({ ...order, id: 's/v3', to: 'v3', state: 'ordered', revision: { epoch: 1, number: 9 } })
+  t.deepEqual([...hosts.slice(2), ...unnamed].filter((record) => rules.choose('s')!.accepts(record)).map(({ target }) => target!.version), ['v2', 'v2'])
+})
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -41,7 +41,7 @@
   readonly #facts = new Map<string, MoveFacts>()
   /** Hosts with a ready target, by service. */
   readonly #readyHosts = new Map<string, HostRecord[]>()
-  /** Version that gets the traffic of a service while no order is known. */
+  /** Version that gets the traffic of a service while no order is known, and what an order that isn't completed leaves to the old version. */
   readonly #baselineVersions = new Map<string, string>()
 
   constructor (random: Random) {
@@ -66,14 +66,16 @@
     const known = this.#orders.get(order.service)
     if (known && !isLater(order.revision, known.revision)) return false
     this.#orders.set(order.service, order)
+    this.#updateBaseline(order.service)
     return true
   }
 
   setFacts (move: string, facts: MoveFacts): void {
     this.#facts.set(move, facts)
+    for (const { id, service } of this.#orders.values()) if (id === move) this.#updateBaseline(service)
   }
 
-  /** Takes over the ready targets; a baseline version is kept while any target of the service still runs it. */
+  /** Takes over the ready targets. */
   setHosts (records: readonly HostRecord[]): void {
     this.#readyHosts.clear()
     for (const record of records) {
@@ -83,11 +85,7 @@
       if (list) list.push(record)
       else this.#readyHosts.set(target.service, [record])
     }
-    for (const [service, list] of this.#readyHosts) {
-      const baseline = this.#baselineVersions.get(service)
-      if (baseline !== undefined && list.some(({ target }) => target!.version === baseline)) continue
-      this.#baselineVersions.set(service, mostCommonVersion(list))
-    }
+    for (const service of this.#readyHosts.keys()) this.#updateBaseline(service)
   }
 
   /** Total slots of the ready targets of the order's new version and of all others, and the slots of one new target. */
@@ -111,7 +109,8 @@
     if (!order) return this.#chooseBaseline(service)
     const { to } = order
     const newHosts = (this.#readyHosts.get(service) ?? []).filter(({ target }) => target!.version === to)
-    const isOld = (record: HostRecord): boolean => record.target!.version !== to
+    const baseline = this.#baselineVersions.get(service)
+    const isOld = ({ target }: HostRecord): boolean => target!.version !== to && (baseline === to || target!.version === baseline)
     const isNew = (record: HostRecord): boolean => record.target!.version === to
     switch (phaseOf(order, this.#facts.get(order.id) ?? {})) {
       case 'completed':
@@ -137,6 +136,22 @@
     return phase !== 'completed'
   }
 
+  /** A baseline is kept while any target of the service still runs it; a completed move makes its version the baseline. */
+  #updateBaseline (service: string): void {
+    const hosts = this.#readyHosts.get(service) ?? []
+    const runs = (version: string | undefined): boolean => hosts.some(({ target }) => target!.version === version)
+    const to = this.#orders.get(service)?.to
+    const isCompleted = this.phase(service) === 'completed'
+    if (to !== undefined && isCompleted && runs(to)) {
+      this.#baselineVersions.set(service, to)
+      return
+    }
+    const known = this.#baselineVersions.get(service)
+    if (known !== undefined && known !== to && runs(known)) return
+    const old = hosts.filter(({ target }) => isCompleted || target!.version !== to)
+    if (old.length > 0) this.#baselineVersions.set(service, mostCommonVersion(old))
+  }
+
   /** Without an order: only the baseline version, or undefined if all ready targets run it. */
   #chooseBaseline (service: string): VersionChoice | undefined {
     const baseline = this.#baselineVersions.get(service)
