Don't refuse long answers on an idle link, nor for callers who read slowly

Callers of a route whose answers alone take longer than the target latency leaves would have been refused by every host for good, also by idle ones: the admission counted the delivery of the answer itself. A link that is taken for less than one such answer now counts as free. Answers that wait for a slow caller's connection no longer count as taking the link, and a call whose handling fails unexpectedly leaves the forecast. News and configurations, which may be long, go with nested calls, not before pings.

--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -244,6 +244,7 @@
   /** Ends a call whose handling failed unexpectedly; the target may have run it. */
   #endFailed ({ key, requestId: id }: CallMessage, err: unknown): void {
     this.#opts.log.call(false, 'inbound', { id, call: key, outcome: 'internalError', error: (err as Error).stack })
+    this.#calls.get(key)?.endOnLink?.()
     this.#calls.delete(key)
     this.#registry.complete(key, { kind: 'failed', reason: 'lost' }, this.#opts.timers.now())
   }
--- a/packages/hop/src/inbound/linkForecast.ts
+++ b/packages/hop/src/inbound/linkForecast.ts
@@ -26,19 +26,23 @@
 
   /**
    * Milliseconds until a caller would have an answer of the route that were ready now: the wait for this link, and the way over it
-   * and that of the caller's host, which is taken to be as fast. 0 for short answers, which don't wait for long ones.
+   * and that of the caller's host, which is taken to be as fast. 0 for short answers, which don't wait for long ones, and while the
+   * link is taken for less than one such answer: answers that are too long to be in time are late rather than refused for ever.
    */
   deliveryMs (route: string): number {
     const bytes = this.#sizes.expectedBytes(route)
-    return bytes > this.#queue.partBytes ? this.aheadMs + 2 * this.#queue.durationMs(bytes) : 0
+    const answerMs = this.#queue.durationMs(bytes)
+    const { aheadMs } = this
+    return bytes > this.#queue.partBytes && aheadMs >= answerMs ? aheadMs + 2 * answerMs : 0
   }
 
-  /** Counts a request that starts; returns a function to call at its end, with the size of its answer if it has one. */
+  /** Counts a request that starts; returns a function to call at its end, with the size of its answer if it has one. Further calls count nothing. */
   start (route: string): (answerBytes?: number) => void {
-    const bytes = this.#sizes.expectedBytes(route)
+    let bytes = this.#sizes.expectedBytes(route)
     this.#expectedBytes += bytes
     return (answerBytes) => {
       this.#expectedBytes -= bytes
+      bytes = 0
       if (answerBytes !== undefined) this.#sizes.record(route, answerBytes)
     }
   }
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -101,10 +101,10 @@
       case FRAME_KINDS.cancel:
         return this.#cancel(exchanges, exchangeId)
       case FRAME_KINDS.sync:
-        peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(readSyncMessage(payload, this.#opts))])
+        peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(readSyncMessage(payload, this.#opts))], NESTED_URGENCY)
         return
       case FRAME_KINDS.config:
-        peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.deltaSince(validateFields<{ have: number }>(payload, ['have']).have)])
+        peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.deltaSince(validateFields<{ have: number }>(payload, ['have']).have)], NESTED_URGENCY)
         return
       case FRAME_KINDS.ping:
         peer.send([FRAME_KINDS.pong, 0])
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -9,7 +9,7 @@
 import { PeerConnection, type ExchangeOutcome } from './nodePeerConnection.js'
 import { readSyncMessage } from './readSyncMessage.js'
 import type { SendQueue } from './sendQueue.js'
-import { urgencyOf } from './urgency.js'
+import { NESTED_URGENCY, urgencyOf } from './urgency.js'
 
 export interface PeerLinkOptions {
   host: string
@@ -116,7 +116,7 @@
         stopTimeout()
         if (outcome.kind === 'payload') resolve(outcome.payload)
         else reject(new PeerLost(`connection to ${this.#opts.host} failed or was closed`))
-      })
+      }, NESTED_URGENCY)
       const stopTimeout = this.#opts.timers.after(REQUEST_TIMEOUT_MS, () => {
         this.#connection.forget(exchangeId)
         reject(new PeerLost(`no reply from ${this.#opts.host} within ${REQUEST_TIMEOUT_MS} ms`))
--- a/packages/hop/src/link/sendQueue.ts
+++ b/packages/hop/src/link/sendQueue.ts
@@ -74,9 +74,9 @@
     return this.#waiting.length
   }
 
-  /** Bytes that wait. */
+  /** Bytes that wait for the link, and not for a connection that takes nothing for now. */
   get backlogBytes (): number {
-    return this.#waiting.reduce((sum, { transfer }) => sum + transfer.remaining, 0)
+    return this.#waiting.reduce((sum, { transfer }) => transfer.isBlocked() ? sum : sum + transfer.remaining, 0)
   }
 
   /** Milliseconds that the link takes for a number of bytes. */
