Drop a transfer whose write fails instead of stopping all others

Found by reading: an exception in a write would have left the queue of the link marked as sending, so that nothing would have been sent any more. The test fails without the change (the last transfer is never sent).

--- a/packages/hop/src/link/__tests__/sendQueue.spec.ts
+++ b/packages/hop/src/link/__tests__/sendQueue.spec.ts
@@ -73,3 +73,13 @@
   t.deepEqual(Object.keys(sentAt), ['first', 'last', 'blocked'])
   t.is(queue.waiting, 0)
 })
+
+test('guards against a transfer that fails stopping all others', (t) => {
+  const { timers, queue, sentAt, submit } = setUp()
+  submit('first', 1, 60_000)
+  queue.submit({ urgency: 1, remaining: 100, isBlocked: () => false, write: () => { throw new Error('not writable') } })
+  submit('last', 1, 10_000)
+  t.throws(() => timers.advance(200), { message: 'not writable' })
+  timers.advance(200)
+  t.deepEqual(Object.keys(sentAt), ['first', 'last'])
+})
--- a/packages/hop/src/link/sendQueue.ts
+++ b/packages/hop/src/link/sendQueue.ts
@@ -8,7 +8,7 @@
   readonly remaining: number
   /** Whether its connection takes nothing for now. */
   isBlocked (): boolean
-  /** Writes at most that many bytes to the connection and returns how many; throws nothing. */
+  /** Writes at most that many bytes to the connection and returns how many, at least one. */
   write (maxBytes: number): number
 }
 
@@ -107,14 +107,18 @@
   resume (): void {
     if (this.#isSending) return
     this.#isSending = true
-    this.#addCredit()
-    let next = this.#next()
-    while (next && this.#credit > 0) {
-      this.#send(next)
-      next = this.#next()
+    try {
+      this.#sendDue()
+    } finally {
+      this.#isSending = false
+      if (this.#next()) this.#scheduleResume()
     }
-    this.#isSending = false
-    if (next) this.#scheduleResume()
+  }
+
+  /** Sends in order as long as there is credit. */
+  #sendDue (): void {
+    this.#addCredit()
+    for (let next = this.#next(); next && this.#credit > 0; next = this.#next()) this.#send(next)
   }
 
   get #maxCredit (): number {
@@ -130,7 +134,7 @@
 
   #send (entry: Waiting): void {
     const isOldest = this.#oldest() === entry
-    const bytes = entry.transfer.write(this.partBytes)
+    const bytes = this.#write(entry)
     this.#credit -= bytes
     this.#passingBytes = isOldest ? 0 : this.#passingBytes + bytes
     if (entry.transfer.remaining > 0) return
@@ -138,6 +142,16 @@
     entry.onSent()
   }
 
+  /** A transfer that fails is dropped, so that it doesn't hold up the others. */
+  #write (entry: Waiting): number {
+    try {
+      return entry.transfer.write(this.partBytes)
+    } catch (err) {
+      this.#remove(entry)
+      throw err
+    }
+  }
+
   #remove (entry: Waiting): void {
     const index = this.#waiting.indexOf(entry)
     if (index >= 0) this.#waiting.splice(index, 1)
