--- a/packages/cli/src/__tests__/explainRequest.spec.ts
+++ b/packages/cli/src/__tests__/explainRequest.spec.ts
@@ -12,6 +12,7 @@
 {"at":1787199920301,"host":"otaru-2","what":"attempt","id":"lost1","call":"otaru-2/1/9","peer":"otaru-1","target":"i-1","mode":"now","outcome":"reset","ran":true}
 {"at":1787199920302,"host":"otaru-2","what":"outbound","id":"lost1","route":"order","service":"orders","config":28,"outcome":502,"ms":142,"offers":1,"reason":"reset"}
 {"at":1787199920400,"host":"otaru-2","what":"outbound","id":"good1","route":"order","service":"orders","config":28,"outcome":200,"ms":100,"offers":1}
+{"at":1787199920410,"host":"otaru-2","what":"outbound","id":"late1","route":"status","service":"archives","config":28,"outcome":200,"ms":905,"offers":2,"waits":[12,0,80,813]}
 {"at":1787199900000,"host":"otaru-3","what":"targetCrashed","target":"i-3","service":"showroom","suspects":1,"running":[{"id":"deadly0","route":"browse","request":"d1","ms":90},{"id":"other","route":"browse","request":"d2","ms":10}]}
 {"at":1787199906000,"host":"otaru-1","what":"targetCrashed","target":"i-1","service":"showroom","suspects":1,"running":[{"id":"other","route":"browse","request":"d2","ms":10}]}
 {"at":1787199908000,"host":"otaru-2","what":"requestBlocked","request":"d1","level":1,"reports":["otaru-3/1/1"],"forMs":3600000}
@@ -19,7 +20,7 @@
 {"at":1787199920500,"host":"otaru-2","what":"linesOmitted","plain":3,"failed":0,"decision":0}
 {"at":17871999205`
 
-for (const id of ['busy1', 'gone1', 'lost1', 'good1', 'deadly1', 'unknown']) {
+for (const id of ['busy1', 'gone1', 'lost1', 'good1', 'late1', 'deadly1', 'unknown']) {
   test(`explains a request by its id: ${id}`, async (t) => {
     const cli = new CliHarness()
     cli.files.set('all.log', LOG)
--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -60,12 +60,19 @@
   return `${time} ${line.host}: ${description}.`
 }
 
+/** Where the time of a request went, if its line tells. */
+function waitsSuffix ({ waits }: LogLine): string {
+  if (!Array.isArray(waits)) return ''
+  const [placing, queue, target, transit] = waits as number[]
+  return ` (${placing} ms until it was placed, ${queue} ms for a slot, ${target} ms at the target, ${transit} ms on the way)`
+}
+
 function describeLine (line: LogLine): string {
   const outcome = String(line['outcome'] ?? '')
   switch (line.what) {
     case 'outbound':
       return `ended it with ${outcome}${reasonSuffix(line)} after ${line['ms'] ?? 0} ms and ${line['offers'] ?? 0} offers, ` +
-        `on route ${line['route'] ?? 'none'} of configuration ${line['config'] ?? 'unknown'}`
+        `on route ${line['route'] ?? 'none'} of configuration ${line['config'] ?? 'unknown'}${waitsSuffix(line)}`
     case 'attempt':
       return `offered it to ${line['peer']} (target ${line['target']}, ${line['mode']}): ${outcome}, ` +
         (line['ran'] === true ? 'so it may have run there' : 'so it did not run there')
--- a/packages/hop/src/observe/trafficSummary.ts
+++ b/packages/hop/src/observe/trafficSummary.ts
@@ -24,6 +24,9 @@
   refusals: Record<string, number>
 }
 
+/** Routes in one summary, which becomes one log line. */
+const MAX_ROUTES = 20
+
 /** Sums up, for each route, where requests wait, their bytes and what was refused, for metrics and a periodic log line. */
 export class TrafficSummary {
   readonly #metrics: Pick<CallMetrics, 'wait' | 'refusal'>
@@ -52,12 +55,12 @@
     this.#metrics.refusal(route, reason)
   }
 
-  /** Returns the sums by route, rounded, and starts anew; undefined if there was nothing. */
+  /** Returns the sums of the busiest routes, rounded, and starts anew; undefined if there was nothing. */
   take (): Record<string, RouteTraffic> | undefined {
     if (this.#routes.size === 0) return undefined
-    const summary = Object.fromEntries([...this.#routes].map(([route, traffic]) => [route, rounded(traffic)]))
+    const busiest = [...this.#routes].sort(([, a], [, b]) => b.requests - a.requests).slice(0, MAX_ROUTES)
     this.#routes.clear()
-    return summary
+    return Object.fromEntries(busiest.map(([route, traffic]) => [route, rounded(traffic)]))
   }
 
   #routeTraffic (route: string): RouteTraffic {
