Spend less processor time on accounting for waits and links

Waits and refusals reach the metrics as sums every 5 s instead of four labelled observations a request, the times of a reply are two numbers instead of a list, a wide link isn't told of, the clock is read for the link only when its credit runs low, and the forecast of the own link is read once it matters instead of for each candidate. Decisions are unchanged but for links above 160 Mbit/s, which no longer count in placing.

--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -66,7 +66,7 @@
 
 /** How long a call that ran waited for its slot, and ran. */
 export function heldTimes ({ slotRequest, startedAt, ranMs }: InboundCall): HeldTimes {
-  return { queuedMs: startedAt - slotRequest.arrivedAt, ranMs }
+  return { queuedMs: Math.round(startedAt - slotRequest.arrivedAt), ranMs: Math.round(ranMs) }
 }
 
 /** The reply to the sender; it gets to know whether the target leaves together with the response that says so. */
@@ -77,9 +77,13 @@
   return { kind, status, headers, body, unframed, ...statement.isLeaving ? { departure: departureOf(target) } : {}, ...isFinal && status >= 500 ? { isFinal } : {} }
 }
 
-/** What daemons are told of the link of this host; nothing if it has no limit. */
-export function linkLoad ({ aheadMs, msPerKib }: LinkForecast): Pick<TargetLoad, 'linkMs' | 'linkMsPerKib'> {
-  return msPerKib === 0 ? {} : { ...aheadMs > 0 ? { linkMs: aheadMs } : {}, linkMsPerKib: msPerKib }
+/** Links that take less for a KiB (over 160 Mbit/s) are no resource to place requests by. */
+const MIN_MS_PER_KIB = 0.05
+const NO_LINK_LOAD = {}
+
+/** What daemons are told of the link of this host; nothing if it is wide. */
+export function linkLoad (link: LinkForecast): Pick<TargetLoad, 'linkMs' | 'linkMsPerKib'> {
+  return link.msPerKib < MIN_MS_PER_KIB ? NO_LINK_LOAD : { linkMs: link.aheadMs, linkMsPerKib: link.msPerKib }
 }
 
 export function departureOf ({ id, startedAt }: TargetRecord): Departure {
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -269,7 +269,7 @@
 
   /** Replies to a call that ran; `isFinal`: a retry would fail likewise. */
   #endCall (call: Call, result: TargetResult, ms: number, isFinal = false): void {
-    this.#reply(call.message, { ...replyOf(call, result, isFinal), held: heldTimes(call) })
+    this.#reply(call.message, { ...replyOf(call, result, isFinal), ...heldTimes(call) })
     this.#logResult(call, result, ms)
     this.#startQueued()
   }
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -1,7 +1,7 @@
 import { Packr } from 'msgpackr'
 import { BadMessage } from '../errors.js'
 import { readDeparture } from '../fleet/records.js'
-import type { CallMessage, HeldTimes, HopReply, TargetLoad } from './messages.js'
+import type { CallMessage, HopReply, TargetLoad } from './messages.js'
 
 // Encodes messages between daemons as MessagePack.
 
@@ -15,8 +15,7 @@
   'key', 'requestId', 'incarnation', 'mode', 'service', 'targetId', 'route', 'method', 'url', 'headers', 'body', 'deadlineMs',
   'targetLatencyMs', 'priority', 'idempotent', 'nested', 'repeat', 'suspect', 'heardLimitPerS'
 ] as const satisfies readonly (keyof CallMessage)[]
-const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'isFinal', 'load', 'held'] as const
-const HELD_FIELDS = ['queuedMs', 'ranMs'] as const satisfies readonly (keyof HeldTimes)[]
+const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'isFinal', 'load', 'queuedMs', 'ranMs'] as const
 const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs', 'linkMs', 'linkMsPerKib'] as const satisfies readonly (keyof TargetLoad)[]
 
 type FieldValues = Readonly<Record<string, unknown>>
@@ -44,8 +43,7 @@
 
 export function packReply (reply: HopReply): unknown[] {
   const load = reply.load && packFields(compactLoad(reply.load) as unknown as FieldValues, LOAD_FIELDS)
-  const held = reply.held && HELD_FIELDS.map((name) => Math.round(reply.held![name]))
-  return [PROTOCOL_VERSION, ...packFields({ ...reply, load, held }, REPLY_FIELDS)]
+  return [PROTOCOL_VERSION, ...packFields({ ...reply, load }, REPLY_FIELDS)]
 }
 
 /** `wallNow`: Unix milliseconds, against which the departure in the reply is checked; an invalid one is left out. */
@@ -55,7 +53,6 @@
   if (fields['kind'] === 'response') checkResponse(fields)
   const load = fields['load']
   if (load !== undefined) fields['load'] = unpackLoad(load)
-  if (fields['held'] !== undefined) fields['held'] = unpackFields([PROTOCOL_VERSION, ...listOf(fields['held'])], HELD_FIELDS)
   return fields as unknown as HopReply
 }
 
@@ -65,15 +62,11 @@
 }
 
 function unpackLoad (value: unknown): Record<string, unknown> {
-  const load = unpackFields([PROTOCOL_VERSION, ...listOf(value)], LOAD_FIELDS)
+  const load = unpackFields([PROTOCOL_VERSION, ...Array.isArray(value) ? value as unknown[] : []], LOAD_FIELDS)
   if (load['limitPerS'] === NO_LIMIT_CODE) load['limitPerS'] = Infinity
   return load
 }
 
-function listOf (value: unknown): unknown[] {
-  return Array.isArray(value) ? value : []
-}
-
 function packFields (message: FieldValues, names: readonly string[]): unknown[] {
   return names.map((name) => message[name])
 }
@@ -105,7 +98,6 @@
     ...pressedShare === undefined ? {} : { pressedShare: twoDecimals(pressedShare) },
     ...limitPerS === Infinity ? { limitPerS: NO_LIMIT_CODE } : {},
     ...limitedMs === undefined ? {} : { limitedMs: Math.ceil(limitedMs) },
-    ...linkMs === undefined ? {} : { linkMs: Math.ceil(linkMs) },
-    ...linkMsPerKib === undefined ? {} : { linkMsPerKib: twoDecimals(linkMsPerKib) }
+    ...linkMs === undefined || linkMsPerKib === undefined ? {} : { linkMs: Math.ceil(linkMs), linkMsPerKib: twoDecimals(linkMsPerKib) }
   }
 }
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -57,9 +57,9 @@
   pace: number
   /** Share of recent requests that the target failed, 0 to 1. */
   failing: number
-  /** Milliseconds for which the link of its host is taken by answers that wait and that running requests will have; absent for 0. */
+  /** Milliseconds for which the link of its host is taken by answers that wait and that running requests will have; absent for a wide link. */
   linkMs?: number
-  /** Milliseconds that this link takes for a KiB; absent for 0. */
+  /** Milliseconds that this link takes for a KiB; absent for a wide link. */
   linkMsPerKib?: number
   /** Most urgent priority at which callers' requests are being rejected; absent when none are. */
   pressedPriority?: number
@@ -77,8 +77,8 @@
   ranMs: number
 }
 
-/** Outcome of an offered request; `held` is absent where the daemon did not handle it. */
-export type HopReply = { held?: HeldTimes } & (
+/** Outcome of an offered request; the times are absent where it did not run. */
+export type HopReply = Partial<HeldTimes> & (
   /** `unframed`: the response had no length, so a truncated body can't be told from a complete one. */
   /** `departure`: the target said in the response that it leaves. */
   /** `isFinal`: a retry would fail likewise, as a call that the request makes is refused. */
--- a/packages/hop/src/link/sendQueue.ts
+++ b/packages/hop/src/link/sendQueue.ts
@@ -76,6 +76,7 @@
 
   /** Bytes that wait for the link, and not for a connection that takes nothing for now. */
   get backlogBytes (): number {
+    if (this.#waiting.length === 0) return 0
     return this.#waiting.reduce((sum, { transfer }) => transfer.isBlocked() ? sum : sum + transfer.remaining, 0)
   }
 
@@ -87,7 +88,7 @@
   /** Takes credit for a message that the caller then writes at once; false if it has to wait its turn. */
   trySendNow (bytes: number): boolean {
     if (this.#waiting.length > 0) return false
-    this.#addCredit()
+    if (this.#credit <= bytes) this.#addCredit()
     if (this.#credit <= 0 || (bytes > this.partBytes && bytes > this.#credit)) return false
     this.#credit -= bytes
     return true
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -18,10 +18,10 @@
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
   request (route: string, outcome: string, ms: number): void
-  /** Time that a request spent in one place. */
+  /** Adds the time that requests of a route spent in one place. */
   wait (place: keyof CallWaits, route: string, ms: number): void
-  /** An offer that this daemon rejected. */
-  refusal (route: string, reason: string): void
+  /** Adds the offers of a route that this daemon rejected. */
+  refusal (route: string, reason: string, count: number): void
   event (name: MetricEventName): void
   state (name: MetricStateName, value: number): void
   /** The metrics in the Prometheus text format. */
@@ -39,8 +39,8 @@
     name: 'lentilwheel_request_seconds', help: 'Time from a request to its answer', labelNames: ['route'], buckets: LATENCY_BUCKETS_S, registers: [this.#registry]
   })
 
-  readonly #waits = new Histogram({
-    name: 'lentilwheel_wait_seconds', help: 'Time that answered requests spent in one place', labelNames: ['place', 'route'], buckets: LATENCY_BUCKETS_S, registers: [this.#registry]
+  readonly #waits = new Counter({
+    name: 'lentilwheel_wait_seconds_total', help: 'Time that answered requests spent in one place', labelNames: ['place', 'route'], registers: [this.#registry]
   })
 
   readonly #refusals = new Counter({
@@ -61,11 +61,11 @@
   }
 
   wait (place: keyof CallWaits, route: string, ms: number): void {
-    this.#waits.observe({ place, route }, ms / 1000)
+    this.#waits.inc({ place, route }, ms / 1000)
   }
 
-  refusal (route: string, reason: string): void {
-    this.#refusals.inc({ route, reason })
+  refusal (route: string, reason: string, count: number): void {
+    this.#refusals.inc({ route, reason }, count)
   }
 
   event (name: MetricEventName): void {
--- a/packages/hop/src/observe/trafficSummary.ts
+++ b/packages/hop/src/observe/trafficSummary.ts
@@ -42,27 +42,30 @@
     traffic.requests++
     traffic.bytes += bytes
     traffic.longestTransit = Math.max(traffic.longestTransit, waits.transit)
-    for (const place of WAIT_PLACES) {
-      traffic[place] += waits[place]
-      this.#metrics.wait(place, route, waits[place])
-    }
+    for (const place of WAIT_PLACES) traffic[place] += waits[place]
   }
 
   /** Records an offer that was rejected here for a reason. */
   recordRefusal (route: string, reason: string): void {
     const { refusals } = this.#routeTraffic(route)
     refusals[reason] = (refusals[reason] ?? 0) + 1
-    this.#metrics.refusal(route, reason)
   }
 
-  /** Returns the sums of the busiest routes, rounded, and starts anew; undefined if there was nothing. */
+  /** Returns the sums of the busiest routes, rounded, adds all to the metrics and starts anew; undefined if there was nothing. */
   take (): Record<string, RouteTraffic> | undefined {
     if (this.#routes.size === 0) return undefined
+    for (const [route, traffic] of this.#routes) this.#addToMetrics(route, traffic)
     const busiest = [...this.#routes].sort(([, a], [, b]) => b.requests - a.requests).slice(0, MAX_ROUTES)
     this.#routes.clear()
     return Object.fromEntries(busiest.map(([route, traffic]) => [route, rounded(traffic)]))
   }
 
+  /** Metrics get sums, as counting each request there takes more processor time than the rest of its accounting. */
+  #addToMetrics (route: string, traffic: RouteTraffic): void {
+    for (const place of WAIT_PLACES) this.#metrics.wait(place, route, traffic[place])
+    for (const [reason, count] of Object.entries(traffic.refusals)) this.#metrics.refusal(route, reason, count)
+  }
+
   #routeTraffic (route: string): RouteTraffic {
     let traffic = this.#routes.get(route)
     if (!traffic) {
--- a/packages/hop/src/outbound/costEstimate.ts
+++ b/packages/hop/src/outbound/costEstimate.ts
@@ -118,11 +118,12 @@
   }
 
   /** Means over the reported loads, weighted by their freshness. */
-  means (stats: readonly TargetStats[], now: number): ServiceMeans {
+  means (hosts: readonly HostRecord[], stats: ReadonlyMap<string, TargetStats>, now: number): ServiceMeans {
     let sum = DEFAULT_UTILISATION * DEFAULT_UTILISATION_WEIGHT
     let linkSumMs = 0
     let weight = DEFAULT_UTILISATION_WEIGHT
-    for (const { load, loadAt } of stats) {
+    for (const { host } of hosts) {
+      const { load, loadAt } = stats.get(host)!
       if (!load) continue
       const freshness = freshnessAt(now - loadAt)
       sum += freshness * Math.min(1, load.running / load.slots)
@@ -134,9 +135,8 @@
 
   /** Time to pass on the answer of another host over the own link; the answer of the target beside this daemon takes that link once. */
   #passOnMs (responseBytes: number): number {
-    const { aheadMs, msPerKib } = this.#link
-    const answerMs = msPerKib * responseBytes / BYTES_PER_KIB
-    return answerMs > LONG_ANSWER_MS ? aheadMs + answerMs : answerMs
+    const answerMs = this.#link.msPerKib * responseBytes / BYTES_PER_KIB
+    return answerMs > LONG_ANSWER_MS ? this.#link.aheadMs + answerMs : answerMs
   }
 
   /** `stats`: what is known of the target of the record. */
--- a/packages/hop/src/outbound/loadBalancer.ts
+++ b/packages/hop/src/outbound/loadBalancer.ts
@@ -66,7 +66,7 @@
     const now = this.#timers.now()
     const all = this.#byService.get(service) ?? []
     const subset = this.#subsets.get(service) ?? []
-    const means = this.#costs.means(subset.map(({ host }) => this.#stats.get(host)!), now)
+    const means = this.#costs.means(subset, this.#stats, now)
     let eligible = subset.filter(isEligible)
     if (eligible.length === 0) eligible = all.filter(isEligible)
     const isPreferredMissing = preferred !== undefined && !eligible.some(({ host }) => host === preferred)
@@ -89,7 +89,7 @@
       chosen = record
     }
     const now = this.#timers.now()
-    return chosen ? [this.#costs.estimate(chosen, this.#stats.get(chosen.host)!, request, this.#costs.means([], now), now)] : []
+    return chosen ? [this.#costs.estimate(chosen, this.#stats.get(chosen.host)!, request, this.#costs.means([], this.#stats, now), now)] : []
   }
 
   /**
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -1,7 +1,7 @@
 import type { Cancel } from '@lentilwheel/core'
 import { isFullReason, type FailureReason, type NotRunReason } from '../link/reasons.js'
 import { NotForwardable } from '../errors.js'
-import { WAIT_PLACES, type CallWaits } from '../observe/trafficSummary.js'
+import type { CallWaits } from '../observe/trafficSummary.js'
 import type { HostRecord } from '../fleet/hostRecord.js'
 import type { CallMessage, HopReply, OfferMode } from '../link/messages.js'
 import { urgencyOf } from '../link/urgency.js'
@@ -11,7 +11,7 @@
 import type { VersionChoice } from '../rollout/versionRules.js'
 import { callFlow, type CallCommand, type CallEvent, type CallContext } from './callFlow.js'
 import type { Candidate } from './costEstimate.js'
-import type { OutboundOptions, CallerRequest, Responder } from './outboundTypes.js'
+import type { CallerRequest, ForwardedResponse, OutboundOptions, Responder } from './outboundTypes.js'
 import { retryAfterMs } from './retryAfter.js'
 
 /** Upper limit on the time of a request, also where neither caller nor route sets one. */
@@ -209,9 +209,8 @@
     switch (command.kind) {
       case 'respond':
         res.respond(command.reply, this.#urgency)
-        this.#opts.traffic.record(this.#input.route.name, this.#waits(command.reply), command.reply.body.length)
         this.#opts.sizes.record(this.#input.route.name, command.reply.body.length)
-        return this.#end(command.reply.status, command.reply.status < 500, { waits: this.#roundedWaits(command.reply) })
+        return this.#endAnswered(command.reply)
       case 'reject':
         this.#recordRefusal(command.reason)
         this.#end(503, false, { reason: command.reason, retryAfterMs: Math.round(command.retryAfterMs), notRun: true, ...this.#quarantineDetails() })
@@ -222,17 +221,17 @@
     }
   }
 
-  /** Where the time of a request went that ends with this reply, which has just arrived. */
-  #waits ({ held }: HopReply): CallWaits {
-    const queue = held?.queuedMs ?? 0
-    const target = held?.ranMs ?? 0
-    const offerMs = this.#opts.timers.now() - this.#repliedOfferAt
-    return { placing: this.#repliedOfferAt - this.#startedAt, queue, target, transit: Math.max(0, offerMs - queue - target) }
+  #endAnswered (reply: ForwardedResponse): void {
+    const waits = this.#waits(reply)
+    this.#opts.traffic.record(this.#input.route.name, waits, reply.body.length)
+    this.#end(reply.status, reply.status < 500, { waits: [waits.placing, waits.queue, waits.target, waits.transit] })
   }
 
-  #roundedWaits (reply: HopReply): number[] {
-    const waits = this.#waits(reply)
-    return WAIT_PLACES.map((place) => Math.round(waits[place]))
+  /** Where the time of a request went that ends with this reply, which has just arrived. */
+  #waits ({ queuedMs: queue = 0, ranMs: target = 0 }: HopReply): CallWaits {
+    const offerMs = this.#opts.timers.now() - this.#repliedOfferAt
+    const placing = Math.round(this.#repliedOfferAt - this.#startedAt)
+    return { placing, queue, target, transit: Math.max(0, Math.round(offerMs - queue - target)) }
   }
 
   /** Tells the request that makes this call, if there is one, that it is refused for good. */
