Let nested calls not halve the retry budget of callers' requests, and reserve a quarter of it

Callers: a request that a target sheds needs the budget to go elsewhere, else it is refused. Nested calls counted as more urgent requests of a service, so that deposits, look-ups of a status and downloads could use only half of the budget wherever a service is also called by others.

Only callers' requests make others less urgent now, and the less urgent ones keep three quarters instead of half.

--- a/packages/hop/src/outbound/retryBudget.ts
+++ b/packages/hop/src/outbound/retryBudget.ts
@@ -1,3 +1,5 @@
+import { NESTED_URGENCY } from '../link/urgency.js'
+
 /** Number of buckets into which the sliding window of counted requests and retries is divided. */
 const BUCKET_COUNT = 10
 /**
@@ -6,8 +8,11 @@
  * many of these again.
  */
 const OWN_RETRY_SHARE = 0.4
-/** Share of these that requests may start which are less urgent than others for the service; the rest is left for the more urgent ones. */
-const LESS_URGENT_SHARE = 0.5
+/**
+ * Share of these that requests may start which are less urgent than other requests of callers for the service; the rest is left for
+ * the more urgent ones. Nested calls come with nearly every service, so they don't make the requests of callers less urgent.
+ */
+const LESS_URGENT_SHARE = 0.75
 
 /** How many retries of requests for a service are allowed in a window, over all daemons. */
 export interface RetryBudgetLimits {
@@ -24,7 +29,7 @@
   bucket: number
   requests: number[]
   retries: number[]
-  /** The most urgent requests; Infinity in buckets without any. */
+  /** Urgency of callers' most urgent requests; Infinity in buckets without any. */
   urgencies: number[]
 }
 
@@ -48,7 +53,7 @@
   deposit (service: string, urgency: number, now: number): void {
     const window = this.#windowAt(service, now)
     window.requests[0]!++
-    window.urgencies[0] = Math.min(window.urgencies[0]!, urgency)
+    if (urgency > NESTED_URGENCY) window.urgencies[0] = Math.min(window.urgencies[0]!, urgency)
   }
 
   /** Counts a retry that no budget can prevent: a nested call of a request that is itself a retry. */
