Name the unit of link speeds once, and look at the link only for long answers

Found on reading the change once more: the forecast of the link added up what waits for every admitted call, also for short answers, whose wait is 0 anyway; the number of bytes in a KiB stood twice; a list that no other file uses was exported. Behaviour is unchanged; the tests of hop and platform were run on it.

--- a/packages/hop/src/inbound/linkForecast.ts
+++ b/packages/hop/src/inbound/linkForecast.ts
@@ -1,8 +1,6 @@
-import type { SendQueue } from '../link/sendQueue.js'
+import { BYTES_PER_KIB, type SendQueue } from '../link/sendQueue.js'
 import type { ResponseSizes } from '../outbound/responseSizes.js'
 
-const BYTES_PER_KIB = 1_024
-
 /** What the link of this host has to send for the target beside it: answers that wait, and those that running requests will have. */
 export class LinkForecast {
   readonly #queue: SendQueue
@@ -31,9 +29,10 @@
    */
   deliveryMs (route: string): number {
     const bytes = this.#sizes.expectedBytes(route)
+    if (bytes <= this.#queue.partBytes) return 0
     const answerMs = this.#queue.durationMs(bytes)
     const { aheadMs } = this
-    return bytes > this.#queue.partBytes && aheadMs >= answerMs ? aheadMs + 2 * answerMs : 0
+    return aheadMs >= answerMs ? aheadMs + 2 * answerMs : 0
   }
 
   /** Counts a request that starts; returns a function to call at its end, with the size of its answer if it has one. Further calls count nothing. */
--- a/packages/hop/src/link/sendQueue.ts
+++ b/packages/hop/src/link/sendQueue.ts
@@ -18,6 +18,8 @@
   bytesPerMs: number
 }
 
+/** Unit of the speed of a link that daemons tell each other. */
+export const BYTES_PER_KIB = 1_024
 /** Part of the link that is given out; the rest is for packet headers, and for what is sent past this queue. */
 const USABLE_LINK_SHARE = 0.98
 /** Bytes that may be given out at once, as milliseconds of the link: later timers than this leave the link idle. */
--- a/packages/hop/src/observe/trafficSummary.ts
+++ b/packages/hop/src/observe/trafficSummary.ts
@@ -12,7 +12,7 @@
   transit: number
 }
 
-export const WAIT_PLACES = ['placing', 'queue', 'target', 'transit'] as const satisfies readonly (keyof CallWaits)[]
+const WAIT_PLACES = ['placing', 'queue', 'target', 'transit'] as const satisfies readonly (keyof CallWaits)[]
 
 /** What one kind of request met since the last summary; the waits are sums. */
 interface RouteTraffic extends CallWaits {
--- a/packages/hop/src/outbound/costEstimate.ts
+++ b/packages/hop/src/outbound/costEstimate.ts
@@ -1,6 +1,7 @@
 import type { Random } from '@lentilwheel/core'
 import type { HostRecord } from '../fleet/hostRecord.js'
 import type { TargetLoad } from '../link/messages.js'
+import { BYTES_PER_KIB } from '../link/sendQueue.js'
 import type { MeshRoute } from '../routing/meshConfig.js'
 
 /** A target that a request may be offered to, with its estimated cost. */
@@ -90,7 +91,6 @@
 const DEFAULT_UTILISATION = 0.3
 /** Cost of a failed request, as a multiple of the target latency. */
 const FAILURE_COST = 2
-const BYTES_PER_KIB = 1_024
 /** Answers that take the link for less go before longer ones and don't wait for them. */
 const LONG_ANSWER_MS = 10
 /** Half-life of the weight of a reported load. */
