Read workspaces from the configuration, and spread them as differences

The configuration's `tenants` were skipped, and so was `allow_anonymous` of its routes. Optional fields may be null. Deltas between daemons carry new and changed workspaces and the names of removed ones; a delta without these fields is refused, as it would admit callers without keys. `RouteTable` finds a workspace by the hash of a key. The index is shared by versions that change no workspace.

A route table is now made before a version counts as in force, so that a delta with odd workspaces from a peer leaves the old version; a test guards it.

--- a/packages/hop/src/__tests__/fixtures.ts
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -35,7 +35,7 @@
 
 /** Route to the service of `testHost`. */
 export const TEST_ROUTE: MeshRoute = {
-  name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
+  name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2, allowsAnonymous: false
 }
 
 /** A quarantine of a daemon that tells nobody what is new in it. */
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -310,9 +310,9 @@
 
   #config (): MeshConfig {
     const routes: MeshRoute[] = this.#workload.classes.map((cls) => ({
-      name: cls.name, host: 'h', pathPrefix: `/${cls.name}/`, parts: [{ service: cls.service, weight: 1 }], idempotent: cls.idempotent, bulky: cls.bulky ?? false, timeoutMs: cls.timeoutMs, targetLatencyMs: cls.targetLatencyMs, priority: cls.priority, maxAttempts: 2
+      name: cls.name, host: 'h', pathPrefix: `/${cls.name}/`, parts: [{ service: cls.service, weight: 1 }], idempotent: cls.idempotent, bulky: cls.bulky ?? false, timeoutMs: cls.timeoutMs, targetLatencyMs: cls.targetLatencyMs, priority: cls.priority, maxAttempts: 2, allowsAnonymous: false
     }))
-    return { version: 1, routes, services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+    return { version: 1, routes, services: new Map(), workspaces: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
   }
 }
 
--- a/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
+++ b/packages/hop/src/daemon/__tests__/configUpdater.spec.ts
@@ -1,10 +1,11 @@
 import test from 'ava'
-import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
+import { keyHash, SeededRandom, VirtualTimers } from '@lentilwheel/core'
 import { PeerLost, StoreUnavailable } from '../../errors.js'
 import type { Fleet } from '../../fleet/fleet.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { ConfigDelta } from '../../routing/configDelta.js'
-import type { MeshConfig, MeshRoute } from '../../routing/meshConfig.js'
+import type { MeshConfig, MeshRoute, MeshWorkspace } from '../../routing/meshConfig.js'
+import type { RouteTable } from '../../routing/routeTable.js'
 import { EpochTracker } from '../../store/epochTracker.js'
 import type { EventBatch, ObjectStore } from '../../store/objectStore.js'
 import type { StoreRevision } from '../../store/storeRevision.js'
@@ -13,11 +14,18 @@
 
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 
+/** Workspaces of a version; the key `withdrawn` is in the versions below this one. */
+const WITHDRAWN_IN = 6
+function workspaces (version: number): Map<string, MeshWorkspace> {
+  const keys = version < WITHDRAWN_IN ? ['kept', 'withdrawn'] : ['kept']
+  return new Map([['w', { name: 'w', keyHashes: keys.map((key) => keyHash(key)), ratePerS: 0, burst: 0 }]])
+}
+
 function config (version: number): MeshConfig {
   const route: MeshRoute = {
-    name: `r${version}`, host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1, targetLatencyMs: 1, priority: 1, maxAttempts: 1
+    name: `r${version}`, host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1, targetLatencyMs: 1, priority: 1, maxAttempts: 1, allowsAnonymous: false
   }
-  return { version, routes: [route], services: new Map(), limits: LIMITS }
+  return { version, routes: [route], services: new Map(), workspaces: workspaces(version), limits: LIMITS }
 }
 
 /** A `ConfigUpdater` with fake peers that announce versions, and a fake store that counts list calls. */
@@ -30,11 +38,15 @@
   readonly silentPeers = new Set<string>()
   /** Versions that the updater made active, in order. */
   readonly appliedVersions: number[] = []
+  /** Route table of the active version. */
+  table: RouteTable | undefined
   storedVersion = 1
   listCalls = 0
   isStoreDown: boolean
   /** Base version stated in the deltas that peers return; by default the requested one. */
   claimedBase: number | undefined
+  /** Workspaces in the deltas that peers return, instead of those of the version. */
+  oddWorkspaces: unknown[] | undefined
   #wakeWatch: () => void = () => {}
   readonly updater: ConfigUpdater
 
@@ -73,12 +85,21 @@
           this.fetchedFrom.push(host)
           if (this.silentPeers.has(host)) throw new PeerLost('no reply')
           const version = this.peerVersions.get(host)!
-          return { version, base: this.claimedBase ?? heldVersion, put: [...config(version).routes], gone: [], services: [], limits: LIMITS }
+          return { version, base: this.claimedBase ?? heldVersion, put: [...config(version).routes], gone: [], services: [], limits: LIMITS, putWorkspaces: this.oddWorkspaces as MeshWorkspace[] | undefined ?? [...workspaces(version).values()], goneWorkspaces: [] }
         }
       })
     } as unknown as Fleet
     this.updater = new ConfigUpdater({
-      fleet, store, codec, timers, random: new SeededRandom(1), log: new NoopCallLog(), onConfig: (table) => this.appliedVersions.push(table.config.version)
+      fleet,
+      store,
+      codec,
+      timers,
+      random: new SeededRandom(1),
+      log: new NoopCallLog(),
+      onConfig: (table) => {
+        this.appliedVersions.push(table.config.version)
+        this.table = table
+      }
     })
     this.updater.start()
   }
@@ -93,6 +114,11 @@
     this.#wakeWatch()
   }
 
+  /** Whether the active version has a key. */
+  hasKey (key: string): boolean {
+    return this.table?.workspaceOf(keyHash(key)) !== undefined
+  }
+
   /** Lets a peer announce a version, which makes the updater check its peers. */
   announceVersion (host: string, version: number): void {
     this.peerVersions.set(host, version)
@@ -192,3 +218,38 @@
   await harness.run(1_000)
   t.deepEqual([harness.appliedVersions, harness.fetchedFrom.slice(0, 2)], [[1, 5], ['a1', 'a2']])
 })
+
+test('guards against a withdrawn key coming back from a peer or a store with an older version', async (t) => {
+  const harness = new Harness(NON_WATCHER_RANK)
+  await harness.run(2_000)
+  t.true(harness.hasKey('withdrawn'))
+  harness.announceVersion('a1', 6)
+  await harness.run(1_000)
+  t.deepEqual([harness.hasKey('kept'), harness.hasKey('withdrawn')], [true, false])
+  harness.storedVersion = 4
+  harness.announceVersion('a1', 5)
+  harness.announceVersion('b1', 3)
+  await harness.run(20_000)
+  t.deepEqual([harness.appliedVersions, harness.hasKey('kept'), harness.hasKey('withdrawn')], [[1, 6], true, false])
+})
+
+test('guards against a daemon that starts again taking an older version from a peer although another has the newest', async (t) => {
+  const harness = new Harness(NON_WATCHER_RANK, true)
+  harness.peerVersions.set('a1', 5)
+  harness.announceVersion('a2', 6)
+  await harness.run(1_000)
+  t.deepEqual([harness.appliedVersions.at(-1), harness.hasKey('withdrawn')], [6, false])
+})
+
+test('guards against a delta that can\'t be read changing what is in force', async (t) => {
+  const harness = new Harness(NON_WATCHER_RANK)
+  await harness.run(2_000)
+  harness.oddWorkspaces = [{ name: 'w' }]
+  harness.isStoreDown = true
+  harness.announceVersion('a1', 5)
+  await harness.run(1_000)
+  t.deepEqual([harness.appliedVersions, harness.hasKey('withdrawn')], [[1], true])
+  harness.oddWorkspaces = undefined
+  await harness.run(1_000)
+  t.is(harness.appliedVersions.at(-1), 5)
+})
--- a/packages/hop/src/daemon/configUpdater.ts
+++ b/packages/hop/src/daemon/configUpdater.ts
@@ -4,6 +4,7 @@
 import { applyDelta, deltaBetween, type ConfigDelta } from '../routing/configDelta.js'
 import type { MeshConfig } from '../routing/meshConfig.js'
 import { RouteTable } from '../routing/routeTable.js'
+import { reuseUnchanged } from '../routing/workspaceIndex.js'
 import { StoreWatcher } from '../store/storeWatcher.js'
 import type { ObjectStore } from '../store/objectStore.js'
 import type { StoreCodec } from './storeCodec.js'
@@ -172,15 +173,17 @@
   }
 
   /** Makes a configuration active if it is newer than the current one. */
-  #apply (config: MeshConfig, from: string): void {
+  #apply (received: MeshConfig, from: string): void {
     const { log, fleet, onConfig } = this.#opts
     const before = this.#currentVersion
+    const config = { ...received, workspaces: reuseUnchanged(this.#versions.at(-1)?.workspaces, received.workspaces) }
     if (config.version < before) log.decision('configOlder', { version: config.version, inForce: before, from })
     if (config.version <= before) return
-    log.decision('configInForce', { version: config.version, before, routes: config.routes.length, from })
+    log.decision('configInForce', { version: config.version, before, routes: config.routes.length, workspaces: config.workspaces.size, from })
+    const table = new RouteTable(config)
     this.#versions.push(config)
     if (this.#versions.length > MAX_KEPT_VERSIONS) this.#versions.shift()
-    onConfig(new RouteTable(config))
+    onConfig(table)
     fleet.setConfigVersion(config.version, from === 'store')
   }
 }
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -6,7 +6,7 @@
 import type { Candidate } from '../costEstimate.js'
 
 const route: MeshRoute = {
-  name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2
+  name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2, allowsAnonymous: false
 }
 const nonIdempotent: MeshRoute = { ...route, idempotent: false }
 const ok: HopReply = { kind: 'response', status: 200, headers: [], body: new Uint8Array(), unframed: false }
--- a/packages/hop/src/routing/__tests__/routing.spec.ts
+++ b/packages/hop/src/routing/__tests__/routing.spec.ts
@@ -5,12 +5,12 @@
 import { TrafficSplitter } from '../trafficSplitter.js'
 
 function route (name: string, host: string, pathPrefix: string, parts: RoutePart[] = [{ service: name, weight: 1 }]): MeshRoute {
-  return { name, host, pathPrefix, parts, idempotent: true, bulky: false, timeoutMs: 1_000, targetLatencyMs: 300, priority: 1, maxAttempts: 2 }
+  return { name, host, pathPrefix, parts, idempotent: true, bulky: false, timeoutMs: 1_000, targetLatencyMs: 300, priority: 1, maxAttempts: 2, allowsAnonymous: false }
 }
 
 function table (...routes: MeshRoute[]): RouteTable {
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
-  const config: MeshConfig = { version: 1, routes, services: new Map(), limits }
+  const config: MeshConfig = { version: 1, routes, services: new Map(), workspaces: new Map(), limits }
   return new RouteTable(config)
 }
 
--- a/packages/hop/src/routing/configDelta.ts
+++ b/packages/hop/src/routing/configDelta.ts
@@ -1,4 +1,5 @@
-import type { MeshConfig, MeshRoute, MeshService, RequestLimits } from './meshConfig.js'
+import type { MeshConfig, MeshRoute, MeshService, MeshWorkspace, RequestLimits } from './meshConfig.js'
+import { applyWorkspaceChanges, workspaceChanges } from './workspaceIndex.js'
 
 /** The change from one configuration to a later one; small, as most versions differ in a few routes from the one before. */
 export interface ConfigDelta {
@@ -11,10 +12,14 @@
   gone: string[]
   services: MeshService[]
   limits: RequestLimits
+  /** New and changed workspaces. */
+  putWorkspaces: MeshWorkspace[]
+  /** Names of removed workspaces. */
+  goneWorkspaces: string[]
 }
 
-/** Fields required in a delta from a peer. */
-export const DELTA_FIELDS = ['version', 'base', 'put', 'gone', 'services', 'limits'] as const satisfies readonly (keyof ConfigDelta)[]
+/** Fields required in a delta from a peer; one without workspaces, of an older build, would admit callers without keys. */
+export const DELTA_FIELDS = ['version', 'base', 'put', 'gone', 'services', 'limits', 'putWorkspaces', 'goneWorkspaces'] as const satisfies readonly (keyof ConfigDelta)[]
 
 /** The change from `base` to `config`; the whole of `config` without a base, or if route names are not unique. */
 export function deltaBetween (base: MeshConfig | undefined, config: MeshConfig): ConfigDelta {
@@ -22,20 +27,24 @@
   const services = [...config.services.values()]
   const baseRoutes = base && routesByName(base)
   const newRoutes = routesByName(config)
-  if (!base || !baseRoutes || !newRoutes) return { version, base: 0, put: [...config.routes], gone: [], services, limits }
+  if (!base || !baseRoutes || !newRoutes) {
+    return { version, base: 0, put: [...config.routes], gone: [], services, limits, putWorkspaces: [...config.workspaces.values()], goneWorkspaces: [] }
+  }
   const put = config.routes.filter((route) => !isSameRoute(baseRoutes.get(route.name), route))
   const gone = [...baseRoutes.keys()].filter((name) => !newRoutes.has(name))
-  return { version, base: base.version, put, gone, services, limits }
+  const { put: putWorkspaces, gone: goneWorkspaces } = workspaceChanges(base.workspaces, config.workspaces)
+  return { version, base: base.version, put, gone, services, limits, putWorkspaces, goneWorkspaces }
 }
 
 /** Applies a delta to the current configuration; undefined if the delta is based on another version. */
 export function applyDelta (current: MeshConfig | undefined, delta: ConfigDelta): MeshConfig | undefined {
-  const { version, base, put, gone, limits } = delta
+  const { version, base, put, gone, limits, putWorkspaces, goneWorkspaces } = delta
   const services = new Map(delta.services.map((service) => [service.name, service]))
-  if (base === 0) return { version, routes: put, services, limits }
+  if (base === 0) return { version, routes: put, services, limits, workspaces: applyWorkspaceChanges(new Map(), putWorkspaces, []) }
   if (current?.version !== base) return undefined
   const replaced = new Set([...gone, ...put.map(({ name }) => name)])
-  return { version, routes: [...current.routes.filter(({ name }) => !replaced.has(name)), ...put], services, limits }
+  const routes = [...current.routes.filter(({ name }) => !replaced.has(name)), ...put]
+  return { version, routes, services, limits, workspaces: applyWorkspaceChanges(current.workspaces, putWorkspaces, goneWorkspaces) }
 }
 
 /** Routes by name; undefined if names are not unique. */
--- a/packages/hop/src/routing/meshConfig.ts
+++ b/packages/hop/src/routing/meshConfig.ts
@@ -23,6 +23,21 @@
   readonly priority: number
   /** Maximum number of targets that one request may reach. */
   readonly maxAttempts: number
+  /** Whether callers without a key may use the route; without effect if there are no workspaces. */
+  readonly allowsAnonymous: boolean
+}
+
+/** A group of callers that share keys, a priority and a quota. */
+export interface MeshWorkspace {
+  readonly name: string
+  /** SHA-256 of each key, base64; the keys themselves are dropped when the configuration is decoded. */
+  readonly keyHashes: readonly string[]
+  /** Replaces the priority of the routes; 0 is the most urgent. */
+  readonly priority?: number
+  /** Requests per second over all daemons; 0 for no limit. */
+  readonly ratePerS: number
+  /** Requests beyond the rate that may come at once. */
+  readonly burst: number
 }
 
 /** A service that routes can send requests to. */
@@ -48,4 +63,6 @@
   readonly routes: readonly MeshRoute[]
   readonly services: ReadonlyMap<string, MeshService>
   readonly limits: RequestLimits
+  /** Workspaces by name; if there are none, callers need no keys. */
+  readonly workspaces: ReadonlyMap<string, MeshWorkspace>
 }
