Identify callers by their keys, and tell targets the workspace

Keys weren't read: each request with a key reached its target with the key on it and without a workspace, one without a key ran as well, and a `Lentilwheel-Tenant` that a caller wrote went through. Now that header is always dropped from what callers send, and added with the name of the caller's workspace, on retries too. If the configuration has workspaces, `Authorization` is read and dropped: an unknown or malformed key gets 401 on any route, no key 401 on a route that isn't open to anonymous callers. Nested calls carry no key and pass. Without a configuration the answer stays 503.

The workspace's priority replaces the route's in calls between daemons (`priority`, and from it the urgency at links, in queues and in the retry budget). Calls carry the workspace's name; the protocol between daemons is version 8. Log lines name the workspace, a new counter `lentilwheel_rejections_total` has the reason of a rejection and no label by workspace. The fingerprint of requests that crash targets doesn't depend on the workspace; a test says so.

--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -67,12 +67,17 @@
   return ` (${placing} ms until it was placed, ${queue} ms for a slot, ${target} ms at the target, ${transit} ms on the way)`
 }
 
+/** Whose request it was, if its caller had a key. */
+function workspaceSuffix ({ workspace }: LogLine): string {
+  return workspace === undefined ? '' : ` for workspace ${workspace}`
+}
+
 function describeLine (line: LogLine): string {
   const outcome = String(line['outcome'] ?? '')
   switch (line.what) {
     case 'outbound':
       return `ended it with ${outcome}${reasonSuffix(line)} after ${line['ms'] ?? 0} ms and ${line['offers'] ?? 0} offers, ` +
-        `on route ${line['route'] ?? 'none'} of configuration ${line['config'] ?? 'unknown'}${waitsSuffix(line)}`
+        `on route ${line['route'] ?? 'none'} of configuration ${line['config'] ?? 'unknown'}${workspaceSuffix(line)}${waitsSuffix(line)}`
     case 'attempt':
       return `offered it to ${line['peer']} (target ${line['target']}, ${line['mode']}): ${outcome}, ` +
         (line['ran'] === true ? 'so it may have run there' : 'so it did not run there')
@@ -136,6 +141,8 @@
   noTarget: 'No target of the service was known, reachable and taking work.',
   noRoute: 'The configuration in force has no route for its host and path.',
   noConfiguration: 'The daemon had no configuration yet.',
+  unknownKey: 'No workspace of the configuration in force has its key, or what it carried is no key.',
+  keyMissing: 'It carried no key, and its route is not open to callers without one.',
   displacing: 'The calls that it makes go to a service that rejected more urgent requests at that time.',
   shed: 'The targets refused it themselves, and the retry budget or the route allowed no other.',
   deadline: 'Its time was over before a target answered.',
--- a/packages/hop/src/__tests__/fixtures.ts
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -19,6 +19,7 @@
   limit: 'x-limit',
   leaving: 'x-leaving',
   callerService: 'x-caller',
+  workspace: 'x-workspace',
   signature: 'x-sig'
 }
 
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -320,4 +320,4 @@
   return reply.kind === 'response' ? reply.body.length : 0
 }
 
-const noMetrics: CallMetrics = { request: () => {}, wait: () => {}, refusal: () => {}, event: () => {}, state: () => {}, text: async () => '' }
+const noMetrics: CallMetrics = { request: () => {}, wait: () => {}, refusal: () => {}, rejection: () => {}, event: () => {}, state: () => {}, text: async () => '' }
--- a/packages/hop/src/headers.ts
+++ b/packages/hop/src/headers.ts
@@ -16,6 +16,8 @@
   readonly leaving: string
   /** Service on the host from which the request was sent. */
   readonly callerService: string
+  /** Workspace of the caller. */
+  readonly workspace: string
   /** On a response: proof that the target made it. */
   readonly signature: string
 }
@@ -38,3 +40,8 @@
   }
   return count
 }
+
+/** Text as a header value in the form that the HTTP parser gives and takes: its UTF-8 bytes, decoded as Latin-1. */
+export function headerText (text: string): string {
+  return Buffer.from(text).toString('latin1')
+}
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -238,3 +238,11 @@
   t.like(settle('h1/1/2'), { kind: 'notRun', reason: 'revoked' }, 'a later call of the sender')
   t.like(settle('h1/2/1'), { kind: 'notRun', reason: 'revoked' }, 'a later start of the sender')
 })
+
+test('guards against the log of a target\'s daemon not telling whose request ran', (t) => {
+  const setup = new TestSetup()
+  setup.offer('a', { workspace: 'hotel' })
+  setup.offer('b')
+  for (const id of ['a', 'b']) setup.respond(id)
+  t.snapshot(setup.lines)
+})
--- a/packages/hop/src/inbound/__tests__/inboundSetup.ts
+++ b/packages/hop/src/inbound/__tests__/inboundSetup.ts
@@ -13,6 +13,8 @@
   readonly timers = new VirtualTimers()
   readonly sent: { id: string, done (result: TargetResult): void, isAborted: boolean }[] = []
   readonly replies = new Map<string, HopReply>()
+  /** Log lines of single requests. */
+  readonly lines: object[] = []
   readonly decisions: object[] = []
   readonly quarantine = testQuarantine(this.timers)
   target: TargetRecord | undefined = { id: 'i-1', startedAt: 1_000, service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
@@ -26,7 +28,7 @@
   readonly handler = new InboundHandler({
     timers: this.timers,
     random: new SeededRandom(1),
-    log: { call: () => {}, decision: (what, fields) => { this.decisions.push({ what, ...fields }) } },
+    log: { call: (_isPlain, what, fields) => { this.lines.push({ what, ...fields }) }, decision: (what, fields) => { this.decisions.push({ what, ...fields }) } },
     names,
     link: new LinkForecast(unlimitedQueue(), new ResponseSizes()),
     quarantine: this.quarantine,
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -305,9 +305,9 @@
   }
 
   #log (message: CallMessage, isPlain: boolean, outcome: number | string, details: object = {}): void {
-    const { requestId: id, key: call, route, targetId: target } = message
+    const { requestId: id, key: call, route, targetId: target, workspace } = message
     const { running, queued } = this.#admission
-    this.#opts.log.call(isPlain, 'inbound', { id, call, route, target, outcome, ...details, running, queued })
+    this.#opts.log.call(isPlain, 'inbound', { id, call, route, ...workspace === undefined ? {} : { workspace }, target, outcome, ...details, running, queued })
   }
 
   /** Removes a call from the queue. */
--- a/packages/hop/src/link/__tests__/codec.spec.ts
+++ b/packages/hop/src/link/__tests__/codec.spec.ts
@@ -5,7 +5,7 @@
 import type { CallMessage, HopReply } from '../messages.js'
 
 const call: CallMessage = {
-  key: 'a/1/1', requestId: 'r', incarnation: 1_787_199_927_259, mode: 'queue', service: 's', targetId: 'i', route: 'r', method: 'POST', url: '/x?y=\u00e9', headers: ['Host', 'h'], body: Buffer.from([0, 255]), deadlineMs: 12.5, targetLatencyMs: 600, priority: 1, idempotent: false, nested: true, suspect: false, repeat: false, heardLimitPerS: 17.5
+  key: 'a/1/1', requestId: 'r', incarnation: 1_787_199_927_259, mode: 'queue', service: 's', targetId: 'i', route: 'r', method: 'POST', url: '/x?y=\u00e9', headers: ['Host', 'h'], body: Buffer.from([0, 255]), deadlineMs: 12.5, targetLatencyMs: 600, priority: 1, idempotent: false, nested: true, suspect: false, repeat: false, heardLimitPerS: 17.5, workspace: 'hotel'
 }
 
 test('guards against a call being altered by encoding and decoding', (t) => {
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -8,12 +8,12 @@
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true, int64AsType: 'number' })
 
 /** Has to be raised whenever the field lists below change; messages with another number are rejected. */
-const PROTOCOL_VERSION = 7
+const PROTOCOL_VERSION = 8
 
 /** Calls and replies make up most of the traffic between daemons, so their fields are sent by position without names. */
 const CALL_FIELDS = [
   'key', 'requestId', 'incarnation', 'mode', 'service', 'targetId', 'route', 'method', 'url', 'headers', 'body', 'deadlineMs',
-  'targetLatencyMs', 'priority', 'idempotent', 'nested', 'repeat', 'suspect', 'heardLimitPerS'
+  'targetLatencyMs', 'priority', 'idempotent', 'nested', 'repeat', 'suspect', 'heardLimitPerS', 'workspace'
 ] as const satisfies readonly (keyof CallMessage)[]
 const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'isFinal', 'load', 'queuedMs', 'ranMs'] as const
 const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs', 'linkMs', 'linkMsPerKib'] as const satisfies readonly (keyof TargetLoad)[]
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -34,7 +34,7 @@
   /** Milliseconds left until the deadline of the request. */
   deadlineMs: number
   targetLatencyMs: number
-  /** Priority of the route; 0 is the most urgent. */
+  /** Priority of the caller's workspace, or else of the route; 0 is the most urgent. */
   priority: number
   idempotent: boolean
   /** Whether a target sent the request while it handles another one that waits for the response. */
@@ -45,6 +45,8 @@
   suspect: boolean
   /** Limit on its requests per second that the sender last heard of the target; absent if it heard of none. */
   heardLimitPerS?: number
+  /** Name of the caller's workspace; absent for a request without one. */
+  workspace?: string
 }
 
 /** Load of a target as measured by the daemon beside it. */
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -15,6 +15,9 @@
  */
 export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked'
 
+/** Why a daemon rejects a caller's request before it looks for a target. */
+export type RejectionReason = 'noConfiguration' | 'noRoute' | 'unknownKey' | 'keyMissing'
+
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
   request (route: string, outcome: string, ms: number): void
@@ -22,6 +25,8 @@
   wait (place: keyof CallWaits, route: string, ms: number): void
   /** Adds the offers of a route that this daemon rejected. */
   refusal (route: string, reason: string, count: number): void
+  /** Counts a request that this daemon rejected before it looked for a target. */
+  rejection (reason: RejectionReason): void
   event (name: MetricEventName): void
   state (name: MetricStateName, value: number): void
   /** The metrics in the Prometheus text format. */
@@ -47,6 +52,10 @@
     name: 'lentilwheel_refusals_total', help: 'Offers rejected by the daemon beside the target', labelNames: ['route', 'reason'], registers: [this.#registry]
   })
 
+  readonly #rejections = new Counter({
+    name: 'lentilwheel_rejections_total', help: 'Requests of callers rejected before a target was looked for', labelNames: ['reason'], registers: [this.#registry]
+  })
+
   readonly #events = new Counter({
     name: 'lentilwheel_events_total', help: 'Other events by name', labelNames: ['event'], registers: [this.#registry]
   })
@@ -68,6 +77,10 @@
     this.#refusals.inc({ route, reason }, count)
   }
 
+  rejection (reason: RejectionReason): void {
+    this.#rejections.inc({ reason })
+  }
+
   event (name: MetricEventName): void {
     this.#events.inc({ event: name })
   }
--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -34,6 +34,7 @@
   ['ordinary request', '/a/b?c=1', ['Host', 'h.example:80', 'X-Id', 'r1', 'X-Deadline', '2500', 'Accept', '*/*']],
   ['hop-by-hop headers are removed', '/', ['Host', 'h', 'X-Id', 'r1', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1', 'Transfer-Encoding', 'chunked', 'Content-Length', '3', 'Keep-Alive', 'x', 'X-Stay', '1']],
   ['headers that only daemons set are removed', '/', ['Host', 'h', 'X-Id', 'r1', 'X-Caller', 'forged', 'X-Expected', 'forged', 'x-deadline', 'soon']],
+  ['a workspace that the caller made up is removed, its key stays for the daemon', '/', ['Host', 'h', 'X-Id', 'r1', 'X-Workspace', 'forged', 'x-workspace', 'forged too', 'Authorization', 'Bearer k']],
   ['two host headers', '/', ['Host', 'a', 'Host', 'b', 'X-Id', 'r1']],
   ['no host header', '/', ['X-Id', 'r1']],
   ['no request id', '/', ['Host', 'a']],
--- a/packages/hop/src/outbound/__tests__/outboundCall.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundCall.spec.ts
@@ -57,6 +57,7 @@
       reject: (status) => { setup.answers.push(status) }
     },
     route,
+    workspace: undefined,
     service: 's',
     configVersion: 1,
     isCallerRetry: false,
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -215,6 +215,7 @@
         if (res.destroyed || res.headersSent) return
         const body = `${reason}\n`
         const headers = ['Content-Type', 'text/plain', 'Content-Length', String(Buffer.byteLength(body))]
+        if (status === 401) headers.push('WWW-Authenticate', 'Bearer')
         if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3))
         this.#closeIfStopping(headers)
         res.writeHead(status, headers)
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -3,9 +3,10 @@
 import { NotForwardable } from '../errors.js'
 import type { CallWaits } from '../observe/trafficSummary.js'
 import type { HostRecord } from '../fleet/hostRecord.js'
+import { headerText } from '../headers.js'
 import type { CallMessage, HopReply, OfferMode } from '../link/messages.js'
 import { urgencyOf } from '../link/urgency.js'
-import type { MeshRoute } from '../routing/meshConfig.js'
+import type { MeshRoute, MeshWorkspace } from '../routing/meshConfig.js'
 import { FIRST_HOLD_MS, isRefused, type Standing } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import type { VersionChoice } from '../rollout/versionRules.js'
@@ -28,6 +29,8 @@
   req: CallerRequest
   res: Responder
   route: MeshRoute
+  /** Workspace of the caller; undefined for a request without a key. */
+  workspace: MeshWorkspace | undefined
   service: string
   /** Version of the configuration that the route belongs to. */
   configVersion: number
@@ -47,6 +50,7 @@
   readonly #input: OutboundCallInput
   readonly #startedAt: number
   readonly #deadlineAt: number
+  readonly #priority: number
   readonly #urgency: number
   readonly #versionChoice: VersionChoice | undefined
   readonly #flow: Generator<CallCommand[], void, CallEvent>
@@ -63,13 +67,14 @@
   #cachedFingerprint: string | undefined
 
   constructor (opts: OutboundOptions, input: OutboundCallInput) {
-    const { req, route, service } = input
+    const { req, route, workspace, service } = input
     this.#opts = opts
     this.#input = input
     this.#startedAt = opts.timers.now()
     this.#repliedOfferAt = this.#startedAt
     this.#deadlineAt = this.#startedAt + Math.min(req.head.deadlineMs, route.timeoutMs, MAX_DEADLINE_MS)
-    this.#urgency = urgencyOf({ nested: req.origin !== 'caller', priority: route.priority })
+    this.#priority = workspace?.priority ?? route.priority
+    this.#urgency = urgencyOf({ nested: req.origin !== 'caller', priority: this.#priority })
     this.#versionChoice = opts.versions.choose(service)
     this.#flow = callFlow({ route, deadlineAt: this.#deadlineAt, bodyBytes: req.body.length }, this.#context())
   }
@@ -275,7 +280,7 @@
 
   #message ({ candidate, mode, isRetry }: Extract<CallCommand, { kind: 'offer' }>): CallMessage {
     const { fleet, timers } = this.#opts
-    const { req, route, service, nextKey } = this.#input
+    const { req, route, workspace, service, nextKey } = this.#input
     const heardLimitPerS = this.#opts.loadBalancer.heardLimitPerS(candidate.targetId)
     return {
       key: nextKey(),
@@ -291,20 +296,25 @@
       body: mode === 'ask' ? NO_BODY : req.body,
       deadlineMs: this.#deadlineAt - timers.now(),
       targetLatencyMs: route.targetLatencyMs,
-      priority: route.priority,
+      priority: this.#priority,
       idempotent: route.idempotent,
       nested: req.origin !== 'caller',
       repeat: isRetry || req.origin === 'repeatedRun',
       suspect: this.#standing() !== 'clear',
-      ...heardLimitPerS === undefined ? {} : { heardLimitPerS }
+      ...heardLimitPerS === undefined ? {} : { heardLimitPerS },
+      ...workspace && { workspace: workspace.name }
     }
   }
 
   #headers (): string[] {
     const { names, callerService } = this.#opts
-    const { headers } = this.#input.req.head
+    const { req: { head: { headers } }, workspace } = this.#input
     const caller = callerService()
-    return caller === undefined ? headers : [...headers, names.callerService, caller]
+    return [
+      ...headers,
+      ...caller === undefined ? [] : [names.callerService, caller],
+      ...workspace ? [names.workspace, headerText(workspace.name)] : []
+    ]
   }
 
   /** Updates the load balancer with what a reply tells of the target and its daemon. */
@@ -327,13 +337,13 @@
 
   #end (outcome: string | number, isPlain: boolean, details: object): void {
     const { timers, metrics, log } = this.#opts
-    const { req, route, service, configVersion, onEnd } = this.#input
+    const { req, route, workspace, service, configVersion, onEnd } = this.#input
     this.#isDone = true
     this.#stopTimer()
     const ms = timers.now() - this.#startedAt
     metrics.request(route.name, String(outcome), ms)
     log.call(isPlain, 'outbound', {
-      id: req.head.requestId, route: route.name, service, config: configVersion, outcome, ms: Math.round(ms), offers: this.#offerCount, ...details
+      id: req.head.requestId, route: route.name, ...workspace && { workspace: workspace.name }, service, config: configVersion, outcome, ms: Math.round(ms), offers: this.#offerCount, ...details
     })
     onEnd()
   }
--- a/packages/hop/src/outbound/outboundHandler.ts
+++ b/packages/hop/src/outbound/outboundHandler.ts
@@ -1,5 +1,9 @@
+import type { RejectionReason } from '../observe/callMetrics.js'
+import type { MeshRoute, MeshWorkspace } from '../routing/meshConfig.js'
 import type { RouteTable } from '../routing/routeTable.js'
 import { TrafficSplitter } from '../routing/trafficSplitter.js'
+import { identifyCaller } from './callerIdentity.js'
+import { withoutCredentials } from './credentials.js'
 import { OutboundCall } from './outboundCall.js'
 import type { OutboundOptions, CallerRequest, Responder } from './outboundTypes.js'
 import { CallerRetryDetector } from './retryAfter.js'
@@ -7,9 +11,25 @@
 /** Retry-After for callers rejected because the daemon has no configuration yet. */
 const NO_CONFIG_RETRY_AFTER_MS = 300
 
+/** A caller's request, and what the configuration says about it. */
+interface RoutedRequest {
+  req: CallerRequest
+  res: Responder
+  table: RouteTable
+  route: MeshRoute
+  workspace: MeshWorkspace | undefined
+}
+
+interface Rejection {
+  status: number
+  reason: RejectionReason
+  retryAfterMs?: number
+  route?: string
+}
+
 /**
- * Entry point of callers' requests: finds the route, chooses the service among the parts of a split, and runs each request
- * to its end as an `OutboundCall`.
+ * Entry point of callers' requests: finds the route and the caller's workspace, chooses the service among the parts of a split, and
+ * runs each request to its end as an `OutboundCall`.
  */
 export class OutboundHandler {
   readonly #opts: OutboundOptions
@@ -45,21 +65,42 @@
 
   /** Handles one request; returns a function to call when the caller closes its connection. */
   handle (req: CallerRequest, res: Responder): () => void {
+    const request = this.#route(req, res)
+    return request ? this.#start(request) : () => {}
+  }
+
+  /** Responds to all callers still waiting: a response tells a caller whether its request may have run, a closed connection does not. */
+  abortAll (): void {
+    for (const call of this.#calls) call.abort()
+  }
+
+  /** Finds the route and the workspace of a request; undefined if it has been rejected. */
+  #route (req: CallerRequest, res: Responder): RoutedRequest | undefined {
     const table = this.#table
     if (!table) {
-      this.#reject(req, res, 503, 'noConfiguration', NO_CONFIG_RETRY_AFTER_MS)
-      return () => {}
+      this.#reject(req, res, { status: 503, reason: 'noConfiguration', retryAfterMs: NO_CONFIG_RETRY_AFTER_MS })
+      return undefined
     }
     const route = table.match(req.head.host, req.head.path)
     if (!route) {
-      this.#reject(req, res, 404, 'noRoute')
-      return () => {}
+      this.#reject(req, res, { status: 404, reason: 'noRoute' })
+      return undefined
     }
+    const identity = identifyCaller(table, route, req)
+    if (identity.kind === 'rejected') {
+      this.#reject(req, res, { status: 401, reason: identity.reason, route: route.name })
+      return undefined
+    }
+    return { req, res, table, route, workspace: identity.workspace }
+  }
+
+  #start ({ req, res, table, route, workspace }: RoutedRequest): () => void {
     const { own } = this.#opts.fleet
     const call: OutboundCall = new OutboundCall(this.#opts, {
-      req,
+      req: table.hasWorkspaces ? withoutKey(req) : req,
       res,
       route,
+      workspace,
       service: this.#splitter.nextService(route),
       configVersion: table.config.version,
       isCallerRetry: req.origin === 'caller' && this.#callerRetries.isRetry(route.name, req.head.deadlineMs),
@@ -71,17 +112,24 @@
     return () => call.onCallerLeft()
   }
 
-  /** Responds to all callers still waiting: a response tells a caller whether its request may have run, a closed connection does not. */
-  abortAll (): void {
-    for (const call of this.#calls) call.abort()
-  }
-
-  #reject (req: CallerRequest, res: Responder, status: number, reason: string, retryAfterMs?: number): void {
+  #reject (req: CallerRequest, res: Responder, { status, reason, retryAfterMs, ...details }: Rejection): void {
     const { metrics, log } = this.#opts
     metrics.request('', String(status), 0)
-    log.call(status === 404, 'outbound', {
-      id: req.head.requestId, outcome: status, reason, authority: req.head.host, config: this.#table?.config.version ?? 0
+    metrics.rejection(reason)
+    log.call(status !== 503, 'outbound', {
+      id: req.head.requestId,
+      outcome: status,
+      reason,
+      authority: req.head.host,
+      ...details,
+      ...retryAfterMs === undefined ? {} : { retryAfterMs: Math.round(retryAfterMs), notRun: true },
+      config: this.#table?.config.version ?? 0
     })
     res.reject(status, reason, retryAfterMs)
   }
 }
+
+/** The request as it may be passed on, without the key of the caller. */
+function withoutKey (req: CallerRequest): CallerRequest {
+  return { ...req, head: { ...req.head, headers: withoutCredentials(req.head.headers) } }
+}
--- a/packages/hop/src/outbound/requestHead.ts
+++ b/packages/hop/src/outbound/requestHead.ts
@@ -32,7 +32,7 @@
   if (requestId === undefined || requestId === '') return { kind: 'bad', reason: `the request needs ${names.requestId}` }
   const connectionHeaders = (headerValue(raw, 'connection') ?? '').toLowerCase().split(',').map((name) => name.trim()).filter(Boolean)
   if (connectionHeaders.some((name) => REQUIRED_HEADERS.has(name))) return { kind: 'bad', reason: 'the connection header names a header that must stay' }
-  const systemHeaders = new Set([names.deadline, names.expectedTarget, names.callerService].map((name) => name.toLowerCase()))
+  const systemHeaders = new Set([names.deadline, names.expectedTarget, names.callerService, names.workspace].map((name) => name.toLowerCase()))
   const headers: string[] = []
   for (let i = 0; i < raw.length; i += 2) {
     const key = raw[i]!.toLowerCase()
--- a/packages/hop/src/quarantine/__tests__/quarantine.spec.ts
+++ b/packages/hop/src/quarantine/__tests__/quarantine.spec.ts
@@ -204,6 +204,7 @@
 const identity: RequestIdentity = { method: 'GET', url: '/a?b=1', headers: ['Host', 'h', 'X-Id', 'r1', 'X-Caller', 'web'], body: Buffer.from('body') }
 const variations: [name: string, change: Partial<RequestIdentity>, isSame: boolean][] = [
   ['another id', { headers: ['Host', 'h', 'X-Id', 'r2', 'X-Caller', 'web'] }, true],
+  ['another workspace', { headers: ['Host', 'h', 'X-Id', 'r1', 'X-Caller', 'web', 'X-Workspace', 'hotel'] }, true],
   ['another user agent', { headers: ['User-Agent', 'u', 'Host', 'H', 'X-Caller', 'web'] }, true],
   ['another caller', { headers: ['Host', 'h', 'X-Id', 'r1', 'X-Caller', 'batch'] }, false],
   ['another host', { headers: ['Host', 'i', 'X-Id', 'r1', 'X-Caller', 'web'] }, false],
