Ask a quota gate for each request of a caller whose workspace has a rate

The interface `QuotaGate` of the design is asked once a request, before an `OutboundCall` is made; retries, hedges, nested calls and callers without a rate don't ask. Over the quota the caller gets 429 (`quotaExceeded`), if nobody who counts could be asked 503 (`quotaUnknown`), both with Retry-After. The right is given back if the request ended without having run, if its caller left or its time was over before the decision, and if the key or the route was withdrawn meanwhile. The wait counts against the time that the caller gave: calls now start their clock when the request was read. The retry budget goes by the time of the call, as its window can't go back.

Until the real gate is there, daemons get one that grants everything.

--- a/packages/cli/src/__tests__/explainRequest.spec.ts
+++ b/packages/cli/src/__tests__/explainRequest.spec.ts
@@ -18,10 +18,11 @@
 {"at":1787199908000,"host":"otaru-2","what":"requestBlocked","request":"d1","level":1,"reports":["otaru-3/1/1"],"forMs":3600000}
 {"at":1787199920450,"host":"otaru-2","what":"outbound","id":"deadly1","route":"browse","service":"showroom","config":28,"outcome":503,"ms":0,"offers":0,"reason":"quarantined","retryAfterMs":3587550,"notRun":true,"request":"d1","standing":"blocked"}
 {"at":1787199920460,"host":"otaru-2","what":"outbound","id":"keyless1","outcome":401,"reason":"keyMissing","authority":"h.example","route":"order","config":28}
+{"at":1787199920470,"host":"otaru-2","what":"outbound","id":"over1","outcome":429,"reason":"quotaExceeded","authority":"h.example","route":"order","workspace":"hotel","retryAfterMs":40,"notRun":true,"config":28}
 {"at":1787199920500,"host":"otaru-2","what":"linesOmitted","plain":3,"failed":0,"decision":0}
 {"at":17871999205`
 
-for (const id of ['busy1', 'gone1', 'lost1', 'good1', 'late1', 'deadly1', 'keyless1', 'unknown']) {
+for (const id of ['busy1', 'gone1', 'lost1', 'good1', 'late1', 'deadly1', 'keyless1', 'over1', 'unknown']) {
   test(`explains a request by its id: ${id}`, async (t) => {
     const cli = new CliHarness()
     cli.files.set('all.log', LOG)
--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -143,6 +143,8 @@
   noConfiguration: 'The daemon had no configuration yet.',
   unknownKey: 'No workspace of the configuration in force has its key, or what it carried is no key.',
   keyMissing: 'It carried no key, and its route is not open to callers without one.',
+  quotaExceeded: 'Its workspace had used up its quota.',
+  quotaUnknown: 'No daemon that counts the requests of its workspace could be asked in time.',
   displacing: 'The calls that it makes go to a service that rejected more urgent requests at that time.',
   shed: 'The targets refused it themselves, and the retry budget or the route allowed no other.',
   deadline: 'Its time was over before a target answered.',
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -13,6 +13,7 @@
 import { ResponseSizes } from '../outbound/responseSizes.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
+import { UnlimitedQuota } from '../quota/quotaGate.js'
 import type { QuarantineNews } from '../quarantine/quarantineNews.js'
 import type { HopReply } from '../link/messages.js'
 import { CONTROL_URGENCY, urgencyOf } from '../link/urgency.js'
@@ -256,7 +257,7 @@
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundHandler({
-      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes, traffic: new TrafficSummary(noMetrics), versions: { choose: () => undefined }, quarantine, callerService: () => record.target!.service
+      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes, traffic: new TrafficSummary(noMetrics), versions: { choose: () => undefined }, quarantine, quota: new UnlimitedQuota(), callerService: () => record.target!.service
     })
     this.#hosts.set(host, { record, client, fleet, inbound: inboundHandler, outbound, balancer, quarantine })
   }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -23,6 +23,7 @@
 import { BlockStore } from '../quarantine/blockStore.js'
 import { NewsSpreader } from '../quarantine/newsSpreader.js'
 import { Quarantine } from '../quarantine/quarantine.js'
+import { UnlimitedQuota } from '../quota/quotaGate.js'
 import type { ObjectStore } from '../store/objectStore.js'
 import type { StoreCodec } from './storeCodec.js'
 import { ConfigUpdater } from './configUpdater.js'
@@ -166,7 +167,7 @@
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     this.#outbound = new OutboundHandler({
-      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes, traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, callerService: () => this.#cfg.service
+      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes, traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, quota: new UnlimitedQuota(), callerService: () => this.#cfg.service
     })
     const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -16,7 +16,7 @@
 export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked'
 
 /** Why a daemon rejects a caller's request before it looks for a target. */
-export type RejectionReason = 'noConfiguration' | 'noRoute' | 'unknownKey' | 'keyMissing'
+export type RejectionReason = 'noConfiguration' | 'noRoute' | 'unknownKey' | 'keyMissing' | 'quotaExceeded' | 'quotaUnknown'
 
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
--- a/packages/hop/src/outbound/__tests__/outboundCall.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundCall.spec.ts
@@ -59,9 +59,11 @@
     route,
     workspace: undefined,
     service: 's',
+    arrivedAt: timers.now(),
     configVersion: 1,
     isCallerRetry: false,
     nextKey: () => 'key',
+    onNotRun: () => {},
     onEnd: () => { setup.ended++ }
   })
   call.start()
--- a/packages/hop/src/outbound/__tests__/outboundSetup.ts
+++ b/packages/hop/src/outbound/__tests__/outboundSetup.ts
@@ -2,6 +2,7 @@
 import { TEST_HEADERS as names, TEST_ROUTE, testHost } from '../../__tests__/fixtures.js'
 import type { RequestOrigin } from '../../inbound/runningRequests.js'
 import type { CallMessage, HopReply } from '../../link/messages.js'
+import type { QuotaDecision } from '../../quota/quotaGate.js'
 import type { MeshRoute, MeshWorkspace } from '../../routing/meshConfig.js'
 import { RouteTable } from '../../routing/routeTable.js'
 import { OutboundHandler } from '../outboundHandler.js'
@@ -25,13 +26,18 @@
   return { name, keyHashes: [keyHash(key)], ratePerS: 0, burst: 0, ...overrides }
 }
 
-/** An outbound handler whose offers and log lines the test sees; `/closed/` and `/open/` are its routes. */
+/** An outbound handler whose offers, quota decisions and log lines the test sees; `/closed/` and `/open/` are its routes. */
 export class OutboundSetup {
   readonly timers = new VirtualTimers()
   readonly offers: { message: CallMessage, reply (reply: HopReply): void }[] = []
   readonly lines: object[] = []
   readonly rejections: string[] = []
   readonly urgencies: number[] = []
+  /** Workspaces that the quota gate was asked about, and what it was given back. */
+  readonly asked: { name: string, decide (decision: QuotaDecision): void }[] = []
+  readonly givenBack: string[] = []
+  /** Decision of the quota gate at once; undefined if the test decides later. */
+  decision: QuotaDecision | undefined = { kind: 'granted' }
   hasTargets = true
   readonly handler: OutboundHandler
   #requestCount = 0
@@ -73,6 +79,13 @@
       traffic: { record: () => {} },
       versions: { choose: () => undefined },
       quarantine: { isEmpty: true },
+      quota: {
+        admit: ({ name }: MeshWorkspace, done: (decision: QuotaDecision) => void) => {
+          this.asked.push({ name, decide: done })
+          if (this.decision) done(this.decision)
+        },
+        giveBack: ({ name }: MeshWorkspace) => { this.givenBack.push(name) }
+      },
       callerService: () => 'caller-service'
     } as unknown as OutboundOptions
     this.handler = new OutboundHandler(opts)
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -32,12 +32,16 @@
   /** Workspace of the caller; undefined for a request without a key. */
   workspace: MeshWorkspace | undefined
   service: string
+  /** When the request was read, which its deadline counts from. */
+  arrivedAt: number
   /** Version of the configuration that the route belongs to. */
   configVersion: number
   /** Whether the caller seems to retry after a rejection. */
   isCallerRetry: boolean
   /** Returns a new unique key for an offer. */
   nextKey (): string
+  /** Called, before `onEnd`, if the request ends without having run. */
+  onNotRun (): void
   onEnd (): void
 }
 
@@ -67,10 +71,10 @@
   #cachedFingerprint: string | undefined
 
   constructor (opts: OutboundOptions, input: OutboundCallInput) {
-    const { req, route, workspace, service } = input
+    const { req, route, workspace, service, arrivedAt } = input
     this.#opts = opts
     this.#input = input
-    this.#startedAt = opts.timers.now()
+    this.#startedAt = arrivedAt
     this.#repliedOfferAt = this.#startedAt
     this.#deadlineAt = this.#startedAt + Math.min(req.head.deadlineMs, route.timeoutMs, MAX_DEADLINE_MS)
     this.#priority = workspace?.priority ?? route.priority
@@ -80,11 +84,12 @@
   }
 
   start (): void {
-    const { budget } = this.#opts
+    const { budget, timers } = this.#opts
     const { req, service } = this.#input
-    budget.deposit(service, this.#urgency, this.#startedAt)
+    const now = timers.now()
+    budget.deposit(service, this.#urgency, now)
     if (req.origin !== 'caller') this.#opts.inbound.recordNestedCall(req.head.requestId, service)
-    if (req.origin === 'repeatedRun') budget.recordNestedRetry(service, this.#startedAt)
+    if (req.origin === 'repeatedRun') budget.recordNestedRetry(service, now)
     this.#isProcessing = true
     this.#endOnError(() => this.#executeAll(this.#flow.next()))
     this.#processEvents()
@@ -218,6 +223,7 @@
         return this.#endAnswered(command.reply)
       case 'reject':
         this.#recordRefusal(command.reason)
+        this.#input.onNotRun()
         this.#end(503, false, { reason: command.reason, retryAfterMs: Math.round(command.retryAfterMs), notRun: true, ...this.#quarantineDetails() })
         return res.reject(503, command.reason, command.retryAfterMs)
       case 'fail':
--- a/packages/hop/src/outbound/outboundHandler.ts
+++ b/packages/hop/src/outbound/outboundHandler.ts
@@ -1,4 +1,6 @@
 import type { RejectionReason } from '../observe/callMetrics.js'
+import type { QuotaDecision } from '../quota/quotaGate.js'
+import { QuotaWait } from '../quota/quotaWait.js'
 import type { MeshRoute, MeshWorkspace } from '../routing/meshConfig.js'
 import type { RouteTable } from '../routing/routeTable.js'
 import { TrafficSplitter } from '../routing/trafficSplitter.js'
@@ -10,11 +12,14 @@
 
 /** Retry-After for callers rejected because the daemon has no configuration yet. */
 const NO_CONFIG_RETRY_AFTER_MS = 300
+/** Retry-After for callers whose quota isn't decided on before the daemon stops. */
+const STOPPING_RETRY_AFTER_MS = 50
 
 /** A caller's request, and what the configuration says about it. */
 interface RoutedRequest {
   req: CallerRequest
   res: Responder
+  arrivedAt: number
   table: RouteTable
   route: MeshRoute
   workspace: MeshWorkspace | undefined
@@ -25,11 +30,12 @@
   reason: RejectionReason
   retryAfterMs?: number
   route?: string
+  workspace?: string
 }
 
 /**
- * Entry point of callers' requests: finds the route and the caller's workspace, chooses the service among the parts of a split, and
- * runs each request to its end as an `OutboundCall`.
+ * Entry point of callers' requests: finds the route and the caller's workspace, asks for its quota, chooses the service among the
+ * parts of a split, and runs each request to its end as an `OutboundCall`.
  */
 export class OutboundHandler {
   readonly #opts: OutboundOptions
@@ -37,6 +43,7 @@
   readonly #callerRetries = new CallerRetryDetector()
   #table: RouteTable | undefined
   readonly #calls = new Set<OutboundCall>()
+  readonly #quotaWaits = new Set<QuotaWait>()
   #lastKey = 0
 
   constructor (opts: OutboundOptions) {
@@ -46,7 +53,7 @@
 
   /** Number of requests in flight. */
   get active (): number {
-    return this.#calls.size
+    return this.#calls.size + this.#quotaWaits.size
   }
 
   /** Current routes; undefined before the first configuration. */
@@ -65,17 +72,21 @@
 
   /** Handles one request; returns a function to call when the caller closes its connection. */
   handle (req: CallerRequest, res: Responder): () => void {
-    const request = this.#route(req, res)
-    return request ? this.#start(request) : () => {}
+    const request = this.#route(req, res, this.#opts.timers.now())
+    if (!request) return () => {}
+    const { workspace } = request
+    if (workspace && workspace.ratePerS > 0 && req.origin === 'caller') return this.#awaitQuota(request, workspace)
+    return this.#start(request)
   }
 
   /** Responds to all callers still waiting: a response tells a caller whether its request may have run, a closed connection does not. */
   abortAll (): void {
+    for (const wait of this.#quotaWaits) wait.end(STOPPING_RETRY_AFTER_MS)
     for (const call of this.#calls) call.abort()
   }
 
   /** Finds the route and the workspace of a request; undefined if it has been rejected. */
-  #route (req: CallerRequest, res: Responder): RoutedRequest | undefined {
+  #route (req: CallerRequest, res: Responder, arrivedAt: number): RoutedRequest | undefined {
     const table = this.#table
     if (!table) {
       this.#reject(req, res, { status: 503, reason: 'noConfiguration', retryAfterMs: NO_CONFIG_RETRY_AFTER_MS })
@@ -91,10 +102,53 @@
       this.#reject(req, res, { status: 401, reason: identity.reason, route: route.name })
       return undefined
     }
-    return { req, res, table, route, workspace: identity.workspace }
+    return { req, res, arrivedAt, table, route, workspace: identity.workspace }
   }
 
-  #start ({ req, res, table, route, workspace }: RoutedRequest): () => void {
+  /** Starts the request once its workspace's quota grants it. */
+  #awaitQuota (request: RoutedRequest, workspace: MeshWorkspace): () => void {
+    const { quota: gate, timers } = this.#opts
+    const { req, route } = request
+    let onCallerLeft = (): void => this.#cancelWait(wait, request)
+    const wait = new QuotaWait({
+      gate,
+      timers,
+      workspace,
+      timeoutMs: Math.min(req.head.deadlineMs, route.timeoutMs),
+      onDecision: (decision) => {
+        this.#quotaWaits.delete(wait)
+        onCallerLeft = this.#onQuotaDecision(request, workspace, decision)
+      }
+    })
+    this.#quotaWaits.add(wait)
+    wait.start()
+    return () => onCallerLeft()
+  }
+
+  #onQuotaDecision (request: RoutedRequest, workspace: MeshWorkspace, decision: QuotaDecision): () => void {
+    const { req, res, arrivedAt, route } = request
+    if (decision.kind !== 'granted') {
+      const rejection = decision.kind === 'exceeded' ? { status: 429, reason: 'quotaExceeded' } as const : { status: 503, reason: 'quotaUnknown' } as const
+      this.#reject(req, res, { ...rejection, retryAfterMs: decision.retryAfterMs, route: route.name, workspace: workspace.name })
+      return () => {}
+    }
+    const giveBack = (): void => this.#opts.quota.giveBack(workspace)
+    // The key or the route may have been withdrawn meanwhile.
+    const current = this.#table === request.table ? request : this.#route(req, res, arrivedAt)
+    if (current) return this.#start(current, giveBack)
+    giveBack()
+    return () => {}
+  }
+
+  #cancelWait (wait: QuotaWait, { req, route, workspace }: RoutedRequest): void {
+    if (!this.#quotaWaits.delete(wait)) return
+    wait.cancel()
+    const { metrics, log } = this.#opts
+    metrics.request(route.name, 'callerLeft', 0)
+    log.call(true, 'outbound', { id: req.head.requestId, route: route.name, workspace: workspace?.name, outcome: 'callerLeft', reason: 'quotaUnknown' })
+  }
+
+  #start ({ req, res, arrivedAt, table, route, workspace }: RoutedRequest, onNotRun: () => void = () => {}): () => void {
     const { own } = this.#opts.fleet
     const call: OutboundCall = new OutboundCall(this.#opts, {
       req: table.hasWorkspaces ? withoutKey(req) : req,
@@ -102,9 +156,11 @@
       route,
       workspace,
       service: this.#splitter.nextService(route),
+      arrivedAt,
       configVersion: table.config.version,
       isCallerRetry: req.origin === 'caller' && this.#callerRetries.isRetry(route.name, req.head.deadlineMs),
       nextKey: () => `${own.host}/${own.incarnation}/${++this.#lastKey}`,
+      onNotRun,
       onEnd: () => this.#calls.delete(call)
     })
     this.#calls.add(call)
--- a/packages/hop/src/outbound/outboundTypes.ts
+++ b/packages/hop/src/outbound/outboundTypes.ts
@@ -8,6 +8,7 @@
 import type { CallMetrics } from '../observe/callMetrics.js'
 import type { TrafficSummary } from '../observe/trafficSummary.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
+import type { QuotaGate } from '../quota/quotaGate.js'
 import type { VersionChooser } from '../rollout/versionRules.js'
 import type { LoadBalancer } from './loadBalancer.js'
 import type { RequestHead } from './requestHead.js'
@@ -49,6 +50,7 @@
   versions: VersionChooser
   /** What is known about requests that crash targets. */
   quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'refusedMs'>
+  quota: QuotaGate
   /** Service of the target on this host; undefined when there is none. */
   callerService (): string | undefined
 }
