Say in the traffic line what became of the requests of workspaces

Lines of single requests are left out under load, so they can't tell which workspace sends most or is over its quota. The `traffic` line, every 5 s, now counts answered, rejected and over-quota requests of the 20 busiest workspaces. No metric has a label by workspace, as their number isn't bounded.

--- a/packages/hop/src/daemon/resourceReport.ts
+++ b/packages/hop/src/daemon/resourceReport.ts
@@ -65,8 +65,9 @@
   #logTraffic (): void {
     const { log, inbound, traffic } = this.#parts
     const routes = traffic.take()
-    if (!routes) return
-    log.decision('traffic', { ...inbound.occupancy, running: inbound.active, unsentBytes: this.#unsentBytes, processorMs: processorMs(), routes })
+    const workspaces = traffic.takeWorkspaces()
+    if (!routes && !workspaces) return
+    log.decision('traffic', { ...inbound.occupancy, running: inbound.active, unsentBytes: this.#unsentBytes, processorMs: processorMs(), routes, workspaces })
   }
 
   /** Bytes that wait for the link, or that connections to other daemons have not taken yet. */
--- a/packages/hop/src/observe/__tests__/trafficSummary.spec.ts
+++ b/packages/hop/src/observe/__tests__/trafficSummary.spec.ts
@@ -21,3 +21,14 @@
   t.is(routes.length, 20)
   t.is(routes[0], 'busiest')
 })
+
+test('guards against workspaces being taken for one another, and against a log line without bound while there are many', (t) => {
+  const summary = new TrafficSummary(metrics)
+  t.is(summary.takeWorkspaces(), undefined)
+  for (let i = 0; i < 300; i++) summary.recordWorkspace(`w${i}`, 'answered')
+  for (const outcome of ['answered', 'overQuota', 'overQuota', 'rejected'] as const) summary.recordWorkspace('busiest', outcome)
+  const workspaces = summary.takeWorkspaces()!
+  t.is(Object.keys(workspaces).length, 20)
+  t.deepEqual(Object.entries(workspaces)[0], ['busiest', { answered: 1, rejected: 1, overQuota: 2 }])
+  t.is(summary.takeWorkspaces(), undefined)
+})
--- a/packages/hop/src/observe/trafficSummary.ts
+++ b/packages/hop/src/observe/trafficSummary.ts
@@ -24,13 +24,25 @@
   refusals: Record<string, number>
 }
 
-/** Routes in one summary, which becomes one log line. */
+/** What became of the requests of one workspace since the last summary. `rejected`: for lack of room; `overQuota`: with 429. */
+export interface WorkspaceTraffic {
+  answered: number
+  rejected: number
+  overQuota: number
+}
+
+/** Routes, and workspaces, in one summary, which becomes one log line. */
 const MAX_ROUTES = 20
+const MAX_WORKSPACES = 20
 
-/** Sums up, for each route, where requests wait, their bytes and what was refused, for metrics and a periodic log line. */
+/**
+ * Sums up, for each route, where requests wait, their bytes and what was refused, for metrics and a periodic log line, and for the
+ * log line alone what became of the requests of each workspace.
+ */
 export class TrafficSummary {
   readonly #metrics: Pick<CallMetrics, 'wait' | 'refusal'>
   readonly #routes = new Map<string, RouteTraffic>()
+  readonly #workspaces = new Map<string, WorkspaceTraffic>()
 
   constructor (metrics: Pick<CallMetrics, 'wait' | 'refusal'>) {
     this.#metrics = metrics
@@ -51,6 +63,21 @@
     refusals[reason] = (refusals[reason] ?? 0) + 1
   }
 
+  /** Records what became of a request of a workspace. */
+  recordWorkspace (workspace: string, outcome: keyof WorkspaceTraffic): void {
+    let traffic = this.#workspaces.get(workspace)
+    if (!traffic) this.#workspaces.set(workspace, traffic = { answered: 0, rejected: 0, overQuota: 0 })
+    traffic[outcome]++
+  }
+
+  /** Returns the sums of the workspaces with the most requests and starts anew; undefined if there were none. */
+  takeWorkspaces (): Record<string, WorkspaceTraffic> | undefined {
+    if (this.#workspaces.size === 0) return undefined
+    const busiest = [...this.#workspaces].sort(([, a], [, b]) => total(b) - total(a)).slice(0, MAX_WORKSPACES)
+    this.#workspaces.clear()
+    return Object.fromEntries(busiest)
+  }
+
   /** Returns the sums of the busiest routes, rounded, adds all to the metrics and starts anew; undefined if there was nothing. */
   take (): Record<string, RouteTraffic> | undefined {
     if (this.#routes.size === 0) return undefined
@@ -76,6 +103,10 @@
   }
 }
 
+function total ({ answered, rejected, overQuota }: WorkspaceTraffic): number {
+  return answered + rejected + overQuota
+}
+
 function rounded (traffic: RouteTraffic): RouteTraffic {
   const result = { ...traffic }
   for (const key of [...WAIT_PLACES, 'longestTransit'] as const) result[key] = Math.round(result[key])
--- a/packages/hop/src/outbound/__tests__/outboundSetup.ts
+++ b/packages/hop/src/outbound/__tests__/outboundSetup.ts
@@ -33,6 +33,8 @@
   readonly lines: object[] = []
   readonly rejections: string[] = []
   readonly urgencies: number[] = []
+  /** What became of the requests of workspaces. */
+  readonly ends: string[] = []
   /** Workspaces that the quota gate was asked about, and what it was given back. */
   readonly asked: { name: string, decide (decision: QuotaDecision): void }[] = []
   readonly givenBack: string[] = []
@@ -76,7 +78,7 @@
       },
       budget: { deposit: () => {}, recordNestedRetry: () => {}, tryWithdraw: () => true },
       sizes: { expectedBytes: () => 0, record: () => {}, retain: () => {} },
-      traffic: { record: () => {} },
+      traffic: { record: () => {}, recordWorkspace: (name: string, outcome: string) => { this.ends.push(`${name} ${outcome}`) } },
       versions: { choose: () => undefined },
       quarantine: { isEmpty: true },
       quota: {
--- a/packages/hop/src/outbound/__tests__/quota.spec.ts
+++ b/packages/hop/src/outbound/__tests__/quota.spec.ts
@@ -32,6 +32,7 @@
   t.deepEqual(setup.send({ authorization: LIMITED_KEY }).responses, ['503 quotaUnknown 90'])
   t.deepEqual([setup.offers, setup.givenBack, setup.handler.active], [[], [], 0])
   t.deepEqual(setup.rejections, ['quotaExceeded', 'quotaUnknown'])
+  t.deepEqual(setup.ends, ['limited overQuota', 'limited rejected'])
   t.false(JSON.stringify(setup.lines).includes('limited-key'), 'no key in the log')
   t.snapshot(setup.lines)
 })
@@ -91,6 +92,7 @@
   setup.send({ authorization: LIMITED_KEY })
   setup.offers.at(-1)!.reply(RESPONSE)
   t.deepEqual(setup.givenBack, ['limited'])
+  t.deepEqual(setup.ends, ['limited rejected', 'limited answered'])
 })
 
 test('guards against a key that is withdrawn while the quota is asked for being accepted', (t) => {
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -342,11 +342,12 @@
   }
 
   #end (outcome: string | number, isPlain: boolean, details: object): void {
-    const { timers, metrics, log } = this.#opts
+    const { timers, metrics, log, traffic } = this.#opts
     const { req, route, workspace, service, configVersion, onEnd } = this.#input
     this.#isDone = true
     this.#stopTimer()
     const ms = timers.now() - this.#startedAt
+    if (workspace && outcome !== 'callerLeft') traffic.recordWorkspace(workspace.name, outcome === 503 ? 'rejected' : 'answered')
     metrics.request(route.name, String(outcome), ms)
     log.call(isPlain, 'outbound', {
       id: req.head.requestId, route: route.name, ...workspace && { workspace: workspace.name }, service, config: configVersion, outcome, ms: Math.round(ms), offers: this.#offerCount, ...details
--- a/packages/hop/src/outbound/outboundHandler.ts
+++ b/packages/hop/src/outbound/outboundHandler.ts
@@ -129,6 +129,7 @@
     const { req, res, arrivedAt, route } = request
     if (decision.kind !== 'granted') {
       const rejection = decision.kind === 'exceeded' ? { status: 429, reason: 'quotaExceeded' } as const : { status: 503, reason: 'quotaUnknown' } as const
+      this.#opts.traffic.recordWorkspace(workspace.name, decision.kind === 'exceeded' ? 'overQuota' : 'rejected')
       this.#reject(req, res, { ...rejection, retryAfterMs: decision.retryAfterMs, route: route.name, workspace: workspace.name })
       return () => {}
     }
--- a/packages/hop/src/outbound/outboundTypes.ts
+++ b/packages/hop/src/outbound/outboundTypes.ts
@@ -46,7 +46,7 @@
   loadBalancer: LoadBalancer
   budget: RetryBudget
   sizes: ResponseSizes
-  traffic: Pick<TrafficSummary, 'record'>
+  traffic: Pick<TrafficSummary, 'record' | 'recordWorkspace'>
   versions: VersionChooser
   /** What is known about requests that crash targets. */
   quarantine: Pick<Quarantine, 'isEmpty' | 'standing' | 'crashes' | 'refusedMs'>
