Tell the options among a service's versions without choosing one

`VersionRules.choose` drew from the random numbers while it worked out what there is to choose from, so nothing could report the shares of a move without drawing too. Now `options` lists the choices with their shares, and `choose` takes one. It draws exactly where it did before; the tests of moves pass, and a new one guards shares and draws.

--- a/packages/hop/src/rollout/__tests__/versionRules.spec.ts
+++ b/packages/hop/src/rollout/__tests__/versionRules.spec.ts
@@ -82,3 +82,26 @@
   rules.setOrder({ ...order, id: 's/v3', to: 'v3', state: 'ordered', revision: { epoch: 1, number: 9 } })
   t.deepEqual([...hosts.slice(2), ...unnamed].filter((record) => rules.choose('s')!.accepts(record)).map(({ target }) => target!.version), ['v2', 'v2'])
 })
+
+test('guards against the options of a service having another share than the requests get, or drawing from the random numbers', (t) => {
+  let draws = 0
+  let drawn = 0
+  const rules = new VersionRules({
+    ...new SeededRandom(1),
+    next: () => {
+      draws++
+      return drawn
+    }
+  } as unknown as SeededRandom)
+  t.deepEqual(rules.options('s'), [])
+  rules.setOrder({ ...order, state: 'running' })
+  rules.setFacts('s/v2', stage(2, 0.2))
+  rules.setHosts(hosts)
+  t.deepEqual(rules.options('s').map(({ share }) => share), [0.8, 0.2])
+  t.is(draws, 0)
+  const versionsAt = (value: number): string[] => {
+    drawn = value
+    return [...new Set(hosts.filter((record) => rules.choose('s')!.accepts(record)).map(({ target }) => target!.version))]
+  }
+  t.deepEqual([versionsAt(0.19), versionsAt(0.2)], [['v2'], ['v1']])
+})
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -11,7 +11,7 @@
 import { ResultAggregator, type RequestResult } from './resultAggregator.js'
 import { REWRITE_MS, SupersededOrders } from './supersededOrders.js'
 import type { MoveOrder, MoveState } from './moveOrder.js'
-import { phaseOf, VersionRules, type VersionChoice, type VersionChooser } from './versionRules.js'
+import { phaseOf, VersionRules, type VersionChoice, type VersionChooser, type VersionOption } from './versionRules.js'
 
 export interface MoveControllerOptions {
   fleet: Fleet
@@ -131,6 +131,11 @@
     return this.#rules.choose(service)
   }
 
+  /** The choices for the requests of a service, without making one. */
+  options (service: string): VersionOption[] {
+    return this.#rules.options(service)
+  }
+
   /** Whether a request for the version may still be started. */
   isVersionAllowed (service: string, version: string): boolean {
     return this.#rules.isVersionAllowed(service, version)
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -11,6 +11,11 @@
   preferredHost: string | undefined
 }
 
+/** One of the choices for the requests of a service, and the share of the requests that it is made for. */
+export interface VersionOption extends VersionChoice {
+  share: number
+}
+
 /**
  * Progress of a move, by its order and its facts. `waiting`: nothing decided yet; `moving`: the new version gets a share;
  * `full`: it gets all traffic, but the move isn't completed.
@@ -105,8 +110,14 @@
 
   /** Decides for one request; during a move, the new version is chosen at random with its current share. */
   choose (service: string): VersionChoice | undefined {
+    const [first, second] = this.options(service)
+    return second && this.#random.next() < second.share ? second : first
+  }
+
+  /** The choices for the requests of a service: at most two, the old and the new version; none if all versions may get them. */
+  options (service: string): VersionOption[] {
     const order = this.#orders.get(service)
-    if (!order) return this.#chooseBaseline(service)
+    if (!order) return this.#baselineOptions(service)
     const { to } = order
     const newHosts = (this.#readyHosts.get(service) ?? []).filter(({ target }) => target!.version === to)
     const baseline = this.#baselineVersions.get(service)
@@ -114,15 +125,15 @@
     const isNew = (record: HostRecord): boolean => record.target!.version === to
     switch (phaseOf(order, this.#facts.get(order.id) ?? {})) {
       case 'completed':
-        return newHosts.length > 0 ? { accepts: isNew, preferredHost: undefined } : undefined
+        return newHosts.length > 0 ? [only(isNew)] : []
       case 'rolledBack':
       case 'waiting':
-        return { accepts: isOld, preferredHost: undefined }
+        return [only(isOld)]
       default: {
         const { stage, share } = this.#facts.get(order.id)!.stage!
-        if (newHosts.length === 0 || this.#random.next() >= share) return { accepts: isOld, preferredHost: undefined }
-        const preferred = stage === LOAD_TEST_STAGE ? newHosts.map(({ host }) => host).sort()[0] : undefined
-        return { accepts: isNew, preferredHost: preferred }
+        if (newHosts.length === 0) return [only(isOld)]
+        const preferredHost = stage === LOAD_TEST_STAGE ? newHosts.map(({ host }) => host).sort()[0] : undefined
+        return [{ accepts: isOld, preferredHost: undefined, share: 1 - share }, { accepts: isNew, preferredHost, share }]
       }
     }
   }
@@ -152,15 +163,20 @@
     if (old.length > 0) this.#baselineVersions.set(service, mostCommonVersion(old))
   }
 
-  /** Without an order: only the baseline version, or undefined if all ready targets run it. */
-  #chooseBaseline (service: string): VersionChoice | undefined {
+  /** Without an order: only the baseline version, or no restriction if all ready targets run it. */
+  #baselineOptions (service: string): VersionOption[] {
     const baseline = this.#baselineVersions.get(service)
     const hosts = this.#readyHosts.get(service) ?? []
-    if (hosts.every(({ target }) => target!.version === baseline)) return undefined
-    return { accepts: ({ target }) => target!.version === baseline, preferredHost: undefined }
+    if (hosts.every(({ target }) => target!.version === baseline)) return []
+    return [only(({ target }) => target!.version === baseline)]
   }
 }
 
+/** The choice of the same targets for all requests. */
+function only (accepts: VersionChoice['accepts']): VersionOption {
+  return { accepts, preferredHost: undefined, share: 1 }
+}
+
 function mostCommonVersion (records: readonly HostRecord[]): string {
   const counts = new Map<string, number>()
   for (const { target } of records) counts.set(target!.version, (counts.get(target!.version) ?? 0) + 1)
