Explain at the metrics address where a request would go

An operator could not ask a daemon why a request goes where it does. `/explain-route` answers for a method, host, path and workspace: route, workspace, priority, each service with its share of the split, each version with its share of a move, what the request would meet first, the targets in order with the figures that rank them and their age, and what would reject it. The request is made as an `OutboundCall` that isn't started, so route, caller, quarantine, ranking and first step come from the code that decides. The unit test fails on anything that sends, counts, logs or asks for a quota; it also compares the figures of the targets before and after. One test with real processes.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -16,6 +16,8 @@
 import { NodeMetricsServer } from '../observe/nodeMetricsServer.js'
 import { NodeOutboundServer } from '../outbound/nodeOutboundServer.js'
 import { OutboundHandler } from '../outbound/outboundHandler.js'
+import type { OutboundOptions } from '../outbound/outboundTypes.js'
+import { RouteExplainer } from '../outbound/routeExplainer.js'
 import { LoadBalancer } from '../outbound/loadBalancer.js'
 import { ResponseSizes } from '../outbound/responseSizes.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
@@ -166,9 +168,10 @@
       onTargetCrash: () => metrics.event('targetCrash'),
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
-    this.#outbound = new OutboundHandler({
+    const outboundOptions: OutboundOptions = {
       timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes, traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, quota: new UnlimitedQuota(), callerService: () => this.#cfg.service
-    })
+    }
+    this.#outbound = new OutboundHandler(outboundOptions)
     const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
       ...cfg.outbound, lag, queue, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
@@ -200,7 +203,10 @@
     this.#hopServer = new NodeHopServer({
       ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
-    this.#metricsServer = new NodeMetricsServer(cfg.metrics, metrics)
+    const explainer = new RouteExplainer({
+      outbound: outboundOptions, table: () => this.#outbound.table, versionOptions: (service) => this.#moves.options(service)
+    })
+    this.#metricsServer = new NodeMetricsServer({ ...cfg.metrics, metrics, explainer })
   }
 
   /** Opens the servers and starts the periodic work. */
--- a/packages/hop/src/outbound/callerIdentity.ts
+++ b/packages/hop/src/outbound/callerIdentity.ts
@@ -1,3 +1,4 @@
+import type { RequestOrigin } from '../inbound/runningRequests.js'
 import type { MeshRoute, MeshWorkspace } from '../routing/meshConfig.js'
 import type { RouteTable } from '../routing/routeTable.js'
 import { readCredentials } from './credentials.js'
@@ -10,13 +11,24 @@
 
 const ANONYMOUS: CallerIdentity = { kind: 'accepted', workspace: undefined }
 
-/** Identifies the caller of a request by its key. Nested calls carry no keys, so they need none. */
+/** The workspace that the key of a request names. `unknown`: no workspace has it; `none`: the request has no key. */
+export type ClaimedWorkspace = MeshWorkspace | 'unknown' | 'none'
+
+/** Identifies the caller of a request by its key. */
 export function identifyCaller (table: RouteTable, route: MeshRoute, { head, origin }: CallerRequest): CallerIdentity {
+  return table.hasWorkspaces ? judgeCaller(table, route, origin, claimedWorkspace(table, head.headers)) : ANONYMOUS
+}
+
+/** Decides whether a request of a workspace, or of none, may use a route. Nested calls carry no keys, so they need none. */
+export function judgeCaller (table: RouteTable, route: MeshRoute, origin: RequestOrigin, claimed: ClaimedWorkspace): CallerIdentity {
   if (!table.hasWorkspaces) return ANONYMOUS
-  const credentials = readCredentials(head.headers)
-  if (credentials.kind === 'none') {
-    return route.allowsAnonymous || origin !== 'caller' ? ANONYMOUS : { kind: 'rejected', reason: 'keyMissing' }
-  }
-  const workspace = credentials.kind === 'key' ? table.workspaceOf(credentials.hash) : undefined
-  return workspace ? { kind: 'accepted', workspace } : { kind: 'rejected', reason: 'unknownKey' }
+  if (claimed === 'unknown') return { kind: 'rejected', reason: 'unknownKey' }
+  if (claimed !== 'none') return { kind: 'accepted', workspace: claimed }
+  return route.allowsAnonymous || origin !== 'caller' ? ANONYMOUS : { kind: 'rejected', reason: 'keyMissing' }
+}
+
+function claimedWorkspace (table: RouteTable, headers: readonly string[]): ClaimedWorkspace {
+  const credentials = readCredentials(headers)
+  if (credentials.kind === 'none') return 'none'
+  return (credentials.kind === 'key' ? table.workspaceOf(credentials.hash) : undefined) ?? 'unknown'
 }
--- a/packages/hop/src/outbound/loadBalancer.ts
+++ b/packages/hop/src/outbound/loadBalancer.ts
@@ -5,6 +5,22 @@
 import { HeardLimits } from './heardLimits.js'
 import { targetSubset } from './targetSubset.js'
 
+/** What ranks a target, besides the request, for reports. The milliseconds tell for how long a state still holds, 0 for not. */
+export interface TargetFigures {
+  /** What it last reported; absent if it has reported nothing. */
+  load?: TargetLoad
+  loadAgeMs?: number
+  /** Offers of this daemon to the target that have had no reply yet. */
+  inFlight: number
+  /** Its daemon didn't reply, or rejected all requests. */
+  avoidMs: number
+  /** It had no free slot. */
+  busyMs: number
+  /** It takes no more requests, by the limit that it states. */
+  limitedMs: number
+  coldMs: number
+}
+
 /** How long a target is avoided whose daemon is unreachable or rejects all requests. */
 const AVOID_MS = 400
 /** How long a target that reported no free slot gets no offers to start a request at once. */
@@ -110,6 +126,23 @@
     return reports > 0 ? sum / reports : 0
   }
 
+  /** What is known now of the target of a host, which ranks it; undefined for a host without a target that is ready. */
+  figures (host: string): TargetFigures | undefined {
+    const stats = this.#stats.get(host)
+    if (!stats) return undefined
+    const now = this.#timers.now()
+    const msUntil = (at: number): number => Math.max(0, Math.round(at - now))
+    const { load, loadAt, inFlight, avoidUntil, busyUntil, limitedUntil, coldUntil } = stats
+    return {
+      ...load && { load, loadAgeMs: Math.round(now - loadAt) },
+      inFlight,
+      avoidMs: msUntil(avoidUntil),
+      busyMs: msUntil(busyUntil),
+      limitedMs: msUntil(limitedUntil),
+      coldMs: msUntil(coldUntil)
+    }
+  }
+
   /** Counts a call that is now in flight to the target. */
   recordOffer (host: string): void {
     const stats = this.#stats.get(host)
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -45,6 +45,15 @@
   onEnd (): void
 }
 
+/** What a request would meet first. */
+export interface CallPreview {
+  /** Best first. */
+  candidates: Candidate[]
+  standing: Standing
+  priority: number
+  command: CallCommand | undefined
+}
+
 /**
  * Runs one request from arrival to response: executes the commands of its `callFlow` (offers to other daemons, timers, the
  * response to the caller) and feeds replies, timers and the caller's departure back as events.
@@ -95,6 +104,14 @@
     this.#processEvents()
   }
 
+  /** What the request would meet first if it were started now. Nothing is sent or counted, and the request isn't started. */
+  preview (): CallPreview {
+    const { route, req } = this.#input
+    const candidates = this.#candidates(new Set())
+    const flow = callFlow({ route, deadlineAt: this.#deadlineAt, bodyBytes: req.body.length }, { ...this.#context(), candidates: () => candidates })
+    return { candidates, standing: this.#standing(), priority: this.#priority, command: (flow.next().value ?? [])[0] }
+  }
+
   /** Cancels the request, as its caller has closed the connection. */
   onCallerLeft (): void {
     if (this.#isDone) return
