--- a/packages/cli/src/__tests__/cliHarness.ts
+++ b/packages/cli/src/__tests__/cliHarness.ts
@@ -4,8 +4,8 @@
   PlatformBadAnswer, PlatformConflict, PlatformOutcomeUnknown, PlatformUnreachable, type StoredObject
 } from '@lentilwheel/platform'
 import { FakePlatformStore } from '@lentilwheel/testkit'
-import { decodeResponse, type DaemonAdminClient } from '../account/nodeDaemonAdminClient.js'
-import { daemonStatusSchema, eventsSchema, fleetStatusSchema, takeBackResponseSchema } from '../account/schema.js'
+import { decodeResponse, type DaemonAdminClient, type RouteQuery } from '../account/nodeDaemonAdminClient.js'
+import { daemonStatusSchema, eventsSchema, fleetStatusSchema, routeExplanationSchema, takeBackResponseSchema } from '../account/schema.js'
 import type { ClosablePlatformClient, CommandContext } from '../context.js'
 import { FileFailed } from '../errors.js'
 import { parseLayout } from '../output/layout.js'
@@ -70,6 +70,7 @@
   readonly address = '127.0.0.1:8081'
   response: { status: number, text: string } = { status: 200, text: '{}' }
   takeBackRequests: string[] = []
+  routeQueries: RouteQuery[] = []
 
   respondJson (value: unknown): this {
     this.response = { status: 200, text: JSON.stringify(value) }
@@ -84,6 +85,11 @@
   async status () { return decodeResponse('daemon', this.response, daemonStatusSchema) }
   async events () { return decodeResponse('daemon', this.response, eventsSchema) }
 
+  async explainRoute (query: RouteQuery) {
+    this.routeQueries.push(query)
+    return decodeResponse('daemon', this.response, routeExplanationSchema)
+  }
+
   async takeBack (move: string) {
     this.takeBackRequests.push(move)
     return decodeResponse('daemon', this.response, takeBackResponseSchema)
--- a/packages/cli/src/account/nodeDaemonAdminClient.ts
+++ b/packages/cli/src/account/nodeDaemonAdminClient.ts
@@ -2,8 +2,8 @@
 import type { z } from 'zod'
 import { DaemonBadAnswer, DaemonProtocolUnknown, DaemonUnreachable, UsageError } from '../errors.js'
 import {
-  ADMIN_PROTOCOL, daemonStatusSchema, eventsSchema, fleetStatusSchema, protocolSchema, takeBackResponseSchema,
-  type DaemonStatus, type EventsResponse, type TakeBackResponse
+  ADMIN_PROTOCOL, daemonStatusSchema, eventsSchema, fleetStatusSchema, protocolSchema, routeExplanationSchema, takeBackResponseSchema,
+  type DaemonStatus, type EventsResponse, type RouteExplanation, type TakeBackResponse
 } from './schema.js'
 import type { FleetView } from './fleetView.js'
 
@@ -18,6 +18,17 @@
   status (debug: boolean): Promise<DaemonStatus>
   events (): Promise<EventsResponse>
   takeBack (move: string): Promise<TakeBackResponse>
+  /** Asks the metrics address of a daemon with a target where a request would go. */
+  explainRoute (query: RouteQuery): Promise<RouteExplanation>
+}
+
+/** A request to explain. */
+export interface RouteQuery {
+  method: string
+  host: string
+  path: string
+  /** Name of the caller's workspace. */
+  workspace?: string
 }
 
 /** Calls the admin API over HTTP, and checks the protocol version and the fields of each response. */
@@ -47,6 +58,10 @@
     return await this.#requestJson('POST', `/moves/${encodeURIComponent(move)}/take-back`, takeBackResponseSchema)
   }
 
+  async explainRoute (query: RouteQuery): Promise<RouteExplanation> {
+    return await this.#requestJson('GET', `/explain-route?${new URLSearchParams({ ...query })}`, routeExplanationSchema)
+  }
+
   async #requestJson<S extends z.ZodType> (method: 'GET' | 'POST', path: string, schema: S): Promise<z.output<S>> {
     const { status, text } = await this.#fetch(method, path)
     return decodeResponse(`daemon ${this.address}`, { status, text }, schema)
--- a/packages/cli/src/account/schema.ts
+++ b/packages/cli/src/account/schema.ts
@@ -78,10 +78,61 @@
   reason: z.string().optional()
 })
 
+const loadSchema = z.object({ running: count, queued: count, slots: z.number(), pace: z.number(), failing: z.number() })
+
+/** State of a target; the milliseconds tell for how long it still holds. */
+const figuresSchema = z.object({
+  load: loadSchema.optional(),
+  loadAgeMs: z.number().optional(),
+  inFlight: count,
+  avoidMs: z.number(),
+  busyMs: z.number(),
+  limitedMs: z.number(),
+  coldMs: z.number()
+})
+
+const candidateSchema = z.object({
+  host: z.string(),
+  targetId: z.string(),
+  version: z.string(),
+  isLocal: z.boolean(),
+  costMs: z.number(),
+  isQueueFull: z.boolean(),
+  figures: figuresSchema.optional()
+})
+
+const rejectionSchema = z.object({ status: count, reason: z.string(), retryAfterMs: z.number().optional() })
+
+const firstStepSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('offer'), host: z.string(), mode: z.string() }),
+  z.object({ kind: z.literal('wait'), ms: z.number() }),
+  z.object({ kind: z.literal('reject'), rejection: rejectionSchema })
+])
+
+/** `GET /explain-route` at the metrics address of a daemon with a target: where a request would go now. */
+export const routeExplanationSchema = z.object({
+  protocol: z.literal(ADMIN_PROTOCOL),
+  daemon: z.string(),
+  dataCentre: z.string(),
+  /** Version of the configuration; 0 for none. */
+  config: count,
+  route: z.object({ name: z.string(), pathPrefix: z.string(), timeoutMs: z.number(), targetLatencyMs: z.number(), maxAttempts: count, idempotent: z.boolean() }).optional(),
+  workspace: z.object({ name: z.string(), ratePerS: z.number(), burst: z.number() }).optional(),
+  priority: z.object({ value: z.number(), from: z.enum(['workspace', 'route']) }).optional(),
+  /** Why the daemon would reject the request before it looks for a target. */
+  rejection: rejectionSchema.optional(),
+  services: z.array(z.object({
+    service: z.string(),
+    share: z.number(),
+    versions: z.array(z.object({ share: z.number(), standing: z.string(), first: firstStepSchema.optional(), candidates: z.array(candidateSchema) }))
+  }))
+})
+
 export type { Account, MoveRecord, AccountRefusal as Refusal } from '@lentilwheel/platform'
 export type ReportedEvent = z.output<typeof timelineEventSchema>
 export type TargetCount = z.output<typeof targetCountSchema>
 export type DaemonStatus = z.output<typeof daemonStatusSchema>
 export type FleetStatus = z.output<typeof fleetStatusSchema>
 export type EventsResponse = z.output<typeof eventsSchema>
+export type RouteExplanation = z.output<typeof routeExplanationSchema>
 export type TakeBackResponse = z.output<typeof takeBackResponseSchema>
--- a/packages/cli/src/commands/commandTable.ts
+++ b/packages/cli/src/commands/commandTable.ts
@@ -5,6 +5,7 @@
 import { completionScript } from './completion.js'
 import { explain } from './explain.js'
 import { explainRequest } from './explainRequest.js'
+import { explainRoute, type ExplainRouteOptions } from './explainRoute.js'
 import { controlMove, isMoveAction, MOVE_ACTIONS } from './controlMove.js'
 import { history, listMoves, refusals, status } from './reports.js'
 import { timeline, type TimelineOptions } from './timeline.js'
@@ -101,6 +102,16 @@
     examples: ['explain placeOrder', 'explain placeOrder --daemon 127.0.0.1:8081'],
     run: async (ctx, [route], opts) => await explain(ctx, route!, opts)
   },
+  {
+    usage: 'explain-route <host> <path>',
+    description: 'Where a daemon with a target would send a request now, and why; sends nothing',
+    options: [
+      { flags: '--method <method>', description: 'Method of the request, GET if not given' },
+      { flags: '--workspace <name>', description: 'Workspace of the caller; none if not given' }
+    ],
+    examples: ['explain-route shop.example /orders/1 --daemon 10.1.0.42:7701', 'explain-route shop.example /orders/1 --workspace hotel --daemon 10.1.0.42:7701 --json'],
+    run: async (ctx, [host, path], opts) => await explainRoute(ctx, host!, path!, opts as ExplainRouteOptions)
+  },
   {
     usage: 'explain-request <id> [...files]',
     description: 'The way of one request and the cause of its end, from log lines of daemons',
