Send nothing to targets of an evacuated data centre

Cause: operators' orders to evacuate a data centre, objects of kind `evacuations` in the store, were not read.

Change: one daemon of each data centre watches the orders, if the settings have a bound for evacuations. Orders and removals are merged by their store revision and spread with every message between daemons; those that read a change tell all peers at once. A daemon that starts takes no routes before it has read the orders, or has waited 500 ms for the store. Callers' daemons leave such targets out of the candidates and give them no share of a move. Targets' daemons refuse offers and end queued ones with the new reason `evacuated`; running requests go on. From the end of an evacuation until its next announcement a target counts as cold, without a health check. Deployments without the bound make no store call and send no field.

Result: evacuation.spec.ts runs four daemon processes with an order while the store is silent for one of them, that daemon and then all daemons restarted, two data centres ordered, odd entries, and cold targets after the order is taken back.

--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -126,7 +126,7 @@
 const MAX_CONTEXT_LINES = 8
 const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
   'peerDown', 'peerUp', 'linkSilent', 'target', 'targetLeft', 'storeLost', 'storeBack', 'configInForce', 'moveFact', 'moveOrder', 'started',
-  'stopping', 'readiness', 'leavingsRecalled', 'targetLimit', 'targetLeaving'
+  'stopping', 'readiness', 'leavingsRecalled', 'targetLimit', 'targetLeaving', 'evacuation'
 ])
 
 /** What the `reason` of a failed request means. */
@@ -134,6 +134,7 @@
   busy: 'All targets that were asked had their slots taken, and the queue was too long to be served in its target latency.',
   limited: 'The targets that were asked took no more requests a second, by the limits that they state.',
   noTarget: 'No target of the service was known, reachable and taking work.',
+  evacuated: 'The targets that were asked are in an evacuated data centre.',
   noRoute: 'The configuration in force has no route for its host and path.',
   noConfiguration: 'The daemon had no configuration yet.',
   displacing: 'The calls that it makes go to a service that rejected more urgent requests at that time.',
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -1,5 +1,8 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
 import type { HeaderNames } from '../headers.js'
+import type { EvacuationRecord } from '../evacuation/evacuationRecord.js'
+import { Evacuations } from '../evacuation/evacuations.js'
+import { EvacuationWatcher } from '../evacuation/evacuationWatcher.js'
 import { Fleet } from '../fleet/fleet.js'
 import { departuresNotIn, type Departure, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
@@ -77,6 +80,8 @@
   readonly #registration: DaemonRegistration
   readonly #discovery: PeerDiscovery
   readonly #moves: MoveController
+  readonly #evacuations: Evacuations
+  readonly #evacuationWatcher: EvacuationWatcher
   #cfg: ResolvedHopConfig
   #startedAt = 0
   /** The target as last announced to peers, to notice changes; empty for none. */
@@ -93,7 +98,8 @@
     this.#localTarget = new LocalTarget(cfg.announceMs)
     const sizes = new ResponseSizes()
     const link = new LinkForecast(queue, sizes)
-    this.#loadBalancer = new LoadBalancer({ timers, random, dataCentre: cfg.dataCentre, host: cfg.host, link })
+    const evacuations = this.#evacuations = new Evacuations({ timers, epochs: store.epochs, log, onChange: (changed, from) => this.#onEvacuationChange(changed, from) })
+    this.#loadBalancer = new LoadBalancer({ timers, random, dataCentre: cfg.dataCentre, host: cfg.host, link, evacuations })
     this.#retryBudget = new RetryBudget(cfg.retryBudget)
     this.#traffic = new TrafficSummary(metrics)
     const newsSpreader = new NewsSpreader({ timers, send: (news, peers) => this.#fleet.sendQuarantineNews(news, peers) })
@@ -126,9 +132,11 @@
       onOrder: (order, from) => this.#moves.onOrder(order, from),
       onReport: (report) => this.#moves.onReport(report),
       epochs: store.epochs,
+      evacuations,
       quarantine: this.#quarantine
     })
-    this.#moves = new MoveController({ fleet: this.#fleet, store, codec, timers, random, log })
+    this.#evacuationWatcher = new EvacuationWatcher({ isEnabled: cfg.hasEvacuations ?? false, evacuations, fleet: this.#fleet, store, codec, timers, random, log })
+    this.#moves = new MoveController({ fleet: this.#fleet, store, codec, evacuations, timers, random, log })
     const client = new NodeTargetClient({
       host: cfg.target.address,
       port: cfg.target.port,
@@ -158,6 +166,8 @@
       isVersionAllowed: (service, version) => this.#moves.isVersionAllowed(service, version),
       rejectionRate: (service, priority) => this.#loadBalancer.rejectionRate(service, priority),
       coldPerS: (service) => this.#outbound.table?.config.services.get(service)?.coldPerS,
+      isEvacuated: () => evacuations.isEvacuated(cfg.dataCentre),
+      isPresumedCold: () => this.#localTarget.isPresumedCold,
       link,
       quarantine: this.#quarantine,
       onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
@@ -179,11 +189,12 @@
       timers,
       random,
       log,
-      onConfig: (table) => {
+      // Without routes no request is sent, so a daemon that starts sends none before it knows which data centres are evacuated.
+      onConfig: (table) => this.#evacuationWatcher.whenLoaded(() => {
         this.#outbound.setTable(table)
         this.#outboundServer.setLimits(table.config.limits)
         metrics.state('configVersion', table.config.version)
-      }
+      })
     })
     this.#registration = new DaemonRegistration({
       fleet: this.#fleet,
@@ -213,8 +224,9 @@
     this.#discovery.start()
     this.#blockStore.start()
     this.#moves.start()
+    this.#evacuationWatcher.start()
     timers.every(TARGET_CHECK_INTERVAL_MS, () => this.#checkTarget())
-    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, traffic: this.#traffic }).start()
+    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, evacuations: this.#evacuations, traffic: this.#traffic }).start()
   }
 
   /** Handles an announcement of the target beside this daemon. */
@@ -283,6 +295,7 @@
     log.decision('stopped', { how, outbound: this.#outbound.active, inbound: this.#inbound.active })
     this.#configUpdater.stop()
     this.#moves.stop()
+    this.#evacuationWatcher.stop()
     this.#blockStore.stop()
     this.#hopServer.close()
     this.#outboundServer.close()
@@ -339,6 +352,15 @@
     this.#checkTarget()
   }
 
+  /** Applies changed orders to evacuate data centres, and tells peers of them. */
+  #onEvacuationChange (changed: readonly EvacuationRecord[], from: string): void {
+    const own = changed.find(({ dataCentre }) => dataCentre === this.#cfg.dataCentre)
+    if (own?.isOrdered) this.#inbound.onEvacuation()
+    else if (own) this.#localTarget.presumeCold()
+    this.#onFleetChange()
+    this.#fleet.sendEvacuations(from === 'store')
+  }
+
   /** Passes changed records to the parts that use them; a failure there is logged, not thrown. */
   #onFleetChange (): void {
     try {
--- a/packages/hop/src/daemon/resolvedHopConfig.ts
+++ b/packages/hop/src/daemon/resolvedHopConfig.ts
@@ -28,4 +28,6 @@
   retryBudget: RetryBudgetLimits
   /** What the link of this host carries, in bytes a millisecond; Infinity if that isn't known. */
   linkBytesPerMs: number
+  /** Whether operators may order the evacuation of a data centre; absent for no. */
+  hasEvacuations?: boolean
 }
--- a/packages/hop/src/daemon/resourceReport.ts
+++ b/packages/hop/src/daemon/resourceReport.ts
@@ -1,4 +1,5 @@
 import type { Timers } from '@lentilwheel/core'
+import type { Evacuations } from '../evacuation/evacuations.js'
 import type { Fleet } from '../fleet/fleet.js'
 import type { InboundHandler } from '../inbound/inboundHandler.js'
 import type { NodeHopServer } from '../link/nodeHopServer.js'
@@ -21,6 +22,7 @@
   hopServer: NodeHopServer
   queue: SendQueue
   quarantine: Quarantine
+  evacuations: Evacuations
   traffic: TrafficSummary
 }
 
@@ -44,7 +46,7 @@
   }
 
   #setMetrics (): void {
-    const { metrics, store, fleet, inbound, quarantine } = this.#parts
+    const { metrics, store, fleet, inbound, quarantine, evacuations } = this.#parts
     const { queued, slots } = inbound.occupancy
     const { suspects, blocked } = quarantine.counts
     const { limitPerS, sent } = inbound.rate
@@ -57,6 +59,7 @@
     metrics.state('storeEpoch', store.epochs.current)
     metrics.state('suspects', suspects)
     metrics.state('blocked', blocked)
+    metrics.state('evacuated', evacuations.count)
     metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
     metrics.state('targetSent', sent)
   }
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -25,6 +25,8 @@
 const MIN_CHECK_INTERVAL_MS = 1_000
 /** Random peers that a daemon notifies of a new configuration version; each of them notifies others. */
 const VERSION_FANOUT = 3
+/** Random peers that a daemon tells of an evacuation of which it has heard from another one. */
+const EVACUATION_FANOUT = 3
 /** Time without a working link after which a peer counts as gone. */
 const GONE_AFTER_MS = 60_000
 /** Time after the start in which a daemon knows too few peers to tell its rank among them. */
@@ -214,6 +216,12 @@
     for (const host of this.#randomPeers(peers)) this.#syncWith(host, { ...this.#emptyMessage(), quarantine: news })
   }
 
+  /** Tells peers of a changed evacuation at once: all of them if it was read from the store, else a few, as most hear of it from those that read it. */
+  sendEvacuations (isFromStore: boolean): void {
+    const message = this.#emptyMessage()
+    for (const host of isFromStore ? this.#upPeers() : this.#randomPeers(EVACUATION_FANOUT)) this.#syncWith(host, message)
+  }
+
   /** Handles a peer's message; the reply holds everything known here if the peer's digest differs from the own one. */
   onSync (message: SyncMessage): SyncMessage {
     this.#apply(message)
@@ -269,11 +277,11 @@
     }
   }
 
-  /** Fingerprint of all records, facts and orders known here; equal on daemons that know the same. */
+  /** Fingerprint of all records, facts, orders and evacuations known here; equal on daemons that know the same. */
   digest (): string {
     const facts = this.facts.all().map((fact) => JSON.stringify(fact)).sort()
     const orders = this.#opts.orders().map(({ id, revision }) => `${id} ${formatRevision(revision)}`).sort()
-    return createHash('sha1').update([this.#table.digest(), ...facts, ...orders].join('\n')).digest('base64')
+    return createHash('sha1').update([this.#table.digest(), ...facts, ...orders, ...this.#opts.evacuations?.digestLines() ?? []].join('\n')).digest('base64')
   }
 
   close (): void {
@@ -293,6 +301,7 @@
   /** Takes over everything that a message brings. */
   #apply (message: SyncMessage): void {
     if (message.storeEpoch > 0) this.#opts.epochs.observe(message.storeEpoch, 'peer')
+    if (message.evacuations) this.#opts.evacuations?.merge(message.evacuations, message.from)
     this.merge(message.records)
     if (this.#watchDuty.setStoreLost(message.from, message.isStoreLost === true)) this.#opts.onWatchersChange()
     this.#configVersions.set(message.from, message.configVersion)
@@ -303,11 +312,12 @@
     if (message.quarantine) this.#opts.quarantine.merge(message.quarantine)
   }
 
-  /** A message with no content except this daemon's active configuration version and the store's epoch. */
+  /** A message with no content except what every message tells: the active configuration version, the store's epoch and evacuations. */
   #emptyMessage (): SyncMessage {
     const { host } = this.own
     const reach = this.#watchDuty.isStoreLost(host) ? { isStoreLost: true } : {}
-    return { ...reach, from: host, configVersion: this.configVersionOf(host), storeEpoch: this.#opts.epochs.current, records: [], facts: [], orders: [], reports: [] }
+    const evacuations = this.#opts.evacuations?.records() ?? []
+    return { ...reach, ...evacuations.length > 0 ? { evacuations } : {}, from: host, configVersion: this.configVersionOf(host), storeEpoch: this.#opts.epochs.current, records: [], facts: [], orders: [], reports: [] }
   }
 
   /** Makes the receiver answer with what it knows about requests that crash targets, if it knows something else. */
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -1,5 +1,6 @@
 import type { MoveFact, Random, Timers } from '@lentilwheel/core'
 import type { BriefReport } from '@lentilwheel/moves'
+import type { Evacuations } from '../evacuation/evacuations.js'
 import type { CallMessage, HopReply, SyncMessage } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { MoveOrder } from '../rollout/moveOrder.js'
@@ -52,6 +53,8 @@
   onReport (report: BriefReport): void
   /** Epoch of the store as far as known, which spreads with every message. */
   epochs: EpochTracker
+  /** Which data centres are evacuated, which spreads with every message; absent where there are no evacuations. */
+  evacuations?: Pick<Evacuations, 'records' | 'digestLines' | 'merge'>
   /** What is known about requests that crash targets, which daemons compare in their exchanges. */
   quarantine: Pick<Quarantine, 'all' | 'digest' | 'merge'>
 }
--- a/packages/hop/src/fleet/records.ts
+++ b/packages/hop/src/fleet/records.ts
@@ -1,6 +1,7 @@
 import { isIP } from 'node:net'
 import { MOVE_OUTCOMES, type MoveFact } from '@lentilwheel/core'
 import type { BriefReport } from '@lentilwheel/moves'
+import type { EvacuationRecord } from '../evacuation/evacuationRecord.js'
 import { MOVE_STATES, type MoveOrder } from '../rollout/moveOrder.js'
 import { isStoreRevision } from '../store/storeRevision.js'
 import { MAX_DEPARTURES, TARGET_STATES, type Departure, type HostRecord, type TargetRecord } from './hostRecord.js'
@@ -69,6 +70,13 @@
   return { id, service, to, durationMs, state, revision: { epoch: revision.epoch, number: revision.number } }
 }
 
+/** The state of a data centre that a value holds; undefined if a field is missing or invalid. */
+export function readEvacuation (value: unknown): EvacuationRecord | undefined {
+  const { dataCentre, isOrdered, revision } = fieldsOf<EvacuationRecord>(value)
+  if (!isName(dataCentre) || typeof isOrdered !== 'boolean' || !isStoreRevision(revision)) return undefined
+  return { dataCentre, isOrdered, revision: { epoch: revision.epoch, number: revision.number } }
+}
+
 /** The fact about a move that a value holds; undefined if a field is missing or invalid. */
 export function readMoveFact (value: unknown, wallNow: number): MoveFact | undefined {
   const { kind, move, stage, share, reason, daemon, outcome, at } = fieldsOf<Record<'kind' | 'move' | 'stage' | 'share' | 'reason' | 'daemon' | 'outcome' | 'at', unknown>>(value)
--- a/packages/hop/src/inbound/__tests__/inboundSetup.ts
+++ b/packages/hop/src/inbound/__tests__/inboundSetup.ts
@@ -18,6 +18,8 @@
   target: TargetRecord | undefined = { id: 'i-1', startedAt: 1_000, service: 's', version: 'v1', slots: 2, state: 'ready', coldMs: 0 }
   isAnnouncementOverdue = false
   coldPerS: number | undefined
+  isEvacuated = false
+  isPresumedCold = false
   isVersionAllowed = true
   rejectionRate = 0
   /** Whether the part that judges versions fails. */
@@ -48,6 +50,8 @@
     isVersionAllowed: () => this.isVersionAllowed,
     rejectionRate: () => this.rejectionRate,
     coldPerS: () => this.coldPerS,
+    isEvacuated: () => this.isEvacuated,
+    isPresumedCold: () => this.isPresumedCold,
     onTargetLeaving: () => {
       this.target = { ...this.target!, state: 'draining' }
       this.handler.onTargetChange()
--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -31,6 +31,10 @@
   rejectionRate (service: string, priority: number): number
   /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
   coldPerS (service: string): number | undefined
+  /** Whether targets of this data centre get no requests now; absent for never. */
+  isEvacuated? (): boolean
+  /** Whether the target counts as cold until it announces itself again; absent for never. */
+  isPresumedCold? (): boolean
   /** What is known about requests that crash targets. */
   quarantine: CrashGuardOptions['quarantine']
   /** Called when the target says in a response that it leaves. */
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -168,6 +168,11 @@
     this.#endQueued(target ? 'draining' : 'noTarget')
   }
 
+  /** Called when the evacuation of this data centre begins. Queued calls end as not run; those that run go on. */
+  onEvacuation (): void {
+    this.#endQueued('evacuated')
+  }
+
   /** Load of the target, which other daemons use for load balancing; undefined when there is no target. */
   load (): TargetLoad | undefined {
     const target = this.#opts.target()
@@ -200,6 +205,7 @@
   /** Why the target can't take a call, whatever its load; undefined when it can. */
   #rejectionReason (message: CallMessage, target: TargetRecord | undefined): NotRunReason | undefined {
     if (message.incarnation !== this.#opts.incarnation()) return 'unsent'
+    if (this.#opts.isEvacuated?.()) return 'evacuated'
     if (!target) return 'noTarget'
     if (target.id !== message.targetId || target.service !== message.service) return 'otherTarget'
     if (target.state !== 'ready') return 'draining'
@@ -208,11 +214,12 @@
     return undefined
   }
 
-  /** Requests per second that the target tolerates because it is cold; undefined if it isn't, or its service has no such limit. */
+  /** Requests per second that the target tolerates because it is or may be cold; undefined if it isn't, or its service has no such limit. */
   #coldPerS (): number | undefined {
     const perS = this.#known && this.#opts.coldPerS(this.#known.service)
     if (perS === undefined) return undefined
-    return (this.#opts.target()?.coldMs ?? 0) > 0 ? perS : undefined
+    const isCold = (this.#opts.target()?.coldMs ?? 0) > 0 || this.#opts.isPresumedCold?.() === true
+    return isCold ? perS : undefined
   }
 
   #start (call: Call): void {
--- a/packages/hop/src/inbound/localTarget.ts
+++ b/packages/hop/src/inbound/localTarget.ts
@@ -43,6 +43,8 @@
   readonly #overdueAfterMs: number
   readonly #departures = new Map<string, Departure>()
   #current: CurrentTarget | undefined
+  /** Whether the target may have turned cold since its last announcement. */
+  #isPresumedCold = false
 
   /** `periodMs`: time between two announcements of a target. */
   constructor (periodMs: number) {
@@ -69,6 +71,7 @@
       if (isSameStart && current.state === 'draining') announcement = { ...announcement, state: 'draining' }
     }
     this.#current = { ...announcement, lastAnnouncedAt: now, hasLeft: false }
+    this.#isPresumedCold = false
     if (announcement.state === 'draining') this.#addDeparture({ id, startedAt, state: 'draining' })
     return 'accepted'
   }
@@ -120,6 +123,15 @@
     }
   }
 
+  /** Makes the target count as cold until its next announcement, as it may have turned cold since the last one. */
+  presumeCold (): void {
+    this.#isPresumedCold = true
+  }
+
+  get isPresumedCold (): boolean {
+    return this.#isPresumedCold
+  }
+
   /** Whether the target should have announced itself again by now. This alone doesn't mean that it is gone: the announcement may be late. */
   isAnnouncementOverdue (now: number): boolean {
     return this.#current !== undefined && now - this.#current.lastAnnouncedAt > this.#overdueAfterMs
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -1,5 +1,6 @@
 import type { BriefReport } from '@lentilwheel/moves'
 import type { MoveOrder } from '../rollout/moveOrder.js'
+import type { EvacuationRecord } from '../evacuation/evacuationRecord.js'
 import type { Departure, HostRecord } from '../fleet/hostRecord.js'
 import type { QuarantineNews } from '../quarantine/quarantineNews.js'
 import type { MoveFact } from '@lentilwheel/core'
@@ -110,12 +111,14 @@
   reports: BriefReport[]
   /** Whether the sender can't reach the store, so that another daemon has to watch in its place; absent for no. */
   isStoreLost?: boolean
+  /** Orders to evacuate data centres and their removals; absent if there has been none. */
+  evacuations?: EvacuationRecord[]
   /** What is new about requests that crash targets; absent for nothing. */
   quarantine?: QuarantineNews
   /** Digest of what the sender knows about them. A receiver that knows something else answers with everything; absent where that isn't wanted. */
   quarantineDigest?: string
   /**
-   * Hash of all records, facts and orders that the sender knows. A receiver whose hash differs answers with everything
+   * Hash of all records, facts, orders and evacuations that the sender knows. A receiver whose hash differs answers with everything
    * that it knows. Absent in messages that only push changes.
    */
   digest?: string
--- a/packages/hop/src/link/reasons.ts
+++ b/packages/hop/src/link/reasons.ts
@@ -4,10 +4,10 @@
  * place of more urgent requests there. `shed`: the target itself rejected it. `expired`: its deadline passed in the queue.
  * `revoked`: the sender cancelled or settled it before. `unsent`: it didn't reach the daemon that it was meant for.
  * `vacant`: answers an `ask` offer, a slot is free. `suspect`: the request may crash targets and is running here already.
- * `quarantined`: it has crashed several targets.
+ * `quarantined`: it has crashed several targets. `evacuated`: targets of the data centre get no requests now.
  */
 export const NOT_RUN_REASONS = [
-  'busy', 'limited', 'displacing', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent', 'vacant', 'suspect', 'quarantined'
+  'busy', 'limited', 'displacing', 'noTarget', 'otherTarget', 'draining', 'expired', 'shed', 'unreachable', 'revoked', 'stopping', 'unsent', 'vacant', 'suspect', 'quarantined', 'evacuated'
 ] as const
 export type NotRunReason = typeof NOT_RUN_REASONS[number]
 
--- a/packages/hop/src/outbound/loadBalancer.ts
+++ b/packages/hop/src/outbound/loadBalancer.ts
@@ -1,4 +1,5 @@
 import { rendezvousScore, type Random, type Timers } from '@lentilwheel/core'
+import type { EvacuationView } from '../evacuation/evacuationRecord.js'
 import { availableTarget, type HostRecord } from '../fleet/hostRecord.js'
 import type { TargetLoad } from '../link/messages.js'
 import { CostEstimator, freshnessAt, type Candidate, type OwnLink, type RequestTraits, type TargetStats } from './costEstimate.js'
@@ -22,6 +23,7 @@
   readonly #dataCentre: string
   readonly #host: string
   readonly #costs: CostEstimator
+  readonly #evacuations: EvacuationView | undefined
   readonly #stats = new Map<string, TargetStats>()
   /** Hosts with a target that is ready, by service. */
   readonly #byService = new Map<string, HostRecord[]>()
@@ -30,14 +32,15 @@
   readonly #subsets = new Map<string, HostRecord[]>()
 
   /** `host`: this daemon's own host, which determines the remote targets of its subset; `link`: that of this host, unlimited by default. */
-  constructor (opts: { timers: Pick<Timers, 'now'>, random: Random, dataCentre: string, host?: string, link?: OwnLink }) {
+  constructor (opts: { timers: Pick<Timers, 'now'>, random: Random, dataCentre: string, host?: string, link?: OwnLink, evacuations?: EvacuationView }) {
     this.#timers = opts.timers
+    this.#evacuations = opts.evacuations
     this.#dataCentre = opts.dataCentre
     this.#host = opts.host ?? ''
     this.#costs = new CostEstimator({ ...opts, host: this.#host })
   }
 
-  /** Replaces the known hosts; those whose target is not ready or whose daemon is stopping are ignored. */
+  /** Replaces the known hosts; those whose target is not ready, whose daemon is stopping or whose data centre is evacuated get no requests. */
   setHosts (records: readonly HostRecord[]): void {
     this.#byService.clear()
     const now = this.#timers.now()
@@ -46,9 +49,11 @@
       const target = availableTarget(record)
       if (!target) continue
       hosts.add(record.host)
-      const list = this.#byService.get(target.service)
-      if (list) list.push(record)
-      else this.#byService.set(target.service, [record])
+      if (!this.#evacuations?.isEvacuated(record.dataCentre)) {
+        const list = this.#byService.get(target.service)
+        if (list) list.push(record)
+        else this.#byService.set(target.service, [record])
+      }
       if (this.#stats.get(record.host)?.targetId !== target.id) {
         this.#stats.set(record.host, {
           targetId: target.id, load: undefined, loadAt: now, inFlight: 0, avoidUntil: -Infinity, busyUntil: -Infinity, limitedUntil: -Infinity, queueFullUntil: new Map(), coldUntil: now + target.coldMs
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -1,6 +1,7 @@
 import { errorCode, runEffects, type MoveFact, type Random, type Timers } from '@lentilwheel/core'
 import { BriefMove, type BriefReport } from '@lentilwheel/moves'
 import type { StoreCodec } from '../daemon/storeCodec.js'
+import type { EvacuationView } from '../evacuation/evacuationRecord.js'
 import { RevisionConflict } from '../errors.js'
 import type { Fleet } from '../fleet/fleet.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
@@ -17,6 +18,8 @@
   fleet: Fleet
   store: ObjectStore
   codec: StoreCodec
+  /** Targets of evacuated data centres get no share of the new version. */
+  evacuations?: EvacuationView
   timers: Timers
   random: Random
   log: CallLog
@@ -57,7 +60,7 @@
 
   constructor (opts: MoveControllerOptions) {
     this.#opts = opts
-    this.#rules = new VersionRules(opts.random)
+    this.#rules = new VersionRules(opts.random, opts.evacuations)
     const { timers, store: { epochs } } = opts
     this.#superseded = new SupersededOrders(timers, epochs)
     // Orders that are held count once the hold is over.
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -1,5 +1,6 @@
 import type { MoveFacts, Random } from '@lentilwheel/core'
 import { FULL_STAGE, LOAD_TEST_STAGE } from '@lentilwheel/moves'
+import type { EvacuationView } from '../evacuation/evacuationRecord.js'
 import { availableTarget, type HostRecord } from '../fleet/hostRecord.js'
 import { isLater } from '../store/storeRevision.js'
 import type { MoveOrder } from './moveOrder.js'
@@ -37,6 +38,7 @@
  */
 export class VersionRules {
   readonly #random: Random
+  readonly #evacuations: EvacuationView | undefined
   readonly #orders = new Map<string, MoveOrder>()
   readonly #facts = new Map<string, MoveFacts>()
   /** Hosts with a ready target, by service. */
@@ -44,8 +46,9 @@
   /** Version that gets the traffic of a service while no order is known, and what an order that isn't completed leaves to the old version. */
   readonly #baselineVersions = new Map<string, string>()
 
-  constructor (random: Random) {
+  constructor (random: Random, evacuations?: EvacuationView) {
     this.#random = random
+    this.#evacuations = evacuations
   }
 
   order (service: string): MoveOrder | undefined {
@@ -120,8 +123,9 @@
         return { accepts: isOld, preferredHost: undefined }
       default: {
         const { stage, share } = this.#facts.get(order.id)!.stage!
-        if (newHosts.length === 0 || this.#random.next() >= share) return { accepts: isOld, preferredHost: undefined }
-        const preferred = stage === LOAD_TEST_STAGE ? newHosts.map(({ host }) => host).sort()[0] : undefined
+        const usable = newHosts.filter(({ dataCentre }) => !this.#evacuations?.isEvacuated(dataCentre))
+        if (usable.length === 0 || this.#random.next() >= share) return { accepts: isOld, preferredHost: undefined }
+        const preferred = stage === LOAD_TEST_STAGE ? usable.map(({ host }) => host).sort()[0] : undefined
         return { accepts: isNew, preferredHost: preferred }
       }
     }
--- a/packages/hop/src/store/storeWatcher.ts
+++ b/packages/hop/src/store/storeWatcher.ts
@@ -25,8 +25,8 @@
   turnIntervalMs: number
   /** Called with each outcome of a call to the store. */
   onReachable? (isReachable: boolean): void
-  /** Called with all objects of the kind after each list. */
-  onList (objects: readonly StoredObject[]): void
+  /** Called with all objects of the kind after each list, and the revision of the list. */
+  onList (objects: readonly StoredObject[], revision: StoreRevision): void
   /** Called with each changed or deleted object that a watch brings. */
   onChange (object: StoredObject, deleted: boolean): void
 }
@@ -114,7 +114,7 @@
       this.#logList(revision, objects)
       this.#revision = revision
       this.#listedEpoch = Math.max(epochBefore, revision.epoch)
-      this.#opts.onList(objects)
+      this.#opts.onList(objects, revision)
       return await this.#sleep(batchDelayMs)
     }
     const turn = this.#opts.turn()
