Fail at once on messages of targets that HTTP does not allow

Cause: http-parser-js reads numbers from the beginning of a text and ignores the rest. So a status 2000 was passed on as 200, a length of 0x2 counted as 2, a chunk size of words as the last chunk, and a status of 000, 099, 001 or 0200 as an interim response, for which the request waited until its timeout.

Change: responseSyntax.ts checks status lines and chunk sizes as they are read, and the headers that tell where a message ends: one decimal length, or the coding `chunked` alone, neither on interim responses. Responses with 204 or 304 end with their head, whatever length they declare. The load header takes decimal counts only, the limit header one finite number, and the Keep-Alive timeout a whole parameter.

--- a/packages/hop/src/inbound/classifyMessage.ts
+++ b/packages/hop/src/inbound/classifyMessage.ts
@@ -52,19 +52,24 @@
 const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
 
 function parseStatement (headers: readonly string[], names: HeaderNames): TargetStatement {
-  const limitPerS = parseLimit(headerValue(headers, names.limit))
+  const limitPerS = countHeader(headers, names.limit) > 1 ? undefined : parseLimit(headerValue(headers, names.limit))
   return { isLeaving: headerValue(headers, names.leaving) === '1', ...limitPerS === undefined ? {} : { limitPerS } }
 }
 
 /** Requests per second; Infinity for a header that is missing, undefined for one that can't be read. */
 function parseLimit (value: string | undefined): number | undefined {
   if (value === undefined) return Infinity
-  return /^\d+(\.\d+)?$/.test(value) ? Number(value) : undefined
+  return /^\d{1,15}(\.\d+)?$/.test(value) ? Number(value) : undefined
 }
 
 function parseLoad (value: string | undefined): ReportedLoad | undefined {
-  const [running, waiting, slots] = value?.split(',').map(Number) ?? []
+  const [running, waiting, slots] = value?.split(',').map(parseCount) ?? []
   if (running === undefined || waiting === undefined || slots === undefined) return undefined
   if (![running, waiting, slots].every((n) => Number.isInteger(n) && n >= 0)) return undefined
   return { running, waiting, slots }
 }
+
+/** NaN for a text that isn't a decimal number; `Number` also reads signs, other bases and an empty text. */
+function parseCount (text: string): number {
+  return /^\d{1,15}$/.test(text.trim()) ? Number(text) : NaN
+}
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -9,6 +9,7 @@
 import type { ConnectOutcome } from './crashDetector.js'
 import { isSpliced, parseHeaderLine } from './headerLines.js'
 import { classifyMessage, type TargetMessage } from './classifyMessage.js'
+import { checkLines, isBodiless, isFramed } from './responseSyntax.js'
 import type { TargetResult } from './targetResult.js'
 
 /** A request as it is sent to the target. */
@@ -62,6 +63,8 @@
 HTTPParser.encoding = 'latin1'
 
 const CONNECT_TIMEOUT_MS = 1_000
+/** Timeout in whole seconds, as a parameter of the Keep-Alive header. */
+const KEEP_ALIVE_TIMEOUT = /(?:^|[\s,;])timeout=(\d+)(?=$|[\s,;])/i
 /** Idle time after which a connection isn't reused when the target's Keep-Alive header gives none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000
 /** Refused ids kept for a connection; a refusal that is written again comes within a few requests. */
@@ -155,6 +158,7 @@
   #newParser (): InstanceType<typeof HTTPParser> {
     const parser = new HTTPParser(HTTPParser.RESPONSE)
     parser.parseHeader = parseHeaderLine
+    checkLines(parser)
     parser[HTTPParser.kOnHeadersComplete] = (info: HeaderInfo) => this.#onHead(info)
     parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
       this.#onBody(chunk.subarray(offset, offset + length))
@@ -171,18 +175,18 @@
       return 0
     }
     const headers = info.headers.slice()
-    if (isSpliced(info.statusMessage, headers)) {
+    if (!isFramed(info) || isSpliced(info.statusMessage, headers)) {
       this.#fail('garbled')
       return 0
     }
     const { limits: responseLimits } = this.#opts
     const length = declaredLength(headers)
-    const isBodiless = this.#exchange.request.method === 'HEAD'
+    const hasNoBody = isBodiless(this.#exchange.request.method, info.statusCode)
     this.#exchange.head = { status: info.statusCode, headers, body: Buffer.alloc(0), unframed: false }
     this.#exchange.budget = length === undefined ? responseLimits.unsizedBudget : responseLimits.sizedBudget
     if (!info.shouldKeepAlive) this.#isReusable = false
-    if (!isBodiless && length !== undefined && length > responseLimits.maxBodyBytes) this.#onLimitExceeded('body', responseLimits.maxBodyBytes)
-    return isBodiless ? 1 : 0
+    if (!hasNoBody && length !== undefined && length > responseLimits.maxBodyBytes) this.#onLimitExceeded('body', responseLimits.maxBodyBytes)
+    return hasNoBody ? 1 : 0
   }
 
   #onBody (chunk: Buffer): void {
@@ -233,7 +237,7 @@
 
   /** Reads from the response's headers how long the target keeps the idle connection open, if at all. */
   #readIdleTimeout (headers: readonly string[]): void {
-    const seconds = /timeout=(\d+)/.exec(headerValue(headers, 'keep-alive') ?? '')?.[1]
+    const seconds = KEEP_ALIVE_TIMEOUT.exec(headerValue(headers, 'keep-alive') ?? '')?.[1]
     this.#idleTimeoutMs = seconds === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Math.max(0, Number(seconds) * 1000 - IDLE_MARGIN_MS)
     if (headerValue(headers, 'connection')?.toLowerCase() === 'close') this.#isReusable = false
   }
