--- a/packages/core/src/__tests__/timing.spec.ts
+++ b/packages/core/src/__tests__/timing.spec.ts
@@ -49,3 +49,13 @@
   t.is([...draw(7)].toSorted().join(''), 'abcdef')
   t.not(draw(7), draw(8))
 })
+
+test('guards against a token bucket whose limits are changed keeping more than its new burst, or losing what it gained before', (t) => {
+  const bucket = new TokenBucket({ perSecond: 10, burst: 20, now: 0, tokens: 0 })
+  bucket.setLimits(500, 1, 4)
+  t.is(bucket.takeUpTo(500, 10), 4)
+  bucket.setLimits(500, 10, 20)
+  t.is(bucket.takeUpTo(750, 10), 2)
+  t.is(bucket.takeAll(750), 0.5)
+  t.is(bucket.waitMs(750), 100)
+})
