Ask for credits of workspaces over the links between daemons

A frame of its own kind, sent with the urgency of control messages, with several questions in one message. Names, counts, limits and waits are checked and bounded when read; an invalid message ends its connection as other invalid messages do, an invalid reply counts as lost. There is no timeout on the link: while a question is unanswered the connection is pinged, so a silent peer is noticed within about 1.3 s instead of the idle ping's 3 to 8 s. The daemon tells the gate which peers live, only if its configuration has workspaces; the decisions are in the metrics. npx ava packages/hop/src/link/__tests__/*.spec.ts packages/hop/src/fleet/__tests__/fleet.spec.ts: passed.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -302,6 +302,7 @@
       },
       sync: async (message) => message,
       fetchConfig: async () => undefined,
+      askQuota: () => {},
       keepAlive: () => {},
       check: () => {},
       close: () => {}
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -23,13 +23,16 @@
 import { BlockStore } from '../quarantine/blockStore.js'
 import { NewsSpreader } from '../quarantine/newsSpreader.js'
 import { Quarantine } from '../quarantine/quarantine.js'
+import { FleetQuotaGate } from '../quota/fleetQuotaGate.js'
+import { quotaFleetView } from '../quota/quotaFleetView.js'
+import { workspacesOf } from '../quota/workspacesOf.js'
 import type { ObjectStore } from '../store/objectStore.js'
 import type { StoreCodec } from './storeCodec.js'
 import { ConfigUpdater } from './configUpdater.js'
 import { DaemonRegistration } from './daemonRegistration.js'
 import { PeerDiscovery } from './peerDiscovery.js'
 import type { ResolvedHopConfig } from './resolvedHopConfig.js'
-import { LoopLag } from './nodeLoopLag.js'
+import { LoopLag, runAfterTurn } from './nodeLoopLag.js'
 import { GracefulShutdown } from './gracefulShutdown.js'
 import { ResourceReport } from './resourceReport.js'
 
@@ -77,6 +80,7 @@
   readonly #registration: DaemonRegistration
   readonly #discovery: PeerDiscovery
   readonly #moves: MoveController
+  readonly #quota: FleetQuotaGate
   #cfg: ResolvedHopConfig
   #startedAt = 0
   /** The target as last announced to peers, to notice changes; empty for none. */
@@ -128,6 +132,19 @@
       epochs: store.epochs,
       quarantine: this.#quarantine
     })
+    this.#quota = new FleetQuotaGate({
+      own: cfg.host,
+      timers,
+      random,
+      log,
+      limitOf: (workspace) => workspacesOf(this.#outbound.table?.config).get(workspace),
+      defer: runAfterTurn,
+      send: (host, message, done) => {
+        const peer = this.#fleet.link(host)
+        if (peer) peer.askQuota(message, done)
+        else done(undefined)
+      }
+    })
     this.#moves = new MoveController({ fleet: this.#fleet, store, codec, timers, random, log })
     const client = new NodeTargetClient({
       host: cfg.target.address,
@@ -182,6 +199,8 @@
       onConfig: (table) => {
         this.#outbound.setTable(table)
         this.#outboundServer.setLimits(table.config.limits)
+        this.#quota.retain(workspacesOf(table.config))
+        this.#updateQuotaFleet()
         metrics.state('configVersion', table.config.version)
       }
     })
@@ -197,7 +216,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.onQuestions(message, reply), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     this.#metricsServer = new NodeMetricsServer(cfg.metrics, metrics)
   }
@@ -214,7 +233,7 @@
     this.#blockStore.start()
     this.#moves.start()
     timers.every(TARGET_CHECK_INTERVAL_MS, () => this.#checkTarget())
-    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, traffic: this.#traffic }).start()
+    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, traffic: this.#traffic, quota: this.#quota }).start()
   }
 
   /** Handles an announcement of the target beside this daemon. */
@@ -339,12 +358,19 @@
     this.#checkTarget()
   }
 
+  /** Tells the quotas which daemons live; a configuration without workspaces needs none of it. */
+  #updateQuotaFleet (): void {
+    if (workspacesOf(this.#outbound.table?.config).size === 0) return
+    this.#quota.setFleet(quotaFleetView(this.#fleet.records(), (host) => this.#fleet.isUp(host)))
+  }
+
   /** Passes changed records to the parts that use them; a failure there is logged, not thrown. */
   #onFleetChange (): void {
     try {
       const records = this.#fleet.records()
       this.#loadBalancer.setHosts(records)
       this.#moves.setHosts(records)
+      this.#updateQuotaFleet()
       this.#configUpdater.catchUp()
     } catch (err) {
       this.#opts.log.decision('fleetChangeFailed', { code: errorCode(err), reason: (err as Error).stack })
--- a/packages/hop/src/daemon/nodeLoopLag.ts
+++ b/packages/hop/src/daemon/nodeLoopLag.ts
@@ -39,6 +39,11 @@
   }
 }
 
+/** Calls `fn` once the events of this turn of the event loop have been handled. */
+export function runAfterTurn (fn: () => void): void {
+  setImmediate(fn)
+}
+
 /** Calls `fn` after everything that has arrived by now has been read. */
 export function runAfterReading (fn: () => void): void {
   // The first callback runs before the loop polls for input again, the second one after that.
--- a/packages/hop/src/daemon/resourceReport.ts
+++ b/packages/hop/src/daemon/resourceReport.ts
@@ -7,6 +7,7 @@
 import type { CallMetrics } from '../observe/callMetrics.js'
 import type { TrafficSummary } from '../observe/trafficSummary.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
+import type { FleetQuotaGate } from '../quota/fleetQuotaGate.js'
 import type { ObjectStore } from '../store/objectStore.js'
 import { processorMs } from './nodeProcessorTime.js'
 
@@ -22,6 +23,7 @@
   queue: SendQueue
   quarantine: Quarantine
   traffic: TrafficSummary
+  quota: FleetQuotaGate
 }
 
 const METRICS_INTERVAL_MS = 1_000
@@ -59,6 +61,19 @@
     metrics.state('blocked', blocked)
     metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
     metrics.state('targetSent', sent)
+    this.#setQuotaMetrics()
+  }
+
+  #setQuotaMetrics (): void {
+    const { metrics, quota } = this.#parts
+    if (!quota.isUsed) return
+    const { granted, exceeded, unknown, questions, lent, buckets } = quota.counts
+    metrics.state('quotaGranted', granted)
+    metrics.state('quotaExceeded', exceeded)
+    metrics.state('quotaUnknown', unknown)
+    metrics.state('quotaQuestions', questions)
+    metrics.state('quotaLent', lent)
+    metrics.state('quotaBuckets', buckets)
   }
 
   /** Logs where requests waited since the last time; nothing if there were none. */
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -70,6 +70,7 @@
           return this.#deliver(peer, message)
         },
         fetchConfig: async () => undefined,
+        askQuota: () => {},
         keepAlive: () => {},
         check: () => { this.checks++ },
         close: () => {}
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -1,6 +1,6 @@
 import type { MoveFact, Random, Timers } from '@lentilwheel/core'
 import type { BriefReport } from '@lentilwheel/moves'
-import type { CallMessage, HopReply, SyncMessage } from '../link/messages.js'
+import type { CallMessage, HopReply, QuotaAnswer, QuotaMessage, SyncMessage } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { MoveOrder } from '../rollout/moveOrder.js'
 import type { ConfigDelta } from '../routing/configDelta.js'
@@ -21,6 +21,8 @@
   sync (message: SyncMessage): Promise<SyncMessage>
   /** Fetches the delta from `heldVersion` to the active configuration of the peer; undefined if the peer has none. */
   fetchConfig (heldVersion: number): Promise<ConfigDelta | undefined>
+  /** Asks for credits of workspaces; calls `done` once, with undefined if the connection broke or the reply is invalid. */
+  askQuota (message: QuotaMessage, done: (answers: readonly QuotaAnswer[] | undefined) => void): void
   /** Reconnects a broken link and pings a silent one; called periodically. */
   keepAlive (): void
   /** Pings the peer if it has been silent for a moment. */
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -6,12 +6,13 @@
 import type { InboundHandler } from '../inbound/inboundHandler.js'
 import type { ConfigDelta } from '../routing/configDelta.js'
 import { packReply, unpackCall, validateFields } from './codec.js'
-import type { HopReply, SettleMessage, SyncMessage } from './messages.js'
+import type { HopReply, QuotaAnswer, QuotaMessage, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, type Frame } from './frames.js'
 import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
+import { packQuotaAnswers, unpackQuotaMessage } from './quotaCodec.js'
 import { readSyncMessage } from './readSyncMessage.js'
 import type { SendQueue } from './sendQueue.js'
-import { NESTED_URGENCY, urgencyOf } from './urgency.js'
+import { CONTROL_URGENCY, NESTED_URGENCY, urgencyOf } from './urgency.js'
 
 export interface HopServerOptions {
   address: string
@@ -23,6 +24,8 @@
   /** Queue of this host's link. */
   queue: SendQueue
   onSync (message: SyncMessage): SyncMessage
+  /** Answers another daemon's questions about quotas; calls `reply` once. */
+  onQuota (message: QuotaMessage, reply: (answers: QuotaAnswer[]) => void): void
   /** Returns the changes from the version that the peer holds to the active configuration; undefined if there is none. */
   deltaSince (heldVersion: number): ConfigDelta | undefined
 }
@@ -103,6 +106,9 @@
       case FRAME_KINDS.sync:
         peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.onSync(readSyncMessage(payload, this.#opts))], NESTED_URGENCY)
         return
+      case FRAME_KINDS.quota:
+        this.#opts.onQuota(unpackQuotaMessage(payload), (answers) => peer.send([FRAME_KINDS.reply, exchangeId, packQuotaAnswers(answers)], CONTROL_URGENCY))
+        return
       case FRAME_KINDS.config:
         peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.deltaSince(validateFields<{ have: number }>(payload, ['have']).have)], NESTED_URGENCY)
         return
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -4,12 +4,13 @@
 import type { CallLog } from '../observe/callLog.js'
 import { DELTA_FIELDS, type ConfigDelta } from '../routing/configDelta.js'
 import { packCall, unpackReply, validateFields } from './codec.js'
-import type { CallMessage, HopReply, SettleMessage, SyncMessage } from './messages.js'
+import type { CallMessage, HopReply, QuotaAnswer, QuotaMessage, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, type FrameKind } from './frames.js'
 import { PeerConnection, type ExchangeOutcome } from './nodePeerConnection.js'
+import { packQuotaMessage, unpackQuotaAnswers } from './quotaCodec.js'
 import { readSyncMessage } from './readSyncMessage.js'
 import type { SendQueue } from './sendQueue.js'
-import { NESTED_URGENCY, urgencyOf } from './urgency.js'
+import { CONTROL_URGENCY, NESTED_URGENCY, urgencyOf } from './urgency.js'
 
 export interface PeerLinkOptions {
   host: string
@@ -91,6 +92,13 @@
     return delta === null || delta === undefined ? undefined : validateFields<ConfigDelta>(delta, DELTA_FIELDS)
   }
 
+  /** There is no timeout: while a question is unanswered the connection is pinged, and ends if the peer is silent. */
+  askQuota (message: QuotaMessage, done: (answers: readonly QuotaAnswer[] | undefined) => void): void {
+    this.#connection.request(FRAME_KINDS.quota, packQuotaMessage(message), (outcome) => {
+      done(outcome.kind === 'payload' ? this.#readQuotaAnswers(outcome.payload, message) : undefined)
+    }, CONTROL_URGENCY)
+  }
+
   /** Reopens a broken connection and detects a peer that no longer answers. */
   keepAlive (): void {
     this.#connection.keepAlive()
@@ -141,6 +149,15 @@
     }
   }
 
+  #readQuotaAnswers (payload: unknown, { questions }: QuotaMessage): QuotaAnswer[] | undefined {
+    try {
+      return unpackQuotaAnswers(payload, questions)
+    } catch (err) {
+      this.#opts.log.decision('badReply', { peer: this.#opts.host, code: errorCode(err) })
+      return undefined
+    }
+  }
+
   #cancel (call: PendingCall): void {
     if (call.hasEnded) return
     call.hasEnded = true
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -11,9 +11,11 @@
  * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
  * within the last 4 s. `queued`: requests that wait for one of the target's `slots`. `unsentBytes`: bytes that wait for the link
  * of this host, or that connections to other daemons have not taken yet. `processorMs`: processor time since the start. `storeEpoch`: epoch of the store as this daemon knows it. `suspects`, `blocked`: requests that may crash targets, and those
- * that are refused because they do.
+ * that are refused because they do. `quotaGranted`, `quotaExceeded`, `quotaUnknown`: decisions about requests of workspaces since the
+ * start. `quotaQuestions`: messages sent to other daemons for them. `quotaLent`: credits lent. `quotaBuckets`: workspaces lent for.
  */
-export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked'
+export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked' |
+  'quotaGranted' | 'quotaExceeded' | 'quotaUnknown' | 'quotaQuestions' | 'quotaLent' | 'quotaBuckets'
 
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
