Lend on while the lender changes, and share a quota with a lender that only some have lost

Losses in faults were high, and one case passed the bound. Now: a successor's bucket fills from the time its predecessor was lost; a lender that is replaced lends on until its successor can, for askers whom that one tells so; an answer is awaited for 300 ms (retransmission takes 200 ms), and a successor asks up to 16 peers whether they reach the lost lender, and lends only the part due to those that don't.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -303,6 +303,7 @@
       sync: async (message) => message,
       fetchConfig: async () => undefined,
       askQuota: () => {},
+      askReach: () => {},
       keepAlive: () => {},
       check: () => {},
       close: () => {}
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -143,6 +143,11 @@
         const peer = this.#fleet.link(host)
         if (peer) peer.askQuota(message, done)
         else done(undefined)
+      },
+      askReach: (peer, hosts, done) => {
+        const link = this.#fleet.link(peer)
+        if (link) link.askReach(hosts, done)
+        else done(undefined)
       }
     })
     this.#moves = new MoveController({ fleet: this.#fleet, store, codec, timers, random, log })
@@ -216,7 +221,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.onQuestions(message, reply), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.onQuestions(message, reply), isUp: (host) => this.#fleet.isUp(host), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     this.#metricsServer = new NodeMetricsServer(cfg.metrics, metrics)
   }
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -71,6 +71,7 @@
         },
         fetchConfig: async () => undefined,
         askQuota: () => {},
+        askReach: () => {},
         keepAlive: () => {},
         check: () => { this.checks++ },
         close: () => {}
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -23,6 +23,8 @@
   fetchConfig (heldVersion: number): Promise<ConfigDelta | undefined>
   /** Asks for credits of workspaces; calls `done` once, with undefined if the connection broke or the reply is invalid. */
   askQuota (message: QuotaMessage, done: (answers: readonly QuotaAnswer[] | undefined) => void): void
+  /** Asks which of the hosts' daemons the peer can reach; calls `done` once, like `askQuota`. */
+  askReach (hosts: readonly string[], done: (reached: readonly boolean[] | undefined) => void): void
   /** Reconnects a broken link and pings a silent one; called periodically. */
   keepAlive (): void
   /** Pings the peer if it has been silent for a moment. */
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -22,13 +22,16 @@
   'not a frame': 'hello',
   'a frame without an exchange id': [FRAME_KINDS.sync],
   'a frame of an unknown kind': [99, 1, {}],
-  'a quota message that is not a list': [FRAME_KINDS.quota, 1, { isRelayed: false, questions: [] }],
-  'a quota message without a question': [FRAME_KINDS.quota, 1, [false]],
-  'a quota message with too many questions': [FRAME_KINDS.quota, 1, [false, ...Array.from({ length: 257 }, () => ['w', 1, 10, 5])]],
-  'a quota question for no credits': [FRAME_KINDS.quota, 1, [false, ['w', 0, 10, 5]]],
-  'a quota question for too many credits': [FRAME_KINDS.quota, 1, [false, ['w', 1e9, 10, 5]]],
-  'a quota question with an endless rate': [FRAME_KINDS.quota, 1, [false, ['w', 1, Infinity, 5]]],
-  'a quota question with a long name': [FRAME_KINDS.quota, 1, [false, ['w'.repeat(257), 1, 10, 5]]],
+  'a quota message that is not a list': [FRAME_KINDS.quota, 1, { mode: 'direct', questions: [] }],
+  'a quota message without a question': [FRAME_KINDS.quota, 1, [0]],
+  'a quota message with too many questions': [FRAME_KINDS.quota, 1, [0, ...Array.from({ length: 257 }, () => ['w', 1, 10, 5])]],
+  'a quota message of an unknown mode': [FRAME_KINDS.quota, 1, [3, ['w', 1, 10, 5]]],
+  'a question about hosts that names no hosts': [FRAME_KINDS.reach, 1, [1, 2]],
+  'a question about too many hosts': [FRAME_KINDS.reach, 1, Array.from({ length: 257 }, (_, i) => `h${i}`)],
+  'a quota question for no credits': [FRAME_KINDS.quota, 1, [0, ['w', 0, 10, 5]]],
+  'a quota question for too many credits': [FRAME_KINDS.quota, 1, [0, ['w', 1e9, 10, 5]]],
+  'a quota question with an endless rate': [FRAME_KINDS.quota, 1, [0, ['w', 1, Infinity, 5]]],
+  'a quota question with a long name': [FRAME_KINDS.quota, 1, [0, ['w'.repeat(257), 1, 10, 5]]],
   'a call of another protocol version': [FRAME_KINDS.call, 1, [1, 2, 3]],
   'a sync message with a field that is not a list': [FRAME_KINDS.sync, 1, { ...syncMessage, facts: 'x' }],
   'a sync message without a numeric configuration version': [FRAME_KINDS.sync, 1, { ...syncMessage, configVersion: 'new' }],
@@ -63,7 +66,7 @@
     log: new NoopCallLog(),
     openLink: (host) => {
       linkedHosts.push(host)
-      return { isUp: false, endpoint: { address: '', port: 0 }, call: () => () => {}, sync: async (message) => message, fetchConfig: async () => undefined, askQuota: () => {}, keepAlive: () => {}, check: () => {}, close: () => {} }
+      return { isUp: false, endpoint: { address: '', port: 0 }, call: () => () => {}, sync: async (message) => message, fetchConfig: async () => undefined, askQuota: () => {}, askReach: () => {}, keepAlive: () => {}, check: () => {}, close: () => {} }
     },
     onChange: () => {},
     onNewerPeerVersion: () => {},
@@ -82,7 +85,7 @@
     const linkedHosts: string[] = []
     const fleet = createFleet(linkedHosts)
     const server = new NodeHopServer({
-      address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: new NoopCallLog(), onSync: (message) => fleet.onSync(message), onQuota: () => {}, deltaSince: () => undefined
+      address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: new NoopCallLog(), onSync: (message) => fleet.onSync(message), onQuota: () => {}, isUp: () => true, deltaSince: () => undefined
     })
     await server.listen()
     t.teardown(() => server.close())
@@ -108,7 +111,7 @@
     const decisions: string[] = []
     const fleet = createFleet(linkedHosts, received)
     const server = new NodeHopServer({
-      address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: { call: () => {}, decision: (what) => { decisions.push(what) } }, onSync: (message) => fleet.onSync(message), onQuota: () => {}, deltaSince: () => undefined
+      address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: { call: () => {}, decision: (what) => { decisions.push(what) } }, onSync: (message) => fleet.onSync(message), onQuota: () => {}, isUp: () => true, deltaSince: () => undefined
     })
     await server.listen()
     t.teardown(() => server.close())
--- a/packages/hop/src/link/__tests__/quotaFrame.spec.ts
+++ b/packages/hop/src/link/__tests__/quotaFrame.spec.ts
@@ -11,12 +11,12 @@
 
 const timers = new NodeTimers(new SeededRandom(1))
 
-const MESSAGE: QuotaMessage = { isRelayed: false, questions: [{ workspace: 'w1', count: 3, ratePerS: 12.5, burst: 20 }, { workspace: 'w2', count: 1, ratePerS: 2, burst: 0 }, { workspace: 'w3', count: 1, ratePerS: 2, burst: 0 }] }
+const MESSAGE: QuotaMessage = { mode: 'direct', questions: [{ workspace: 'w1', count: 3, ratePerS: 12.5, burst: 20 }, { workspace: 'w2', count: 1, ratePerS: 2, burst: 0 }, { workspace: 'w3', count: 1, ratePerS: 2, burst: 0 }] }
 const ANSWERS: QuotaAnswer[] = [{ kind: 'lent', count: 2, waitMs: 12.5 }, { kind: 'settling', waitMs: 300 }, { kind: 'notLender' }]
 
 /** Two daemons' ends of a link over loopback; the second one handles questions by the given function. */
 async function linked (t: ExecutionContext, onQuota: HopServerOptions['onQuota']): Promise<NodePeerLink> {
-  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue: unlimitedQueue(), handler: {} as InboundHandler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, onQuota, deltaSince: () => undefined })
+  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue: unlimitedQueue(), handler: {} as InboundHandler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, onQuota, isUp: (host) => host === 'a', deltaSince: () => undefined })
   await server.listen()
   const link = new NodePeerLink({ host: 'p', address: '127.0.0.1', port: server.port, timers, log: new NoopCallLog(), queue: unlimitedQueue(), idlePingMs: () => 3_000, onStateChange: () => {}, onSilent: () => {} })
   t.teardown(() => {
@@ -46,7 +46,7 @@
     reply([{ kind: 'lent', count: questions[0]!.count, waitMs: 0 }])
   })
   const counts = [30, 1, 10]
-  const answers = await Promise.all(counts.map(async (count) => await ask(link, { isRelayed: true, questions: [{ ...MESSAGE.questions[0]!, count }] })))
+  const answers = await Promise.all(counts.map(async (count) => await ask(link, { mode: 'relayed', questions: [{ ...MESSAGE.questions[0]!, count }] })))
   t.deepEqual(answers.flat(), counts.map((count) => ({ kind: 'lent', count, waitMs: 0 })))
 })
 
@@ -57,10 +57,15 @@
 
 test('guards against an invalid question ending more than its connection', async (t) => {
   const link = await linked(t, (_message, reply) => reply(ANSWERS))
-  t.is(await ask(link, { isRelayed: false, questions: [{ ...MESSAGE.questions[0]!, count: 0 }] }), undefined)
+  t.is(await ask(link, { mode: 'direct', questions: [{ ...MESSAGE.questions[0]!, count: 0 }] }), undefined)
   t.deepEqual(await ask(link), ANSWERS)
 })
 
+test('guards against a daemon being told that a host can be reached that can not', async (t) => {
+  const link = await linked(t, () => {})
+  t.deepEqual(await new Promise((resolve) => link.askReach(['a', 'b'], resolve)), [true, false])
+})
+
 const badReplies: Record<string, unknown> = {
   'more answers than questions': [[0, 1, 0], [2, 0, 0]],
   'no list': { count: 1 },
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -130,10 +130,16 @@
   burst: number
 }
 
+/**
+ * `direct`: the sender takes the receiver for the lender. `relayed`: the sender passes the questions on for another daemon, so the
+ * receiver doesn't pass them on. `handover`: the receiver lent before, and the present lender can't lend yet.
+ */
+export const QUOTA_MODES = ['direct', 'relayed', 'handover'] as const
+export type QuotaMode = typeof QUOTA_MODES[number]
+
 /** Questions for the daemon that lends for their workspaces; the reply has one answer for each, in the same order. */
 export interface QuotaMessage {
-  /** Whether the sender passes the questions on for another daemon, in which case the receiver doesn't pass them on. */
-  isRelayed: boolean
+  mode: QuotaMode
   questions: QuotaQuestion[]
 }
 
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -9,7 +9,7 @@
 import type { HopReply, QuotaAnswer, QuotaMessage, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, type Frame } from './frames.js'
 import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
-import { packQuotaAnswers, unpackQuotaMessage } from './quotaCodec.js'
+import { packQuotaAnswers, unpackQuotaMessage, unpackReachHosts } from './quotaCodec.js'
 import { readSyncMessage } from './readSyncMessage.js'
 import type { SendQueue } from './sendQueue.js'
 import { CONTROL_URGENCY, NESTED_URGENCY, urgencyOf } from './urgency.js'
@@ -26,6 +26,8 @@
   onSync (message: SyncMessage): SyncMessage
   /** Answers another daemon's questions about quotas; calls `reply` once. */
   onQuota (message: QuotaMessage, reply: (answers: QuotaAnswer[]) => void): void
+  /** Whether this daemon can reach the daemon of another host. */
+  isUp (host: string): boolean
   /** Returns the changes from the version that the peer holds to the active configuration; undefined if there is none. */
   deltaSince (heldVersion: number): ConfigDelta | undefined
 }
@@ -109,6 +111,9 @@
       case FRAME_KINDS.quota:
         this.#opts.onQuota(unpackQuotaMessage(payload), (answers) => peer.send([FRAME_KINDS.reply, exchangeId, packQuotaAnswers(answers)], CONTROL_URGENCY))
         return
+      case FRAME_KINDS.reach:
+        peer.send([FRAME_KINDS.reply, exchangeId, unpackReachHosts(payload).map((host) => this.#opts.isUp(host))], CONTROL_URGENCY)
+        return
       case FRAME_KINDS.config:
         peer.send([FRAME_KINDS.reply, exchangeId, this.#opts.deltaSince(validateFields<{ have: number }>(payload, ['have']).have)], NESTED_URGENCY)
         return
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -7,7 +7,7 @@
 import type { CallMessage, HopReply, QuotaAnswer, QuotaMessage, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, type FrameKind } from './frames.js'
 import { PeerConnection, type ExchangeOutcome } from './nodePeerConnection.js'
-import { packQuotaMessage, unpackQuotaAnswers } from './quotaCodec.js'
+import { packQuotaMessage, unpackQuotaAnswers, unpackReached } from './quotaCodec.js'
 import { readSyncMessage } from './readSyncMessage.js'
 import type { SendQueue } from './sendQueue.js'
 import { CONTROL_URGENCY, NESTED_URGENCY, urgencyOf } from './urgency.js'
@@ -95,7 +95,13 @@
   /** There is no timeout: while a question is unanswered the connection is pinged, and ends if the peer is silent. */
   askQuota (message: QuotaMessage, done: (answers: readonly QuotaAnswer[] | undefined) => void): void {
     this.#connection.request(FRAME_KINDS.quota, packQuotaMessage(message), (outcome) => {
-      done(outcome.kind === 'payload' ? this.#readQuotaAnswers(outcome.payload, message) : undefined)
+      done(outcome.kind === 'payload' ? this.#read(() => unpackQuotaAnswers(outcome.payload, message.questions)) : undefined)
+    }, CONTROL_URGENCY)
+  }
+
+  askReach (hosts: readonly string[], done: (reached: readonly boolean[] | undefined) => void): void {
+    this.#connection.request(FRAME_KINDS.reach, hosts, (outcome) => {
+      done(outcome.kind === 'payload' ? this.#read(() => unpackReached(outcome.payload, hosts.length)) : undefined)
     }, CONTROL_URGENCY)
   }
 
@@ -149,9 +155,10 @@
     }
   }
 
-  #readQuotaAnswers (payload: unknown, { questions }: QuotaMessage): QuotaAnswer[] | undefined {
+  /** Returns undefined for a reply that can't be read, and logs it. */
+  #read<T> (unpack: () => T): T | undefined {
     try {
-      return unpackQuotaAnswers(payload, questions)
+      return unpack()
     } catch (err) {
       this.#opts.log.decision('badReply', { peer: this.#opts.host, code: errorCode(err) })
       return undefined
--- a/packages/hop/src/link/quotaCodec.ts
+++ b/packages/hop/src/link/quotaCodec.ts
@@ -1,5 +1,6 @@
 import { BadMessage } from '../errors.js'
-import { MAX_QUOTA_COUNT, MAX_QUOTA_QUESTIONS, type QuotaAnswer, type QuotaMessage, type QuotaQuestion } from './messages.js'
+import { MAX_REACH_HOSTS } from '../quota/reachSample.js'
+import { MAX_QUOTA_COUNT, MAX_QUOTA_QUESTIONS, QUOTA_MODES, type QuotaAnswer, type QuotaMessage, type QuotaQuestion } from './messages.js'
 
 // Messages about quotas are the most frequent ones after calls, so their fields are sent by position without names.
 
@@ -8,15 +9,16 @@
 const MAX_WAIT_MS = 60_000
 const ANSWER_KINDS = ['lent', 'settling', 'notLender'] as const satisfies readonly QuotaAnswer['kind'][]
 
-export function packQuotaMessage ({ isRelayed, questions }: QuotaMessage): unknown[] {
-  return [isRelayed, ...questions.map(({ workspace, count, ratePerS, burst }) => [workspace, count, ratePerS, burst])]
+export function packQuotaMessage ({ mode, questions }: QuotaMessage): unknown[] {
+  return [QUOTA_MODES.indexOf(mode), ...questions.map(({ workspace, count, ratePerS, burst }) => [workspace, count, ratePerS, burst])]
 }
 
 export function unpackQuotaMessage (value: unknown): QuotaMessage {
   if (!Array.isArray(value) || value.length < 2 || value.length > MAX_QUOTA_QUESTIONS + 1) throw new BadMessage('quota message from a peer has another number of questions')
-  const [isRelayed, ...questions] = value as unknown[]
-  if (typeof isRelayed !== 'boolean') throw new BadMessage('quota message from a peer has a field of another type')
-  return { isRelayed, questions: questions.map(unpackQuestion) }
+  const [modeIndex, ...questions] = value as unknown[]
+  const mode = typeof modeIndex === 'number' ? QUOTA_MODES[modeIndex] : undefined
+  if (!mode) throw new BadMessage('quota message from a peer has an unknown mode')
+  return { mode, questions: questions.map(unpackQuestion) }
 }
 
 export function packQuotaAnswers (answers: readonly QuotaAnswer[]): unknown[] {
@@ -29,6 +31,18 @@
   return value.map((entry, i) => unpackAnswer(entry, questions[i]!))
 }
 
+/** Reads the hosts of a question about which of them can be reached. */
+export function unpackReachHosts (value: unknown): string[] {
+  if (!Array.isArray(value) || value.length > MAX_REACH_HOSTS || !value.every((host) => typeof host === 'string')) throw new BadMessage('question about hosts from a peer is no short list of names')
+  return value as string[]
+}
+
+/** Reads the reply to such a question. */
+export function unpackReached (value: unknown, count: number): boolean[] {
+  if (!Array.isArray(value) || value.length !== count || !value.every((reached) => typeof reached === 'boolean')) throw new BadMessage('reply about hosts from a peer is no list of the expected length')
+  return value as boolean[]
+}
+
 function unpackQuestion (value: unknown): QuotaQuestion {
   if (!Array.isArray(value) || value.length !== 4) throw new BadMessage('quota question from a peer has another number of fields')
   const [workspace, count, ratePerS, burst] = value as unknown[]
--- a/packages/hop/src/quota/__tests__/quotaFleet.spec.ts
+++ b/packages/hop/src/quota/__tests__/quotaFleet.spec.ts
@@ -40,7 +40,8 @@
   t.log(`${HOT}: ${JSON.stringify(totals(sim, HOT))}`)
   let worst = -Infinity
   for (const [name, result] of sim.results) worst = Math.max(worst, worstExcess(result, sim.workspaces.get(name)!))
-  t.log(`worst window: ${worst.toFixed(1)} above the bound`)
+  const worstOfHot = worstExcess(sim.results.get(HOT)!, sim.workspaces.get(HOT)!)
+  t.log(`worst window: ${worst.toFixed(1)} above the bound, ${HOT} ${worstOfHot.toFixed(1)}`)
   t.true(worst <= 0)
 }
 
@@ -131,6 +132,22 @@
     checkBound(t, sim)
   })
 
+  test(`guards against a quota being lost or lent twice while daemons are stopped and started in turn: ${name} demand`, (t) => {
+    const sim = started()
+    sim.resetCounts()
+    if (hot) heat(sim)
+    sim.run(2)
+    for (const daemon of [sim.lenderOf(HOT), ...sim.daemons.slice(0, 8)]) {
+      sim.stop(daemon)
+      sim.run(1)
+      sim.kill(daemon)
+      sim.run(0.5)
+      sim.start(daemon)
+    }
+    sim.run(3)
+    checkBound(t, sim)
+  })
+
   test(`guards against a quota being lost or lent twice when the lender of the largest workspace is frozen: ${name} demand`, (t) => {
     const sim = started()
     sim.resetCounts()
@@ -144,6 +161,17 @@
     checkBound(t, sim)
   })
 
+  test(`guards against a quota being lost or lent twice while a third of the daemons can't reach the lender: ${name} demand`, (t) => {
+    const sim = started()
+    sim.resetCounts()
+    if (hot) heat(sim)
+    sim.run(2)
+    const lender = sim.lenderOf(HOT)
+    for (const daemon of sim.daemons.slice(0, 27)) if (daemon !== lender) sim.cut(daemon, lender)
+    sim.run(10)
+    checkBound(t, sim)
+  })
+
   test(`guards against requests within the quota being refused because messages arrive late: ${name} demand`, (t) => {
     const sim = started(1, 0.02)
     sim.resetCounts()
--- a/packages/hop/src/quota/__tests__/quotaSimulator.ts
+++ b/packages/hop/src/quota/__tests__/quotaSimulator.ts
@@ -1,7 +1,9 @@
 import { rendezvousScore, SeededRandom, shuffled, TokenBucket, VirtualTimers, type Timers } from '@lentilwheel/core'
+import { testHost } from '../../__tests__/fixtures.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import type { MeshWorkspace } from '../../routing/meshConfig.js'
 import { FleetQuotaGate } from '../fleetQuotaGate.js'
+import { quotaFleetView } from '../quotaFleetView.js'
 
 export interface QuotaSimOptions {
   seed: number
@@ -52,7 +54,9 @@
   readonly host: string
   readonly up = new Set<string>()
   readonly known = new Set<string>()
-  isStopping = false
+  /** It has said that it stops. */
+  isDraining = false
+  hasEnded = false
   gate!: FleetQuotaGate
   isFrozen = false
   /** Changes with each start, so that nothing of an earlier process goes on. */
@@ -137,22 +141,36 @@
   start (daemon: SimDaemon): void {
     const { host } = daemon
     daemon.generation++
-    daemon.isStopping = false
+    daemon.isDraining = false
+    daemon.hasEnded = false
     daemon.up.clear()
     daemon.known.clear()
     daemon.known.add(host)
     daemon.up.add(host)
     const random = new SeededRandom(this.#opts.seed + daemon.generation * 1_000 + this.daemons.indexOf(daemon))
     daemon.gate = new FleetQuotaGate({
-      own: host, timers: daemon, random, log: new NoopCallLog(), limitOf: (name) => this.workspaces.get(name), defer: (fn) => daemon.after(0, fn), send: (peer, message, done) => this.#send(daemon, this.#daemon(peer), (receiver, reply) => receiver.gate.onQuestions(message, reply), done)
+      own: host,
+      timers: daemon,
+      random,
+      log: new NoopCallLog(),
+      limitOf: (name) => this.workspaces.get(name),
+      defer: (fn) => daemon.after(0, fn),
+      send: (peer, message, done) => this.#send(daemon, this.#daemon(peer), (receiver, reply) => receiver.gate.onQuestions(message, reply), done),
+      askReach: (peer, hosts, done) => this.#send(daemon, this.#daemon(peer), (receiver, reply) => reply(hosts.map((host) => receiver.up.has(host))), done)
     })
     for (const peer of this.daemons) if (peer !== daemon) this.#connect(daemon, peer)
   }
 
+  /** Has a daemon tell the others that it stops; it ends with `kill`. */
+  stop (daemon: SimDaemon): void {
+    daemon.isDraining = true
+    for (const viewer of this.daemons) this.timers.after(viewer === daemon ? 0 : this.#delay(), viewer.guard(() => this.#tellFleet(viewer)))
+  }
+
   /** Ends the process of a daemon at once. */
   kill (daemon: SimDaemon): void {
     daemon.generation++
-    daemon.isStopping = true
+    daemon.hasEnded = true
     for (const peer of this.daemons) if (peer !== daemon) this.#loseLink(peer, daemon, KILL_NOTICED_MS)
   }
 
@@ -203,7 +221,7 @@
   #loseLink (from: SimDaemon, to: SimDaemon, noticed: { least: number, spread: number }): void {
     const { generation } = to
     this.timers.after(this.#between(noticed), from.guard(() => {
-      const isBack = to.generation !== generation || (!this.#isCut(from, to) && !to.isFrozen && !to.isStopping)
+      const isBack = to.generation !== generation || (!this.#isCut(from, to) && !to.isFrozen && !to.hasEnded)
       if (isBack || !from.up.delete(to.host)) return
       this.#tellFleet(from)
     }))
@@ -214,14 +232,15 @@
     for (const [from, to] of [[a, b], [b, a]] as const) {
       this.timers.after(this.#between(RECONNECT_MS), from.guard(() => {
         from.known.add(to.host)
-        if (!this.#isCut(from, to) && !to.isStopping && !to.isFrozen) from.up.add(to.host)
+        if (!this.#isCut(from, to) && !to.hasEnded && !to.isFrozen) from.up.add(to.host)
         this.#tellFleet(from)
       }))
     }
   }
 
   #tellFleet (daemon: SimDaemon): void {
-    daemon.gate.setFleet({ candidates: [...daemon.up], reachable: daemon.up.size, known: daemon.known.size })
+    const records = [...daemon.known].map((host) => ({ ...testHost(host), stopping: this.#daemon(host).isDraining }))
+    daemon.gate.setFleet(quotaFleetView(records, (host) => daemon.up.has(host)))
   }
 
   /** Sends a message; `done` gets undefined when the sender notices that the link is lost. */
@@ -233,8 +252,8 @@
       isDone = true
       done(value)
     })
-    const isLost = (): boolean => this.#isCut(from, to) || to.isStopping
-    if (isLost()) this.timers.after(this.#between(to.isStopping ? KILL_NOTICED_MS : CUT_NOTICED_MS), () => finish(undefined))
+    const isLost = (): boolean => this.#isCut(from, to) || to.hasEnded
+    if (isLost()) this.timers.after(this.#between(to.hasEnded ? KILL_NOTICED_MS : CUT_NOTICED_MS), () => finish(undefined))
     else {
       this.timers.after(this.#delay(), to.guard(() => {
         deliver(to, (value) => { this.timers.after(this.#delay(), () => { if (!isLost()) finish(value) }) })
@@ -264,7 +283,7 @@
   #request (name: string): void {
     const connections = this.#connections.get(name)!
     const i = this.#random.int(connections.length)
-    if (connections[i]!.isStopping) connections[i] = this.#random.pick(this.daemons.filter((daemon) => !daemon.isStopping))
+    if (connections[i]!.hasEnded) connections[i] = this.#random.pick(this.daemons.filter((daemon) => !daemon.hasEnded))
     const daemon = connections[i]!
     const result = this.results.get(name)!
     const now = this.timers.now()
--- a/packages/hop/src/quota/fleetQuotaGate.ts
+++ b/packages/hop/src/quota/fleetQuotaGate.ts
@@ -1,5 +1,5 @@
 import type { Cancel, Random, Timers } from '@lentilwheel/core'
-import { MAX_QUOTA_COUNT, type QuotaAnswer, type QuotaMessage, type QuotaQuestion } from '../link/messages.js'
+import { MAX_QUOTA_COUNT, type QuotaAnswer, type QuotaMessage, type QuotaMode, type QuotaQuestion } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { MeshWorkspace } from '../routing/meshConfig.js'
 import { Lender, type QuotaLimit } from './lender.js'
@@ -7,9 +7,10 @@
 import { QuestionBatcher, type OnAnswer, type QuestionBatcherOptions } from './questionBatcher.js'
 import type { QuotaDecision, QuotaGate } from './quotaGate.js'
 import type { QuotaFleetView } from './quotaFleetView.js'
+import { ReachSample, type ReachSampleOptions } from './reachSample.js'
 import { CREDIT_TTL_MS, WorkspaceCredits } from './workspaceCredits.js'
 
-export interface FleetQuotaGateOptions extends QuestionBatcherOptions {
+export interface FleetQuotaGateOptions extends QuestionBatcherOptions, Pick<ReachSampleOptions, 'askReach'> {
   /** Host of this daemon. */
   own: string
   timers: Timers
@@ -41,10 +42,18 @@
 
 interface SentQuestion {
   readonly host: string
+  readonly mode: QuotaMode
   readonly askedAt: number
   readonly count: number
 }
 
+/** A lender that can't lend yet, and the one that does until then. */
+interface Handover {
+  readonly to: string
+  readonly from: string
+  readonly until: number
+}
+
 /** What this daemon keeps for a workspace whose callers use it. */
 interface Account {
   workspace: MeshWorkspace
@@ -53,6 +62,9 @@
   readonly waiting: WaitingRequest[]
   /** The question whose answer is awaited. */
   question: SentQuestion | undefined
+  /** The host that last lent. */
+  lastLender: string | undefined
+  handover: Handover | undefined
   /** Time before which the lender has nothing for this daemon. */
   emptyUntil: number
   /** Time before which the lender isn't asked again, as it can't lend yet or gave no answer. */
@@ -63,7 +75,7 @@
 
 const GRANTED: QuotaDecision = { kind: 'granted' }
 /** Longest wait for an answer. */
-const ANSWER_TIMEOUT_MS = 150
+const ANSWER_TIMEOUT_MS = 300
 /** Longest wait while the lender can't lend yet. */
 const SETTLE_TIMEOUT_MS = 700
 /** Time after a lost question or a refusal to lend until the next question. */
@@ -91,9 +103,13 @@
   readonly #opts: FleetQuotaGateOptions
   readonly #ranking: LenderRanking
   readonly #lender: Lender
+  readonly #reachSample: ReachSample
   readonly #batcher: QuestionBatcher
   readonly #accounts = new Map<string, Account>()
   readonly #decisions = { granted: 0, exceeded: 0, unknown: 0 }
+  #reachable: ReadonlySet<string> = new Set()
+  /** Part of the daemons believed to run that this one can reach, itself included. */
+  #reachableShare = 1
   #stopTicking: Cancel | undefined
   #tickedAt = 0
   #sweptAt = 0
@@ -102,7 +118,8 @@
     const { own, timers, random, limitOf } = opts
     this.#opts = opts
     this.#ranking = new LenderRanking({ own, startedAt: timers.now() })
-    this.#lender = new Lender({ random, ranking: this.#ranking, limitOf })
+    this.#reachSample = new ReachSample(opts)
+    this.#lender = new Lender({ random, ranking: this.#ranking, limitOf, shareOf: (workspace) => this.#shareOf(workspace) })
     this.#batcher = new QuestionBatcher(opts)
   }
 
@@ -135,9 +152,9 @@
   }
 
   /** Answers the questions of another daemon; passes on those for which a daemon lends that the asker doesn't see. */
-  onQuestions ({ isRelayed, questions }: QuotaMessage, reply: (answers: QuotaAnswer[]) => void): void {
-    const answers: QuotaAnswer[] = questions.map((question) => this.#lend(question))
-    const passedOn = isRelayed ? [] : [...answers.keys()].filter((i) => answers[i]!.kind === 'notLender')
+  onQuestions ({ mode, questions }: QuotaMessage, reply: (answers: QuotaAnswer[]) => void): void {
+    const answers: QuotaAnswer[] = questions.map((question) => this.#lend(question, mode))
+    const passedOn = mode !== 'direct' ? [] : [...answers.keys()].filter((i) => answers[i]!.kind === 'notLender')
     if (passedOn.length === 0) return reply(answers)
     let missing = passedOn.length
     let isDone = false
@@ -151,7 +168,7 @@
     for (const i of passedOn) {
       const question = questions[i]!
       const host = this.#ranking.first(question.workspace, this.#opts.timers.now())
-      this.#batcher.add(host, question, true, (answer) => {
+      this.#batcher.add(host, question, 'relayed', (answer) => {
         if (answer) answers[i] = answer
         if (--missing === 0) finish()
       })
@@ -159,9 +176,12 @@
   }
 
   /** Takes over which daemons live; questions to a daemon that doesn't lend any more are asked anew. */
-  setFleet ({ candidates, reachable, known }: QuotaFleetView): void {
-    this.#ranking.reachableShare = reachable / Math.max(known, reachable)
-    if (!this.#ranking.setCandidates(candidates, this.#opts.timers.now())) return
+  setFleet ({ candidates, reachable, unreachable }: QuotaFleetView): void {
+    this.#reachable = new Set(reachable)
+    this.#reachableShare = reachable.length / (reachable.length + unreachable.length)
+    this.#reachSample.setPeers(reachable.filter((host) => host !== this.#opts.own))
+    this.#ranking.setUnreachable(unreachable)
+    if (!this.#ranking.setCandidates(candidates, this.#opts.timers.now(), (host) => this.#reachable.has(host))) return
     for (const account of this.#accounts.values()) {
       if (account.waiting.length === 0) continue
       account.pausedUntil = 0
@@ -177,7 +197,7 @@
   #accountOf (workspace: MeshWorkspace): Account {
     let account = this.#accounts.get(workspace.name)
     if (!account) {
-      account = { workspace, credits: new WorkspaceCredits(), waiting: [], question: undefined, emptyUntil: 0, pausedUntil: 0, isGiveUpScheduled: false, requestedAt: this.#opts.timers.now() }
+      account = { workspace, credits: new WorkspaceCredits(), waiting: [], question: undefined, lastLender: undefined, handover: undefined, emptyUntil: 0, pausedUntil: 0, isGiveUpScheduled: false, requestedAt: this.#opts.timers.now() }
       this.#accounts.set(workspace.name, account)
       this.#startTicking()
     }
@@ -194,16 +214,27 @@
   #ask (account: Account): void {
     const now = this.#opts.timers.now()
     const { workspace, waiting, question: pending } = account
-    const lender = this.#ranking.first(workspace.name, now)
     if (waiting.length === 0 || now < account.pausedUntil) return
-    if (pending && pending.host === lender && now - pending.askedAt < UNANSWERED_MS) return
+    const { host, mode } = this.#whomToAsk(account, now)
+    if (pending && pending.host === host && pending.mode === mode && now - pending.askedAt < UNANSWERED_MS) return
     const count = Math.min(MAX_QUOTA_COUNT, Math.max(waiting.length, account.credits.expectedDemand(now)))
-    const sent: SentQuestion = { host: lender, askedAt: now, count }
+    const sent: SentQuestion = { host, mode, askedAt: now, count }
     account.question = sent
     const question: QuotaQuestion = { workspace: workspace.name, count, ratePerS: workspace.ratePerS, burst: workspace.burst }
     const onAnswer: OnAnswer = (answer) => this.#onAnswer(account, sent, answer)
-    if (lender === this.#opts.own) onAnswer(this.#lend(question))
-    else this.#batcher.add(lender, question, false, onAnswer)
+    if (host === this.#opts.own) onAnswer(this.#lend(question, mode))
+    else this.#batcher.add(host, question, mode, onAnswer)
+  }
+
+  #shareOf (workspace: string): number {
+    return this.#reachableShare * this.#reachSample.partWithout(this.#ranking.blockersOf(workspace))
+  }
+
+  #whomToAsk (account: Account, now: number): { host: string, mode: QuotaMode } {
+    const host = this.#ranking.first(account.workspace.name, now)
+    const { handover } = account
+    const isHandover = handover?.to === host && now < handover.until && this.#reachable.has(handover.from)
+    return isHandover ? { host: handover.from, mode: 'handover' } : { host, mode: 'direct' }
   }
 
   #onAnswer (account: Account, sent: SentQuestion, answer: QuotaAnswer | undefined): void {
@@ -214,14 +245,31 @@
     if (isLent && answer.count > 0) account.credits.add(answer.count, sent.askedAt + CREDIT_TTL_MS)
     this.#serve(account)
     if (!isAwaited) return
-    if (isLent && answer.count < sent.count) return this.#refuseWaiting(account, answer.waitMs)
-    if (answer?.kind === 'settling') this.#extendWaits(account)
-    if (!isLent) this.#pause(account, answer?.kind === 'settling' ? answer.waitMs : ASK_AGAIN_MS)
-    else if (account.waiting.length > 0) this.#ask(account)
-    if (answer === undefined && this.#ranking.first(account.workspace.name, now) !== sent.host) {
-      account.pausedUntil = 0
-      this.#ask(account)
-    }
+    if (isLent) {
+      account.lastLender = sent.host
+      if (answer.count < sent.count) this.#refuseWaiting(account, answer.waitMs)
+      else this.#ask(account)
+    } else if (sent.mode === 'handover') this.#endHandover(account)
+    else if (answer?.kind === 'settling') this.#waitForLender(account, sent.host, answer.waitMs)
+    else if (this.#ranking.first(account.workspace.name, now) !== sent.host) this.#ask(account)
+    else this.#pause(account, ASK_AGAIN_MS)
+  }
+
+  /** The lender can't lend yet: the one before is asked until it can, if there is one. */
+  #waitForLender (account: Account, to: string, waitMs: number): void {
+    for (const request of account.waiting) request.giveUpAt = request.since + SETTLE_TIMEOUT_MS
+    const { lastLender } = account
+    if (lastLender === undefined || lastLender === to || !this.#reachable.has(lastLender)) return this.#pause(account, waitMs)
+    account.handover = { to, from: lastLender, until: this.#opts.timers.now() + waitMs }
+    this.#ask(account)
+  }
+
+  /** The lender before doesn't lend any more. */
+  #endHandover (account: Account): void {
+    const waitMs = (account.handover?.until ?? 0) - this.#opts.timers.now()
+    account.handover = undefined
+    account.lastLender = undefined
+    this.#pause(account, Math.max(0, waitMs))
   }
 
   /** Gives the credits that are held to the requests that wait. */
@@ -242,10 +290,6 @@
     timers.after(ms, () => this.#ask(account))
   }
 
-  #extendWaits ({ waiting }: Account): void {
-    for (const request of waiting) request.giveUpAt = request.since + SETTLE_TIMEOUT_MS
-  }
-
   #scheduleGiveUp (account: Account): void {
     if (account.isGiveUpScheduled || account.waiting.length === 0) return
     const { timers } = this.#opts
@@ -269,11 +313,11 @@
     for (const { done } of late) this.#decide(done, { kind: 'unknown', retryAfterMs: UNKNOWN_RETRY_AFTER_MS })
   }
 
-  #lend (question: QuotaQuestion): QuotaAnswer {
+  #lend (question: QuotaQuestion, mode: QuotaMode): QuotaAnswer {
     this.#startTicking()
     const now = this.#opts.timers.now()
     this.#checkSuspended(now)
-    return this.#lender.answer(question, now)
+    return this.#lender.answer(question, mode, now)
   }
 
   /** There are no ticks while there is no state, so that a deployment without workspaces does no work. */
--- a/packages/hop/src/quota/lender.ts
+++ b/packages/hop/src/quota/lender.ts
@@ -1,6 +1,6 @@
 import { TokenBucket, type Random } from '@lentilwheel/core'
-import type { QuotaAnswer, QuotaQuestion } from '../link/messages.js'
-import type { LenderRanking } from './lenderRanking.js'
+import type { QuotaAnswer, QuotaMode, QuotaQuestion } from '../link/messages.js'
+import type { LenderRanking, LendingStart } from './lenderRanking.js'
 
 /** Requests per second of a workspace over all daemons, and how many beyond that may come at once. */
 export interface QuotaLimit {
@@ -11,6 +11,8 @@
 export interface LenderOptions {
   random: Random
   ranking: LenderRanking
+  /** Part of the quota that this daemon may lend, as others may lend the rest: 1 while all daemons are in touch. */
+  shareOf (workspace: string): number
   /** Limit in the active configuration; undefined if it doesn't have the workspace. */
   limitOf (workspace: string): QuotaLimit | undefined
 }
@@ -18,13 +20,15 @@
 /** What this daemon keeps for a workspace that it lends for. */
 interface LentQuota {
   readonly bucket: TokenBucket
-  /** Time from which this daemon has lent; another one means that it was replaced in between. */
-  readonly lendsFrom: number
+  /** Another start means that this daemon was replaced in between. */
+  readonly start: LendingStart
   limit: QuotaLimit
   share: number
   /** Time to which the last asker that got nothing was deferred. */
   deferredTo: number
   askedAt: number
+  /** When another daemon was seen to rank before this one. */
+  replacedAt: number | undefined
 }
 
 /** Tokens that a bucket starts with, so that a small workspace isn't refused its first request. */
@@ -33,6 +37,8 @@
 const MAX_DEFER_MS = 1_000
 /** Part of the time in which a bucket fills that an asker may be told to wait; a longer wait would let tokens be lost. */
 const DEFER_FILL_PART = 0.5
+/** Time for which a daemon lends on after another one was seen to rank before it; a daemon that starts can't lend for about a second. */
+const HANDOVER_MS = 1_500
 /** Time without a question after which a bucket is dropped. */
 const IDLE_MS = 10_000
 
@@ -54,15 +60,24 @@
     return this.#quotas.size
   }
 
-  answer (question: QuotaQuestion, now: number): QuotaAnswer {
-    const { workspace, count } = question
-    const lendsFrom = this.#opts.ranking.lendsFrom(workspace, now)
-    if (lendsFrom === undefined) {
-      this.#end(workspace)
-      return { kind: 'notLender' }
+  answer (question: QuotaQuestion, mode: QuotaMode, now: number): QuotaAnswer {
+    const start = this.#opts.ranking.startOf(question.workspace, now)
+    if (!start) {
+      const quota = this.#replacedQuota(question.workspace, now)
+      return quota && mode === 'handover' ? this.#lend(quota, question, now) : { kind: 'notLender' }
     }
-    if (now < lendsFrom) return { kind: 'settling', waitMs: lendsFrom - now }
-    const quota = this.#quotaOf(question, lendsFrom, now)
+    if (now < start.lendsFrom) {
+      // Has the share estimated by the time of the first answer.
+      this.#opts.shareOf(question.workspace)
+      return { kind: 'settling', waitMs: start.lendsFrom - now }
+    }
+    return this.#lend(this.#ownQuota(question.workspace, question, start, now), question, now)
+  }
+
+  #lend (quota: LentQuota, question: QuotaQuestion, now: number): QuotaAnswer {
+    const { count } = question
+    quota.askedAt = now
+    this.#setLimits(quota, question, now)
     const lent = this.#take(quota, count, now)
     this.lent += lent
     return { kind: 'lent', count: lent, waitMs: lent < count ? this.#defer(quota, now) : 0 }
@@ -71,7 +86,8 @@
   /** Drops buckets that nobody asks for, and those of workspaces that another daemon lends for now. */
   sweep (now: number): void {
     for (const [workspace, { askedAt }] of this.#quotas) {
-      if (now - askedAt > IDLE_MS || this.#opts.ranking.lendsFrom(workspace, now) === undefined) this.#end(workspace)
+      if (now - askedAt > IDLE_MS) this.#end(workspace)
+      else if (!this.#opts.ranking.startOf(workspace, now)) this.#replacedQuota(workspace, now)
     }
   }
 
@@ -90,26 +106,38 @@
     if (this.#quotas.delete(workspace)) this.#changes.ended++
   }
 
-  /** The bucket with its limits as they are now. */
-  #quotaOf (question: QuotaQuestion, lendsFrom: number, now: number): LentQuota {
-    const limit = lowerLimit(this.#opts.limitOf(question.workspace), question)
-    const share = this.#opts.ranking.reachableShare
-    let quota = this.#quotas.get(question.workspace)
-    if (!quota || quota.lendsFrom !== lendsFrom) {
-      if (quota) this.#end(question.workspace)
-      quota = createQuota(limit, share, lendsFrom, now)
-      this.#quotas.set(question.workspace, quota)
-      this.#changes.began++
-    }
-    quota.askedAt = now
-    if (quota.share !== share || quota.limit.ratePerS !== limit.ratePerS || quota.limit.burst !== limit.burst) {
-      quota.bucket.setLimits(now, limit.ratePerS * share, capacityOf(limit, share))
-      quota.limit = limit
-      quota.share = share
-    }
+  /** What this daemon keeps for a workspace that another one lends for now; undefined for nothing or once the handover is over. */
+  #replacedQuota (workspace: string, now: number): LentQuota | undefined {
+    const quota = this.#quotas.get(workspace)
+    if (!quota) return undefined
+    quota.replacedAt ??= now
+    if (now - quota.replacedAt <= HANDOVER_MS) return quota
+    this.#end(workspace)
+    return undefined
+  }
+
+  /** What this daemon keeps for a workspace that it lends for. */
+  #ownQuota (workspace: string, stated: QuotaLimit, start: LendingStart, now: number): LentQuota {
+    const known = this.#quotas.get(workspace)
+    if (known && known.replacedAt === undefined && known.start.lendsFrom === start.lendsFrom) return known
+    if (known) this.#end(workspace)
+    const limit = lowerLimit(this.#opts.limitOf(workspace), stated)
+    const quota = createQuota(limit, this.#opts.shareOf(workspace), start, now)
+    this.#quotas.set(workspace, quota)
+    this.#changes.began++
     return quota
   }
 
+  /** Applies the limits as they are now. */
+  #setLimits (quota: LentQuota, question: QuotaQuestion, now: number): void {
+    const limit = lowerLimit(this.#opts.limitOf(question.workspace), question)
+    const share = this.#opts.shareOf(question.workspace)
+    if (quota.share === share && quota.limit.ratePerS === limit.ratePerS && quota.limit.burst === limit.burst) return
+    quota.bucket.setLimits(now, limit.ratePerS * share, capacityOf(limit, share))
+    quota.limit = limit
+    quota.share = share
+  }
+
   #take ({ bucket, limit, share }: LentQuota, count: number, now: number): number {
     if (capacityOf(limit, share) >= 1) return bucket.takeUpTo(now, count)
     // A bucket that can't hold a whole token would never lend. Rounding at random keeps the sum over all parts of a divided fleet.
@@ -128,12 +156,12 @@
   }
 }
 
-/** A bucket as full as it would be, had it been there since this daemon lends. */
-function createQuota (limit: QuotaLimit, share: number, lendsFrom: number, now: number): LentQuota {
-  const sinceS = (now - lendsFrom) / 1000
+/** A bucket as full as it would be, had it been there since this daemon's bucket fills. */
+function createQuota (limit: QuotaLimit, share: number, start: LendingStart, now: number): LentQuota {
+  const sinceS = (now - start.fillsFrom) / 1000
   const tokens = (START_TOKENS + sinceS * limit.ratePerS) * share
   const bucket = new TokenBucket({ perSecond: limit.ratePerS * share, burst: capacityOf(limit, share), now, tokens })
-  return { bucket, lendsFrom, limit, share, deferredTo: 0, askedAt: now }
+  return { bucket, start, limit, share, deferredTo: 0, askedAt: now, replacedAt: undefined }
 }
 
 /** Most tokens that a bucket may hold; a workspace without a burst still sends single requests. */
--- a/packages/hop/src/quota/questionBatcher.ts
+++ b/packages/hop/src/quota/questionBatcher.ts
@@ -1,4 +1,4 @@
-import { MAX_QUOTA_QUESTIONS, type QuotaAnswer, type QuotaMessage, type QuotaQuestion } from '../link/messages.js'
+import { MAX_QUOTA_QUESTIONS, type QuotaAnswer, type QuotaMessage, type QuotaMode, type QuotaQuestion } from '../link/messages.js'
 
 /** Gets the answer to one question; undefined if the message or its reply was lost. */
 export type OnAnswer = (answer: QuotaAnswer | undefined) => void
@@ -12,7 +12,7 @@
 
 interface Batch {
   readonly host: string
-  readonly isRelayed: boolean
+  readonly mode: QuotaMode
   readonly questions: QuotaQuestion[]
   readonly onAnswers: OnAnswer[]
 }
@@ -28,11 +28,10 @@
     this.#opts = opts
   }
 
-  /** `isRelayed`: the question is another daemon's and must not be passed on again. */
-  add (host: string, question: QuotaQuestion, isRelayed: boolean, onAnswer: OnAnswer): void {
-    let batch = this.#batches.find((other) => other.host === host && other.isRelayed === isRelayed && other.questions.length < MAX_QUOTA_QUESTIONS)
+  add (host: string, question: QuotaQuestion, mode: QuotaMode, onAnswer: OnAnswer): void {
+    let batch = this.#batches.find((other) => other.host === host && other.mode === mode && other.questions.length < MAX_QUOTA_QUESTIONS)
     if (!batch) {
-      batch = { host, isRelayed, questions: [], onAnswers: [] }
+      batch = { host, mode, questions: [], onAnswers: [] }
       if (this.#batches.length === 0) this.#opts.defer(() => this.#flush())
       this.#batches.push(batch)
     }
@@ -43,9 +42,9 @@
   #flush (): void {
     const batches = this.#batches
     this.#batches = []
-    for (const { host, isRelayed, questions, onAnswers } of batches) {
+    for (const { host, mode, questions, onAnswers } of batches) {
       this.messages++
-      this.#opts.send(host, { isRelayed, questions }, (answers) => {
+      this.#opts.send(host, { mode, questions }, (answers) => {
         for (const [i, onAnswer] of onAnswers.entries()) onAnswer(answers?.[i])
       })
     }
--- a/packages/hop/src/quota/quotaFleetView.ts
+++ b/packages/hop/src/quota/quotaFleetView.ts
@@ -5,9 +5,9 @@
   /** Live daemons that aren't stopping. */
   candidates: readonly string[]
   /** Daemons that this one can reach, itself included. */
-  reachable: number
-  /** Daemons believed to run, reachable or not. */
-  known: number
+  reachable: readonly string[]
+  /** Daemons that are believed to run and can't be reached. */
+  unreachable: readonly string[]
 }
 
 /**
@@ -18,6 +18,9 @@
   const reachable = records.filter(({ host }) => isUp(host))
   const staying = reachable.filter(({ stopping }) => !stopping)
   const unreachable = records.filter(({ host, stopping }) => !stopping && !isUp(host))
-  const candidates = staying.length > 0 ? staying : reachable
-  return { candidates: candidates.map(({ host }) => host), reachable: reachable.length, known: reachable.length + unreachable.length }
+  return { candidates: hostsOf(staying.length > 0 ? staying : reachable), reachable: hostsOf(reachable), unreachable: hostsOf(unreachable) }
+}
+
+function hostsOf (records: readonly HostRecord[]): string[] {
+  return records.map(({ host }) => host)
 }
