Tell daemons that have ended from those that are cut off when a quota is shared

A lender counted each daemon that it can't reach as one that may lend too, so half of a quota was refused while half of the daemons were down. A host that refuses connections runs no daemon; that counts where at least half of the daemons can be reached. Links are opened at once when the other daemon is heard of, as a restarted one was reached only after up to 2 s of delay and two daemons could take themselves for the lender meanwhile.

--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -271,6 +271,7 @@
     const isDown = (): boolean => this.#down.has(peer)
     return {
       get isUp () { return !isDown() },
+      isRefused: false,
       endpoint: { address: peer, port: 1 },
       call: (message, _bulky, reply, onAnswered) => {
         let isCancelled = false
@@ -305,6 +306,7 @@
       askQuota: () => {},
       askReach: () => {},
       keepAlive: () => {},
+      reopen: () => {},
       check: () => {},
       close: () => {}
     }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -81,6 +81,7 @@
   readonly #discovery: PeerDiscovery
   readonly #moves: MoveController
   readonly #quota: FleetQuotaGate
+  #isQuotaUpdateDue = false
   #cfg: ResolvedHopConfig
   #startedAt = 0
   /** The target as last announced to peers, to notice changes; empty for none. */
@@ -363,10 +364,14 @@
     this.#checkTarget()
   }
 
-  /** Tells the quotas which daemons live; a configuration without workspaces needs none of it. */
+  /** Tells the quotas which daemons live, once for all changes of a turn; a configuration without workspaces needs none of it. */
   #updateQuotaFleet (): void {
-    if (workspacesOf(this.#outbound.table?.config).size === 0) return
-    this.#quota.setFleet(quotaFleetView(this.#fleet.records(), (host) => this.#fleet.isUp(host)))
+    if (this.#isQuotaUpdateDue || workspacesOf(this.#outbound.table?.config).size === 0) return
+    this.#isQuotaUpdateDue = true
+    runAfterTurn(() => {
+      this.#isQuotaUpdateDue = false
+      this.#quota.setFleet(quotaFleetView(this.#fleet.records(), this.#fleet))
+    })
   }
 
   /** Passes changed records to the parts that use them; a failure there is logged, not thrown. */
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -63,6 +63,7 @@
       log: new NoopCallLog(),
       openLink: (peer) => ({
         get isUp () { return isRunning() },
+        isRefused: false,
         endpoint: { address: peer, port: 1 },
         call: () => () => {},
         sync: async (message) => {
@@ -73,6 +74,7 @@
         askQuota: () => {},
         askReach: () => {},
         keepAlive: () => {},
+        reopen: () => {},
         check: () => { this.checks++ },
         close: () => {}
       }),
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -80,6 +80,11 @@
     return host === this.own.host || (this.#links.get(host)?.isUp ?? false)
   }
 
+  /** Whether the host runs, but no daemon on it. */
+  isRefused (host: string): boolean {
+    return this.#links.get(host)?.isRefused ?? false
+  }
+
   /** Whether the daemon has had time to find its peers; before that its rank is unreliable. */
   get isWarmedUp (): boolean {
     return this.#opts.timers.now() - this.#startedAt >= WARM_UP_MS
@@ -217,6 +222,7 @@
   /** Handles a peer's message; the reply holds everything known here if the peer's digest differs from the own one. */
   onSync (message: SyncMessage): SyncMessage {
     this.#apply(message)
+    this.#links.get(message.from)?.reopen()
     const isDifferent = message.digest !== undefined && message.digest !== this.digest()
     const reply = isDifferent ? this.#fullMessage() : { ...this.#emptyMessage(), records: this.#recordToRestore(message) }
     return { ...reply, ...this.#quarantineFor(message) }
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -11,6 +11,8 @@
 /** Connection to the daemon of another host, opened again when it breaks. */
 export interface PeerLink {
   readonly isUp: boolean
+  /** Whether the peer's host refused the last attempt to connect: the host runs, but no daemon on it. */
+  readonly isRefused: boolean
   readonly endpoint: { address: string, port: number }
   /**
    * Offers a request to the peer; returns a function that cancels it. `bulky`: the request or its response may be large.
@@ -27,6 +29,8 @@
   askReach (hosts: readonly string[], done: (reached: readonly boolean[] | undefined) => void): void
   /** Reconnects a broken link and pings a silent one; called periodically. */
   keepAlive (): void
+  /** Connects at once if the link is down, as the peer has been heard of. */
+  reopen (): void
   /** Pings the peer if it has been silent for a moment. */
   check (): void
   close (): void
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -66,7 +66,7 @@
     log: new NoopCallLog(),
     openLink: (host) => {
       linkedHosts.push(host)
-      return { isUp: false, endpoint: { address: '', port: 0 }, call: () => () => {}, sync: async (message) => message, fetchConfig: async () => undefined, askQuota: () => {}, askReach: () => {}, keepAlive: () => {}, check: () => {}, close: () => {} }
+      return { isUp: false, isRefused: false, endpoint: { address: '', port: 0 }, call: () => () => {}, sync: async (message) => message, fetchConfig: async () => undefined, askQuota: () => {}, askReach: () => {}, keepAlive: () => {}, reopen: () => {}, check: () => {}, close: () => {} }
     },
     onChange: () => {},
     onNewerPeerVersion: () => {},
--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -57,6 +57,7 @@
   #pingedAt = -Infinity
   #connectFailures = 0
   #retryAt = 0
+  #isRefused = false
   #lastExchangeId = 0
   #isClosed = false
 
@@ -68,6 +69,17 @@
     return this.#isConnected
   }
 
+  /** Whether the peer's host refused the last attempt to connect, as no process listens there. */
+  get isRefused (): boolean {
+    return this.#isRefused
+  }
+
+  /** Opens a persistent connection without the delay after failed attempts, as the peer has been heard of. */
+  reopen (): void {
+    this.#retryAt = 0
+    this.#open()
+  }
+
   /**
    * Sends one frame and passes the outcome to `done`; before that, calls `onAnswered` if the reply is ready but waits for the link.
    * Returns the exchange id, or 0 if there is no connection.
@@ -127,10 +139,16 @@
         this.#onClosed()
       }
     })
-    const stopTimeout = timers.after(CONNECT_TIMEOUT_MS, () => { if (!this.#isConnected) socket.destroy('connect timeout') })
+    tcp.once('error', (err: NodeJS.ErrnoException) => { this.#isRefused = err.code === 'ECONNREFUSED' })
+    const stopTimeout = timers.after(CONNECT_TIMEOUT_MS, () => {
+      if (this.#isConnected) return
+      this.#isRefused = false
+      socket.destroy('connect timeout')
+    })
     tcp.once('connect', () => {
       stopTimeout()
       this.#isConnected = true
+      this.#isRefused = false
       this.#connectFailures = 0
       this.#opts.onStateChange(true)
     })
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -69,6 +69,10 @@
     return this.#connection.isUp
   }
 
+  get isRefused (): boolean {
+    return this.#connection.isRefused
+  }
+
   get endpoint (): { address: string, port: number } {
     return { address: this.#opts.address, port: this.#opts.port }
   }
@@ -111,6 +115,10 @@
     this.#bulkConnection.keepAlive()
   }
 
+  reopen (): void {
+    if (!this.#connection.isUp) this.#connection.reopen()
+  }
+
   /** Finds out whether the connections still live, though nothing waits on them. */
   check (): void {
     this.#connection.check()
--- a/packages/hop/src/quota/__tests__/quotaSimulator.ts
+++ b/packages/hop/src/quota/__tests__/quotaSimulator.ts
@@ -240,7 +240,7 @@
 
   #tellFleet (daemon: SimDaemon): void {
     const records = [...daemon.known].map((host) => ({ ...testHost(host), stopping: this.#daemon(host).isDraining }))
-    daemon.gate.setFleet(quotaFleetView(records, (host) => daemon.up.has(host)))
+    daemon.gate.setFleet(quotaFleetView(records, { isUp: (host) => daemon.up.has(host), isRefused: (host) => this.#daemon(host).hasEnded && !this.#isCut(daemon, this.#daemon(host)) }))
   }
 
   /** Sends a message; `done` gets undefined when the sender notices that the link is lost. */
