--- a/packages/hop/src/quota/fleetQuotaGate.ts
+++ b/packages/hop/src/quota/fleetQuotaGate.ts
@@ -133,6 +133,7 @@
   }
 
   admit (workspace: MeshWorkspace, done: (decision: QuotaDecision) => void): void {
+    if (!(workspace.ratePerS > 0 && workspace.ratePerS < Infinity)) return this.#decide(done, GRANTED)
     const now = this.#opts.timers.now()
     const account = this.#accountOf(workspace)
     account.requestedAt = now
--- a/packages/hop/src/quota/lender.ts
+++ b/packages/hop/src/quota/lender.ts
@@ -39,7 +39,7 @@
 const DEFER_FILL_PART = 0.5
 /** Time for which a daemon lends on after another one was seen to rank before it; a daemon that starts can't lend for about a second. */
 const HANDOVER_MS = 1_500
-/** Time without a question after which a bucket is dropped. */
+/** Time without a question after which a full bucket is dropped. */
 const IDLE_MS = 10_000
 
 /** Holds the token buckets of the workspaces for which this daemon is first in the ranking, and lends credits from them. */
@@ -85,8 +85,9 @@
 
   /** Drops buckets that nobody asks for, and those of workspaces that another daemon lends for now. */
   sweep (now: number): void {
-    for (const [workspace, { askedAt }] of this.#quotas) {
-      if (now - askedAt > IDLE_MS) this.#end(workspace)
+    for (const [workspace, { askedAt, bucket, limit, share }] of this.#quotas) {
+      // A bucket that isn't full yet would be created anew as a full one.
+      if (now - askedAt > IDLE_MS && bucket.waitMs(now, capacityOf(limit, share)) === 0) this.#end(workspace)
       else if (!this.#opts.ranking.startOf(workspace, now)) this.#replacedQuota(workspace, now)
     }
   }
