--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -272,6 +272,7 @@
     const isDown = (): boolean => this.#down.has(peer)
     return {
       get isUp () { return !isDown() },
+      isRefused: false,
       endpoint: { address: peer, port: 1 },
       call: (message, _bulky, reply, onAnswered) => {
         let isCancelled = false
@@ -303,7 +304,10 @@
       },
       sync: async (message) => message,
       fetchConfig: async () => undefined,
+      askQuota: () => {},
+      askReach: () => {},
       keepAlive: () => {},
+      reopen: () => {},
       check: () => {},
       close: () => {}
     }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -28,7 +28,7 @@
 import { BlockStore } from '../quarantine/blockStore.js'
 import { NewsSpreader } from '../quarantine/newsSpreader.js'
 import { Quarantine } from '../quarantine/quarantine.js'
-import { UnlimitedQuota } from '../quota/quotaGate.js'
+import { DaemonQuota } from '../quota/daemonQuota.js'
 import type { ObjectStore } from '../store/objectStore.js'
 import type { StoreCodec } from './storeCodec.js'
 import { ConfigUpdater } from './configUpdater.js'
@@ -85,6 +85,7 @@
   readonly #moves: MoveController
   readonly #evacuations: Evacuations
   readonly #evacuationWatcher: EvacuationWatcher
+  readonly #quota: DaemonQuota
   #cfg: ResolvedHopConfig
   #startedAt = 0
   /** The target as last announced to peers, to notice changes; empty for none. */
@@ -139,6 +140,7 @@
       quarantine: this.#quarantine
     })
     this.#evacuationWatcher = new EvacuationWatcher({ isEnabled: cfg.hasEvacuations ?? false, evacuations, fleet: this.#fleet, store, codec, timers, random, log })
+    this.#quota = new DaemonQuota({ host: cfg.host, timers, random, log, fleet: this.#fleet })
     this.#moves = new MoveController({ fleet: this.#fleet, store, codec, evacuations, timers, random, log })
     const client = new NodeTargetClient({
       host: cfg.target.address,
@@ -179,7 +181,7 @@
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     const outboundOptions: OutboundOptions = {
-      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes, traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, quota: new UnlimitedQuota(), callerService: () => this.#cfg.service
+      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes, traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, quota: this.#quota.gate, callerService: () => this.#cfg.service
     }
     this.#outbound = new OutboundHandler(outboundOptions)
     const lag = new LoopLag(timers)
@@ -197,6 +199,7 @@
       onConfig: (table) => this.#evacuationWatcher.whenLoaded(() => {
         this.#outbound.setTable(table)
         this.#outboundServer.setLimits(table.config.limits)
+        this.#quota.setWorkspaces(table.config.workspaces)
         metrics.state('configVersion', table.config.version)
       })
     })
@@ -212,7 +215,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.gate.onQuestions(message, reply), isUp: (host) => this.#fleet.isUp(host), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     const explainer = new RouteExplainer({
       outbound: outboundOptions, table: () => this.#outbound.table, versionOptions: (service) => this.#moves.options(service)
@@ -233,7 +236,7 @@
     this.#moves.start()
     this.#evacuationWatcher.start()
     timers.every(TARGET_CHECK_INTERVAL_MS, () => this.#checkTarget())
-    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, evacuations: this.#evacuations, traffic: this.#traffic }).start()
+    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, evacuations: this.#evacuations, traffic: this.#traffic, quota: this.#quota.gate }).start()
   }
 
   /** Handles an announcement of the target beside this daemon. */
@@ -374,6 +377,7 @@
       const records = this.#fleet.records()
       this.#loadBalancer.setHosts(records)
       this.#moves.setHosts(records)
+      this.#quota.onFleetChange()
       this.#configUpdater.catchUp()
     } catch (err) {
       this.#opts.log.decision('fleetChangeFailed', { code: errorCode(err), reason: (err as Error).stack })
--- a/packages/hop/src/evacuation/__tests__/spread.spec.ts
+++ b/packages/hop/src/evacuation/__tests__/spread.spec.ts
@@ -48,10 +48,14 @@
       log: new NoopCallLog(),
       openLink: (peer) => ({
         get isUp () { return isRunning() },
+        isRefused: false,
         endpoint: { address: peer, port: 1 },
         call: () => () => {},
         sync: async (message) => await this.#send(host, peer, message),
         fetchConfig: async () => undefined,
+        askQuota: () => {},
+        askReach: () => {},
+        reopen: () => {},
         keepAlive: () => {},
         check: () => {},
         close: () => {}
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -63,6 +63,7 @@
       log: new NoopCallLog(),
       openLink: (peer) => ({
         get isUp () { return isRunning() },
+        isRefused: false,
         endpoint: { address: peer, port: 1 },
         call: () => () => {},
         sync: async (message) => {
@@ -70,7 +71,10 @@
           return this.#deliver(peer, message)
         },
         fetchConfig: async () => undefined,
+        askQuota: () => {},
+        askReach: () => {},
         keepAlive: () => {},
+        reopen: () => {},
         check: () => { this.checks++ },
         close: () => {}
       }),
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -1,7 +1,7 @@
 import type { MoveFact, Random, Timers } from '@lentilwheel/core'
 import type { BriefReport } from '@lentilwheel/moves'
 import type { Evacuations } from '../evacuation/evacuations.js'
-import type { CallMessage, HopReply, SyncMessage } from '../link/messages.js'
+import type { CallMessage, HopReply, QuotaAnswer, QuotaMessage, SyncMessage } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { MoveOrder } from '../rollout/moveOrder.js'
 import type { ConfigDelta } from '../routing/configDelta.js'
@@ -12,6 +12,8 @@
 /** Connection to the daemon of another host, opened again when it breaks. */
 export interface PeerLink {
   readonly isUp: boolean
+  /** Whether the peer's host refused the last attempt to connect: the host runs, but no daemon on it. */
+  readonly isRefused: boolean
   readonly endpoint: { address: string, port: number }
   /**
    * Offers a request to the peer; returns a function that cancels it. `bulky`: the request or its response may be large.
@@ -22,8 +24,14 @@
   sync (message: SyncMessage): Promise<SyncMessage>
   /** Fetches the delta from `heldVersion` to the active configuration of the peer; undefined if the peer has none. */
   fetchConfig (heldVersion: number): Promise<ConfigDelta | undefined>
+  /** Asks for credits of workspaces; calls `done` once, with undefined if the connection broke or the reply is invalid. */
+  askQuota (message: QuotaMessage, done: (answers: readonly QuotaAnswer[] | undefined) => void): void
+  /** Asks which of the hosts' daemons the peer can reach; calls `done` once, like `askQuota`. */
+  askReach (hosts: readonly string[], done: (reached: readonly boolean[] | undefined) => void): void
   /** Reconnects a broken link and pings a silent one; called periodically. */
   keepAlive (): void
+  /** Connects at once if the link is down, as the peer has been heard of. */
+  reopen (): void
   /** Pings the peer if it has been silent for a moment. */
   check (): void
   close (): void
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -4,12 +4,13 @@
 import type { CallLog } from '../observe/callLog.js'
 import { DELTA_FIELDS, type ConfigDelta } from '../routing/configDelta.js'
 import { packCall, unpackReply, validateFields } from './codec.js'
-import type { CallMessage, HopReply, SettleMessage, SyncMessage } from './messages.js'
+import type { CallMessage, HopReply, QuotaAnswer, QuotaMessage, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, type FrameKind } from './frames.js'
 import { PeerConnection, type ExchangeOutcome } from './nodePeerConnection.js'
+import { packQuotaMessage, unpackQuotaAnswers, unpackReached } from './quotaCodec.js'
 import { readSyncMessage } from './readSyncMessage.js'
 import type { SendQueue } from './sendQueue.js'
-import { NESTED_URGENCY, urgencyOf } from './urgency.js'
+import { CONTROL_URGENCY, NESTED_URGENCY, urgencyOf } from './urgency.js'
 
 export interface PeerLinkOptions {
   host: string
@@ -68,6 +69,10 @@
     return this.#connection.isUp
   }
 
+  get isRefused (): boolean {
+    return this.#connection.isRefused
+  }
+
   get endpoint (): { address: string, port: number } {
     return { address: this.#opts.address, port: this.#opts.port }
   }
@@ -91,12 +96,29 @@
     return delta === null || delta === undefined ? undefined : validateFields<ConfigDelta>(delta, DELTA_FIELDS)
   }
 
+  /** There is no timeout: while a question is unanswered the connection is pinged, and ends if the peer is silent. */
+  askQuota (message: QuotaMessage, done: (answers: readonly QuotaAnswer[] | undefined) => void): void {
+    this.#connection.request(FRAME_KINDS.quota, packQuotaMessage(message), (outcome) => {
+      done(outcome.kind === 'payload' ? this.#read(() => unpackQuotaAnswers(outcome.payload, message.questions)) : undefined)
+    }, CONTROL_URGENCY)
+  }
+
+  askReach (hosts: readonly string[], done: (reached: readonly boolean[] | undefined) => void): void {
+    this.#connection.request(FRAME_KINDS.reach, hosts, (outcome) => {
+      done(outcome.kind === 'payload' ? this.#read(() => unpackReached(outcome.payload, hosts.length)) : undefined)
+    }, CONTROL_URGENCY)
+  }
+
   /** Reopens a broken connection and detects a peer that no longer answers. */
   keepAlive (): void {
     this.#connection.keepAlive()
     this.#bulkConnection.keepAlive()
   }
 
+  reopen (): void {
+    if (!this.#connection.isUp) this.#connection.reopen()
+  }
+
   /** Finds out whether the connections still live, though nothing waits on them. */
   check (): void {
     this.#connection.check()
@@ -141,6 +163,16 @@
     }
   }
 
+  /** Returns undefined for a reply that can't be read, and logs it. */
+  #read<T> (unpack: () => T): T | undefined {
+    try {
+      return unpack()
+    } catch (err) {
+      this.#opts.log.decision('badReply', { peer: this.#opts.host, code: errorCode(err) })
+      return undefined
+    }
+  }
+
   #cancel (call: PendingCall): void {
     if (call.hasEnded) return
     call.hasEnded = true
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -11,9 +11,12 @@
  * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
  * within the last 4 s. `queued`: requests that wait for one of the target's `slots`. `unsentBytes`: bytes that wait for the link
  * of this host, or that connections to other daemons have not taken yet. `processorMs`: processor time since the start. `storeEpoch`: epoch of the store as this daemon knows it. `suspects`, `blocked`: requests that may crash targets, and those
- * that are refused because they do. `evacuated`: data centres whose targets get no requests.
+ * that are refused because they do. `evacuated`: data centres whose targets get no requests. `quotaGranted`, `quotaExceeded`,
+ * `quotaUnknown`: decisions about requests of workspaces since the start. `quotaQuestions`: messages sent to other daemons for them.
+ * `quotaLent`: credits lent. `quotaBuckets`: workspaces lent for.
  */
-export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked' | 'evacuated'
+export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked' |
+  'evacuated' | 'quotaGranted' | 'quotaExceeded' | 'quotaUnknown' | 'quotaQuestions' | 'quotaLent' | 'quotaBuckets'
 
 /** Why a daemon rejects a caller's request before it looks for a target. */
 export type RejectionReason = 'noConfiguration' | 'noRoute' | 'unknownKey' | 'keyMissing' | 'quotaExceeded' | 'quotaUnknown'
