Defer askers of an empty quota by all the credits that those before them lack

Askers of a hot workspace were told times one token apart but asked for several credits, so its lender had about as many questions a second as its rate; and the first of them was told the time of the second token.

--- a/packages/hop/src/quota/lender.ts
+++ b/packages/hop/src/quota/lender.ts
@@ -24,7 +24,7 @@
   readonly start: LendingStart
   limit: QuotaLimit
   share: number
-  /** Time to which the last asker that got nothing was deferred. */
+  /** Time to which the last asker that lacked credits was deferred. */
   deferredTo: number
   askedAt: number
   /** When another daemon was seen to rank before this one. */
@@ -80,7 +80,7 @@
     this.#setLimits(quota, question, now)
     const lent = this.#take(quota, count, now)
     this.lent += lent
-    return { kind: 'lent', count: lent, waitMs: lent < count ? this.#defer(quota, now) : 0 }
+    return { kind: 'lent', count: lent, waitMs: lent < count ? this.#defer(quota, count - lent, now) : 0 }
   }
 
   /** Drops buckets that nobody asks for, and those of workspaces that another daemon lends for now. */
@@ -145,15 +145,16 @@
     return this.#opts.random.next() < bucket.takeAll(now) ? 1 : 0
   }
 
-  /** Milliseconds for which an asker should not ask again; those that got nothing are spread out, each to the time of another token. */
-  #defer (quota: LentQuota, now: number): number {
+  /** Milliseconds for which an asker that lacks credits should not ask again; each is told the time by which those before it have got theirs. */
+  #defer (quota: LentQuota, missing: number, now: number): number {
     const { bucket, limit, share } = quota
     const perSecond = limit.ratePerS * share
     const fillMs = capacityOf(limit, share) / perSecond * 1000
     const longestMs = Math.min(MAX_DEFER_MS, fillMs * DEFER_FILL_PART)
-    quota.deferredTo = Math.min(Math.max(quota.deferredTo, now) + 1000 / perSecond, now + longestMs)
+    const turnAt = Math.max(quota.deferredTo, now)
+    quota.deferredTo = Math.min(turnAt + missing * 1000 / perSecond, now + longestMs)
     const tokenMs = Math.min(bucket.waitMs(now), fillMs)
-    return Math.ceil(Math.max(tokenMs, quota.deferredTo - now))
+    return Math.ceil(Math.max(tokenMs, turnAt - now))
   }
 }
 
