Let new requests go before callers that come back when a quota is used up

Each credit served somebody, but in time only one in three. Change: callers that come back, told by their shorter deadline as for Retry-After, get only what is beyond a quarter of the bucket. Daemons keep their state apart from that of new requests, so a refusal of one doesn't end the other. The test of the reserve fails without it.

--- a/packages/core/src/tokenBucket.ts
+++ b/packages/core/src/tokenBucket.ts
@@ -29,10 +29,10 @@
     return true
   }
 
-  /** Takes up to `n` whole tokens and returns how many. */
-  takeUpTo (now: number, n: number): number {
+  /** Takes up to `n` whole tokens and returns how many; leaves `reserve` tokens. */
+  takeUpTo (now: number, n: number, reserve = 0): number {
     this.#refill(now)
-    const taken = Math.min(n, Math.floor(this.#tokens))
+    const taken = Math.min(n, Math.max(0, Math.floor(this.#tokens - reserve)))
     this.#tokens -= taken
     return taken
   }
--- a/packages/hop/src/link/__tests__/quotaFrame.spec.ts
+++ b/packages/hop/src/link/__tests__/quotaFrame.spec.ts
@@ -11,7 +11,7 @@
 
 const timers = new NodeTimers(new SeededRandom(1))
 
-const MESSAGE: QuotaMessage = { mode: 'direct', questions: [{ workspace: 'w1', count: 3, ratePerS: 12.5, burst: 20 }, { workspace: 'w2', count: 1, ratePerS: 2, burst: 0 }, { workspace: 'w3', count: 1, ratePerS: 2, burst: 0 }] }
+const MESSAGE: QuotaMessage = { mode: 'direct', questions: [{ workspace: 'w1', count: 3, ratePerS: 12.5, burst: 20, isRepeat: true }, { workspace: 'w2', count: 1, ratePerS: 2, burst: 0, isRepeat: false }, { workspace: 'w3', count: 1, ratePerS: 2, burst: 0, isRepeat: false }] }
 const ANSWERS: QuotaAnswer[] = [{ kind: 'lent', count: 2, waitMs: 12.5 }, { kind: 'settling', waitMs: 300 }, { kind: 'notLender' }]
 
 /** Two daemons' ends of a link over loopback; the second one handles questions by the given function. */
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -133,6 +133,8 @@
   /** Limit of the workspace in the configuration of the asker. */
   ratePerS: number
   burst: number
+  /** Whether the credits are for callers that come back after a refusal. */
+  isRepeat: boolean
 }
 
 /**
--- a/packages/hop/src/link/quotaCodec.ts
+++ b/packages/hop/src/link/quotaCodec.ts
@@ -10,7 +10,7 @@
 const ANSWER_KINDS = ['lent', 'settling', 'notLender'] as const satisfies readonly QuotaAnswer['kind'][]
 
 export function packQuotaMessage ({ mode, questions }: QuotaMessage): unknown[] {
-  return [QUOTA_MODES.indexOf(mode), ...questions.map(({ workspace, count, ratePerS, burst }) => [workspace, count, ratePerS, burst])]
+  return [QUOTA_MODES.indexOf(mode), ...questions.map(({ workspace, count, ratePerS, burst, isRepeat }) => [workspace, count, ratePerS, burst, isRepeat])]
 }
 
 export function unpackQuotaMessage (value: unknown): QuotaMessage {
@@ -44,12 +44,13 @@
 }
 
 function unpackQuestion (value: unknown): QuotaQuestion {
-  if (!Array.isArray(value) || value.length !== 4) throw new BadMessage('quota question from a peer has another number of fields')
-  const [workspace, count, ratePerS, burst] = value as unknown[]
+  if (!Array.isArray(value) || value.length !== 5) throw new BadMessage('quota question from a peer has another number of fields')
+  const [workspace, count, ratePerS, burst, isRepeat] = value as unknown[]
   if (typeof workspace !== 'string' || workspace === '' || workspace.length > MAX_NAME_LENGTH) throw new BadMessage('quota question from a peer has an invalid workspace')
   if (!isCount(count) || count === 0) throw new BadMessage('quota question from a peer has an invalid count')
   if (!isAmount(ratePerS) || ratePerS === 0 || !isAmount(burst)) throw new BadMessage('quota question from a peer has an invalid limit')
-  return { workspace, count, ratePerS, burst }
+  if (typeof isRepeat !== 'boolean') throw new BadMessage('quota question from a peer does not say who asks')
+  return { workspace, count, ratePerS, burst, isRepeat }
 }
 
 function unpackAnswer (value: unknown, question: QuotaQuestion): QuotaAnswer {
--- a/packages/hop/src/outbound/outboundHandler.ts
+++ b/packages/hop/src/outbound/outboundHandler.ts
@@ -20,6 +20,8 @@
   req: CallerRequest
   res: Responder
   arrivedAt: number
+  /** Whether the caller seems to retry after a rejection. */
+  isCallerRetry: boolean
   table: RouteTable
   route: MeshRoute
   workspace: MeshWorkspace | undefined
@@ -85,8 +87,8 @@
     for (const call of this.#calls) call.abort()
   }
 
-  /** Finds the route and the workspace of a request; undefined if it has been rejected. */
-  #route (req: CallerRequest, res: Responder, arrivedAt: number): RoutedRequest | undefined {
+  /** Finds the route and the workspace of a request; undefined if it has been rejected. `isRetry`: whether its caller retries, if that is known already. */
+  #route (req: CallerRequest, res: Responder, arrivedAt: number, isRetry?: boolean): RoutedRequest | undefined {
     const table = this.#table
     if (!table) {
       this.#reject(req, res, { status: 503, reason: 'noConfiguration', retryAfterMs: NO_CONFIG_RETRY_AFTER_MS })
@@ -102,7 +104,8 @@
       this.#reject(req, res, { status: 401, reason: identity.reason, route: route.name })
       return undefined
     }
-    return { req, res, arrivedAt, table, route, workspace: identity.workspace }
+    const isCallerRetry = isRetry ?? (req.origin === 'caller' && this.#callerRetries.isRetry(route.name, req.head.deadlineMs))
+    return { req, res, arrivedAt, isCallerRetry, table, route, workspace: identity.workspace }
   }
 
   /** Starts the request once its workspace's quota grants it. */
@@ -114,6 +117,7 @@
       gate,
       timers,
       workspace,
+      isRepeat: request.isCallerRetry,
       timeoutMs: Math.min(req.head.deadlineMs, route.timeoutMs),
       onDecision: (decision) => {
         this.#quotaWaits.delete(wait)
@@ -135,7 +139,7 @@
     }
     const giveBack = (): void => this.#opts.quota.giveBack(workspace)
     // The key or the route may have been withdrawn meanwhile.
-    const current = this.#table === request.table ? request : this.#route(req, res, arrivedAt)
+    const current = this.#table === request.table ? request : this.#route(req, res, arrivedAt, request.isCallerRetry)
     if (current) return this.#start(current, giveBack)
     giveBack()
     return () => {}
@@ -149,7 +153,7 @@
     log.call(true, 'outbound', { id: req.head.requestId, route: route.name, workspace: workspace?.name, outcome: 'callerLeft', reason: 'quotaUnknown' })
   }
 
-  #start ({ req, res, arrivedAt, table, route, workspace }: RoutedRequest, onNotRun: () => void = () => {}): () => void {
+  #start ({ req, res, arrivedAt, isCallerRetry, table, route, workspace }: RoutedRequest, onNotRun: () => void = () => {}): () => void {
     const { own } = this.#opts.fleet
     const call: OutboundCall = new OutboundCall(this.#opts, {
       req: table.hasWorkspaces ? withoutKey(req) : req,
@@ -159,7 +163,7 @@
       service: this.#splitter.nextService(route),
       arrivedAt,
       configVersion: table.config.version,
-      isCallerRetry: req.origin === 'caller' && this.#callerRetries.isRetry(route.name, req.head.deadlineMs),
+      isCallerRetry,
       nextKey: () => `${own.host}/${own.incarnation}/${++this.#lastKey}`,
       onNotRun,
       onEnd: () => this.#calls.delete(call)
--- a/packages/hop/src/quota/__tests__/quota.spec.ts
+++ b/packages/hop/src/quota/__tests__/quota.spec.ts
@@ -56,9 +56,9 @@
   }
 
   /** Answers a question of another daemon. */
-  ask (workspace: string, count: number, limit: QuotaLimit, mode: QuotaMessage['mode'] = 'direct'): QuotaAnswer | undefined {
+  ask (workspace: string, count: number, limit: QuotaLimit, mode: QuotaMessage['mode'] = 'direct', isRepeat = false): QuotaAnswer | undefined {
     let given: QuotaAnswer | undefined
-    this.gate.onQuestions({ mode, questions: [{ workspace, count, ...limit }] }, ([answer]) => { given = answer })
+    this.gate.onQuestions({ mode, questions: [{ workspace, count, ...limit, isRepeat }] }, ([answer]) => { given = answer })
     this.timers.advance(1)
     return given
   }
@@ -174,6 +174,37 @@
   t.is(answer?.kind === 'lent' ? answer.count : undefined, 4)
 })
 
+test('guards against callers that come back after a refusal taking the quota from requests that can still be answered in time', (t) => {
+  const harness = new Harness()
+  const name = ranked('a')
+  const limit = { ratePerS: 10, burst: 8 }
+  t.deepEqual(harness.ask(name, 50, limit, 'direct', true), { kind: 'lent', count: 6, waitMs: 100 }, 'a quarter of the bucket is left')
+  t.deepEqual(harness.ask(name, 50, limit), { kind: 'lent', count: 2, waitMs: 100 })
+  harness.timers.advance(200)
+  const repeated = harness.ask(name, 1, limit, 'direct', true)
+  t.is(repeated?.kind === 'lent' ? repeated.count : undefined, 0)
+  const first = harness.ask(name, 1, limit)
+  t.is(first?.kind === 'lent' ? first.count : undefined, 1)
+})
+
+test('guards against a workspace whose bucket holds one request never serving a caller that comes back', (t) => {
+  const harness = new Harness()
+  const answer = harness.ask(ranked('a'), 1, { ratePerS: 1, burst: 1 }, 'direct', true)
+  t.deepEqual(answer, { kind: 'lent', count: 1, waitMs: 0 })
+})
+
+test('guards against a refusal of a caller that came back ending new requests of its workspace without a question', (t) => {
+  const harness = new Harness()
+  const some = workspace(ranked('b'), 10, 5)
+  const decisions: QuotaDecision[] = []
+  harness.gate.admit(some, (decision) => { decisions.push(decision) }, true)
+  harness.timers.advance(1)
+  harness.sent[0]!.done([{ kind: 'lent', count: 0, waitMs: 400 }])
+  t.deepEqual(decisions, [{ kind: 'exceeded', retryAfterMs: 400 }])
+  harness.admit(some)
+  t.deepEqual(harness.sent.map(({ message: { questions } }) => questions.map(({ isRepeat }) => isRepeat)), [[true], [false]])
+})
+
 test('guards against a daemon lending at once after it became the lender, and against a full burst being lent anew', (t) => {
   const harness = new Harness()
   const name = ranked('b', 'a')
--- a/packages/hop/src/quota/creditAsker.ts
+++ b/packages/hop/src/quota/creditAsker.ts
@@ -38,6 +38,8 @@
 /** What this daemon keeps for a workspace whose callers use it. */
 interface Account {
   workspace: MeshWorkspace
+  /** Whether it is for callers that come back after a refusal; they get what new requests leave. */
+  readonly isRepeat: boolean
   readonly credits: WorkspaceCredits
   /** Requests that wait for an answer, in the order in which they came. */
   readonly waiting: WaitingRequest[]
@@ -73,7 +75,10 @@
 /** Decides on callers' requests with credits that it gets from the lenders of their workspaces. */
 export class CreditAsker {
   readonly #opts: CreditAskerOptions
+  /** For new requests, by workspace. */
   readonly #accounts = new Map<string, Account>()
+  /** For callers that come back after a refusal. */
+  readonly #repeatAccounts = new Map<string, Account>()
   /** Decisions so far. */
   readonly decisions = { granted: 0, exceeded: 0, unknown: 0 }
 
@@ -83,18 +88,18 @@
 
   /** Number of workspaces whose callers use this daemon. */
   get size (): number {
-    return this.#accounts.size
+    return this.#accounts.size + this.#repeatAccounts.size
   }
 
   has (workspace: string): boolean {
-    return this.#accounts.has(workspace)
+    return this.#accounts.has(workspace) || this.#repeatAccounts.has(workspace)
   }
 
   /** Calls `done` once, possibly before it returns. */
-  admit (workspace: MeshWorkspace, done: (decision: QuotaDecision) => void): void {
+  admit (workspace: MeshWorkspace, isRepeat: boolean, done: (decision: QuotaDecision) => void): void {
     if (!(workspace.ratePerS > 0 && workspace.ratePerS < Infinity)) return this.#decide(done, GRANTED)
     const now = this.#opts.timers.now()
-    const account = this.#accountOf(workspace)
+    const account = this.#accountOf(workspace, isRepeat)
     account.requestedAt = now
     account.credits.recordRequest(now)
     if (account.waiting.length === 0 && account.credits.take(now)) return this.#decide(done, GRANTED)
@@ -107,14 +112,14 @@
 
   /** Adds a credit for a request that ended without having run. */
   giveBack (workspace: MeshWorkspace): void {
-    const account = this.#accountOf(workspace)
+    const account = this.#accountOf(workspace, false)
     account.credits.add(1, this.#opts.timers.now() + CREDIT_TTL_MS)
     this.#serve(account)
   }
 
   /** Asks anew for the requests that wait, as other daemons than before may lend. */
   askAgain (): void {
-    for (const account of this.#accounts.values()) {
+    for (const account of [...this.#accounts.values(), ...this.#repeatAccounts.values()]) {
       if (account.waiting.length === 0) continue
       account.pausedUntil = 0
       this.#ask(account)
@@ -123,21 +128,26 @@
 
   /** Drops the state of workspaces that have been idle. */
   sweep (now: number): void {
-    for (const [name, account] of this.#accounts) {
-      if (now - account.requestedAt > IDLE_MS && account.waiting.length === 0) this.#accounts.delete(name)
-    }
+    this.#drop(({ requestedAt }) => now - requestedAt > IDLE_MS)
   }
 
   /** Drops the state of workspaces that the active configuration doesn't have. */
   retain (workspaces: ReadonlyMap<string, unknown>): void {
-    for (const [name, account] of this.#accounts) if (!workspaces.has(name) && account.waiting.length === 0) this.#accounts.delete(name)
+    this.#drop(({ workspace }) => !workspaces.has(workspace.name))
+  }
+
+  #drop (isUnneeded: (account: Account) => boolean): void {
+    for (const accounts of [this.#accounts, this.#repeatAccounts]) {
+      for (const [name, account] of accounts) if (account.waiting.length === 0 && isUnneeded(account)) accounts.delete(name)
+    }
   }
 
-  #accountOf (workspace: MeshWorkspace): Account {
-    let account = this.#accounts.get(workspace.name)
+  #accountOf (workspace: MeshWorkspace, isRepeat: boolean): Account {
+    const accounts = isRepeat ? this.#repeatAccounts : this.#accounts
+    let account = accounts.get(workspace.name)
     if (!account) {
-      account = { workspace, credits: new WorkspaceCredits(), waiting: [], question: undefined, lastLender: undefined, handover: undefined, emptyUntil: 0, pausedUntil: 0, isGiveUpScheduled: false, requestedAt: this.#opts.timers.now() }
-      this.#accounts.set(workspace.name, account)
+      account = { workspace, isRepeat, credits: new WorkspaceCredits(), waiting: [], question: undefined, lastLender: undefined, handover: undefined, emptyUntil: 0, pausedUntil: 0, isGiveUpScheduled: false, requestedAt: this.#opts.timers.now() }
+      accounts.set(workspace.name, account)
     }
     account.workspace = workspace
     return account
@@ -151,14 +161,14 @@
   /** Asks the lender for the requests that wait, unless its answer to an earlier question is still to come. */
   #ask (account: Account): void {
     const now = this.#opts.timers.now()
-    const { workspace, waiting, question: pending } = account
+    const { workspace, isRepeat, waiting, question: pending } = account
     if (waiting.length === 0 || now < account.pausedUntil) return
     const { host, mode } = this.#whomToAsk(account, now)
     if (pending && pending.host === host && pending.mode === mode && now - pending.askedAt < UNANSWERED_MS) return
     const count = Math.min(MAX_QUOTA_COUNT, Math.max(waiting.length, account.credits.expectedDemand(now)))
     const sent: SentQuestion = { host, mode, askedAt: now, count }
     account.question = sent
-    const question: QuotaQuestion = { workspace: workspace.name, count, ratePerS: workspace.ratePerS, burst: workspace.burst }
+    const question: QuotaQuestion = { workspace: workspace.name, count, ratePerS: workspace.ratePerS, burst: workspace.burst, isRepeat }
     const onAnswer: OnAnswer = (answer) => this.#onAnswer(account, sent, answer)
     this.#opts.ask(host, question, mode, onAnswer)
   }
--- a/packages/hop/src/quota/fleetQuotaGate.ts
+++ b/packages/hop/src/quota/fleetQuotaGate.ts
@@ -82,9 +82,9 @@
     return { ...this.#asker.decisions, questions: this.#batcher.messages, lent: this.#lender.lent, buckets: this.#lender.size }
   }
 
-  admit (workspace: MeshWorkspace, done: (decision: QuotaDecision) => void): void {
+  admit (workspace: MeshWorkspace, done: (decision: QuotaDecision) => void, isRepeat = false): void {
     this.#startTicking()
-    this.#asker.admit(workspace, done)
+    this.#asker.admit(workspace, isRepeat, done)
   }
 
   giveBack (workspace: MeshWorkspace): void {
--- a/packages/hop/src/quota/lender.ts
+++ b/packages/hop/src/quota/lender.ts
@@ -33,6 +33,8 @@
 
 /** Tokens that a bucket starts with, so that a small workspace isn't refused its first request. */
 const START_TOKENS = 2
+/** Part of the bucket that callers who come back leave to new requests, which can still be answered within their target latency. */
+const REPEAT_RESERVE = 0.25
 /** Longest time that an asker is told to wait while tokens may be left unused. */
 const MAX_DEFER_MS = 1_000
 /** Part of the time in which a bucket fills that an asker may be told to wait; a longer wait would let tokens be lost. */
@@ -75,12 +77,14 @@
   }
 
   #lend (quota: LentQuota, question: QuotaQuestion, now: number): QuotaAnswer {
-    const { count } = question
+    const { count, isRepeat } = question
     quota.askedAt = now
     this.#setLimits(quota, question, now)
-    const lent = this.#take(quota, count, now)
+    const reserve = isRepeat ? reserveOf(quota.limit, quota.share) : 0
+    const lent = this.#take(quota, count, reserve, now)
     this.lent += lent
-    return { kind: 'lent', count: lent, waitMs: lent < count ? this.#defer(quota, count - lent, now) : 0 }
+    if (lent === count) return { kind: 'lent', count, waitMs: 0 }
+    return { kind: 'lent', count: lent, waitMs: isRepeat ? repeatWaitMs(quota, reserve, now) : this.#defer(quota, count - lent, now) }
   }
 
   /** Drops buckets that nobody asks for, and those of workspaces that another daemon lends for now. */
@@ -139,8 +143,8 @@
     quota.share = share
   }
 
-  #take ({ bucket, limit, share }: LentQuota, count: number, now: number): number {
-    if (capacityOf(limit, share) >= 1) return bucket.takeUpTo(now, count)
+  #take ({ bucket, limit, share }: LentQuota, count: number, reserve: number, now: number): number {
+    if (capacityOf(limit, share) >= 1) return bucket.takeUpTo(now, count, reserve)
     // A bucket that can't hold a whole token would never lend. Rounding at random keeps the sum over all parts of a divided fleet.
     return this.#opts.random.next() < bucket.takeAll(now) ? 1 : 0
   }
@@ -158,6 +162,11 @@
   }
 }
 
+/** Milliseconds until the bucket has a token beyond the reserve, if nobody else takes any. */
+function repeatWaitMs ({ bucket }: LentQuota, reserve: number, now: number): number {
+  return Math.ceil(Math.min(MAX_DEFER_MS, bucket.waitMs(now, reserve + 1)))
+}
+
 /** A bucket as full as it would be, had it been there since this daemon's bucket fills. */
 function createQuota (limit: QuotaLimit, share: number, start: LendingStart, now: number): LentQuota {
   const sinceS = (now - start.fillsFrom) / 1000
@@ -166,6 +175,12 @@
   return { bucket, start, limit, share, deferredTo: 0, askedAt: now, replacedAt: undefined }
 }
 
+/** Tokens that callers who come back leave in the bucket; a full one always has one for them. */
+function reserveOf (limit: QuotaLimit, share: number): number {
+  const capacity = capacityOf(limit, share)
+  return Math.max(0, Math.min(REPEAT_RESERVE * capacity, capacity - 1))
+}
+
 /** Most tokens that a bucket may hold; a workspace without a burst still sends single requests. */
 function capacityOf ({ burst }: QuotaLimit, share: number): number {
   return Math.max(burst, 1) * share
--- a/packages/hop/src/quota/quotaWait.ts
+++ b/packages/hop/src/quota/quotaWait.ts
@@ -9,6 +9,8 @@
   gate: QuotaGate
   timers: Timers
   workspace: MeshWorkspace
+  /** Whether the caller comes back after a refusal. */
+  isRepeat: boolean
   /** Time after which the decision no longer helps the caller. */
   timeoutMs: number
   /** Called once, unless the wait is cancelled before; possibly before `start` returns. */
@@ -26,8 +28,8 @@
   }
 
   start (): void {
-    const { gate, timers, workspace, timeoutMs } = this.#opts
-    gate.admit(workspace, (decision) => this.#onDecision(decision))
+    const { gate, timers, workspace, isRepeat, timeoutMs } = this.#opts
+    gate.admit(workspace, (decision) => this.#onDecision(decision), isRepeat)
     if (!this.#isEnded) this.#stopTimer = timers.after(timeoutMs, () => this.end(UNDECIDED_RETRY_AFTER_MS))
   }
 
