Simulate demand in waves on targets that share their machines

The load simulator only had steady targets and demand that was the same in all data centres, so it showed nothing of what the heating oil depots lose at the crest of their wave.

--- a/packages/hop/src/__tests__/loadOptions.ts
+++ b/packages/hop/src/__tests__/loadOptions.ts
@@ -6,6 +6,12 @@
   seconds: number
   /** Factor on the request rate, by simulated time in seconds. */
   rateAt (second: number): number
+  /** Factor on the request rate of callers in one data centre, all of which have the same share of the rate; callers are anywhere unless given. */
+  dataCentreRateAt? (dataCentre: string, second: number): number
+  /** Number of requests that callers in a data centre send at the same time; 1 unless given. */
+  clumpSize? (dataCentre: string): number
+  /** Slowdown of targets by others on their machines; targets have their machines to themselves unless given. */
+  neighbours?: NeighbourOptions
   /** Factor on the work of a target, by simulated time in seconds. */
   slowness? (host: string, service: string, second: number): number
   /** Share of requests that a target fails. */
@@ -26,6 +32,16 @@
   restarts?: readonly DaemonRestart[]
 }
 
+/** How often, how much and for how long a machine slows its target down. */
+export interface NeighbourOptions {
+  /** Share of the periods in which work takes `factor` times as long. */
+  share: number
+  factor: number
+  periodMs: number
+  /** Whether targets report the slowdown with their load. */
+  isReported: boolean
+}
+
 /** A planned restart of one daemon: it says that it stops, and is down once its requests have ended. */
 export interface DaemonRestart {
   host: string
@@ -56,4 +72,6 @@
   /** Requests that were served after one rejection, and those of them within the target latency. */
   servedAfterRejection: number
   onTimeAfterRejection: number
+  /** Rejections of requests that had been rejected before. */
+  rejectedAgain: number
 }
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -20,7 +20,7 @@
 import { RouteTable } from '../routing/routeTable.js'
 import { EpochTracker } from '../store/epochTracker.js'
 import type { ClassResult, DaemonRestart, LoadOptions, StatedLimit } from './loadOptions.js'
-import { SimCallers, type RequestDone } from './simCallers.js'
+import { SimCallers, type CallerRequest, type RequestDone } from './simCallers.js'
 import { SimLinks } from './simLinks.js'
 import { SimTarget, type ParentRun } from './simTarget.js'
 import type { RequestClass, Workload } from './workloads.js'
@@ -69,6 +69,11 @@
   readonly deadlyCrashes: number[] = []
   /** Refusals of requests that aren't deadly, by reason. */
   readonly refusals = new Map<string, number>()
+  /** Offers that daemons rejected, by reason. */
+  readonly rejectedOffers = new Map<string, number>()
+  /** Age in milliseconds of what a daemon knew of a target when it offered it a request. */
+  readonly loadAges: number[] = []
+  readonly #lastReplyAt = new Map<string, number>()
   /** Hosts whose daemon is down. */
   readonly #down = new Set<string>()
   #ids = 0
@@ -83,7 +88,8 @@
       random: this.#random,
       load: opts,
       classes: workload.classes,
-      send: (cls, path, deadlineMs, done) => this.sendRequest(this.#callerHost(cls, path), cls, undefined, done, deadlineMs, path)
+      dataCentres: workload.dataCentres,
+      send: (req, deadlineMs, done) => this.sendRequest(this.#callerHost(req), req.cls, undefined, done, deadlineMs, req.path)
     })
     this.#build()
   }
@@ -93,6 +99,11 @@
     return this.classNamed(url.split('/')[1]!)
   }
 
+  /** Service of the target of a host. */
+  serviceOf (host: string): string {
+    return this.#hosts.get(host)!.record.target!.service
+  }
+
   classNamed (name: string): RequestClass {
     return this.#workload.classes.find((cls) => cls.name === name)!
   }
@@ -106,10 +117,14 @@
     return this.#callers.results()
   }
 
-  /** A host that is up; a deadly request always has the same caller, so it comes from hosts of the first service. */
-  #callerHost (cls: RequestClass, path: string): string {
+  /** A host that is up, in the data centre of the caller; a deadly request always has the same caller, so it comes from hosts of the first service. */
+  #callerHost ({ cls, path, dataCentre }: CallerRequest): string {
     const isDeadly = this.opts.isDeadly?.(`/${cls.name}/${path}`)
-    const hosts = this.#upHosts().filter((host) => !isDeadly || this.#hosts.get(host)!.record.target!.service === this.#workload.services[0]!.name)
+    const hosts = this.#upHosts().filter((host) => {
+      const { record } = this.#hosts.get(host)!
+      if (dataCentre !== undefined && record.dataCentre !== dataCentre) return false
+      return !isDeadly || record.target!.service === this.#workload.services[0]!.name
+    })
     return this.#random.pick(hosts)
   }
 
@@ -174,6 +189,16 @@
     else this.statedLimits.set(host, [limit])
   }
 
+  #countRejectedOffer (reason: string): void {
+    this.rejectedOffers.set(reason, (this.rejectedOffers.get(reason) ?? 0) + 1)
+  }
+
+  /** Records how old the sender's knowledge of the target is. */
+  #recordAge (from: string, peer: string): void {
+    const lastAt = this.#lastReplyAt.get(`${from} ${peer}`)
+    if (lastAt !== undefined) this.loadAges.push(this.timers.now() - lastAt)
+  }
+
   #countRemoteBytes (cls: string, bytes: number): void {
     this.remoteBytes.set(cls, (this.remoteBytes.get(cls) ?? 0) + bytes)
   }
@@ -251,7 +276,7 @@
     const link = new LinkForecast(this.#links.queue(host), sizes)
     const balancer = new LoadBalancer({ timers, random, dataCentre, host, link })
     const inboundHandler = new InboundHandler({
-      timers, random, log, names, client, target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, link, coldPerS: () => undefined, onTargetLeaving: () => {}, onRefusal: () => {}, onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
+      timers, random, log, names, client, target, isAnnouncementOverdue: () => false, incarnation: () => incarnation, isVersionAllowed: () => true, link, coldPerS: () => undefined, onTargetLeaving: () => {}, onRefusal: (_route, reason) => this.#countRejectedOffer(reason), onTargetCrash: () => {}, quarantine, rejectionRate: (called, priority) => balancer.rejectionRate(called, priority), onResult: () => {}
     })
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
@@ -273,6 +298,7 @@
       get isUp () { return !isDown() },
       endpoint: { address: peer, port: 1 },
       call: (message, _bulky, reply, onAnswered) => {
+        this.#recordAge(from, peer)
         let isCancelled = false
         let dropReply = (): void => {}
         const { inbound, record } = this.#hosts.get(peer)!
@@ -289,7 +315,10 @@
               this.#countRemoteBytes(message.route, hopReply.body.length)
             }
             if (hopReply.kind === 'response') this.#links.send(peer, 0, CONTROL_URGENCY, () => { if (!isCancelled) onAnswered() })
-            dropReply = this.#links.send(peer, bodyBytes(hopReply), urgency, () => { if (!isCancelled) reply(hopReply) })
+            dropReply = this.#links.send(peer, bodyBytes(hopReply), urgency, () => {
+              this.#lastReplyAt.set(`${from} ${peer}`, this.timers.now())
+              if (!isCancelled) reply(hopReply)
+            })
           })
         })
         return () => {
--- a/packages/hop/src/__tests__/simCallers.ts
+++ b/packages/hop/src/__tests__/simCallers.ts
@@ -10,15 +10,18 @@
   random: Random
   load: LoadOptions
   classes: readonly RequestClass[]
-  /** Sends one request through a daemon; returns what cancels it. */
-  send (cls: RequestClass, path: string, deadlineMs: number, done: RequestDone): () => void
+  dataCentres: readonly string[]
+  /** Sends one request through a daemon, of the data centre if one is given; returns what cancels it. */
+  send (req: CallerRequest, deadlineMs: number, done: RequestDone): () => void
 }
 
 /** A request of a caller, which may take several attempts. */
-interface CallerRequest {
+export interface CallerRequest {
   cls: RequestClass
   path: string
   requestedAt: number
+  /** Data centre of the caller; undefined for any. */
+  dataCentre: string | undefined
 }
 
 /** Simulates the callers of a workload in virtual time. */
@@ -28,12 +31,14 @@
 
   constructor (opts: SimCallersOptions) {
     this.#opts = opts
-    for (const cls of opts.classes) this.#results.set(cls, { requests: 0, onTime: 0, late: 0, rejected: 0, failed: 0, valueShare: 0, lateRejections: 0, servedAfterRejection: 0, onTimeAfterRejection: 0 })
+    for (const cls of opts.classes) this.#results.set(cls, { requests: 0, onTime: 0, late: 0, rejected: 0, failed: 0, valueShare: 0, lateRejections: 0, servedAfterRejection: 0, onTimeAfterRejection: 0, rejectedAgain: 0 })
   }
 
   /** Begins to send the requests of all classes. */
   start (): void {
-    for (const cls of this.#opts.classes) if (cls.ratePerS > 0) this.#schedule(cls)
+    const { classes, load, dataCentres } = this.#opts
+    const origins = load.dataCentreRateAt ? dataCentres : [undefined]
+    for (const cls of classes) if (cls.ratePerS > 0) for (const origin of origins) this.#schedule(cls, origin)
   }
 
   /** Outcomes by class. */
@@ -44,23 +49,38 @@
     }))
   }
 
-  /** Schedules the requests of a class as a Poisson process. */
-  #schedule (cls: RequestClass): void {
+  /** Schedules the requests of a class, from the callers in a data centre or from all, as a Poisson process. */
+  #schedule (cls: RequestClass, dataCentre: string | undefined): void {
     const { timers, random, load } = this.#opts
-    const perMs = cls.ratePerS * load.rateAt(timers.now() / 1000) / 1000
+    const clumpSize = dataCentre === undefined ? 1 : load.clumpSize?.(dataCentre) ?? 1
+    const perMs = this.#ratePerS(cls, dataCentre) / clumpSize / 1000
     const delayMs = -Math.log(1 - random.next()) / perMs
     if (timers.now() + delayMs > load.seconds * 1000) return
     timers.after(delayMs, () => {
-      this.#schedule(cls)
-      this.#results.get(cls)!.requests++
-      this.#attempt({ cls, path: load.pathOf?.(cls, timers.now() / 1000) ?? 'x', requestedAt: timers.now() }, cls.retries)
+      this.#schedule(cls, dataCentre)
+      for (let i = 0; i < clumpSize; i++) this.#request(cls, dataCentre)
     })
   }
 
+  #ratePerS (cls: RequestClass, dataCentre: string | undefined): number {
+    const { timers, load, dataCentres } = this.#opts
+    const second = timers.now() / 1000
+    const ratePerS = cls.ratePerS * load.rateAt(second)
+    if (dataCentre === undefined || !load.dataCentreRateAt) return ratePerS
+    return ratePerS / dataCentres.length * load.dataCentreRateAt(dataCentre, second)
+  }
+
+  #request (cls: RequestClass, dataCentre: string | undefined): void {
+    const { timers, load } = this.#opts
+    this.#results.get(cls)!.requests++
+    const path = load.pathOf?.(cls, timers.now() / 1000) ?? 'x'
+    this.#attempt({ cls, path, requestedAt: timers.now(), dataCentre }, cls.retries)
+  }
+
   /** One attempt of a caller, which retries as its class allows and waits for Retry-After, but no longer than a third of its time. */
   #attempt (req: CallerRequest, retries: number, rejections = 0): void {
     const { timers, send } = this.#opts
-    const { cls, path, requestedAt } = req
+    const { cls, requestedAt } = req
     const result = this.#results.get(cls)!
     const startedAt = timers.now()
     const remainingMs = requestedAt + cls.deadlineMs - startedAt
@@ -71,11 +91,12 @@
       result.failed++
       cancel()
     })
-    const cancel = send(cls, path, remainingMs, (ok, retryAfterMs, isRejected) => {
+    const cancel = send(req, remainingMs, (ok, retryAfterMs, isRejected) => {
       if (isDone) return
       isDone = true
       stopDeadline()
       if (isRejected && timers.now() - startedAt > cls.targetLatencyMs / 4) result.lateRejections++
+      if (isRejected && rejections > 0) result.rejectedAgain++
       if (ok) {
         this.#countSuccess(req, rejections)
       } else if (retries > 0 && (isRejected || cls.idempotent)) {
--- a/packages/hop/src/__tests__/simTarget.ts
+++ b/packages/hop/src/__tests__/simTarget.ts
@@ -4,7 +4,8 @@
 import type { TargetRequest } from '../inbound/nodeTargetConnection.js'
 import type { TargetResult, TargetStatement } from '../inbound/targetResult.js'
 import type { LoadSimulator } from './loadSimulator.js'
-import type { RequestClass } from './workloads.js'
+import { SimNeighbours } from './simNeighbours.js'
+import { DEFAULT_WORK_VARIATION, type RequestClass, type WorkVariation } from './workloads.js'
 
 /** The running request that makes a nested call. */
 export interface ParentRun {
@@ -24,6 +25,7 @@
   readonly #slots: number
   readonly #speed: number
   readonly #random: Random
+  readonly #neighbours: SimNeighbours | undefined
   running = 0
   #isDown = false
   /** Ends each request that runs here. */
@@ -36,6 +38,7 @@
     this.#slots = slots
     this.#speed = speed
     this.#random = random
+    this.#neighbours = simulator.opts.neighbours && new SimNeighbours(simulator.opts.neighbours, random)
   }
 
   tryConnect (done: (outcome: ConnectOutcome) => void): void {
@@ -87,10 +90,10 @@
     } else if (this.#random.next() < (opts.shedding?.(this.#host, this.#service, second) ?? 0)) {
       timers.after(1, () => finish({ kind: 'notRun', reason: 'shed', statement: this.#statement() }))
     } else {
-      const tailFactor = this.#random.next() < 0.01 ? 4 : 1
+      const variation = variationFactor(cls.workVariation ?? DEFAULT_WORK_VARIATION, this.#random)
       const slowness = opts.slowness?.(this.#host, this.#service, second) ?? 1
-      const spread = Math.exp(0.35 * standardNormal(this.#random))
-      const work = cls.workMs * spread * tailFactor * slowness / this.#speed
+      const ownMs = cls.workMs * variation * slowness / this.#speed
+      const work = this.#neighbours?.elapsedMs(ownMs, timers.now()) ?? ownMs
       const isFailing = this.#random.next() < (opts.failing?.(this.#host, this.#service, second) ?? 0)
       const parent = { id: request.requestId, isRetry }
       timers.after(work, () => this.#makeCalls(cls, parent, () => isDone, (ok) => end(ok && !isFailing ? 200 : 500, cls.responseBytes)))
@@ -121,6 +124,14 @@
   return { kind: 'response', status, headers: [], body: Buffer.alloc(bytes), unframed: false, statement }
 }
 
+/** Work of a request as a multiple of the usual. */
+function variationFactor ({ sigma, tailShare, tailFactor, isMean }: WorkVariation, random: Random): number {
+  const tail = random.next() < tailShare ? tailFactor : 1
+  const spread = Math.exp(sigma * standardNormal(random))
+  const mean = isMean ? Math.exp(sigma * sigma / 2) : 1
+  return spread * tail / mean
+}
+
 function standardNormal (random: Random): number {
   return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
 }
--- a/packages/hop/src/__tests__/workloads.ts
+++ b/packages/hop/src/__tests__/workloads.ts
@@ -7,6 +7,8 @@
   /** Requests per second over all data centres; 0 for nested calls, which only targets make. */
   ratePerS: number
   workMs: number
+  /** How much the work of single requests differs; see `DEFAULT_WORK_VARIATION`. */
+  workVariation?: WorkVariation
   targetLatencyMs: number
   deadlineMs: number
   timeoutMs: number
@@ -22,6 +24,17 @@
   calls?: { class: string, times: number, share: number }
 }
 
+/** Log-normal distribution of the work around `workMs`, and the share of requests that take `tailFactor` times as long. */
+export interface WorkVariation {
+  sigma: number
+  tailShare: number
+  tailFactor: number
+  /** Whether `workMs` is the mean without the tail; otherwise it is the median. */
+  isMean: boolean
+}
+
+export const DEFAULT_WORK_VARIATION: WorkVariation = { sigma: 0.35, tailShare: 0.01, tailFactor: 4, isMean: false }
+
 /** The services, targets and requests of an installation. `speeds` are assigned to the targets of a service in turn. */
 export interface Workload {
   dataCentres: string[]
@@ -110,3 +123,20 @@
     { name: 'fetch', service: 'samples', idempotent: true, ratePerS: 0, workMs: 40, targetLatencyMs: 150, deadlineMs: 500, timeoutMs: 500, priority: 1, value: 0, lateValue: 0, retries: 0 }
   ]
 }
+
+const LONG_TAILED: WorkVariation = { sigma: 0.8, tailShare: 0.03, tailFactor: 7, isMean: true }
+
+/** Workload of the heating oil depots: targets that share their machines, and demand that nearly fills their slots at its peak. */
+export const OIL_DEPOTS_WORKLOAD: Workload = {
+  dataCentres: ['a', 'b', 'c'],
+  services: [
+    { name: 'orders', targets: 58, slots: 6, speeds: [1 / 0.55, 1 / 1.2, 1 / 1.2, 1 / 1.2] },
+    { name: 'billing', targets: 16, slots: 6, speeds: [1 / 0.6, 1, 1 / 1.4] }
+  ],
+  classes: [
+    { name: 'lookup', service: 'orders', idempotent: true, ratePerS: 604, workMs: 181, workVariation: LONG_TAILED, targetLatencyMs: 600, deadlineMs: 2_500, timeoutMs: 1_200, priority: 2, value: 1, lateValue: 0.3, retries: 1, responseBytes: 1_500, calls: { class: 'price', times: 1, share: 0.7 } },
+    { name: 'booking', service: 'orders', idempotent: false, ratePerS: 191, workMs: 238, workVariation: LONG_TAILED, targetLatencyMs: 800, deadlineMs: 3_000, timeoutMs: 1_500, priority: 1, value: 2, lateValue: 0.6, retries: 1, requestBytes: 1_200, responseBytes: 5_000 },
+    { name: 'charge', service: 'billing', idempotent: false, ratePerS: 170, workMs: 124, workVariation: { ...LONG_TAILED, sigma: 0.5 }, targetLatencyMs: 600, deadlineMs: 2_000, timeoutMs: 1_000, priority: 0, value: 3, lateValue: 0.9, retries: 1, requestBytes: 4_000, responseBytes: 1_500 },
+    { name: 'price', service: 'billing', idempotent: true, ratePerS: 0, workMs: 52, workVariation: { sigma: 0.5, tailShare: 0, tailFactor: 1, isMean: true }, targetLatencyMs: 200, deadlineMs: 600, timeoutMs: 600, priority: 1, value: 0, lateValue: 0, retries: 0 }
+  ]
+}
