Take the fourth figure of the load header into placing and queueing

Targets on shared machines state how long work takes there at the moment. The figure was dropped, so a target that had just become 2.5 times slower got as much as before until its latencies showed it, and its moving average of the latency stayed too high after the neighbours had gone.

The daemon beside the target now keeps the figure, lets it fade to its mean, divides observed latencies by it and multiplies expected ones with it. It goes to other daemons with the load (protocol version 8) and into the estimate of the latency. A figure that can't be read counts as none, and without one nothing changes. Gauge targetSlowdown, field slowdown of the traffic lines.

--- a/packages/hop/src/__tests__/simTarget.ts
+++ b/packages/hop/src/__tests__/simTarget.ts
@@ -2,7 +2,7 @@
 import type { ConnectOutcome } from '../inbound/crashDetector.js'
 import type { TargetClient } from '../inbound/nodeTargetClient.js'
 import type { TargetRequest } from '../inbound/nodeTargetConnection.js'
-import type { TargetResult, TargetStatement } from '../inbound/targetResult.js'
+import type { ReportedLoad, TargetResult, TargetStatement } from '../inbound/targetResult.js'
 import type { LoadSimulator } from './loadSimulator.js'
 import { SimNeighbours } from './simNeighbours.js'
 import { DEFAULT_WORK_VARIATION, type RequestClass, type WorkVariation } from './workloads.js'
@@ -71,7 +71,7 @@
     const isRetry = this.#simulator.onArrival(this.#host, this.#service, request.requestId)
     const cls = this.#simulator.classOf(url)
     let isDone = false
-    const end = (status: number, bytes?: number): void => finish(response(status, this.#statement(), bytes))
+    const end = (status: number, bytes?: number): void => finish({ ...response(status, this.#statement(), bytes), ...this.#reported() })
     const finish = (result: TargetResult): void => {
       if (isDone) return
       isDone = true
@@ -109,6 +109,13 @@
     return { limitPerS, isLeaving: false }
   }
 
+  /** The load that it reports in a response, if it reports how much its machine slows it down. */
+  #reported (): { reported?: ReportedLoad } {
+    const { timers, opts } = this.#simulator
+    if (!this.#neighbours || !opts.neighbours?.isReported) return {}
+    return { reported: { running: this.running, waiting: 0, slots: this.#slots, slowdown: this.#neighbours.slowdownAt(timers.now()) } }
+  }
+
   #makeCalls (cls: RequestClass, parent: ParentRun, isDone: () => boolean, done: (ok: boolean) => void): void {
     let remainingCalls = cls.calls && this.#random.next() < cls.calls.share ? cls.calls.times : 0
     const next = (): void => {
--- a/packages/hop/src/daemon/resourceReport.ts
+++ b/packages/hop/src/daemon/resourceReport.ts
@@ -59,6 +59,7 @@
     metrics.state('blocked', blocked)
     metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
     metrics.state('targetSent', sent)
+    metrics.state('targetSlowdown', inbound.slowdown ?? 1)
   }
 
   /** Logs where requests waited since the last time; nothing if there were none. */
@@ -66,7 +67,7 @@
     const { log, inbound, traffic } = this.#parts
     const routes = traffic.take()
     if (!routes) return
-    log.decision('traffic', { ...inbound.occupancy, running: inbound.active, unsentBytes: this.#unsentBytes, processorMs: processorMs(), routes })
+    log.decision('traffic', { ...inbound.occupancy, running: inbound.active, slowdown: inbound.slowdown, unsentBytes: this.#unsentBytes, processorMs: processorMs(), routes })
   }
 
   /** Bytes that wait for the link, or that connections to other daemons have not taken yet. */
--- a/packages/hop/src/inbound/__tests__/inboundSetup.ts
+++ b/packages/hop/src/inbound/__tests__/inboundSetup.ts
@@ -68,9 +68,10 @@
     this.handler.offer(message, (reply) => this.replies.set(key, reply))
   }
 
-  /** Responds as the target, which states no limit unless the test says otherwise. */
-  respond (id: string, { limitPerS = Infinity, isLeaving = false }: Partial<TargetStatement> = {}): void {
-    this.sent.find((entry) => entry.id === id)!.done({ kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, statement: { limitPerS, isLeaving } })
+  /** Responds as the target, which states no limit and reports no load unless the test says otherwise. */
+  respond (id: string, { limitPerS = Infinity, isLeaving = false }: Partial<TargetStatement> = {}, slowdown?: number): void {
+    const extra = slowdown === undefined ? {} : { reported: { running: 1, waiting: 0, slots: 2, slowdown } }
+    this.sent.find((entry) => entry.id === id)!.done({ kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, statement: { limitPerS, isLeaving }, ...extra })
   }
 
   outcomeOf (key: string): string {
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -3,6 +3,7 @@
 import { RejectionRates, type RejectionRate } from './rejectionRates.js'
 import { SlotUsage } from './slotUsage.js'
 import { NO_LIMIT, type SendLimit } from './targetLimit.js'
+import { TargetSlowdown } from './targetSlowdown.js'
 
 /** A request that asks for a slot of the target. */
 export interface SlotRequest {
@@ -53,8 +54,12 @@
   /** By how much estimates of the wait are multiplied, because recent ones were too low; see #waitFactorAt. */
   #waitFactor = { value: 1, updatedAt: 0 }
 
-  constructor (limit: SendLimit = NO_LIMIT) {
+  readonly #slowdown: TargetSlowdown
+
+  /** `slowdown`: how much the target's machine slows it down now. */
+  constructor (limit: SendLimit = NO_LIMIT, slowdown = new TargetSlowdown()) {
     this.#limit = limit
+    this.#slowdown = slowdown
   }
 
   get running (): number {
@@ -69,6 +74,7 @@
     return this.#slots
   }
 
+  /** Moving average of the latency as a fraction of the target latency, without the effect of temporary slowdowns. */
   get pace (): number {
     return this.#pace
   }
@@ -118,7 +124,7 @@
     this.#slotUsage.add(urgencyOf(request), ms, now)
   }
 
-  /** Adds the latency of a response to the moving averages. */
+  /** Adds the latency of a response, as it would have been without slowdown, to the moving averages. */
   recordLatency (ms: number, targetLatencyMs: number): void {
     const pace = Math.min(MAX_OBSERVED_PACE, ms / Math.max(1, targetLatencyMs))
     this.#pace += EWMA_WEIGHT * (pace - this.#pace)
@@ -191,19 +197,18 @@
     let ahead = 0
     for (const other of this.#queue) if (!isMoreUrgent(request, other)) ahead++
     const urgentShare = this.#slotUsage.slotsOfMoreUrgent(urgencyOf(request), now) / this.#slots
-    const slotWaitMs = (ahead + 1) * this.#serviceTimeMs / this.#slots / Math.max(MIN_SLOT_SHARE, 1 - urgentShare) *
+    const slotWaitMs = (ahead + 1) * this.#serviceTimeMs * this.#slowdown.at(now) / this.#slots / Math.max(MIN_SLOT_SHARE, 1 - urgentShare) *
       (request.nested ? 1 : this.#waitFactorAt(now))
-    return this.#isLinkInTime(request, now) && now + Math.max(slotWaitMs, this.#limit.waitMs(ahead, now)) <= this.#latestStart(request)
+    return this.#isLinkInTime(request, now) && now + Math.max(slotWaitMs, this.#limit.waitMs(ahead, now)) <= this.#latestStart(request, now)
   }
 
   /** Whether the answer gets to its caller in time; the request runs while the link sends what is before it. */
   #isLinkInTime (request: SlotRequest, now: number): boolean {
-    const runMs = this.#pace * request.targetLatencyMs
-    return now + request.deliveryMs - runMs <= this.#latestStart(request)
+    return now + request.deliveryMs - this.#expectedMs(request, now) <= this.#latestStart(request, now)
   }
 
   #isInTime (request: SlotRequest, now: number): boolean {
-    return now <= this.#latestStart(request)
+    return now <= this.#latestStart(request, now)
   }
 
   /**
@@ -211,17 +216,17 @@
    * longer than most. A nested call may wait until it can just meet its deadline, as without it the work of the request
    * that made it is lost.
    */
-  #latestStart (request: SlotRequest): number {
-    const { targetLatencyMs, arrivedAt, deadlineAt, nested } = request
-    const expectedMs = this.#pace * targetLatencyMs
-    const lastStart = deadlineAt - expectedMs
+  #latestStart (request: SlotRequest, now: number): number {
+    const { arrivedAt, deadlineAt, nested } = request
+    const lastStart = deadlineAt - this.#expectedMs(request, now)
     if (nested) return lastStart
-    return Math.min(lastStart, arrivedAt + this.#maxWaitMs(request))
+    return Math.min(lastStart, arrivedAt + this.#maxWaitMs(request, now))
   }
 
   /** At least as long as for any less urgent priority, so that no request is rejected where a less urgent one is served. */
-  #maxWaitMs ({ targetLatencyMs, priority }: SlotRequest): number {
-    const expectedMs = this.#pace * targetLatencyMs
+  #maxWaitMs (request: SlotRequest, now: number): number {
+    const { targetLatencyMs, priority } = request
+    const expectedMs = this.#expectedMs(request, now)
     const ownMs = Math.max(MIN_WAIT_SHARE * targetLatencyMs, USABLE_LATENCY_SHARE * targetLatencyMs - SLOW_REQUEST_FACTOR * expectedMs)
     this.#maxWaitByPriority.set(priority, ownMs)
     let longestMs = ownMs
@@ -229,6 +234,11 @@
     return longestMs
   }
 
+  /** Time from the start of a request to its response. */
+  #expectedMs ({ targetLatencyMs }: SlotRequest, now: number): number {
+    return this.#pace * this.#slowdown.at(now) * targetLatencyMs
+  }
+
   #enqueue (request: SlotRequest): void {
     let index = this.#queue.length
     while (index > 0 && isMoreUrgent(request, this.#queue[index - 1]!)) index--
--- a/packages/hop/src/inbound/classifyMessage.ts
+++ b/packages/hop/src/inbound/classifyMessage.ts
@@ -62,9 +62,22 @@
   return /^\d+(\.\d+)?$/.test(value) ? Number(value) : undefined
 }
 
+/** Bounds on a believable slowdown, 1 for as usual; one outside of them says nothing about the machine. */
+const MIN_SLOWDOWN = 0.1
+const MAX_SLOWDOWN = 100
+
+/** Running and waiting requests, slots and, from some targets, the time that work takes in percent of the usual. */
 function parseLoad (value: string | undefined): ReportedLoad | undefined {
-  const [running, waiting, slots] = value?.split(',').map(Number) ?? []
+  const figures = value?.split(',') ?? []
+  const [running, waiting, slots] = figures.map(Number)
   if (running === undefined || waiting === undefined || slots === undefined) return undefined
   if (![running, waiting, slots].every((n) => Number.isInteger(n) && n >= 0)) return undefined
-  return { running, waiting, slots }
+  const slowdown = parseSlowdown(figures[3])
+  return { running, waiting, slots, ...slowdown === undefined ? {} : { slowdown } }
+}
+
+function parseSlowdown (percent: string | undefined): number | undefined {
+  if (percent === undefined || !/^\s*\d{1,5}(\.\d{1,6})?\s*$/.test(percent)) return undefined
+  const slowdown = Number(percent) / 100
+  return slowdown >= MIN_SLOWDOWN && slowdown <= MAX_SLOWDOWN ? slowdown : undefined
 }
--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -51,6 +51,8 @@
   slotRequest: SlotRequest
   state: 'queued' | 'running'
   startedAt: number
+  /** How much the target was slowed down when it started. */
+  slowdownAtStart: number
   /** Milliseconds that it ran on the target; 0 until it has ended. */
   ranMs: number
   /** Tells the forecast of the link that it has ended; set once the call runs. */
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -10,6 +10,7 @@
 import { isSuccess, TargetHealth } from './targetHealth.js'
 import { TargetLimit } from './targetLimit.js'
 import type { TargetResult } from './targetResult.js'
+import { TargetSlowdown } from './targetSlowdown.js'
 
 /** Time after the deadline in which the target's own response to it may still arrive. */
 const DEADLINE_GRACE_MS = 60
@@ -33,6 +34,7 @@
   readonly #calls = new Map<string, Call>()
   readonly #runningRequests = new RunningRequests()
   readonly #limit: TargetLimit
+  readonly #slowdown = new TargetSlowdown()
   readonly #health = new TargetHealth()
   readonly #crashes: CrashGuard
   /** The target whose state the other fields hold. */
@@ -41,7 +43,7 @@
   constructor (opts: InboundOptions) {
     this.#opts = opts
     this.#limit = new TargetLimit(opts.log, () => this.#coldPerS())
-    this.#admission = new Admission(this.#limit)
+    this.#admission = new Admission(this.#limit, this.#slowdown)
     this.#crashes = new CrashGuard({
       ...opts,
       tryConnect: (done) => opts.client.tryConnect(done),
@@ -69,6 +71,11 @@
     return { limitPerS: this.#limit.perS, sent: this.#limit.sentCounts(this.#opts.timers.now()).all }
   }
 
+  /** How much others on its machine slow the target down now, 1 for as usual; undefined if it doesn't tell. */
+  get slowdown (): number | undefined {
+    return this.#slowdown.isKnown ? this.#slowdown.at(this.#opts.timers.now()) : undefined
+  }
+
   /** Who made a request, from its id. */
   originOf (requestId: string): RequestOrigin {
     return this.#runningRequests.originOf(requestId)
@@ -120,7 +127,7 @@
     if (message.mode === 'ask') return this.#replyNotRun(message, this.#admission.canStart(slotRequest, now) ? 'vacant' : this.#admission.fullReason(now))
     const decision = this.#admission.admit(slotRequest, message.mode === 'queue', now)
     if (decision === 'busy' || decision === 'limited') return this.#replyNotRun(message, decision)
-    const call: Call = { message, target: target!, slotRequest, state: 'queued', startedAt: now, ranMs: 0 }
+    const call: Call = { message, target: target!, slotRequest, state: 'queued', startedAt: now, slowdownAtStart: 1, ranMs: 0 }
     this.#calls.set(key, call)
     if (decision === 'start') this.#start(call)
   }
@@ -161,6 +168,7 @@
       this.#admission.reset(target.slots)
       this.#health.reset()
       this.#limit.reset()
+      this.#slowdown.reset()
       this.#opts.client.reset()
     }
     if (target?.state === 'ready') return
@@ -174,9 +182,10 @@
     if (!target) return undefined
     const now = this.#opts.timers.now()
     const { running, queued, slots, pace } = this.#admission
+    const { slowdown } = this
     const rate = this.#admission.rejectionRate(now)
     const pressed = rate ? { pressedPriority: rate.priority, pressedShare: rate.share } : {}
-    return { targetId: target.id, running, queued, slots, pace, failing: this.#health.failureRate, ...pressed, ...this.#limit.load(queued, now), ...linkLoad(this.#opts.link) }
+    return { targetId: target.id, running, queued, slots, pace, failing: this.#health.failureRate, ...slowdown === undefined ? {} : { slowdown }, ...pressed, ...this.#limit.load(queued, now), ...linkLoad(this.#opts.link) }
   }
 
   /** Whether the target is the one that is known, in the same start. */
@@ -228,6 +237,7 @@
     this.#health.recordStart(now)
     this.#runningRequests.add(message.requestId, { route: message.route, isRetry: message.repeat })
     call.startedAt = now
+    call.slowdownAtStart = this.#slowdown.at(now)
     this.#limit.recordSent(message, now)
     call.endOnLink = this.#opts.link.start(message.route)
     const bytes = serializeRequest(message, remainingMs, this.#opts.names)
@@ -259,6 +269,7 @@
     const isDoomed = this.#runningRequests.isDoomed(call.message.requestId)
     this.#runningRequests.remove(call.message.requestId)
     this.#health.recordResult(result, this.#calls.size === 0, now)
+    this.#recordSlowdown(call, result, now)
     this.#recordResult(call, result, ms)
     this.#recordStatement(call, result, now)
     if (result.kind === 'response') this.#crashes.onSurvival(call)
@@ -284,7 +295,8 @@
   #recordResult (call: Call, result: TargetResult, ms: number): void {
     if (result.kind === 'failed' && result.reason === 'cancelled') return
     const ok = isSuccess(result)
-    if (ok) this.#admission.recordLatency(ms, call.message.targetLatencyMs)
+    const slowdown = (call.slowdownAtStart + this.#slowdown.at(this.#opts.timers.now())) / 2
+    if (ok) this.#admission.recordLatency(ms / slowdown, call.message.targetLatencyMs)
     const target = this.#opts.target()
     if (target?.id === call.message.targetId && result.kind !== 'notRun') {
       const { route, targetLatencyMs } = call.message
@@ -292,6 +304,12 @@
     }
   }
 
+  /** Takes over how much the target's machine slows it down, unless the target has been replaced since the call arrived. */
+  #recordSlowdown ({ target }: Call, result: TargetResult, now: number): void {
+    const slowdown = result.kind === 'failed' ? undefined : result.reported?.slowdown
+    if (slowdown !== undefined && this.#isKnown(target)) this.#slowdown.record(slowdown, now)
+  }
+
   /** Takes over what the target states of itself, unless it has been replaced since the call arrived. */
   #recordStatement ({ target }: Call, result: TargetResult, now: number): void {
     if (result.kind === 'failed' || !result.statement || !this.#isKnown(target)) return
--- a/packages/hop/src/inbound/targetResult.ts
+++ b/packages/hop/src/inbound/targetResult.ts
@@ -5,6 +5,8 @@
   running: number
   waiting: number
   slots: number
+  /** How long work on the target's machine takes at this moment, as a multiple of the usual; absent where a target doesn't tell. */
+  slowdown?: number
 }
 
 /** What a target states in a response about the requests that it takes. */
--- a/packages/hop/src/link/__tests__/codec.spec.ts
+++ b/packages/hop/src/link/__tests__/codec.spec.ts
@@ -18,6 +18,7 @@
   { kind: 'response', status: 200, headers: ['a', 'b'], body: Buffer.from('x'), unframed: false, load },
   { kind: 'response', status: 200, headers: [], body: Buffer.alloc(0), unframed: false, departure: { id: 'i', startedAt: 1, state: 'draining' }, load: { ...load, limitPerS: Infinity } },
   { kind: 'notRun', reason: 'limited', load: { ...load, limitPerS: 0.5, limitedMs: 200 } },
+  { kind: 'notRun', reason: 'busy', load: { ...load, slowdown: 2.5 } },
   { kind: 'failed', reason: 'reset' }
 ]
 for (const [i, reply] of replies.entries()) {
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -8,7 +8,7 @@
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true, int64AsType: 'number' })
 
 /** Has to be raised whenever the field lists below change; messages with another number are rejected. */
-const PROTOCOL_VERSION = 7
+const PROTOCOL_VERSION = 8
 
 /** Calls and replies make up most of the traffic between daemons, so their fields are sent by position without names. */
 const CALL_FIELDS = [
@@ -16,7 +16,7 @@
   'targetLatencyMs', 'priority', 'idempotent', 'nested', 'repeat', 'suspect', 'heardLimitPerS'
 ] as const satisfies readonly (keyof CallMessage)[]
 const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'isFinal', 'load', 'queuedMs', 'ranMs'] as const
-const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs', 'linkMs', 'linkMsPerKib'] as const satisfies readonly (keyof TargetLoad)[]
+const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs', 'linkMs', 'linkMsPerKib', 'slowdown'] as const satisfies readonly (keyof TargetLoad)[]
 
 type FieldValues = Readonly<Record<string, unknown>>
 
@@ -90,7 +90,7 @@
 /** Rounds the estimates to two decimals, which is precise enough and keeps messages small. */
 function compactLoad (load: TargetLoad): TargetLoad {
   const twoDecimals = (n: number): number => Math.round(n * 100) / 100
-  const { pace, failing, pressedShare, limitPerS, limitedMs, linkMs, linkMsPerKib } = load
+  const { pace, failing, pressedShare, limitPerS, limitedMs, linkMs, linkMsPerKib, slowdown } = load
   return {
     ...load,
     pace: twoDecimals(pace),
@@ -98,6 +98,7 @@
     ...pressedShare === undefined ? {} : { pressedShare: twoDecimals(pressedShare) },
     ...limitPerS === Infinity ? { limitPerS: NO_LIMIT_CODE } : {},
     ...limitedMs === undefined ? {} : { limitedMs: Math.ceil(limitedMs) },
-    ...linkMs === undefined || linkMsPerKib === undefined ? {} : { linkMs: Math.ceil(linkMs), linkMsPerKib: twoDecimals(linkMsPerKib) }
+    ...linkMs === undefined || linkMsPerKib === undefined ? {} : { linkMs: Math.ceil(linkMs), linkMsPerKib: twoDecimals(linkMsPerKib) },
+    ...slowdown === undefined ? {} : { slowdown: twoDecimals(slowdown) }
   }
 }
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -55,6 +55,8 @@
   slots: number
   /** Typical latency of the target, as a fraction of the target latency of the routes. */
   pace: number
+  /** Estimated factor on `pace` at this moment, by what the target last reported of its machine; absent where a target doesn't tell. */
+  slowdown?: number
   /** Share of recent requests that the target failed, 0 to 1. */
   failing: number
   /** Milliseconds for which the link of its host is taken by answers that wait and that running requests will have; absent for a wide link. */
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -9,11 +9,11 @@
 
 /**
  * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
- * within the last 4 s. `queued`: requests that wait for one of the target's `slots`. `unsentBytes`: bytes that wait for the link
+ * within the last 4 s. `targetSlowdown`: how long work on its machine takes as a multiple of the usual, 1 if it doesn't tell. `queued`: requests that wait for one of the target's `slots`. `unsentBytes`: bytes that wait for the link
  * of this host, or that connections to other daemons have not taken yet. `processorMs`: processor time since the start. `storeEpoch`: epoch of the store as this daemon knows it. `suspects`, `blocked`: requests that may crash targets, and those
  * that are refused because they do.
  */
-export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'storeEpoch' | 'suspects' | 'blocked'
+export type MetricStateName = 'configVersion' | 'peersUp' | 'running' | 'queued' | 'slots' | 'unsentBytes' | 'processorMs' | 'targetLimit' | 'targetSent' | 'targetSlowdown' | 'storeEpoch' | 'suspects' | 'blocked'
 
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
--- a/packages/hop/src/outbound/costEstimate.ts
+++ b/packages/hop/src/outbound/costEstimate.ts
@@ -37,10 +37,14 @@
 
 const NO_LINK: OwnLink = { aheadMs: 0, msPerKib: 0 }
 
-/** Means over the targets of a service: the fraction of slots in use, and the milliseconds for which the links of the hosts are taken. */
+/** Means over the targets of a service. */
 export interface ServiceMeans {
+  /** Fraction of slots in use. */
   utilisation: number
+  /** Milliseconds for which the links of the hosts are taken. */
   linkMs: number
+  /** Slowdown of the targets that report one; 1 for as usual. */
+  slowdown: number
 }
 
 /** What this daemon knows of one target, from its replies and its own calls. */
@@ -121,6 +125,7 @@
   means (hosts: readonly HostRecord[], stats: ReadonlyMap<string, TargetStats>, now: number): ServiceMeans {
     let sum = DEFAULT_UTILISATION * DEFAULT_UTILISATION_WEIGHT
     let linkSumMs = 0
+    let slowdownSum = DEFAULT_UTILISATION_WEIGHT
     let weight = DEFAULT_UTILISATION_WEIGHT
     for (const { host } of hosts) {
       const { load, loadAt } = stats.get(host)!
@@ -128,9 +133,10 @@
       const freshness = freshnessAt(now - loadAt)
       sum += freshness * Math.min(1, load.running / load.slots)
       linkSumMs += freshness * (load.linkMs ?? 0)
+      slowdownSum += freshness * (load.slowdown ?? 1)
       weight += freshness
     }
-    return { utilisation: sum / weight, linkMs: linkSumMs / weight }
+    return { utilisation: sum / weight, linkMs: linkSumMs / weight, slowdown: slowdownSum / weight }
   }
 
   /** Time to pass on the answer of another host over the own link; the answer of the target beside this daemon takes that link once. */
@@ -151,7 +157,8 @@
     const coldFactor = now < stats.coldUntil ? COLD_LATENCY_FACTOR : 1
     const healthWeight = 0.5 ** (ageMs / HEALTH_HALF_LIFE_MS)
     const pace = load ? DEFAULT_PACE + (load.pace - DEFAULT_PACE) * healthWeight : DEFAULT_PACE
-    const serviceMs = pace * coldFactor * latencyMs
+    const slowdown = load?.slowdown === undefined ? 1 : freshness * load.slowdown + (1 - freshness) * means.slowdown
+    const serviceMs = pace * slowdown * coldFactor * latencyMs
     const answerMs = (load?.linkMsPerKib ?? 0) * responseBytes / BYTES_PER_KIB
     const linkMs = answerMs > LONG_ANSWER_MS ? freshness * (load?.linkMs ?? 0) + (1 - freshness) * means.linkMs : 0
     const passOnMs = record.host === this.#host ? 0 : this.#passOnMs(responseBytes)
