Prefer targets with free slots where targets report their slowdown

At the crest of the heating oil depots' wave most offers went to the fastest targets, whose load was 70 ms old; more offers were rejected than served, and requests were refused after a queue and two offers in vain while other targets had room. The cost of slots in use was a seventh of the target latency.

For targets that report how much their machine slows them down, the cost rises steeply with the last slots, to a target latency when all are in use. Targets without the figure are ranked as before.

--- a/packages/hop/src/__tests__/loadScenarios.ts
+++ b/packages/hop/src/__tests__/loadScenarios.ts
@@ -31,6 +31,7 @@
   { name: 'atelierCalm', workload: ATELIER_WORKLOAD, opts: { seconds: 20, rateAt: () => 0.6 } },
   { name: 'atelier', workload: ATELIER_WORKLOAD, opts: { seconds: 20, rateAt: () => 1.6 } },
   { name: 'carvers', workload: CARVERS_WORKLOAD, opts: { seconds: 8, rateAt: () => 1.4 } },
+  { name: 'floorsCalm', workload: FLOOR_SHOPS_WORKLOAD, opts: { seconds: 12, rateAt: () => 0.65 } },
   { name: 'floors', workload: FLOOR_SHOPS_WORKLOAD, opts: { seconds: 12, rateAt: () => 1 } },
   { name: 'floorsBusy', workload: FLOOR_SHOPS_WORKLOAD, opts: { seconds: 12, rateAt: () => 1.5 } },
   { name: 'manyFloors', workload: LARGE_FLOOR_SHOPS_WORKLOAD, opts: { seconds: 6, rateAt: () => 1 } },
--- a/packages/hop/src/outbound/costEstimate.ts
+++ b/packages/hop/src/outbound/costEstimate.ts
@@ -89,6 +89,13 @@
 const MAX_LATENCY_WEIGHT = 1.5
 /** Extra cost of a target with all slots in use over an idle one, as a fraction of the target latency. */
 const UTILISATION_PENALTY = 0.15
+/**
+ * Extra cost of a target that reports its slowdown and is probably full when the request arrives, as a fraction of the target
+ * latency: its pace may change while the request waits, so the estimated wait is unreliable. The exponent keeps the cost near 0
+ * while several slots are free.
+ */
+const FULL_PENALTY = 1
+const FULL_PENALTY_EXPONENT = 6
 /** Maximum random addition to the cost of a target whose load is unknown, as a fraction of the target latency. */
 const UNKNOWN_LOAD_JITTER = 0.3
 /** Fraction of slots assumed to be in use where no load is known. */
@@ -166,14 +173,16 @@
     const slotWaitMs = occupied >= slots ? (occupied - slots + 1) / slots * serviceMs : 0
     const limitedMs = Math.max(0, stats.limitedUntil - now)
     const waitMs = Math.max(slotWaitMs, limitedMs)
-    const utilisationMs = UTILISATION_PENALTY * Math.min(1, occupied / slots) * latencyMs
+    const utilisation = Math.min(1, occupied / slots)
+    const utilisationMs = UTILISATION_PENALTY * utilisation * latencyMs
+    const fullMs = load?.slowdown === undefined ? 0 : FULL_PENALTY * utilisation ** FULL_PENALTY_EXPONENT * latencyMs
     const failureMs = (load?.failing ?? 0) * healthWeight * FAILURE_COST * latencyMs
     const avoidMs = now < stats.avoidUntil ? 10 * latencyMs : 0
     const isLocal = record.dataCentre === this.#dataCentre
     const networkMs = isLocal ? LOCAL_ROUND_TRIP_MS : remoteCostMs(requestBytes + responseBytes, latencyMs)
     const isUnused = !load && stats.inFlight === 0 && now >= stats.coldUntil
     const jitterMs = (1 - freshness) * UNKNOWN_LOAD_JITTER * latencyMs * this.#random.next()
-    const targetMs = weightedMs(waitMs + runMs, latencyMs) * (1 + JITTER * (this.#random.next() - 0.5)) + utilisationMs + failureMs + jitterMs
+    const targetMs = weightedMs(waitMs + runMs, latencyMs) * (1 + JITTER * (this.#random.next() - 0.5)) + utilisationMs + fullMs + failureMs + jitterMs
     return {
       host: record.host,
       targetId: target.id,
