Share slots fairly between workspaces

The queue is a module of its own now and takes the next request by start-time fair queueing over workspaces within an urgency. If it gets too long, the newest request of the workspace with most requests in it leaves it. Requests without a workspace are one flow, in order of arrival. Waits in vain lengthen estimates only for workspaces that are in the queue, and a caller's daemon remembers a full queue for the workspace that met it alone. The factor on estimated waits moves to waitFactor.ts.

--- a/packages/hop/src/__tests__/loadOptions.ts
+++ b/packages/hop/src/__tests__/loadOptions.ts
@@ -10,6 +10,8 @@
   dataCentreRateAt? (dataCentre: string, second: number): number
   /** Number of requests that callers in a data centre send at the same time; 1 unless given. */
   clumpSize? (dataCentre: string): number
+  /** Workspaces of the callers; they have none unless given. */
+  workspaces?: WorkspaceOptions
   /** Slowdown of targets by others on their machines; targets have their machines to themselves unless given. */
   neighbours?: NeighbourOptions
   /** Factor on the work of a target, by simulated time in seconds. */
@@ -32,6 +34,16 @@
   restarts?: readonly DaemonRestart[]
 }
 
+/** Workspaces whose shares of the requests follow Zipf's law. */
+export interface WorkspaceOptions {
+  count: number
+  exponent: number
+  /** Whether daemons know the workspaces of requests. */
+  isKnown: boolean
+  /** Workspace that sends `factor` times its usual requests, in addition to what the others send; the largest is 0. */
+  hot?: { index: number, factor: number }
+}
+
 /** How often, how much and for how long a machine slows its target down. */
 export interface NeighbourOptions {
   /** Share of the periods in which work takes `factor` times as long. */
--- a/packages/hop/src/__tests__/loadReport.ts
+++ b/packages/hop/src/__tests__/loadReport.ts
@@ -1,6 +1,6 @@
 import type { LoadOptions } from './loadOptions.js'
 import { LoadSimulator } from './loadSimulator.js'
-import { LOAD_SCENARIOS } from './loadScenarios.js'
+import { HOT_WORKSPACE, LOAD_SCENARIOS } from './loadScenarios.js'
 
 // Plays the load scenarios and prints what callers get:
 // node --import=tsx --conditions=source packages/hop/src/__tests__/loadReport.ts [SCENARIO,...] [SEED,...]
@@ -37,4 +37,8 @@
   const remoteBytes = [...simulator.remoteBytes.values()].reduce((a, b) => a + b, 0)
   console.log(`${name} seed ${seed}: worth ${(earned / owed).toFixed(3)}, rejected offers per answer ${(refused / answers).toFixed(2)}, busiest/mean ${busiest}, age p50 ${ages[ages.length >> 1]?.toFixed(0)} ms, crossed ${(remoteBytes / 1e6).toFixed(1)} MB, ${((process.cpuUsage().user - startedAt) / 1e6).toFixed(1)} s CPU`)
   console.log(lines.join('\n'))
+  const { workspaces } = simulator
+  if (!workspaces) return
+  const hot = workspaces.results[HOT_WORKSPACE]!
+  console.log(`  served of the hot workspace ${(hot.served / hot.requests).toFixed(3)}; of tenths of the others ${workspaces.servedByTenth(HOT_WORKSPACE).map((share) => share.toFixed(3)).join(' ')}`)
 }
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -23,6 +23,7 @@
 import { SimCallers, type CallerRequest, type RequestDone } from './simCallers.js'
 import { SimLinks } from './simLinks.js'
 import { SimTarget, type ParentRun } from './simTarget.js'
+import type { SimWorkspaces } from './simWorkspaces.js'
 import type { RequestClass, Workload } from './workloads.js'
 
 /** Time for which a target that crashed is gone. */
@@ -89,11 +90,16 @@
       load: opts,
       classes: workload.classes,
       dataCentres: workload.dataCentres,
-      send: (req, deadlineMs, done) => this.sendRequest(this.#callerHost(req), req.cls, undefined, done, deadlineMs, req.path)
+      send: (req, deadlineMs, done) => this.sendRequest(this.#callerHost(req), req.cls, undefined, done, deadlineMs, req.path, req.workspace)
     })
     this.#build()
   }
 
+  /** What the workspaces of the callers get; undefined if they have none. */
+  get workspaces (): SimWorkspaces | undefined {
+    return this.#callers.workspaces
+  }
+
   /** Class of a request, by its URL. */
   classOf (url: string): RequestClass {
     return this.classNamed(url.split('/')[1]!)
@@ -129,7 +135,7 @@
   }
 
   /** Sends one request through the daemon of a host; `done` is told whether it succeeded. */
-  sendRequest (host: string, cls: RequestClass, parent: ParentRun | undefined, done: RequestDone, deadlineMs = cls.deadlineMs, path = 'x'): () => void {
+  sendRequest (host: string, cls: RequestClass, parent: ParentRun | undefined, done: RequestDone, deadlineMs = cls.deadlineMs, path = 'x', workspace?: number): () => void {
     const url = `/${cls.name}/${path}`
     const id = parent ? `${parent.id}.${++this.#ids}` : `r${++this.#ids}`
     const counts = this.#countsOf(cls.service)
@@ -140,7 +146,8 @@
       url,
       head: { requestId: id, host: 'h', path: url, headers: [], deadlineMs },
       body: new Uint8Array(cls.requestBytes ?? 0),
-      origin: this.#hosts.get(host)!.inbound.originOf(id)
+      origin: this.#hosts.get(host)!.inbound.originOf(id),
+      ...workspace === undefined || !this.opts.workspaces?.isKnown ? {} : { workspace: `w${workspace}` }
     }, {
       respond: (reply, urgency) => {
         // A target reaches the daemon beside it without the link.
--- a/packages/hop/src/__tests__/simCallers.ts
+++ b/packages/hop/src/__tests__/simCallers.ts
@@ -1,5 +1,6 @@
 import type { Random, VirtualTimers } from '@lentilwheel/core'
 import type { ClassResult, LoadOptions } from './loadOptions.js'
+import { SimWorkspaces } from './simWorkspaces.js'
 import type { RequestClass } from './workloads.js'
 
 /** Called at the end of a request. */
@@ -22,15 +23,19 @@
   requestedAt: number
   /** Data centre of the caller; undefined for any. */
   dataCentre: string | undefined
+  /** Number of the caller's workspace; undefined for none. */
+  workspace: number | undefined
 }
 
 /** Simulates the callers of a workload in virtual time. */
 export class SimCallers {
   readonly #opts: SimCallersOptions
+  readonly workspaces: SimWorkspaces | undefined
   readonly #results = new Map<RequestClass, ClassResult>()
 
   constructor (opts: SimCallersOptions) {
     this.#opts = opts
+    this.workspaces = opts.load.workspaces && new SimWorkspaces(opts.load.workspaces, opts.random)
     for (const cls of opts.classes) this.#results.set(cls, { requests: 0, onTime: 0, late: 0, rejected: 0, failed: 0, valueShare: 0, lateRejections: 0, servedAfterRejection: 0, onTimeAfterRejection: 0, rejectedAgain: 0 })
   }
 
@@ -65,7 +70,7 @@
   #ratePerS (cls: RequestClass, dataCentre: string | undefined): number {
     const { timers, load, dataCentres } = this.#opts
     const second = timers.now() / 1000
-    const ratePerS = cls.ratePerS * load.rateAt(second)
+    const ratePerS = cls.ratePerS * load.rateAt(second) * (this.workspaces?.rateFactor ?? 1)
     if (dataCentre === undefined || !load.dataCentreRateAt) return ratePerS
     return ratePerS / dataCentres.length * load.dataCentreRateAt(dataCentre, second)
   }
@@ -74,7 +79,7 @@
     const { timers, load } = this.#opts
     this.#results.get(cls)!.requests++
     const path = load.pathOf?.(cls, timers.now() / 1000) ?? 'x'
-    this.#attempt({ cls, path, requestedAt: timers.now(), dataCentre }, cls.retries)
+    this.#attempt({ cls, path, requestedAt: timers.now(), dataCentre, workspace: this.workspaces?.next() }, cls.retries)
   }
 
   /** One attempt of a caller, which retries as its class allows and waits for Retry-After, but no longer than a third of its time. */
@@ -110,7 +115,8 @@
     })
   }
 
-  #countSuccess ({ cls, requestedAt }: CallerRequest, rejections: number): void {
+  #countSuccess ({ cls, requestedAt, workspace }: CallerRequest, rejections: number): void {
+    if (workspace !== undefined) this.workspaces!.recordServed(workspace)
     const result = this.#results.get(cls)!
     const isOnTime = this.#opts.timers.now() - requestedAt <= cls.targetLatencyMs
     if (isOnTime) result.onTime++
--- a/packages/hop/src/__tests__/workloads.ts
+++ b/packages/hop/src/__tests__/workloads.ts
@@ -140,3 +140,26 @@
     { name: 'price', service: 'billing', idempotent: true, ratePerS: 0, workMs: 52, workVariation: { sigma: 0.5, tailShare: 0, tailFactor: 1, isMean: true }, targetLatencyMs: 200, deadlineMs: 600, timeoutMs: 600, priority: 1, value: 0, lateValue: 0, retries: 0 }
   ]
 }
+
+const WIDE: WorkVariation = { sigma: 0.8, tailShare: 0.01, tailFactor: 3, isMean: true }
+const NARROW: WorkVariation = { ...WIDE, sigma: 0.5 }
+
+/** Workload of the lost property bureau, whose callers belong to workspaces. */
+export const LOST_PROPERTY_WORKLOAD: Workload = {
+  dataCentres: ['a', 'b', 'c'],
+  services: [
+    { name: 'register', targets: 40, slots: 8, speeds: [0.5, 1, 1, 1.5] },
+    { name: 'claims', targets: 26, slots: 8, speeds: [0.6, 1, 1.4] },
+    { name: 'returns', targets: 11, slots: 8, speeds: [0.6, 1, 1.4] },
+    { name: 'intake', targets: 5, slots: 8, speeds: [0.7, 0.7, 1.6] }
+  ],
+  classes: [
+    { name: 'search', service: 'register', idempotent: true, ratePerS: 687, workMs: 257, workVariation: WIDE, targetLatencyMs: 800, deadlineMs: 5_000, timeoutMs: 2_500, priority: 1, value: 0.99, lateValue: 0.3, retries: 2, responseBytes: 400, calls: { class: 'verify', times: 2, share: 0.7 } },
+    { name: 'claim', service: 'claims', idempotent: false, ratePerS: 249, workMs: 333, workVariation: NARROW, targetLatencyMs: 2_000, deadlineMs: 6_000, timeoutMs: 3_000, priority: 2, value: 0.99, lateValue: 0.44, retries: 2, requestBytes: 1_200, responseBytes: 1_500, calls: { class: 'quote', times: 2, share: 0.7 } },
+    { name: 'book', service: 'returns', idempotent: false, ratePerS: 190, workMs: 181, workVariation: WIDE, targetLatencyMs: 600, deadlineMs: 4_000, timeoutMs: 2_000, priority: 1, value: 3, lateValue: 0.89, retries: 2, requestBytes: 1_200, responseBytes: 5_000, calls: { class: 'locate', times: 2, share: 0.7 } },
+    { name: 'lookup', service: 'intake', idempotent: true, ratePerS: 154, workMs: 105, workVariation: WIDE, targetLatencyMs: 250, deadlineMs: 2_000, timeoutMs: 1_000, priority: 0, value: 3.7, lateValue: 0.45, retries: 2, responseBytes: 400 },
+    { name: 'verify', service: 'claims', idempotent: true, ratePerS: 0, workMs: 63.8, workVariation: NARROW, targetLatencyMs: 250, deadlineMs: 800, timeoutMs: 800, priority: 1, value: 0, lateValue: 0, retries: 0 },
+    { name: 'quote', service: 'returns', idempotent: true, ratePerS: 0, workMs: 63.8, workVariation: NARROW, targetLatencyMs: 250, deadlineMs: 800, timeoutMs: 800, priority: 1, value: 0, lateValue: 0, retries: 0 },
+    { name: 'locate', service: 'intake', idempotent: true, ratePerS: 0, workMs: 63.8, workVariation: NARROW, targetLatencyMs: 250, deadlineMs: 800, timeoutMs: 800, priority: 1, value: 0, lateValue: 0, retries: 0 }
+  ]
+}
--- a/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
+++ b/packages/hop/src/inbound/__tests__/inboundHandler.spec.ts
@@ -238,3 +238,16 @@
   t.like(settle('h1/1/2'), { kind: 'notRun', reason: 'revoked' }, 'a later call of the sender')
   t.like(settle('h1/2/1'), { kind: 'notRun', reason: 'revoked' }, 'a later start of the sender')
 })
+
+test('guards against a call that had to leave the queue to another workspace never being answered', (t) => {
+  const setup = new TestSetup()
+  const crowd = Array.from({ length: 12 }, (_, i) => `hot${i}`)
+  const patient = { targetLatencyMs: 2_000, deadlineMs: 5_000 }
+  for (const key of crowd) setup.offer(key, { ...patient, workspace: 'hot' })
+  const queued = crowd.slice(2).filter((key) => setup.outcomeOf(key) === 'open')
+  setup.offer('other', { ...patient, workspace: 'other' })
+  t.is(setup.outcomeOf(queued.at(-1)!), 'notRun busy')
+  t.is(setup.outcomeOf('other'), 'open')
+  setup.respond('hot0')
+  t.deepEqual(setup.sent.map(({ id }) => id), ['hot0', 'hot1', 'other'])
+})
--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -1,9 +1,11 @@
 import type { FullReason } from '../link/reasons.js'
 import { urgencyOf } from '../link/urgency.js'
+import { FairQueue } from './fairQueue.js'
 import { RejectionRates, type RejectionRate } from './rejectionRates.js'
 import { SlotUsage } from './slotUsage.js'
 import { NO_LIMIT, type SendLimit } from './targetLimit.js'
 import { TargetSlowdown } from './targetSlowdown.js'
+import { WaitFactor } from './waitFactor.js'
 
 /** A request that asks for a slot of the target. */
 export interface SlotRequest {
@@ -15,6 +17,8 @@
   readonly targetLatencyMs: number
   readonly deadlineAt: number
   readonly arrivedAt: number
+  /** Workspace of the caller; undefined if it has none, and for nested calls. */
+  readonly workspace?: string | undefined
   /** Milliseconds until the caller would have its answer, if that were ready on arrival. */
   readonly deliveryMs: number
 }
@@ -34,7 +38,7 @@
 /**
  * Admission control for the slots of one target and for the rate of requests that it takes. A target never gets more
  * requests at a time than it has slots, nor more in a second than its limit. The others wait in a queue here, ordered by
- * urgency (nested calls first, then by priority of the route) and then by arrival. Under
+ * urgency (nested calls first, then by priority of the route), then by fair share between workspaces and then by arrival. Under
  * overload, a request that can no longer be served within its target latency is rejected early, while there is still
  * time to serve it on another target or to retry it later.
  */
@@ -42,7 +46,9 @@
   readonly #limit: SendLimit
   #slots = 1
   #running = 0
-  #queue: SlotRequest[] = []
+  readonly #queue = new FairQueue<SlotRequest>(urgencyOf)
+  /** Requests that had to leave the queue to another workspace, until `takeEvicted`. */
+  #evicted: SlotRequest[] = []
   /** Moving average of the time from the start of a request to its response. */
   #serviceTimeMs = INITIAL_SERVICE_TIME_MS
   /** Moving average of the same time divided by the target latency of the request's route. */
@@ -51,8 +57,7 @@
   readonly #maxWaitByPriority = new Map<number, number>()
   readonly #rejectionRates = new RejectionRates()
   readonly #slotUsage = new SlotUsage()
-  /** By how much estimates of the wait are multiplied, because recent ones were too low; see #waitFactorAt. */
-  #waitFactor = { value: 1, updatedAt: 0 }
+  readonly #waitFactor = new WaitFactor()
 
   readonly #slowdown: TargetSlowdown
 
@@ -67,7 +72,7 @@
   }
 
   get queued (): number {
-    return this.#queue.length
+    return this.#queue.size
   }
 
   get slots (): number {
@@ -107,11 +112,12 @@
     const isFree = mayQueue ? this.#hasFreeSlot(now) && this.#isLinkInTime(request, now) : this.canStart(request, now)
     if (!request.nested && (isFree || mayQueue)) this.#rejectionRates.countRequest(request.priority, now)
     if (isFree) {
+      this.#queue.recordStart(request)
       this.#occupySlot(now)
       return 'start'
     }
-    if (mayQueue && this.#canServeInTime(request, now)) {
-      this.#enqueue(request)
+    if (mayQueue && this.#canServeInTime(request, this.#queue.countAhead(request), this.#waitFactorOf(request, now), now)) {
+      this.#enqueue(request, now)
       return 'queued'
     }
     if (!request.nested && mayQueue) this.#rejectionRates.countRejection(request.priority, now)
@@ -133,19 +139,23 @@
 
   /** Removes a request from the queue; false if it is not queued. */
   remove (key: string): boolean {
-    const index = this.#queue.findIndex((request) => request.key === key)
-    if (index >= 0) this.#queue.splice(index, 1)
-    return index >= 0
+    return this.#queue.removeIf((request) => request.key === key).length > 0
+  }
+
+  /** Returns the requests that had to leave the queue since the last time. */
+  takeEvicted (): SlotRequest[] {
+    const evicted = this.#evicted
+    this.#evicted = []
+    return evicted
   }
 
   /** Removes and returns the queued requests that can no longer be served in time. */
   dequeueExpired (now: number): SlotRequest[] {
-    const expired = this.#queue.filter((request) => !this.#isInTime(request, now))
-    if (expired.length > 0) this.#queue = this.#queue.filter((request) => !expired.includes(request))
+    const expired = this.#queue.removeIf((request) => !this.#isInTime(request, now))
     for (const { nested, priority } of expired) {
       if (nested) continue
       this.#rejectionRates.countRejection(priority, now)
-      this.#setWaitFactor(Math.min(MAX_WAIT_FACTOR, this.#waitFactorAt(now) * WAIT_FACTOR_INCREASE), now)
+      this.#waitFactor.recordExpiry(now)
     }
     return expired
   }
@@ -153,9 +163,9 @@
   /** Takes a queued request for each free slot; these count as running from now on. */
   dequeueReady (now: number): SlotRequest[] {
     const ready: SlotRequest[] = []
-    while (this.#queue.length > 0 && this.#canStartNext(now)) {
-      const request = this.#queue.shift()!
-      if (!request.nested) this.#setWaitFactor(Math.max(1, this.#waitFactorAt(now) * WAIT_FACTOR_DECREASE), now)
+    while (this.#queue.size > 0 && this.#canStartNext(now)) {
+      const request = this.#queue.take()!
+      if (!request.nested) this.#waitFactor.recordStart(now)
       ready.push(request)
       this.#occupySlot(now)
     }
@@ -164,13 +174,11 @@
 
   /** Empties the queue, for a target that takes no more work. */
   dequeueAll (): SlotRequest[] {
-    const all = this.#queue
-    this.#queue = []
-    return all
+    return this.#queue.removeIf(() => true)
   }
 
   #hasFreeSlot (now: number): boolean {
-    return this.#queue.length === 0 && this.#canStartNext(now)
+    return this.#queue.size === 0 && this.#canStartNext(now)
   }
 
   /** Whether the next request in order could start now. */
@@ -183,22 +191,16 @@
     this.#limit.take(now)
   }
 
-  /** The factor decays to 1 with time: if it is so high that no request is queued, no request can correct it. */
-  #waitFactorAt (now: number): number {
-    return 1 + (this.#waitFactor.value - 1) * 0.5 ** ((now - this.#waitFactor.updatedAt) / WAIT_FACTOR_HALF_LIFE_MS)
-  }
-
-  #setWaitFactor (value: number, now: number): void {
-    this.#waitFactor = { value, updatedAt: now }
+  /** Nested calls go first, and so does a workspace with nothing in the queue: how long others waited says little about them. */
+  #waitFactorOf (request: SlotRequest, now: number): number {
+    const hasTurn = request.workspace !== undefined && !this.#queue.hasRequestsOf(request)
+    return request.nested || hasTurn ? 1 : this.#waitFactor.at(now)
   }
 
-  /** Whether a request would still start in time if it were queued now, behind the more urgent ones. */
-  #canServeInTime (request: SlotRequest, now: number): boolean {
-    let ahead = 0
-    for (const other of this.#queue) if (!isMoreUrgent(request, other)) ahead++
+  /** Whether a request would still start in time if it were queued now, with `ahead` others before it; `waitFactor`: factor on the estimated wait. */
+  #canServeInTime (request: SlotRequest, ahead: number, waitFactor: number, now: number): boolean {
     const urgentShare = this.#slotUsage.slotsOfMoreUrgent(urgencyOf(request), now) / this.#slots
-    const slotWaitMs = (ahead + 1) * this.#serviceTimeMs * this.#slowdown.at(now) / this.#slots / Math.max(MIN_SLOT_SHARE, 1 - urgentShare) *
-      (request.nested ? 1 : this.#waitFactorAt(now))
+    const slotWaitMs = (ahead + 1) * this.#serviceTimeMs * this.#slowdown.at(now) / this.#slots / Math.max(MIN_SLOT_SHARE, 1 - urgentShare) * waitFactor
     return this.#isLinkInTime(request, now) && now + Math.max(slotWaitMs, this.#limit.waitMs(ahead, now)) <= this.#latestStart(request, now)
   }
 
@@ -239,19 +241,24 @@
     return this.#pace * this.#slowdown.at(now) * targetLatencyMs
   }
 
-  #enqueue (request: SlotRequest): void {
-    let index = this.#queue.length
-    while (index > 0 && isMoreUrgent(request, this.#queue[index - 1]!)) index--
-    this.#queue.splice(index, 0, request)
+  /**
+   * Queues a request. If the queue is then longer than can be served in time, the workspace that has most requests in it loses its
+   * newest, which can still be sent elsewhere; it would otherwise expire after a wait in vain.
+   */
+  #enqueue (request: SlotRequest, now: number): void {
+    if (!this.#canServeInTime(request, this.#queue.countAsUrgent(request), request.nested ? 1 : this.#waitFactor.at(now), now)) {
+      const evicted = this.#queue.evictFor(request)
+      if (evicted) this.#evict(evicted, now)
+    }
+    this.#queue.add(request)
+  }
+
+  #evict (request: SlotRequest, now: number): void {
+    this.#evicted.push(request)
+    if (!request.nested) this.#rejectionRates.countRejection(request.priority, now)
   }
 }
 
-/** Applied to the wait factor for each request that expired in the queue. */
-const WAIT_FACTOR_INCREASE = 1.3
-/** Applied to the wait factor for each queued request that got a slot. */
-const WAIT_FACTOR_DECREASE = 0.98
-const MAX_WAIT_FACTOR = 10
-const WAIT_FACTOR_HALF_LIFE_MS = 2_000
 /** Smallest part of the slots assumed to be left over by more urgent requests. */
 const MIN_SLOT_SHARE = 0.1
 /** Part of the target latency that queueing and running may take; the rest is for the network. */
@@ -266,8 +273,3 @@
 function isLinkBusy ({ nested, deliveryMs, targetLatencyMs }: SlotRequest): boolean {
   return !nested && deliveryMs > BUSY_LINK_SHARE * targetLatencyMs
 }
-
-function isMoreUrgent (a: SlotRequest, b: SlotRequest): boolean {
-  const difference = urgencyOf(a) - urgencyOf(b)
-  return difference !== 0 ? difference < 0 : a.arrivedAt < b.arrivedAt
-}
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -122,7 +122,8 @@
       targetLatencyMs: message.targetLatencyMs,
       deadlineAt: now + message.deadlineMs,
       arrivedAt: now,
-      deliveryMs: this.#opts.link.deliveryMs(message.route)
+      deliveryMs: this.#opts.link.deliveryMs(message.route),
+      ...message.workspace === undefined ? {} : { workspace: message.workspace }
     }
     if (message.mode === 'ask') return this.#replyNotRun(message, this.#admission.canStart(slotRequest, now) ? 'vacant' : this.#admission.fullReason(now))
     const decision = this.#admission.admit(slotRequest, message.mode === 'queue', now)
@@ -130,6 +131,15 @@
     const call: Call = { message, target: target!, slotRequest, state: 'queued', startedAt: now, slowdownAtStart: 1, ranMs: 0 }
     this.#calls.set(key, call)
     if (decision === 'start') this.#start(call)
+    this.#endEvicted(now)
+  }
+
+  /** Ends the calls that had to leave the queue to another workspace. */
+  #endEvicted (now: number): void {
+    for (const slotRequest of this.#admission.takeEvicted()) {
+      const call = this.#calls.get(slotRequest.key)
+      if (call) this.#endCallNotRun(call, this.#admission.fullReason(now), { evicted: true })
+    }
   }
 
   /** Cancels a call that its sender no longer wants. A running call that isn't idempotent runs to its end. */
@@ -342,9 +352,9 @@
     }
   }
 
-  #endCallNotRun (call: Call, reason: NotRunReason): void {
+  #endCallNotRun (call: Call, reason: NotRunReason, details: object = {}): void {
     this.#calls.delete(call.message.key)
-    this.#replyNotRun(call.message, reason)
+    this.#replyNotRun(call.message, reason, details)
   }
 
   #replyNotRun (message: CallMessage, reason: NotRunReason, details: object = {}): void {
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -43,6 +43,8 @@
   repeat: boolean
   /** Whether the sender knows that the request ran on a target that crashed. */
   suspect: boolean
+  /** Workspace of the caller's key; absent if it has none, and for nested calls. */
+  workspace?: string
   /** Limit on its requests per second that the sender last heard of the target; absent if it heard of none. */
   heardLimitPerS?: number
 }
--- a/packages/hop/src/outbound/__tests__/outbound.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outbound.spec.ts
@@ -164,3 +164,17 @@
   balancer.setHosts(['a', 'b', 'c', 'd'].map((name) => host(name, 'dc1')))
   for (const n of Object.values(firstChoices(balancer))) t.true(n > 25 && n < 80, String(n))
 })
+
+test('guards against a full queue for one workspace keeping the requests of others from a target', (t) => {
+  const timers = new VirtualTimers()
+  const balancer = new LoadBalancer({ timers, random: new SeededRandom(9), dataCentre: 'dc1' })
+  balancer.setHosts([host('a', 'dc1')])
+  const isFull = (urgency: number, workspace?: string): boolean =>
+    balancer.rank('s', { route, urgency, requestBytes: 0, responseBytes: 0, workspace }, () => true)[0]!.isQueueFull
+  balancer.markQueueFull('a', 1, 'hot')
+  t.deepEqual([isFull(0, 'hot'), isFull(1, 'hot'), isFull(2, 'hot'), isFull(1, 'other'), isFull(1)], [false, true, true, false, false])
+  balancer.markQueueFull('a', 1)
+  t.deepEqual([isFull(1, 'hot'), isFull(1, 'other'), isFull(1), isFull(2)], [true, false, true, true])
+  timers.advance(1_000)
+  t.deepEqual([isFull(1, 'hot'), isFull(1)], [false, false])
+})
--- a/packages/hop/src/outbound/costEstimate.ts
+++ b/packages/hop/src/outbound/costEstimate.ts
@@ -24,6 +24,8 @@
   route: MeshRoute
   /** Lower is more urgent. */
   urgency: number
+  /** Workspace of the caller; absent if it has none, and for nested calls. */
+  workspace?: string | undefined
   /** Size of the request body, and the expected size of the response body, in bytes. */
   requestBytes: number
   responseBytes: number
@@ -47,6 +49,14 @@
   slowdown: number
 }
 
+/** The queue of a target was too long for a request. */
+export interface FullQueue {
+  urgency: number
+  /** Workspace of the request; targets share their slots fairly, so the queue may be short for others. */
+  workspace: string | undefined
+  until: number
+}
+
 /** What this daemon knows of one target, from its replies and its own calls. */
 export interface TargetStats {
   targetId: string
@@ -61,8 +71,8 @@
   busyUntil: number
   /** Until when the target takes no more requests because of the limit that it states. */
   limitedUntil: number
-  /** Until when its queue is assumed to be too long, by urgency. */
-  queueFullUntil: Map<number, number>
+  /** Requests that it recently rejected because its queue was too long. */
+  fullQueues: FullQueue[]
   /** Until when the target is assumed to be slow because it has just started. */
   coldUntil: number
 }
@@ -153,7 +163,7 @@
   }
 
   /** `stats`: what is known of the target of the record. */
-  estimate (record: HostRecord, stats: TargetStats, { route, urgency, requestBytes, responseBytes }: RequestTraits, means: ServiceMeans, now: number): Candidate {
+  estimate (record: HostRecord, stats: TargetStats, { route, urgency, workspace, requestBytes, responseBytes }: RequestTraits, means: ServiceMeans, now: number): Candidate {
     const target = record.target!
     const latencyMs = route.targetLatencyMs
     const { load } = stats
@@ -190,7 +200,7 @@
       isLocal,
       costMs: (targetMs + networkMs) * (isUnused ? UNUSED_TARGET_FACTOR : 1) + avoidMs,
       isBusy: now < stats.busyUntil || limitedMs > 0,
-      isQueueFull: isQueueFullFor(stats, urgency, now)
+      isQueueFull: isQueueFullFor(stats, urgency, workspace, now)
     }
   }
 }
@@ -214,8 +224,10 @@
   return ms * Math.min(MAX_LATENCY_WEIGHT, ms / targetLatencyMs)
 }
 
-/** Whether the queue is too long for this urgency: a queue that is too long for an urgent request is so for a less urgent one. */
-function isQueueFullFor (stats: TargetStats, urgency: number, now: number): boolean {
-  for (const [other, until] of stats.queueFullUntil) if (other <= urgency && now < until) return true
-  return false
+/**
+ * Whether the queue is too long for a request of this urgency and workspace: a queue that is too long for an urgent request is so
+ * for a less urgent one.
+ */
+function isQueueFullFor ({ fullQueues }: TargetStats, urgency: number, workspace: string | undefined, now: number): boolean {
+  return fullQueues.some((full) => full.urgency <= urgency && full.workspace === workspace && now < full.until)
 }
--- a/packages/hop/src/outbound/loadBalancer.ts
+++ b/packages/hop/src/outbound/loadBalancer.ts
@@ -51,7 +51,7 @@
       else this.#byService.set(target.service, [record])
       if (this.#stats.get(record.host)?.targetId !== target.id) {
         this.#stats.set(record.host, {
-          targetId: target.id, load: undefined, loadAt: now, inFlight: 0, avoidUntil: -Infinity, busyUntil: -Infinity, limitedUntil: -Infinity, queueFullUntil: new Map(), coldUntil: now + target.coldMs
+          targetId: target.id, load: undefined, loadAt: now, inFlight: 0, avoidUntil: -Infinity, busyUntil: -Infinity, limitedUntil: -Infinity, fullQueues: [], coldUntil: now + target.coldMs
         })
       }
     }
@@ -147,9 +147,13 @@
     if (stats) stats.busyUntil = this.#timers.now() + BUSY_MS
   }
 
-  /** Records that the queue of the target was too long for a request of this urgency. */
-  markQueueFull (host: string, urgency: number): void {
-    this.#stats.get(host)?.queueFullUntil.set(urgency, this.#timers.now() + QUEUE_FULL_MS)
+  /** Records that the queue of the target was too long for a request of this urgency and workspace. */
+  markQueueFull (host: string, urgency: number, workspace?: string): void {
+    const stats = this.#stats.get(host)
+    if (!stats) return
+    const now = this.#timers.now()
+    const others = stats.fullQueues.filter((full) => now < full.until && (full.urgency !== urgency || full.workspace !== workspace))
+    stats.fullQueues = [...others, { urgency, workspace, until: now + QUEUE_FULL_MS }]
   }
 
   /** Ranks a target behind others for a while, because its daemon did not reply or rejected the request. */
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -122,7 +122,7 @@
   #candidates (exclude: ReadonlySet<string>): Candidate[] {
     const { loadBalancer: balancer, sizes } = this.#opts
     const { req, route, service } = this.#input
-    const traits = { route, urgency: this.#urgency, requestBytes: req.body.length, responseBytes: sizes.expectedBytes(route.name) }
+    const traits = { route, urgency: this.#urgency, workspace: req.workspace, requestBytes: req.body.length, responseBytes: sizes.expectedBytes(route.name) }
     const isEligible = (record: HostRecord): boolean => this.#isEligible(record, exclude)
     if (this.#standing() !== 'clear') return balancer.designated(service, traits, isEligible, this.#fingerprint())
     return balancer.rank(service, traits, isEligible, this.#versionChoice?.preferredHost)
@@ -296,7 +296,8 @@
       nested: req.origin !== 'caller',
       repeat: isRetry || req.origin === 'repeatedRun',
       suspect: this.#standing() !== 'clear',
-      ...heardLimitPerS === undefined ? {} : { heardLimitPerS }
+      ...heardLimitPerS === undefined ? {} : { heardLimitPerS },
+      ...req.workspace === undefined ? {} : { workspace: req.workspace }
     }
   }
 
@@ -317,7 +318,7 @@
     }
     if (isFullReason(reply.reason)) {
       balancer.markBusy(host)
-      if (mode === 'queue') balancer.markQueueFull(host, this.#urgency)
+      if (mode === 'queue') balancer.markQueueFull(host, this.#urgency, this.#input.req.workspace)
       return
     }
     if (reply.reason === 'crashed') this.#crashedAt = this.#opts.timers.now()
--- a/packages/hop/src/outbound/outboundTypes.ts
+++ b/packages/hop/src/outbound/outboundTypes.ts
@@ -21,6 +21,8 @@
   head: RequestHead
   body: Uint8Array
   origin: RequestOrigin
+  /** Workspace of the caller; absent if it has none, and for nested calls. */
+  workspace?: string
 }
 
 export type ForwardedResponse = Extract<HopReply, { kind: 'response' }>
