--- a/packages/hop/src/__tests__/simTarget.ts
+++ b/packages/hop/src/__tests__/simTarget.ts
@@ -2,9 +2,10 @@
 import type { ConnectOutcome } from '../inbound/crashDetector.js'
 import type { TargetClient } from '../inbound/nodeTargetClient.js'
 import type { TargetRequest } from '../inbound/nodeTargetConnection.js'
-import type { TargetResult, TargetStatement } from '../inbound/targetResult.js'
+import type { ReportedLoad, TargetResult, TargetStatement } from '../inbound/targetResult.js'
 import type { LoadSimulator } from './loadSimulator.js'
-import type { RequestClass } from './workloads.js'
+import { SimNeighbours } from './simNeighbours.js'
+import { DEFAULT_WORK_VARIATION, type RequestClass, type WorkVariation } from './workloads.js'
 
 /** The running request that makes a nested call. */
 export interface ParentRun {
@@ -24,6 +25,7 @@
   readonly #slots: number
   readonly #speed: number
   readonly #random: Random
+  readonly #neighbours: SimNeighbours | undefined
   running = 0
   #isDown = false
   /** Ends each request that runs here. */
@@ -36,6 +38,7 @@
     this.#slots = slots
     this.#speed = speed
     this.#random = random
+    this.#neighbours = simulator.opts.neighbours && new SimNeighbours(simulator.opts.neighbours, random)
   }
 
   tryConnect (done: (outcome: ConnectOutcome) => void): void {
@@ -68,7 +71,7 @@
     const isRetry = this.#simulator.onArrival(this.#host, this.#service, request.requestId)
     const cls = this.#simulator.classOf(url)
     let isDone = false
-    const end = (status: number, bytes?: number): void => finish(response(status, this.#statement(), bytes))
+    const end = (status: number, bytes?: number): void => finish({ ...response(status, this.#statement(), bytes), ...this.#reported() })
     const finish = (result: TargetResult): void => {
       if (isDone) return
       isDone = true
@@ -87,10 +90,10 @@
     } else if (this.#random.next() < (opts.shedding?.(this.#host, this.#service, second) ?? 0)) {
       timers.after(1, () => finish({ kind: 'notRun', reason: 'shed', statement: this.#statement() }))
     } else {
-      const tailFactor = this.#random.next() < 0.01 ? 4 : 1
+      const variation = variationFactor(cls.workVariation ?? DEFAULT_WORK_VARIATION, this.#random)
       const slowness = opts.slowness?.(this.#host, this.#service, second) ?? 1
-      const spread = Math.exp(0.35 * standardNormal(this.#random))
-      const work = cls.workMs * spread * tailFactor * slowness / this.#speed
+      const ownMs = cls.workMs * variation * slowness / this.#speed
+      const work = this.#neighbours?.elapsedMs(ownMs, timers.now()) ?? ownMs
       const isFailing = this.#random.next() < (opts.failing?.(this.#host, this.#service, second) ?? 0)
       const parent = { id: request.requestId, isRetry }
       timers.after(work, () => this.#makeCalls(cls, parent, () => isDone, (ok) => end(ok && !isFailing ? 200 : 500, cls.responseBytes)))
@@ -106,6 +109,13 @@
     return { limitPerS, isLeaving: false }
   }
 
+  /** The load that it reports in a response, if it reports how much its machine slows it down. */
+  #reported (): { reported?: ReportedLoad } {
+    const { timers, opts } = this.#simulator
+    if (!this.#neighbours || !opts.neighbours?.isReported) return {}
+    return { reported: { running: this.running, waiting: 0, slots: this.#slots, slowdown: this.#neighbours.slowdownAt(timers.now()) } }
+  }
+
   #makeCalls (cls: RequestClass, parent: ParentRun, isDone: () => boolean, done: (ok: boolean) => void): void {
     let remainingCalls = cls.calls && this.#random.next() < cls.calls.share ? cls.calls.times : 0
     const next = (): void => {
@@ -121,6 +131,14 @@
   return { kind: 'response', status, headers: [], body: Buffer.alloc(bytes), unframed: false, statement }
 }
 
+/** Work of a request as a multiple of the usual. */
+function variationFactor ({ sigma, tailShare, tailFactor, isMean }: WorkVariation, random: Random): number {
+  const tail = random.next() < tailShare ? tailFactor : 1
+  const spread = Math.exp(sigma * standardNormal(random))
+  const mean = isMean ? Math.exp(sigma * sigma / 2) : 1
+  return spread * tail / mean
+}
+
 function standardNormal (random: Random): number {
   return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
 }
--- a/packages/hop/src/__tests__/workloads.ts
+++ b/packages/hop/src/__tests__/workloads.ts
@@ -7,6 +7,8 @@
   /** Requests per second over all data centres; 0 for nested calls, which only targets make. */
   ratePerS: number
   workMs: number
+  /** How much the work of single requests differs; see `DEFAULT_WORK_VARIATION`. */
+  workVariation?: WorkVariation
   targetLatencyMs: number
   deadlineMs: number
   timeoutMs: number
@@ -22,6 +24,17 @@
   calls?: { class: string, times: number, share: number }
 }
 
+/** Log-normal distribution of the work around `workMs`, and the share of requests that take `tailFactor` times as long. */
+export interface WorkVariation {
+  sigma: number
+  tailShare: number
+  tailFactor: number
+  /** Whether `workMs` is the mean without the tail; otherwise it is the median. */
+  isMean: boolean
+}
+
+export const DEFAULT_WORK_VARIATION: WorkVariation = { sigma: 0.35, tailShare: 0.01, tailFactor: 4, isMean: false }
+
 /** The services, targets and requests of an installation. `speeds` are assigned to the targets of a service in turn. */
 export interface Workload {
   dataCentres: string[]
@@ -110,3 +123,43 @@
     { name: 'fetch', service: 'samples', idempotent: true, ratePerS: 0, workMs: 40, targetLatencyMs: 150, deadlineMs: 500, timeoutMs: 500, priority: 1, value: 0, lateValue: 0, retries: 0 }
   ]
 }
+
+const LONG_TAILED: WorkVariation = { sigma: 0.8, tailShare: 0.03, tailFactor: 7, isMean: true }
+
+/** Workload of the heating oil depots: targets that share their machines, and demand that nearly fills their slots at its peak. */
+export const OIL_DEPOTS_WORKLOAD: Workload = {
+  dataCentres: ['a', 'b', 'c'],
+  services: [
+    { name: 'orders', targets: 58, slots: 6, speeds: [1 / 0.55, 1 / 1.2, 1 / 1.2, 1 / 1.2] },
+    { name: 'billing', targets: 16, slots: 6, speeds: [1 / 0.6, 1, 1 / 1.4] }
+  ],
+  classes: [
+    { name: 'lookup', service: 'orders', idempotent: true, ratePerS: 604, workMs: 181, workVariation: LONG_TAILED, targetLatencyMs: 600, deadlineMs: 2_500, timeoutMs: 1_200, priority: 2, value: 1, lateValue: 0.3, retries: 1, responseBytes: 1_500, calls: { class: 'price', times: 1, share: 0.7 } },
+    { name: 'booking', service: 'orders', idempotent: false, ratePerS: 191, workMs: 238, workVariation: LONG_TAILED, targetLatencyMs: 800, deadlineMs: 3_000, timeoutMs: 1_500, priority: 1, value: 2, lateValue: 0.6, retries: 1, requestBytes: 1_200, responseBytes: 5_000 },
+    { name: 'charge', service: 'billing', idempotent: false, ratePerS: 170, workMs: 124, workVariation: { ...LONG_TAILED, sigma: 0.5 }, targetLatencyMs: 600, deadlineMs: 2_000, timeoutMs: 1_000, priority: 0, value: 3, lateValue: 0.9, retries: 1, requestBytes: 4_000, responseBytes: 1_500 },
+    { name: 'price', service: 'billing', idempotent: true, ratePerS: 0, workMs: 52, workVariation: { sigma: 0.5, tailShare: 0, tailFactor: 1, isMean: true }, targetLatencyMs: 200, deadlineMs: 600, timeoutMs: 600, priority: 1, value: 0, lateValue: 0, retries: 0 }
+  ]
+}
+
+const WIDE: WorkVariation = { sigma: 0.8, tailShare: 0.01, tailFactor: 3, isMean: true }
+const NARROW: WorkVariation = { ...WIDE, sigma: 0.5 }
+
+/** Workload of the lost property bureau, whose callers belong to workspaces. */
+export const LOST_PROPERTY_WORKLOAD: Workload = {
+  dataCentres: ['a', 'b', 'c'],
+  services: [
+    { name: 'register', targets: 40, slots: 8, speeds: [0.5, 1, 1, 1.5] },
+    { name: 'claims', targets: 26, slots: 8, speeds: [0.6, 1, 1.4] },
+    { name: 'returns', targets: 11, slots: 8, speeds: [0.6, 1, 1.4] },
+    { name: 'intake', targets: 5, slots: 8, speeds: [0.7, 0.7, 1.6] }
+  ],
+  classes: [
+    { name: 'search', service: 'register', idempotent: true, ratePerS: 687, workMs: 257, workVariation: WIDE, targetLatencyMs: 800, deadlineMs: 5_000, timeoutMs: 2_500, priority: 1, value: 0.99, lateValue: 0.3, retries: 2, responseBytes: 400, calls: { class: 'verify', times: 2, share: 0.7 } },
+    { name: 'claim', service: 'claims', idempotent: false, ratePerS: 249, workMs: 333, workVariation: NARROW, targetLatencyMs: 2_000, deadlineMs: 6_000, timeoutMs: 3_000, priority: 2, value: 0.99, lateValue: 0.44, retries: 2, requestBytes: 1_200, responseBytes: 1_500, calls: { class: 'quote', times: 2, share: 0.7 } },
+    { name: 'book', service: 'returns', idempotent: false, ratePerS: 190, workMs: 181, workVariation: WIDE, targetLatencyMs: 600, deadlineMs: 4_000, timeoutMs: 2_000, priority: 1, value: 3, lateValue: 0.89, retries: 2, requestBytes: 1_200, responseBytes: 5_000, calls: { class: 'locate', times: 2, share: 0.7 } },
+    { name: 'lookup', service: 'intake', idempotent: true, ratePerS: 154, workMs: 105, workVariation: WIDE, targetLatencyMs: 250, deadlineMs: 2_000, timeoutMs: 1_000, priority: 0, value: 3.7, lateValue: 0.45, retries: 2, responseBytes: 400 },
+    { name: 'verify', service: 'claims', idempotent: true, ratePerS: 0, workMs: 63.8, workVariation: NARROW, targetLatencyMs: 250, deadlineMs: 800, timeoutMs: 800, priority: 1, value: 0, lateValue: 0, retries: 0 },
+    { name: 'quote', service: 'returns', idempotent: true, ratePerS: 0, workMs: 63.8, workVariation: NARROW, targetLatencyMs: 250, deadlineMs: 800, timeoutMs: 800, priority: 1, value: 0, lateValue: 0, retries: 0 },
+    { name: 'locate', service: 'intake', idempotent: true, ratePerS: 0, workMs: 63.8, workVariation: NARROW, targetLatencyMs: 250, deadlineMs: 800, timeoutMs: 800, priority: 1, value: 0, lateValue: 0, retries: 0 }
+  ]
+}
--- a/packages/hop/src/daemon/resourceReport.ts
+++ b/packages/hop/src/daemon/resourceReport.ts
@@ -64,6 +64,7 @@
     metrics.state('evacuated', evacuations.count)
     metrics.state('targetLimit', limitPerS === Infinity ? NO_LIMIT : limitPerS)
     metrics.state('targetSent', sent)
+    metrics.state('targetSlowdown', inbound.slowdown ?? 1)
     this.#setQuotaMetrics()
   }
 
@@ -85,7 +86,7 @@
     const routes = traffic.take()
     const workspaces = traffic.takeWorkspaces()
     if (!routes && !workspaces) return
-    log.decision('traffic', { ...inbound.occupancy, running: inbound.active, unsentBytes: this.#unsentBytes, processorMs: processorMs(), routes, workspaces })
+    log.decision('traffic', { ...inbound.occupancy, running: inbound.active, slowdown: inbound.slowdown, unsentBytes: this.#unsentBytes, processorMs: processorMs(), routes, workspaces })
   }
 
   /** Bytes that wait for the link, or that connections to other daemons have not taken yet. */
--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -55,6 +55,8 @@
   slotRequest: SlotRequest
   state: 'queued' | 'running'
   startedAt: number
+  /** How much the target was slowed down when it started. */
+  slowdownAtStart: number
   /** Milliseconds that it ran on the target; 0 until it has ended. */
   ranMs: number
   /** Tells the forecast of the link that it has ended; set once the call runs. */
@@ -63,6 +65,11 @@
   abort?: () => void
 }
 
+/** The slot that a call asks for, which arrives now. */
+export function slotRequestOf ({ key, nested, priority, targetLatencyMs, deadlineMs, workspace }: CallMessage, deliveryMs: number, now: number): SlotRequest {
+  return { key, nested, priority, targetLatencyMs, deadlineAt: now + deadlineMs, arrivedAt: now, deliveryMs, ...workspace === undefined ? {} : { workspace } }
+}
+
 /** Whether the connection to the target broke while the request ran there. */
 export function isConnectionLost (result: TargetResult): boolean {
   return result.kind === 'failed' && (result.reason === 'reset' || result.reason === 'cut')
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -1,15 +1,16 @@
 import { isFullReason, type NotRunReason } from '../link/reasons.js'
 import type { CallMessage, HopReply, TargetLoad } from '../link/messages.js'
 import type { TargetRecord } from '../fleet/hostRecord.js'
-import { Admission, type SlotRequest } from './admission.js'
+import { Admission } from './admission.js'
 import { CallRegistry } from './callRegistry.js'
 import { CrashGuard } from './crashGuard.js'
-import { departureOf, heldTimes, linkLoad, isConnectionLost, replyOf, type InboundCall as Call, type InboundOptions } from './inboundCall.js'
+import { departureOf, heldTimes, linkLoad, isConnectionLost, replyOf, slotRequestOf, type InboundCall as Call, type InboundOptions } from './inboundCall.js'
 import { serializeRequest } from './serializeRequest.js'
 import { RunningRequests, type RequestOrigin } from './runningRequests.js'
 import { isSuccess, TargetHealth } from './targetHealth.js'
 import { TargetLimit } from './targetLimit.js'
 import type { TargetResult } from './targetResult.js'
+import { TargetSlowdown } from './targetSlowdown.js'
 
 /** Time after the deadline in which the target's own response to it may still arrive. */
 const DEADLINE_GRACE_MS = 60
@@ -33,6 +34,7 @@
   readonly #calls = new Map<string, Call>()
   readonly #runningRequests = new RunningRequests()
   readonly #limit: TargetLimit
+  readonly #slowdown = new TargetSlowdown()
   readonly #health = new TargetHealth()
   readonly #crashes: CrashGuard
   /** The target whose state the other fields hold. */
@@ -41,7 +43,7 @@
   constructor (opts: InboundOptions) {
     this.#opts = opts
     this.#limit = new TargetLimit(opts.log, () => this.#coldPerS())
-    this.#admission = new Admission(this.#limit)
+    this.#admission = new Admission(this.#limit, this.#slowdown)
     this.#crashes = new CrashGuard({
       ...opts,
       tryConnect: (done) => opts.client.tryConnect(done),
@@ -69,6 +71,11 @@
     return { limitPerS: this.#limit.perS, sent: this.#limit.sentCounts(this.#opts.timers.now()).all }
   }
 
+  /** How much others on its machine slow the target down now, 1 for as usual; undefined if it doesn't tell. */
+  get slowdown (): number | undefined {
+    return this.#slowdown.isKnown ? this.#slowdown.at(this.#opts.timers.now()) : undefined
+  }
+
   /** Who made a request, from its id. */
   originOf (requestId: string): RequestOrigin {
     return this.#runningRequests.originOf(requestId)
@@ -108,21 +115,22 @@
     if (message.heardLimitPerS !== undefined) this.#limit.adopt(message.targetId, message.heardLimitPerS, now)
     const displaced = message.nested ? undefined : this.#findOverloadedDependency(message)
     if (displaced) return this.#replyNotRun(message, 'displacing', displaced)
-    const slotRequest: SlotRequest = {
-      key,
-      nested: message.nested,
-      priority: message.priority,
-      targetLatencyMs: message.targetLatencyMs,
-      deadlineAt: now + message.deadlineMs,
-      arrivedAt: now,
-      deliveryMs: this.#opts.link.deliveryMs(message.route)
-    }
+    const slotRequest = slotRequestOf(message, this.#opts.link.deliveryMs(message.route), now)
     if (message.mode === 'ask') return this.#replyNotRun(message, this.#admission.canStart(slotRequest, now) ? 'vacant' : this.#admission.fullReason(now))
     const decision = this.#admission.admit(slotRequest, message.mode === 'queue', now)
     if (decision === 'busy' || decision === 'limited') return this.#replyNotRun(message, decision)
-    const call: Call = { message, target: target!, slotRequest, state: 'queued', startedAt: now, ranMs: 0 }
+    const call: Call = { message, target: target!, slotRequest, state: 'queued', startedAt: now, slowdownAtStart: 1, ranMs: 0 }
     this.#calls.set(key, call)
     if (decision === 'start') this.#start(call)
+    this.#endEvicted(now)
+  }
+
+  /** Ends the calls that had to leave the queue to another workspace. */
+  #endEvicted (now: number): void {
+    for (const slotRequest of this.#admission.takeEvicted()) {
+      const call = this.#calls.get(slotRequest.key)
+      if (call) this.#endCallNotRun(call, this.#admission.fullReason(now), { evicted: true })
+    }
   }
 
   /** Cancels a call that its sender no longer wants. A running call that isn't idempotent runs to its end. */
@@ -161,6 +169,7 @@
       this.#admission.reset(target.slots)
       this.#health.reset()
       this.#limit.reset()
+      this.#slowdown.reset()
       this.#opts.client.reset()
     }
     if (target?.state === 'ready') return
@@ -179,9 +188,10 @@
     if (!target) return undefined
     const now = this.#opts.timers.now()
     const { running, queued, slots, pace } = this.#admission
+    const { slowdown } = this
     const rate = this.#admission.rejectionRate(now)
     const pressed = rate ? { pressedPriority: rate.priority, pressedShare: rate.share } : {}
-    return { targetId: target.id, running, queued, slots, pace, failing: this.#health.failureRate, ...pressed, ...this.#limit.load(queued, now), ...linkLoad(this.#opts.link) }
+    return { targetId: target.id, running, queued, slots, pace, failing: this.#health.failureRate, ...slowdown === undefined ? {} : { slowdown }, ...pressed, ...this.#limit.load(queued, now), ...linkLoad(this.#opts.link) }
   }
 
   /** Whether the target is the one that is known, in the same start. */
@@ -235,6 +245,7 @@
     this.#health.recordStart(now)
     this.#runningRequests.add(message.requestId, { route: message.route, isRetry: message.repeat })
     call.startedAt = now
+    call.slowdownAtStart = this.#slowdown.at(now)
     this.#limit.recordSent(message, now)
     call.endOnLink = this.#opts.link.start(message.route)
     const bytes = serializeRequest(message, remainingMs, this.#opts.names)
@@ -266,6 +277,7 @@
     const isDoomed = this.#runningRequests.isDoomed(call.message.requestId)
     this.#runningRequests.remove(call.message.requestId)
     this.#health.recordResult(result, this.#calls.size === 0, now)
+    this.#recordSlowdown(call, result, now)
     this.#recordResult(call, result, ms)
     this.#recordStatement(call, result, now)
     if (result.kind === 'response') this.#crashes.onSurvival(call)
@@ -291,7 +303,8 @@
   #recordResult (call: Call, result: TargetResult, ms: number): void {
     if (result.kind === 'failed' && result.reason === 'cancelled') return
     const ok = isSuccess(result)
-    if (ok) this.#admission.recordLatency(ms, call.message.targetLatencyMs)
+    const slowdown = (call.slowdownAtStart + this.#slowdown.at(this.#opts.timers.now())) / 2
+    if (ok) this.#admission.recordLatency(ms / slowdown, call.message.targetLatencyMs)
     const target = this.#opts.target()
     if (target?.id === call.message.targetId && result.kind !== 'notRun') {
       const { route, targetLatencyMs } = call.message
@@ -299,6 +312,12 @@
     }
   }
 
+  /** Takes over how much the target's machine slows it down, unless the target has been replaced since the call arrived. */
+  #recordSlowdown ({ target }: Call, result: TargetResult, now: number): void {
+    const slowdown = result.kind === 'failed' ? undefined : result.reported?.slowdown
+    if (slowdown !== undefined && this.#isKnown(target)) this.#slowdown.record(slowdown, now)
+  }
+
   /** Takes over what the target states of itself, unless it has been replaced since the call arrived. */
   #recordStatement ({ target }: Call, result: TargetResult, now: number): void {
     if (result.kind === 'failed' || !result.statement || !this.#isKnown(target)) return
@@ -331,9 +350,9 @@
     }
   }
 
-  #endCallNotRun (call: Call, reason: NotRunReason): void {
+  #endCallNotRun (call: Call, reason: NotRunReason, details: object = {}): void {
     this.#calls.delete(call.message.key)
-    this.#replyNotRun(call.message, reason)
+    this.#replyNotRun(call.message, reason, details)
   }
 
   #replyNotRun (message: CallMessage, reason: NotRunReason, details: object = {}): void {
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -44,10 +44,10 @@
   repeat: boolean
   /** Whether the sender knows that the request ran on a target that crashed. */
   suspect: boolean
+  /** Workspace of the caller's key; absent if it has none, and for nested calls. */
+  workspace?: string
   /** Limit on its requests per second that the sender last heard of the target; absent if it heard of none. */
   heardLimitPerS?: number
-  /** Name of the caller's workspace; absent for a request without one. */
-  workspace?: string
 }
 
 /** Load of a target as measured by the daemon beside it. */
@@ -58,6 +58,8 @@
   slots: number
   /** Typical latency of the target, as a fraction of the target latency of the routes. */
   pace: number
+  /** Estimated factor on `pace` at this moment, by what the target last reported of its machine; absent where a target doesn't tell. */
+  slowdown?: number
   /** Share of recent requests that the target failed, 0 to 1. */
   failing: number
   /** Milliseconds for which the link of its host is taken by answers that wait and that running requests will have; absent for a wide link. */
--- a/packages/hop/src/outbound/costEstimate.ts
+++ b/packages/hop/src/outbound/costEstimate.ts
@@ -24,6 +24,8 @@
   route: MeshRoute
   /** Lower is more urgent. */
   urgency: number
+  /** Workspace of the caller; absent if it has none, and for nested calls. */
+  workspace?: string | undefined
   /** Size of the request body, and the expected size of the response body, in bytes. */
   requestBytes: number
   responseBytes: number
@@ -37,10 +39,22 @@
 
 const NO_LINK: OwnLink = { aheadMs: 0, msPerKib: 0 }
 
-/** Means over the targets of a service: the fraction of slots in use, and the milliseconds for which the links of the hosts are taken. */
+/** Means over the targets of a service. */
 export interface ServiceMeans {
+  /** Fraction of slots in use. */
   utilisation: number
+  /** Milliseconds for which the links of the hosts are taken. */
   linkMs: number
+  /** Slowdown of the targets that report one; 1 for as usual. */
+  slowdown: number
+}
+
+/** The queue of a target was too long for a request. */
+export interface FullQueue {
+  urgency: number
+  /** Workspace of the request; targets share their slots fairly, so the queue may be short for others. */
+  workspace: string | undefined
+  until: number
 }
 
 /** What this daemon knows of one target, from its replies and its own calls. */
@@ -57,8 +71,8 @@
   busyUntil: number
   /** Until when the target takes no more requests because of the limit that it states. */
   limitedUntil: number
-  /** Until when its queue is assumed to be too long, by urgency. */
-  queueFullUntil: Map<number, number>
+  /** Requests that it recently rejected because its queue was too long. */
+  fullQueues: FullQueue[]
   /** Until when the target is assumed to be slow because it has just started. */
   coldUntil: number
 }
@@ -85,6 +99,13 @@
 const MAX_LATENCY_WEIGHT = 1.5
 /** Extra cost of a target with all slots in use over an idle one, as a fraction of the target latency. */
 const UTILISATION_PENALTY = 0.15
+/**
+ * Extra cost of a target that reports its slowdown and is probably full when the request arrives, as a fraction of the target
+ * latency: its pace may change while the request waits, so the estimated wait is unreliable. The exponent keeps the cost near 0
+ * while several slots are free.
+ */
+const FULL_PENALTY = 1
+const FULL_PENALTY_EXPONENT = 6
 /** Maximum random addition to the cost of a target whose load is unknown, as a fraction of the target latency. */
 const UNKNOWN_LOAD_JITTER = 0.3
 /** Fraction of slots assumed to be in use where no load is known. */
@@ -121,6 +142,7 @@
   means (hosts: readonly HostRecord[], stats: ReadonlyMap<string, TargetStats>, now: number): ServiceMeans {
     let sum = DEFAULT_UTILISATION * DEFAULT_UTILISATION_WEIGHT
     let linkSumMs = 0
+    let slowdownSum = DEFAULT_UTILISATION_WEIGHT
     let weight = DEFAULT_UTILISATION_WEIGHT
     for (const { host } of hosts) {
       const { load, loadAt } = stats.get(host)!
@@ -128,9 +150,10 @@
       const freshness = freshnessAt(now - loadAt)
       sum += freshness * Math.min(1, load.running / load.slots)
       linkSumMs += freshness * (load.linkMs ?? 0)
+      slowdownSum += freshness * (load.slowdown ?? 1)
       weight += freshness
     }
-    return { utilisation: sum / weight, linkMs: linkSumMs / weight }
+    return { utilisation: sum / weight, linkMs: linkSumMs / weight, slowdown: slowdownSum / weight }
   }
 
   /** Time to pass on the answer of another host over the own link; the answer of the target beside this daemon takes that link once. */
@@ -140,7 +163,7 @@
   }
 
   /** `stats`: what is known of the target of the record. */
-  estimate (record: HostRecord, stats: TargetStats, { route, urgency, requestBytes, responseBytes }: RequestTraits, means: ServiceMeans, now: number): Candidate {
+  estimate (record: HostRecord, stats: TargetStats, { route, urgency, workspace, requestBytes, responseBytes }: RequestTraits, means: ServiceMeans, now: number): Candidate {
     const target = record.target!
     const latencyMs = route.targetLatencyMs
     const { load } = stats
@@ -151,7 +174,8 @@
     const coldFactor = now < stats.coldUntil ? COLD_LATENCY_FACTOR : 1
     const healthWeight = 0.5 ** (ageMs / HEALTH_HALF_LIFE_MS)
     const pace = load ? DEFAULT_PACE + (load.pace - DEFAULT_PACE) * healthWeight : DEFAULT_PACE
-    const serviceMs = pace * coldFactor * latencyMs
+    const slowdown = load?.slowdown === undefined ? 1 : freshness * load.slowdown + (1 - freshness) * means.slowdown
+    const serviceMs = pace * slowdown * coldFactor * latencyMs
     const answerMs = (load?.linkMsPerKib ?? 0) * responseBytes / BYTES_PER_KIB
     const linkMs = answerMs > LONG_ANSWER_MS ? freshness * (load?.linkMs ?? 0) + (1 - freshness) * means.linkMs : 0
     const passOnMs = record.host === this.#host ? 0 : this.#passOnMs(responseBytes)
@@ -159,14 +183,16 @@
     const slotWaitMs = occupied >= slots ? (occupied - slots + 1) / slots * serviceMs : 0
     const limitedMs = Math.max(0, stats.limitedUntil - now)
     const waitMs = Math.max(slotWaitMs, limitedMs)
-    const utilisationMs = UTILISATION_PENALTY * Math.min(1, occupied / slots) * latencyMs
+    const utilisation = Math.min(1, occupied / slots)
+    const utilisationMs = UTILISATION_PENALTY * utilisation * latencyMs
+    const fullMs = load?.slowdown === undefined ? 0 : FULL_PENALTY * utilisation ** FULL_PENALTY_EXPONENT * latencyMs
     const failureMs = (load?.failing ?? 0) * healthWeight * FAILURE_COST * latencyMs
     const avoidMs = now < stats.avoidUntil ? 10 * latencyMs : 0
     const isLocal = record.dataCentre === this.#dataCentre
     const networkMs = isLocal ? LOCAL_ROUND_TRIP_MS : remoteCostMs(requestBytes + responseBytes, latencyMs)
     const isUnused = !load && stats.inFlight === 0 && now >= stats.coldUntil
     const jitterMs = (1 - freshness) * UNKNOWN_LOAD_JITTER * latencyMs * this.#random.next()
-    const targetMs = weightedMs(waitMs + runMs, latencyMs) * (1 + JITTER * (this.#random.next() - 0.5)) + utilisationMs + failureMs + jitterMs
+    const targetMs = weightedMs(waitMs + runMs, latencyMs) * (1 + JITTER * (this.#random.next() - 0.5)) + utilisationMs + fullMs + failureMs + jitterMs
     return {
       host: record.host,
       targetId: target.id,
@@ -174,7 +200,7 @@
       isLocal,
       costMs: (targetMs + networkMs) * (isUnused ? UNUSED_TARGET_FACTOR : 1) + avoidMs,
       isBusy: now < stats.busyUntil || limitedMs > 0,
-      isQueueFull: isQueueFullFor(stats, urgency, now)
+      isQueueFull: isQueueFullFor(stats, urgency, workspace, now)
     }
   }
 }
@@ -198,8 +224,10 @@
   return ms * Math.min(MAX_LATENCY_WEIGHT, ms / targetLatencyMs)
 }
 
-/** Whether the queue is too long for this urgency: a queue that is too long for an urgent request is so for a less urgent one. */
-function isQueueFullFor (stats: TargetStats, urgency: number, now: number): boolean {
-  for (const [other, until] of stats.queueFullUntil) if (other <= urgency && now < until) return true
-  return false
+/**
+ * Whether the queue is too long for a request of this urgency and workspace: a queue that is too long for an urgent request is so
+ * for a less urgent one.
+ */
+function isQueueFullFor ({ fullQueues }: TargetStats, urgency: number, workspace: string | undefined, now: number): boolean {
+  return fullQueues.some((full) => full.urgency <= urgency && full.workspace === workspace && now < full.until)
 }
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -148,8 +148,8 @@
   /** Targets that may get the request, best first; for a suspect only the one that all daemons choose for it. */
   #candidates (exclude: ReadonlySet<string>): Candidate[] {
     const { loadBalancer: balancer, sizes } = this.#opts
-    const { req, route, service } = this.#input
-    const traits = { route, urgency: this.#urgency, requestBytes: req.body.length, responseBytes: sizes.expectedBytes(route.name) }
+    const { req, route, workspace, service } = this.#input
+    const traits = { route, urgency: this.#urgency, workspace: workspace?.name, requestBytes: req.body.length, responseBytes: sizes.expectedBytes(route.name) }
     const isEligible = (record: HostRecord): boolean => this.#isEligible(record, exclude)
     if (this.#standing() !== 'clear') return balancer.designated(service, traits, isEligible, this.#fingerprint())
     return balancer.rank(service, traits, isEligible, this.#versionChoice?.preferredHost)
@@ -350,7 +350,7 @@
     }
     if (isFullReason(reply.reason)) {
       balancer.markBusy(host)
-      if (mode === 'queue') balancer.markQueueFull(host, this.#urgency)
+      if (mode === 'queue') balancer.markQueueFull(host, this.#urgency, this.#input.workspace?.name)
       return
     }
     if (reply.reason === 'crashed') this.#crashedAt = this.#opts.timers.now()
