Limit second runs of slow requests to a share of the requests

Hedges began after a constant 0.9 of the target latency and took whatever the retry budget had, also in queues and when the service was short; operators couldn't limit them.

With a limit (`hedging.maxShare`), `LimitedSharePolicy` hedges after a quantile of the latencies that the daemon saw lately for the route, by which the share goes to the slowest requests, and sooner at a target that is estimated slower than the other candidates; between 0.25 and 0.9 of the target latency. Each request earns the share and each hedge spends one, per service. Hedges take at most half of what retries of failed requests leave of the retry budget, only a free slot, and none while more than 0.8 of the slots are in use. Without a limit, `FixedDelayPolicy` does what was done before.

`lentilwheel_hedges_total` counts hedges begun, won, lost and held back by reason; the `outbound` line says whether the hedge won. Decision tables, scenarios of the flow and the bounds of share and budget are tested without a network. Candidates have their estimated run time now, which adds a field to the JSON of explain-route.

--- a/packages/hop/src/__tests__/loadOptions.ts
+++ b/packages/hop/src/__tests__/loadOptions.ts
@@ -1,3 +1,4 @@
+import type { HedgingLimits } from '../outbound/hedging.js'
 import type { RequestClass } from './workloads.js'
 
 /** Length and disturbances of a simulation. */
@@ -16,6 +17,8 @@
   limitPerS? (host: string, service: string, second: number): number | undefined
   /** What the link of a host carries, in bytes a millisecond; unlimited unless given. */
   linkBytesPerMs? (host: string): number
+  /** Limits that operators set on hedging. */
+  hedging?: HedgingLimits
   /** Path of a request after its class; requests of a class are the same unless it is given. */
   pathOf? (cls: RequestClass, second: number): string
   /** Whether a request crashes each target that runs it. */
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -6,8 +6,9 @@
 import { LinkForecast } from '../inbound/linkForecast.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
 import { NoopCallLog } from '../observe/callLog.js'
-import type { CallMetrics } from '../observe/callMetrics.js'
+import type { CallMetrics, HedgeOutcome } from '../observe/callMetrics.js'
 import { TrafficSummary } from '../observe/trafficSummary.js'
+import { Hedging } from '../outbound/hedging.js'
 import { OutboundHandler } from '../outbound/outboundHandler.js'
 import { LoadBalancer } from '../outbound/loadBalancer.js'
 import { ResponseSizes } from '../outbound/responseSizes.js'
@@ -70,6 +71,9 @@
   readonly deadlyCrashes: number[] = []
   /** Refusals of requests that aren't deadly, by reason. */
   readonly refusals = new Map<string, number>()
+  /** Second runs of slow requests, over all daemons. */
+  readonly hedges = new Map<HedgeOutcome, number>()
+  readonly #metrics: CallMetrics = { ...noMetrics, hedge: (outcome) => { this.hedges.set(outcome, (this.hedges.get(outcome) ?? 0) + 1) } }
   /** Hosts whose daemon is down. */
   readonly #down = new Set<string>()
   #ids = 0
@@ -89,6 +93,11 @@
     this.#build()
   }
 
+  /** Milliseconds until the responses of a class, the shortest first. */
+  sortedLatencies (cls: string): number[] {
+    return this.#callers.latencies.get(cls)!.toSorted((a, b) => a - b)
+  }
+
   /** Class of a request, by its URL. */
   classOf (url: string): RequestClass {
     return this.classNamed(url.split('/')[1]!)
@@ -257,7 +266,7 @@
     inboundHandler.onTargetChange()
     const budget = new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 56 })
     const outbound = new OutboundHandler({
-      timers, random, log, metrics: noMetrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, sizes, traffic: new TrafficSummary(noMetrics), versions: { choose: () => undefined }, quarantine, quota: new UnlimitedQuota(), callerService: () => record.target!.service
+      timers, random, log, metrics: this.#metrics, names, fleet, inbound: inboundHandler, loadBalancer: balancer, budget, hedging: new Hedging(budget, this.opts.hedging), sizes, traffic: new TrafficSummary(noMetrics), versions: { choose: () => undefined }, quarantine, quota: new UnlimitedQuota(), callerService: () => record.target!.service
     })
     this.#hosts.set(host, { record, client, fleet, inbound: inboundHandler, outbound, balancer, quarantine })
   }
@@ -325,4 +334,4 @@
   return reply.kind === 'response' ? reply.body.length : 0
 }
 
-const noMetrics: CallMetrics = { request: () => {}, wait: () => {}, refusal: () => {}, rejection: () => {}, event: () => {}, state: () => {}, text: async () => '' }
+const noMetrics: CallMetrics = { request: () => {}, wait: () => {}, refusal: () => {}, rejection: () => {}, hedge: () => {}, event: () => {}, state: () => {}, text: async () => '' }
--- a/packages/hop/src/__tests__/simCallers.ts
+++ b/packages/hop/src/__tests__/simCallers.ts
@@ -25,10 +25,15 @@
 export class SimCallers {
   readonly #opts: SimCallersOptions
   readonly #results = new Map<RequestClass, ClassResult>()
+  /** Milliseconds until each response, by class. */
+  readonly latencies = new Map<string, number[]>()
 
   constructor (opts: SimCallersOptions) {
     this.#opts = opts
-    for (const cls of opts.classes) this.#results.set(cls, { requests: 0, onTime: 0, late: 0, rejected: 0, failed: 0, valueShare: 0, lateRejections: 0, servedAfterRejection: 0, onTimeAfterRejection: 0 })
+    for (const cls of opts.classes) {
+      this.latencies.set(cls.name, [])
+      this.#results.set(cls, { requests: 0, onTime: 0, late: 0, rejected: 0, failed: 0, valueShare: 0, lateRejections: 0, servedAfterRejection: 0, onTimeAfterRejection: 0 })
+    }
   }
 
   /** Begins to send the requests of all classes. */
@@ -91,7 +96,9 @@
 
   #countSuccess ({ cls, requestedAt }: CallerRequest, rejections: number): void {
     const result = this.#results.get(cls)!
-    const isOnTime = this.#opts.timers.now() - requestedAt <= cls.targetLatencyMs
+    const ms = this.#opts.timers.now() - requestedAt
+    const isOnTime = ms <= cls.targetLatencyMs
+    this.latencies.get(cls.name)!.push(ms)
     if (isOnTime) result.onTime++
     else result.late++
     if (rejections === 1) result.servedAfterRejection++
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -23,6 +23,7 @@
 import { RouteExplainer } from '../outbound/routeExplainer.js'
 import { LoadBalancer } from '../outbound/loadBalancer.js'
 import { ResponseSizes } from '../outbound/responseSizes.js'
+import { Hedging } from '../outbound/hedging.js'
 import { RetryBudget } from '../outbound/retryBudget.js'
 import { MoveController } from '../rollout/moveController.js'
 import { BlockStore } from '../quarantine/blockStore.js'
@@ -74,6 +75,7 @@
   readonly #outbound: OutboundHandler
   readonly #loadBalancer: LoadBalancer
   readonly #retryBudget: RetryBudget
+  readonly #hedging: Hedging
   readonly #traffic: TrafficSummary
   readonly #sendQueue: SendQueue
   readonly #outboundServer: NodeOutboundServer
@@ -105,6 +107,7 @@
     const evacuations = this.#evacuations = new Evacuations({ timers, epochs: store.epochs, log, onChange: (changed, from) => this.#onEvacuationChange(changed, from) })
     this.#loadBalancer = new LoadBalancer({ timers, random, dataCentre: cfg.dataCentre, host: cfg.host, link, evacuations })
     this.#retryBudget = new RetryBudget(cfg.retryBudget)
+    this.#hedging = new Hedging(this.#retryBudget, cfg.hedging)
     this.#traffic = new TrafficSummary(metrics)
     const newsSpreader = new NewsSpreader({ timers, send: (news, peers) => this.#fleet.sendQuarantineNews(news, peers) })
     this.#quarantine = new Quarantine({
@@ -181,7 +184,7 @@
       onResult: (target, result) => this.#moves.onResult(target, result)
     })
     const outboundOptions: OutboundOptions = {
-      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, sizes, traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, quota: this.#quota.gate, callerService: () => this.#cfg.service
+      timers, random, log, metrics, names, fleet: this.#fleet, inbound: this.#inbound, loadBalancer: this.#loadBalancer, budget: this.#retryBudget, hedging: this.#hedging, sizes, traffic: this.#traffic, versions: this.#moves, quarantine: this.#quarantine, quota: this.#quota.gate, callerService: () => this.#cfg.service
     }
     this.#outbound = new OutboundHandler(outboundOptions)
     const lag = new LoopLag(timers)
@@ -272,12 +275,13 @@
     return isReady
   }
 
-  /** Applies changed settings. Only the service and the retry budget change; addresses stay as they were at the start. */
+  /** Applies changed settings. Only the service, the retry budget and the limits on hedging change; addresses stay as they were at the start. */
   reload (cfg: ResolvedHopConfig): void {
-    const { service, retryBudget } = cfg
+    const { service, retryBudget, hedging } = cfg
     this.#cfg = { ...this.#cfg, service, retryBudget }
     this.#retryBudget.setLimits(retryBudget)
-    this.#opts.log.decision('reloaded', { service })
+    this.#hedging.setLimits(hedging)
+    this.#opts.log.decision('reloaded', { service, maxHedgeShare: hedging?.maxShare })
   }
 
   /** Lets requests in flight complete, within the grace period, then closes everything. */
--- a/packages/hop/src/daemon/resolvedHopConfig.ts
+++ b/packages/hop/src/daemon/resolvedHopConfig.ts
@@ -1,3 +1,4 @@
+import type { HedgingLimits } from '../outbound/hedging.js'
 import type { RetryBudgetLimits } from '../outbound/retryBudget.js'
 
 export interface Endpoint {
@@ -26,6 +27,8 @@
   /** Time from the request to stop until the process is killed. */
   graceMs: number
   retryBudget: RetryBudgetLimits
+  /** Absent: slow requests are hedged late, as far as the retry budget allows. */
+  hedging?: HedgingLimits
   /** What the link of this host carries, in bytes a millisecond; Infinity if that isn't known. */
   linkBytesPerMs: number
   /** Whether operators may order the evacuation of a data centre; absent for no. */
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { HedgeRefusal } from '../outbound/hedging.js'
 import type { CallWaits } from './trafficSummary.js'
 
 /** Upper bounds of the buckets of the latency histogram. */
@@ -21,6 +22,9 @@
 /** Why a daemon rejects a caller's request before it looks for a target. */
 export type RejectionReason = 'noConfiguration' | 'noRoute' | 'unknownKey' | 'keyMissing' | 'quotaExceeded' | 'quotaUnknown'
 
+/** `won`: the caller got the response of the second run; `lost`: it did not. A refusal says why a slow request wasn't hedged. */
+export type HedgeOutcome = 'begun' | 'won' | 'lost' | HedgeRefusal
+
 /** Counters, gauges and a latency histogram of one daemon. */
 export interface CallMetrics {
   request (route: string, outcome: string, ms: number): void
@@ -30,6 +34,8 @@
   refusal (route: string, reason: string, count: number): void
   /** Counts a request that this daemon rejected before it looked for a target. */
   rejection (reason: RejectionReason): void
+  /** Counts a second run of a slow request, its end, or a slow request that had none. */
+  hedge (outcome: HedgeOutcome): void
   event (name: MetricEventName): void
   state (name: MetricStateName, value: number): void
   /** The metrics in the Prometheus text format. */
@@ -59,6 +65,10 @@
     name: 'lentilwheel_rejections_total', help: 'Requests of callers rejected before a target was looked for', labelNames: ['reason'], registers: [this.#registry]
   })
 
+  readonly #hedges = new Counter({
+    name: 'lentilwheel_hedges_total', help: 'Second runs of slow requests by outcome', labelNames: ['outcome'], registers: [this.#registry]
+  })
+
   readonly #events = new Counter({
     name: 'lentilwheel_events_total', help: 'Other events by name', labelNames: ['event'], registers: [this.#registry]
   })
@@ -84,6 +94,10 @@
     this.#rejections.inc({ reason })
   }
 
+  hedge (outcome: HedgeOutcome): void {
+    this.#hedges.inc({ outcome })
+  }
+
   event (name: MetricEventName): void {
     this.#events.inc({ event: name })
   }
--- a/packages/hop/src/outbound/__tests__/callFlow.spec.ts
+++ b/packages/hop/src/outbound/__tests__/callFlow.spec.ts
@@ -4,6 +4,7 @@
 import type { MeshRoute } from '../../routing/meshConfig.js'
 import { callFlow, type CallCommand, type CallEvent } from '../callFlow.js'
 import type { Candidate } from '../costEstimate.js'
+import type { HedgePlacement } from '../hedging.js'
 
 const route: MeshRoute = {
   name: 'r', host: 'h', pathPrefix: '/', parts: [{ service: 's', weight: 1 }], idempotent: true, bulky: false, timeoutMs: 1_200, targetLatencyMs: 600, priority: 1, maxAttempts: 2, allowsAnonymous: false
@@ -16,12 +17,12 @@
 /** An event that the flow receives at a time, in milliseconds. */
 interface Step { at: number, event: CallEvent }
 /** The hosts with targets and their properties, the retries that the budget allows, and the events of one request. */
-interface Scenario { route?: MeshRoute, targets?: string[], busy?: string[], full?: string[], remote?: string[], bodyBytes?: number, retries?: number, standing?: Standing, heldMs?: number, heldFrom?: number, crashes?: number, steps: Step[] }
+interface Scenario { route?: MeshRoute, targets?: string[], busy?: string[], full?: string[], remote?: string[], bodyBytes?: number, retries?: number, standing?: Standing, heldMs?: number, heldFrom?: number, crashes?: number, hedgeDelayMs?: number, hedgePlacement?: HedgePlacement | 'none', steps: Step[] }
 
 /** Feeds events to the flow of one request and returns its commands, one line per event. */
-function runScenario ({ route: scenarioRoute = route, targets = ['a', 'b', 'c'], busy = [], full = [], remote = [], bodyBytes = 0, retries = 9, standing = 'clear', heldMs = 0, heldFrom = 0, crashes = 0, steps }: Scenario): string[] {
+function runScenario ({ route: scenarioRoute = route, targets = ['a', 'b', 'c'], busy = [], full = [], remote = [], bodyBytes = 0, retries = 9, standing = 'clear', heldMs = 0, heldFrom = 0, crashes = 0, hedgeDelayMs = 540, hedgePlacement = 'any', steps }: Scenario): string[] {
   let now = 0
-  const candidates: Candidate[] = targets.map((host) => ({ host, targetId: `t-${host}`, version: 'v1', isLocal: !remote.includes(host), costMs: 1, isBusy: busy.includes(host), isQueueFull: full.includes(host) }))
+  const candidates: Candidate[] = targets.map((host) => ({ host, targetId: `t-${host}`, version: 'v1', isLocal: !remote.includes(host), costMs: 1, runMs: 1, isBusy: busy.includes(host), isQueueFull: full.includes(host) }))
   const flow = callFlow({ route: scenarioRoute, deadlineAt: 1_200, bodyBytes }, {
     now: () => now,
     candidates: (exclude) => candidates.filter(({ host }) => !exclude.has(host)),
@@ -29,6 +30,11 @@
     refusedMs: () => heldMs,
     crashes: () => crashes,
     tryWithdrawRetry: () => retries-- > 0,
+    hedgeDelayMs: () => hedgeDelayMs,
+    tryWithdrawHedge: (hasFreeTarget) => {
+      if (hedgePlacement === 'freeSlot') return hasFreeTarget ? hedgePlacement : undefined
+      return hedgePlacement === 'any' && retries-- > 0 ? hedgePlacement : undefined
+    },
     retryAfterMs: () => 250
   })
   const lines = [format(flow.next().value ?? [])]
@@ -99,7 +105,18 @@
   'a probe without a reply does not count as an attempt that may have run': { targets: ['a', 'b'], remote: ['a', 'b'], bodyBytes: 60_000, route: nonIdempotent, steps: [reply(100, 1, { kind: 'failed', reason: 'lost' }), timer(1_300)] },
   'a request that may run fails when the daemon stops and is not reported as not run': { route: nonIdempotent, steps: [{ at: 50, event: { kind: 'stopping' } }] },
   'a request that no target was offered is rejected as not run when the daemon stops': { targets: [], steps: [{ at: 50, event: { kind: 'stopping' } }] },
-  'a failure shortly before the deadline is not retried': { steps: [reply(1_100, 1, { kind: 'failed', reason: 'reset' })] }
+  'a failure shortly before the deadline is not retried': { steps: [reply(1_100, 1, { kind: 'failed', reason: 'reset' })] },
+  'a request is hedged when its delay is over': { hedgeDelayMs: 200, steps: [timer(200), reply(300, 2, ok)] },
+  'a request without a hedge delay is not hedged': { hedgeDelayMs: Infinity, steps: [timer(540), timer(1_300)] },
+  'the hedge is cancelled when the first run answers': { hedgeDelayMs: 200, hedgePlacement: 'freeSlot', steps: [timer(200), reply(210, 1, ok)] },
+  'a hedge that needs a free slot skips busy targets': { hedgeDelayMs: 200, hedgePlacement: 'freeSlot', busy: ['b'], steps: [timer(200), reply(300, 2, ok)] },
+  'a hedge that needs a free slot does not queue': { hedgeDelayMs: 200, hedgePlacement: 'freeSlot', busy: ['b', 'c'], steps: [timer(200), reply(900, 1, ok)] },
+  'a hedge that finds no slot ends and the first run goes on': { hedgeDelayMs: 200, hedgePlacement: 'freeSlot', steps: [timer(200), reply(202, 2, busyReply), timer(540), reply(900, 1, ok)] },
+  'a hedge that needs a free slot takes no large body to another data centre': { hedgeDelayMs: 200, hedgePlacement: 'freeSlot', remote: ['b', 'c'], bodyBytes: 60_000, steps: [timer(200), reply(900, 1, ok)] },
+  'a hedge that is held back is not tried again': { hedgeDelayMs: 200, hedgePlacement: 'none', steps: [timer(200), timer(540), reply(900, 1, ok)] },
+  'a hedge that fails leaves the first run': { hedgeDelayMs: 200, hedgePlacement: 'freeSlot', steps: [timer(200), reply(300, 2, failure), reply(400, 1, ok)] },
+  'a first run that fails leaves the hedge': { hedgeDelayMs: 200, hedgePlacement: 'freeSlot', steps: [timer(200), reply(300, 1, failure), reply(400, 2, ok)] },
+  'a request in a queue is not hedged': { hedgeDelayMs: 200, busy: ['a', 'b', 'c'], steps: [timer(200), reply(900, 1, ok)] }
 }
 
 for (const [name, scenario] of Object.entries(scenarios)) {
--- a/packages/hop/src/outbound/__tests__/outboundCall.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundCall.spec.ts
@@ -3,6 +3,7 @@
 import { TEST_HEADERS as names, TEST_ROUTE as route, testHost } from '../../__tests__/fixtures.js'
 import { NotForwardable } from '../../errors.js'
 import type { HopReply } from '../../link/messages.js'
+import { FixedDelayPolicy } from '../hedging.js'
 import { OutboundCall } from '../outboundCall.js'
 import type { OutboundOptions } from '../outboundTypes.js'
 
@@ -40,6 +41,7 @@
     },
     loadBalancer: { rank, recordOffer: () => {}, recordReply: () => {}, heardLimitPerS: () => undefined, avoid: () => {} },
     budget: { deposit: () => {} },
+    hedging: { policy: new FixedDelayPolicy({ tryWithdraw: () => true }) },
     sizes: { expectedBytes: () => 0, record: () => {} },
     traffic: { record: () => {} },
     versions: { choose: () => undefined },
--- a/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
@@ -33,7 +33,7 @@
 
 async function startServer (events: string[], originOf: (id: string) => RequestOrigin = () => 'caller', lag: Pick<LoopLag, 'whenRead'> = NO_LAG, handler?: OutboundHandler): Promise<{ server: NodeOutboundServer, port: number, handledIds: string[] }> {
   const handledIds: string[] = []
-  const metrics: CallMetrics = { request: () => {}, wait: () => {}, refusal: () => {}, rejection: () => {}, event: (name) => { events.push(name) }, state: () => {}, text: async () => '' }
+  const metrics: CallMetrics = { request: () => {}, wait: () => {}, refusal: () => {}, rejection: () => {}, hedge: () => {}, event: (name) => { events.push(name) }, state: () => {}, text: async () => '' }
   const echoHandler = {
     handle: (req, res) => {
       handledIds.push(req.head.requestId)
--- a/packages/hop/src/outbound/__tests__/outboundSetup.ts
+++ b/packages/hop/src/outbound/__tests__/outboundSetup.ts
@@ -5,6 +5,7 @@
 import type { QuotaDecision } from '../../quota/quotaGate.js'
 import type { MeshRoute, MeshWorkspace } from '../../routing/meshConfig.js'
 import { RouteTable } from '../../routing/routeTable.js'
+import { FixedDelayPolicy, type HedgePolicy } from '../hedging.js'
 import { OutboundHandler } from '../outboundHandler.js'
 import type { OutboundOptions, Responder } from '../outboundTypes.js'
 
@@ -33,6 +34,8 @@
   readonly lines: object[] = []
   readonly rejections: string[] = []
   readonly urgencies: number[] = []
+  /** What was counted of hedges. */
+  readonly hedges: string[] = []
   /** What became of the requests of workspaces. */
   readonly ends: string[] = []
   /** Workspaces that the quota gate was asked about, and what it was given back. */
@@ -44,14 +47,14 @@
   readonly handler: OutboundHandler
   #requestCount = 0
 
-  constructor () {
+  constructor (readonly hedgePolicy: HedgePolicy = new FixedDelayPolicy({ tryWithdraw: () => true })) {
     const { timers } = this
     const opts = {
       timers,
       names,
       random: new SeededRandom(1),
       log: { call: (_isPlain: boolean, what: string, fields: object) => { this.lines.push({ what, ...fields }) }, decision: () => {} },
-      metrics: { request: () => {}, rejection: (reason: string) => { this.rejections.push(reason) } },
+      metrics: { request: () => {}, rejection: (reason: string) => { this.rejections.push(reason) }, hedge: (outcome: string) => { this.hedges.push(outcome) } },
       inbound: { recordNestedCall: () => {} },
       fleet: {
         own: { host: 'own', incarnation: 1 },
@@ -77,6 +80,7 @@
         markBusy: () => {}
       },
       budget: { deposit: () => {}, recordNestedRetry: () => {}, tryWithdraw: () => true },
+      hedging: { policy: this.hedgePolicy },
       sizes: { expectedBytes: () => 0, record: () => {}, retain: () => {} },
       traffic: { record: () => {}, recordWorkspace: (name: string, outcome: string) => { this.ends.push(`${name} ${outcome}`) } },
       versions: { choose: () => undefined },
--- a/packages/hop/src/outbound/__tests__/routeExplainer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/routeExplainer.spec.ts
@@ -40,6 +40,7 @@
       fleet: { own: { host: 'a', dataCentre: 'dc' }, isUp: (host: string) => !this.downHosts.has(host), live: refuse, link: refuse },
       loadBalancer: this.balancer,
       budget: { deposit: refuse, tryWithdraw: refuse },
+      hedging: { policy: { recordRequest: refuse, recordLatency: refuse, delayMs: () => 540, tryWithdraw: refuse, retain: refuse } },
       sizes: { expectedBytes: () => 0, record: refuse },
       traffic: { record: refuse, recordWorkspace: refuse },
       versions: { choose: refuse },
--- a/packages/hop/src/outbound/callFlow.ts
+++ b/packages/hop/src/outbound/callFlow.ts
@@ -4,10 +4,11 @@
 import type { MeshRoute } from '../routing/meshConfig.js'
 import { isRefused, type Standing } from '../quarantine/quarantine.js'
 import type { Candidate } from './costEstimate.js'
+import type { HedgePlacement } from './hedging.js'
 
 /** What the flow of one request tells `OutboundCall` to do. */
 export type CallCommand =
-  | { kind: 'offer', attempt: number, candidate: Candidate, mode: OfferMode, isRetry: boolean }
+  | { kind: 'offer', attempt: number, candidate: Candidate, mode: OfferMode, isRetry: boolean, isHedge: boolean }
   | { kind: 'cancel', attempt: number }
   /** Sets the only timer of the flow; a later one replaces it. */
   | { kind: 'timer', ms: number }
@@ -40,6 +41,10 @@
   crashes (): number
   /** Takes a retry from the retry budget; false if none is left. */
   tryWithdrawRetry (): boolean
+  /** Milliseconds without a reply after which an idempotent request that was offered to the candidate is hedged. */
+  hedgeDelayMs (candidate: Candidate): number
+  /** Takes a hedge from the limits on them; undefined if they allow none. */
+  tryWithdrawHedge (hasFreeTarget: boolean): HedgePlacement | undefined
   /** Milliseconds after which a rejected caller should retry. */
   retryAfterMs (): number
 }
@@ -58,6 +63,8 @@
   candidate: Candidate
   mode: OfferMode
   startedAt: number
+  /** Time without a reply after which the request is hedged; Infinity for never. */
+  hedgeDelayMs: number
   /** Whether its reply is known to be ready. */
   isAnswered: boolean
 }
@@ -68,8 +75,6 @@
 const MIN_PROBE_BODY_BYTES = 2_048
 /** Number of rejected offers after which a request is rejected. */
 const MAX_REJECTED_OFFERS = 12
-/** Time without a reply after which an idempotent request is hedged, as a fraction of the target latency. */
-const HEDGE_DELAY = 0.9
 /** How long after the deadline a reply is still accepted. */
 const DEADLINE_GRACE_MS = 100
 /** Time that must be left for a retry, as a fraction of the target latency. */
@@ -195,10 +200,10 @@
     if (now >= this.#input.deadlineAt + DEADLINE_GRACE_MS) return this.#endWithoutResponse('deadline')
     if (this.#inFlight.size === 0) return this.#isRetryDue ? this.#retryOrEnd() : this.#offerOrWait()
     const [attempt] = this.#inFlight.values()
-    if (this.#mayHedge(attempt!) && now - attempt!.startedAt >= this.#hedgeDelayMs) {
+    if (this.#mayHedge(attempt!) && now - attempt!.startedAt >= attempt!.hedgeDelayMs) {
       this.#hasHedged = true
       this.#reached.add(attempt!.candidate.host)
-      const commands = this.#retry()
+      const commands = this.#hedge()
       if (commands) return commands
     }
     return [this.#nextTimer()]
@@ -244,10 +249,11 @@
   }
 
   #offer (candidate: Candidate, mode: OfferMode): CallCommand[] {
-    const attempt: Attempt = { number: ++this.#attempts, candidate, mode, startedAt: this.#context.now(), isAnswered: false }
-    this.#inFlight.set(attempt.number, attempt)
+    const attempt: Attempt = { number: ++this.#attempts, candidate, mode, startedAt: this.#context.now(), hedgeDelayMs: this.#hedgeDelayMs(candidate, mode), isAnswered: false }
     const isRetry = this.#reached.size > 0
-    return [{ kind: 'offer', attempt: attempt.number, candidate, mode, isRetry }, this.#nextTimer()]
+    const isHedge = this.#inFlight.size > 0
+    this.#inFlight.set(attempt.number, attempt)
+    return [{ kind: 'offer', attempt: attempt.number, candidate, mode, isRetry, isHedge }, this.#nextTimer()]
   }
 
   /** A request of an idempotent route failed and may have run: retries it elsewhere, or ends with the failure. */
@@ -271,14 +277,29 @@
 
   /** Offers the request to another target, within the limits on attempts and time and the retry budget. */
   #retry (): CallCommand[] | undefined {
-    const { route, deadlineAt } = this.#input
-    if (!this.#mayRetry) return undefined
-    if (deadlineAt - this.#context.now() < route.targetLatencyMs * MIN_RETRY_TIME) return undefined
+    if (!this.#mayRetry || !this.#hasTimeForRetry) return undefined
     if (this.#candidates().length === 0 || !this.#context.tryWithdrawRetry()) return undefined
     this.#busy.clear()
     return this.#offerNext()
   }
 
+  /** Offers a request that runs to a second target, within the same limits and those on hedges. */
+  #hedge (): CallCommand[] | undefined {
+    if (!this.#mayRetry || !this.#hasTimeForRetry) return undefined
+    const candidates = this.#candidates()
+    if (candidates.length === 0) return undefined
+    const free = candidates.find((candidate) => !candidate.isBusy && !this.#needsProbe(candidate))
+    const placement = this.#context.tryWithdrawHedge(free !== undefined)
+    if (!placement) return undefined
+    this.#busy.clear()
+    return placement === 'freeSlot' && free ? this.#offer(free, 'now') : this.#offerNext()
+  }
+
+  get #hasTimeForRetry (): boolean {
+    const { route, deadlineAt } = this.#input
+    return deadlineAt - this.#context.now() >= route.targetLatencyMs * MIN_RETRY_TIME
+  }
+
   #mayHedge (attempt: Attempt): boolean {
     return !this.#hasHedged && this.#input.route.idempotent && attempt.mode === 'now' && !attempt.isAnswered && this.#crashes === 0 && this.#context.standing() === 'clear'
   }
@@ -311,15 +332,15 @@
     const untilDeadlineMs = Math.max(0, this.#input.deadlineAt + DEADLINE_GRACE_MS - now)
     const [attempt] = this.#inFlight.values()
     if (!attempt || !this.#mayHedge(attempt)) return { kind: 'timer', ms: untilDeadlineMs }
-    return { kind: 'timer', ms: Math.max(1, Math.min(untilDeadlineMs, attempt.startedAt + this.#hedgeDelayMs - now)) }
+    return { kind: 'timer', ms: Math.max(1, Math.min(untilDeadlineMs, attempt.startedAt + attempt.hedgeDelayMs - now)) }
   }
 
   get #mayWait (): boolean {
     return this.#context.now() - this.#waitsSince < MAX_TARGET_WAIT_MS
   }
 
-  get #hedgeDelayMs (): number {
-    return HEDGE_DELAY * this.#input.route.targetLatencyMs
+  #hedgeDelayMs (candidate: Candidate, mode: OfferMode): number {
+    return this.#input.route.idempotent && mode === 'now' ? this.#context.hedgeDelayMs(candidate) : Infinity
   }
 
   get #isPastDeadline (): boolean {
--- a/packages/hop/src/outbound/costEstimate.ts
+++ b/packages/hop/src/outbound/costEstimate.ts
@@ -13,6 +13,8 @@
   readonly isLocal: boolean
   /** Estimated time until the response, including penalties, in milliseconds; lower is better. */
   readonly costMs: number
+  /** Estimated time at the target and on the links that the response takes, without penalties and the wait for a slot, in milliseconds. */
+  readonly runMs: number
   /** Whether the target reported within the last `BUSY_MS` that it has no free slot, or takes no more requests for now. */
   readonly isBusy: boolean
   /** Whether it rejected a request of this or a higher urgency within the last `QUEUE_FULL_MS` because its queue was too long. */
@@ -173,6 +175,7 @@
       version: target.version,
       isLocal,
       costMs: (targetMs + networkMs) * (isUnused ? UNUSED_TARGET_FACTOR : 1) + avoidMs,
+      runMs,
       isBusy: now < stats.busyUntil || limitedMs > 0,
       isQueueFull: isQueueFullFor(stats, urgency, now)
     }
--- a/packages/hop/src/outbound/loadBalancer.ts
+++ b/packages/hop/src/outbound/loadBalancer.ts
@@ -148,6 +148,11 @@
     }
   }
 
+  /** Share of the slots of a service in use, by the loads that its targets have reported lately. */
+  utilisation (service: string): number {
+    return this.#costs.means(this.#subsets.get(service) ?? [], this.#stats, this.#timers.now()).utilisation
+  }
+
   /** Counts a call that is now in flight to the target. */
   recordOffer (host: string): void {
     const stats = this.#stats.get(host)
--- a/packages/hop/src/outbound/outboundCall.ts
+++ b/packages/hop/src/outbound/outboundCall.ts
@@ -10,6 +10,7 @@
 import { FIRST_HOLD_MS, isRefused, type Standing } from '../quarantine/quarantine.js'
 import { requestFingerprint } from '../quarantine/requestFingerprint.js'
 import type { VersionChoice } from '../rollout/versionRules.js'
+import { CallHedge } from './callHedge.js'
 import { callFlow, type CallCommand, type CallEvent, type CallContext } from './callFlow.js'
 import type { Candidate } from './costEstimate.js'
 import type { CallerRequest, ForwardedResponse, OutboundOptions, Responder } from './outboundTypes.js'
@@ -66,6 +67,7 @@
   readonly #priority: number
   readonly #urgency: number
   readonly #versionChoice: VersionChoice | undefined
+  readonly #hedge: CallHedge
   readonly #flow: Generator<CallCommand[], void, CallEvent>
   readonly #cancels = new Map<number, () => void>()
   readonly #pendingEvents: CallEvent[] = []
@@ -78,6 +80,8 @@
   /** When this daemon was told that a target had crashed while it ran the request. */
   #crashedAt: number | undefined
   #cachedFingerprint: string | undefined
+  /** The targets as they were last ranked. */
+  #ranked: Candidate[] = []
 
   constructor (opts: OutboundOptions, input: OutboundCallInput) {
     const { req, route, workspace, service, arrivedAt } = input
@@ -89,6 +93,7 @@
     this.#priority = workspace?.priority ?? route.priority
     this.#urgency = urgencyOf({ nested: req.origin !== 'caller', priority: this.#priority })
     this.#versionChoice = opts.versions.choose(service)
+    this.#hedge = new CallHedge(opts, { route, service, urgency: this.#urgency })
     this.#flow = callFlow({ route, deadlineAt: this.#deadlineAt, bodyBytes: req.body.length }, this.#context())
   }
 
@@ -97,6 +102,7 @@
     const { req, service } = this.#input
     const now = timers.now()
     budget.deposit(service, this.#urgency, now)
+    this.#hedge.recordRequest()
     if (req.origin !== 'caller') this.#opts.inbound.recordNestedCall(req.head.requestId, service)
     if (req.origin === 'repeatedRun') budget.recordNestedRetry(service, now)
     this.#isProcessing = true
@@ -134,6 +140,8 @@
       refusedMs: () => this.#refusedMs(),
       crashes: () => quarantine.isEmpty ? 0 : quarantine.crashes(this.#fingerprint()),
       tryWithdrawRetry: () => budget.tryWithdraw(service, this.#urgency, fleet.live().length, timers.now()),
+      hedgeDelayMs: (candidate) => this.#hedge.delayMs(candidate, this.#ranked),
+      tryWithdrawHedge: (hasFreeTarget) => this.#hedge.tryWithdraw(hasFreeTarget),
       retryAfterMs: () => isRefused(this.#standing())
         ? this.#refusedMs()
         : retryAfterMs({
@@ -152,7 +160,8 @@
     const traits = { route, urgency: this.#urgency, requestBytes: req.body.length, responseBytes: sizes.expectedBytes(route.name) }
     const isEligible = (record: HostRecord): boolean => this.#isEligible(record, exclude)
     if (this.#standing() !== 'clear') return balancer.designated(service, traits, isEligible, this.#fingerprint())
-    return balancer.rank(service, traits, isEligible, this.#versionChoice?.preferredHost)
+    this.#ranked = balancer.rank(service, traits, isEligible, this.#versionChoice?.preferredHost)
+    return this.#ranked
   }
 
   #standing (): Standing {
@@ -274,14 +283,16 @@
   }
 
   #offer (command: Extract<CallCommand, { kind: 'offer' }>): void {
-    const { attempt, candidate: { host } } = command
+    const { attempt, candidate: { host }, isHedge } = command
     this.#offerCount++
     const message = this.#message(command)
     const offeredAt = this.#opts.timers.now()
+    this.#hedge.recordOffer(attempt, isHedge, message.idempotent && message.mode === 'now')
     this.#opts.loadBalancer.recordOffer(host)
     this.#cancels.set(attempt, this.#send(host, message, (reply) => {
       this.#cancels.delete(attempt)
       this.#repliedOfferAt = offeredAt
+      if (reply.kind === 'response') this.#hedge.recordResponse(attempt)
       this.#recordReply(host, reply, message.mode)
       if (reply.kind !== 'response' || reply.status >= 500) this.#logAttempt(message, host, reply)
       this.#handleEvent({ kind: 'reply', attempt, reply })
@@ -364,10 +375,11 @@
     this.#isDone = true
     this.#stopTimer()
     const ms = timers.now() - this.#startedAt
+    const hedged = this.#hedge.end(outcome)
     if (workspace && outcome !== 'callerLeft') traffic.recordWorkspace(workspace.name, outcome === 503 ? 'rejected' : 'answered')
     metrics.request(route.name, String(outcome), ms)
     log.call(isPlain, 'outbound', {
-      id: req.head.requestId, route: route.name, ...workspace && { workspace: workspace.name }, service, config: configVersion, outcome, ms: Math.round(ms), offers: this.#offerCount, ...details
+      id: req.head.requestId, route: route.name, ...workspace && { workspace: workspace.name }, service, config: configVersion, outcome, ms: Math.round(ms), offers: this.#offerCount, ...hedged && { hedged }, ...details
     })
     onEnd()
   }
--- a/packages/hop/src/outbound/outboundHandler.ts
+++ b/packages/hop/src/outbound/outboundHandler.ts
@@ -68,6 +68,7 @@
     this.#splitter.retain(routes)
     this.#callerRetries.retain(routes)
     this.#opts.sizes.retain(routes)
+    this.#opts.hedging.policy.retain(routes)
   }
 
   /** Handles one request; returns a function to call when the caller closes its connection. */
--- a/packages/hop/src/outbound/outboundTypes.ts
+++ b/packages/hop/src/outbound/outboundTypes.ts
@@ -11,6 +11,7 @@
 import type { QuotaGate } from '../quota/quotaGate.js'
 import type { VersionChooser } from '../rollout/versionRules.js'
 import type { LoadBalancer } from './loadBalancer.js'
+import type { Hedging } from './hedging.js'
 import type { RequestHead } from './requestHead.js'
 import type { ResponseSizes } from './responseSizes.js'
 import type { RetryBudget } from './retryBudget.js'
@@ -45,6 +46,7 @@
   inbound: InboundHandler
   loadBalancer: LoadBalancer
   budget: RetryBudget
+  hedging: Pick<Hedging, 'policy'>
   sizes: ResponseSizes
   traffic: Pick<TrafficSummary, 'record' | 'recordWorkspace'>
   versions: VersionChooser
--- a/packages/hop/src/outbound/retryBudget.ts
+++ b/packages/hop/src/outbound/retryBudget.ts
@@ -13,6 +13,8 @@
  * the more urgent ones. Nested calls come with nearly every service, so they don't make the requests of callers less urgent.
  */
 const LESS_URGENT_SHARE = 0.75
+/** Share of what retries of failed requests have left that hedges may take. */
+const HEDGE_SHARE = 0.5
 
 /** How many retries of requests for a service are allowed in a window, over all daemons. */
 export interface RetryBudgetLimits {
@@ -29,6 +31,8 @@
   bucket: number
   requests: number[]
   retries: number[]
+  /** Number of these retries that are hedges within a limit of their own. */
+  hedges: number[]
   /** Urgency of callers' most urgent requests; Infinity in buckets without any. */
   urgencies: number[]
 }
@@ -64,20 +68,34 @@
   /** Takes a retry from the budget; false if none is left for this urgency. `daemons`: number of daemons that share the slack. */
   tryWithdraw (service: string, urgency: number, daemons: number, now: number): boolean {
     const window = this.#windowAt(service, now)
-    const requests = sum(window.requests)
-    const share = urgency > Math.min(...window.urgencies) ? LESS_URGENT_SHARE : 1
-    const allowed = share * OWN_RETRY_SHARE * (this.#limits.ratio * requests + this.#limits.slack / Math.max(1, daemons))
-    if (sum(window.retries) + 1 > allowed) return false
+    if (sum(window.retries) + 1 > this.#allowed(window, urgency, daemons)) return false
     window.retries[0]!++
     return true
   }
 
+  /** The same for a hedge, which may take a part only of what retries of failed requests have left. */
+  tryWithdrawHedge (service: string, urgency: number, daemons: number, now: number): boolean {
+    const window = this.#windowAt(service, now)
+    const hedges = sum(window.hedges)
+    const left = this.#allowed(window, urgency, daemons) - (sum(window.retries) - hedges)
+    if (hedges + 1 > HEDGE_SHARE * left) return false
+    window.retries[0]!++
+    window.hedges[0]!++
+    return true
+  }
+
+  /** Number of retries of this urgency allowed in the window. */
+  #allowed (window: SlidingWindow, urgency: number, daemons: number): number {
+    const share = urgency > Math.min(...window.urgencies) ? LESS_URGENT_SHARE : 1
+    return share * OWN_RETRY_SHARE * (this.#limits.ratio * sum(window.requests) + this.#limits.slack / Math.max(1, daemons))
+  }
+
   /** The window of a service, advanced to `now`. */
   #windowAt (service: string, now: number): SlidingWindow {
     const bucket = Math.floor(now / (this.#limits.windowMs / BUCKET_COUNT))
     let window = this.#windows.get(service)
     if (!window) {
-      window = { bucket, requests: emptyBuckets(), retries: emptyBuckets(), urgencies: emptyBuckets(Infinity) }
+      window = { bucket, requests: emptyBuckets(), retries: emptyBuckets(), hedges: emptyBuckets(), urgencies: emptyBuckets(Infinity) }
       this.#windows.set(service, window)
     }
     for (let steps = Math.min(BUCKET_COUNT, bucket - window.bucket); steps > 0; steps--) {
@@ -85,6 +103,8 @@
       window.requests.pop()
       window.retries.unshift(0)
       window.retries.pop()
+      window.hedges.unshift(0)
+      window.hedges.pop()
       window.urgencies.unshift(Infinity)
       window.urgencies.pop()
     }
