Hold no more for callers, targets and peers than the host's memory allows, and answer all pipelined requests that were passed on

Cause: responses that callers don't read and frames to peers were bounded by nothing, bodies by a constant (96 MB) that didn't know the host; a connection kept its last response alive while idle; a buffer doubled beyond its budget; the encoder kept the buffer of the longest message. Empty lines before a request and bodies without an end were under no timeout. A pipelining caller that left cancelled only the request whose response was next, and the others counted as in flight for ever; a stopping daemon closed the connection with the first response; bytes that are no request were answered before the requests ahead of them.

Change: one budget from limits.memory_mb for bodies, responses, incomplete frames and waiting replies; the largest holder gives way (reset, or 503 with Retry-After where nothing ran). Bounds on connections, pipelined requests, unread responses and stalled ones.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -1,5 +1,7 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
 import type { HeaderNames } from '../headers.js'
+import type { BufferBudget } from '../buffers/bufferBudget.js'
+import { createMemoryBudget } from '../buffers/memoryBudget.js'
 import { Fleet } from '../fleet/fleet.js'
 import { departuresNotIn, type Departure, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
@@ -50,6 +52,8 @@
 const TARGET_CHECK_INTERVAL_MS = 250
 /** Time for the last responses to be sent before the servers are closed. */
 const LAST_RESPONSES_MS = 50
+/** Part of the budget for memory that replies of ended calls may take in addition to it. */
+const MAX_RETAINED_SHARE = 0.25
 /** Time after which a daemon without any peer reports that it is ready nevertheless. */
 const ALONE_READY_MS = 3_000
 
@@ -70,6 +74,7 @@
   readonly #retryBudget: RetryBudget
   readonly #traffic: TrafficSummary
   readonly #sendQueue: SendQueue
+  readonly #budget: BufferBudget
   readonly #outboundServer: NodeOutboundServer
   readonly #hopServer: NodeHopServer
   readonly #metricsServer: NodeMetricsServer
@@ -88,6 +93,7 @@
   constructor (opts: HopDaemonOptions) {
     const { cfg, timers, random, log, metrics, names, store, codec } = opts
     const queue = this.#sendQueue = new SendQueue({ timers, bytesPerMs: cfg.linkBytesPerMs })
+    const budget = this.#budget = createMemoryBudget(cfg.memoryBytes)
     this.#opts = opts
     this.#cfg = cfg
     this.#localTarget = new LocalTarget(cfg.announceMs)
@@ -115,7 +121,7 @@
       random,
       log,
       openLink: (host, address, port) => new NodePeerLink({
-        host, address, port, timers, log, queue, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
+        host, address, port, timers, log, queue, budget, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
       }),
       onChange: () => this.#onFleetChange(),
       onNewerPeerVersion: () => this.#configUpdater.catchUp(),
@@ -138,7 +144,7 @@
         metrics.event('strayBytes')
         log.call(false, 'strayBytes', { why })
       },
-      limits: createResponseLimits(),
+      limits: createResponseLimits(undefined, budget),
       onLimitExceeded: (exceeded) => {
         metrics.event('boundPassed')
         const { requestId: id, ...rest } = exceeded
@@ -159,6 +165,7 @@
       rejectionRate: (service, priority) => this.#loadBalancer.rejectionRate(service, priority),
       coldPerS: (service) => this.#outbound.table?.config.services.get(service)?.coldPerS,
       link,
+      maxRetainedBytes: budget.limitBytes * MAX_RETAINED_SHARE,
       quarantine: this.#quarantine,
       onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
       onRefusal: (route, reason) => this.#traffic.recordRefusal(route, reason),
@@ -170,7 +177,7 @@
     })
     const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
-      ...cfg.outbound, lag, queue, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
+      ...cfg.outbound, timers, lag, queue, budget, callerLimits: cfg.callerLimits, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
     })
     this.#configUpdater = new ConfigUpdater({
       fleet: this.#fleet,
@@ -197,7 +204,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, lag, queue, budget, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     this.#metricsServer = new NodeMetricsServer(cfg.metrics, metrics)
   }
@@ -214,7 +221,7 @@
     this.#blockStore.start()
     this.#moves.start()
     timers.every(TARGET_CHECK_INTERVAL_MS, () => this.#checkTarget())
-    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, traffic: this.#traffic }).start()
+    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, outboundServer: this.#outboundServer, budget: this.#budget, queue: this.#sendQueue, quarantine: this.#quarantine, traffic: this.#traffic }).start()
   }
 
   /** Handles an announcement of the target beside this daemon. */
--- a/packages/hop/src/daemon/resolvedHopConfig.ts
+++ b/packages/hop/src/daemon/resolvedHopConfig.ts
@@ -1,3 +1,4 @@
+import type { CallerLimits } from '../outbound/callerLimits.js'
 import type { RetryBudgetLimits } from '../outbound/retryBudget.js'
 
 export interface Endpoint {
@@ -28,4 +29,7 @@
   retryBudget: RetryBudgetLimits
   /** What the link of this host carries, in bytes a millisecond; Infinity if that isn't known. */
   linkBytesPerMs: number
+  /** Memory that the process may take. */
+  memoryBytes: number
+  callerLimits: CallerLimits
 }
--- a/packages/hop/src/daemon/resourceReport.ts
+++ b/packages/hop/src/daemon/resourceReport.ts
@@ -1,10 +1,12 @@
 import type { Timers } from '@lentilwheel/core'
+import type { BufferBudget } from '../buffers/bufferBudget.js'
 import type { Fleet } from '../fleet/fleet.js'
 import type { InboundHandler } from '../inbound/inboundHandler.js'
 import type { NodeHopServer } from '../link/nodeHopServer.js'
 import type { SendQueue } from '../link/sendQueue.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
+import type { NodeOutboundServer } from '../outbound/nodeOutboundServer.js'
 import type { TrafficSummary } from '../observe/trafficSummary.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
 import type { ObjectStore } from '../store/objectStore.js'
@@ -19,6 +21,8 @@
   fleet: Fleet
   inbound: InboundHandler
   hopServer: NodeHopServer
+  outboundServer: Pick<NodeOutboundServer, 'connections'>
+  budget: Pick<BufferBudget, 'totalBytes'>
   queue: SendQueue
   quarantine: Quarantine
   traffic: TrafficSummary
@@ -53,6 +57,8 @@
     metrics.state('queued', queued)
     metrics.state('slots', slots)
     metrics.state('unsentBytes', this.#unsentBytes)
+    metrics.state('heldBytes', this.#parts.budget.totalBytes)
+    metrics.state('callers', this.#parts.outboundServer.connections)
     metrics.state('processorMs', processorMs())
     metrics.state('storeEpoch', store.epochs.current)
     metrics.state('suspects', suspects)
--- a/packages/hop/src/inbound/callRegistry.ts
+++ b/packages/hop/src/inbound/callRegistry.ts
@@ -23,7 +23,7 @@
 const REPLY_RETENTION_MS = 4_000
 /** Time for which a revoked call is rejected; longer than a call can be in transit. */
 const REVOKED_RETENTION_MS = 30_000
-/** Size of all retained bodies above which replies are forgotten early, beginning with the calls that arrived first. */
+/** Default limit on the size of all retained bodies. */
 const MAX_RETAINED_BYTES = 16 * 1024 * 1024
 
 /**
@@ -34,8 +34,14 @@
   readonly #entries = new Map<string, Entry>()
   /** The latest forgotten call of each host: it and earlier ones may have run. */
   readonly #lastForgotten = new Map<string, CallNumber>()
+  readonly #maxRetainedBytes: number
   #retainedBytes = 0
 
+  /** `maxRetainedBytes`: size of all retained bodies above which replies are forgotten early, beginning with the calls that arrived first. */
+  constructor (maxRetainedBytes = MAX_RETAINED_BYTES) {
+    this.#maxRetainedBytes = Math.min(MAX_RETAINED_BYTES, maxRetainedBytes)
+  }
+
   /** Adds a call; false if it was revoked before it arrived, or if it arrived twice. */
   register (key: string, listener: (reply: HopReply) => void): boolean {
     if (this.#entries.has(key)) return false
@@ -62,6 +68,7 @@
     const bytes = reply.kind === 'response' ? reply.body.length : 0
     this.#entries.set(key, { state: 'ended', reply, at: now, bytes })
     this.#retainedBytes += bytes
+    if (this.#retainedBytes > this.#maxRetainedBytes) this.#forgetOldest()
     entry.listener?.(reply)
   }
 
@@ -85,20 +92,31 @@
     return entry.state
   }
 
-  /** Forgets calls after their retention time, and replies also before while their bodies exceed `MAX_RETAINED_BYTES`. */
+  /** Forgets calls after their retention time. */
   prune (now: number): void {
     for (const [key, entry] of this.#entries) {
       if (entry.state === 'open') continue
       const retentionMs = entry.state === 'ended' ? REPLY_RETENTION_MS : REVOKED_RETENTION_MS
-      if (now - entry.at < retentionMs && !(entry.state === 'ended' && this.#retainedBytes > MAX_RETAINED_BYTES)) continue
-      if (entry.state === 'ended') {
-        this.#retainedBytes -= entry.bytes
-        this.#recordForgotten(key)
-      }
-      this.#entries.delete(key)
+      if (now - entry.at < retentionMs) continue
+      if (entry.state === 'ended') this.#forget(key, entry.bytes)
+      else this.#entries.delete(key)
+    }
+  }
+
+  /** Forgets replies before their time until the bodies of the others are within the limit. */
+  #forgetOldest (): void {
+    for (const [key, entry] of this.#entries) {
+      if (this.#retainedBytes <= this.#maxRetainedBytes) return
+      if (entry.state === 'ended' && entry.bytes > 0) this.#forget(key, entry.bytes)
     }
   }
 
+  #forget (key: string, bytes: number): void {
+    this.#retainedBytes -= bytes
+    this.#recordForgotten(key)
+    this.#entries.delete(key)
+  }
+
   #recordForgotten (key: string): void {
     if (this.#mayBeForgotten(key)) return
     const { host, ...number } = parseKey(key)
--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -31,6 +31,8 @@
   rejectionRate (service: string, priority: number): number
   /** Requests per second that a cold target of the service tolerates; undefined for no limit. */
   coldPerS (service: string): number | undefined
+  /** Limit on the replies that are kept for senders that lost their connection; absent for the default. */
+  maxRetainedBytes?: number
   /** What is known about requests that crash targets. */
   quarantine: CrashGuardOptions['quarantine']
   /** Called when the target says in a response that it leaves. */
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -29,7 +29,7 @@
 export class InboundHandler {
   readonly #opts: InboundOptions
   readonly #admission: Admission
-  readonly #registry = new CallRegistry()
+  readonly #registry: CallRegistry
   readonly #calls = new Map<string, Call>()
   readonly #runningRequests = new RunningRequests()
   readonly #limit: TargetLimit
@@ -40,6 +40,7 @@
 
   constructor (opts: InboundOptions) {
     this.#opts = opts
+    this.#registry = new CallRegistry(opts.maxRetainedBytes)
     this.#limit = new TargetLimit(opts.log, () => this.#coldPerS())
     this.#admission = new Admission(this.#limit)
     this.#crashes = new CrashGuard({
@@ -230,8 +231,8 @@
     call.startedAt = now
     this.#limit.recordSent(message, now)
     call.endOnLink = this.#opts.link.start(message.route)
-    const bytes = serializeRequest(message, remainingMs, this.#opts.names)
-    const request = { requestId: message.requestId, method: message.method, bytes, timeoutMs: remainingMs + DEADLINE_GRACE_MS }
+    const serialized = serializeRequest(message, remainingMs, this.#opts.names)
+    const request = { requestId: message.requestId, method: message.method, ...serialized, timeoutMs: remainingMs + DEADLINE_GRACE_MS }
     call.abort = this.#opts.client.send(request, message.idempotent, (result) => {
       try {
         this.#onResult(call, result)
--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -15,8 +15,9 @@
 export interface TargetRequest {
   requestId: string
   method: string
-  /** The whole request, serialized. */
+  /** The whole request, serialized; without its body if that is given apart. */
   bytes: Buffer
+  body?: Uint8Array
   /** Milliseconds after which a request without a response fails. */
   timeoutMs: number
 }
@@ -66,6 +67,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000
 /** Refused ids kept for a connection; a refusal that is written again comes within a few requests. */
 const MAX_REFUSED_IDS = 32
+/** Bytes that are allocated at once for the body of a response whose length is known. */
+const MAX_FIRST_BLOCK_BYTES = 4 * 1024 * 1024
 /** Time before the end of the target's own idle timeout from which a connection isn't reused. */
 const IDLE_MARGIN_MS = 1_500
 
@@ -125,7 +128,7 @@
     const received = { bytes: 0, bodyBytes: 0, skippedMessages: 0 }
     const expiresAt = this.#opts.timers.now() + request.timeoutMs
     this.#exchange = { request, expiresAt, done, stopTimer, body: new BodyBuffer(), budget: this.#opts.limits.unsizedBudget, received }
-    if (this.#isConnected) this.#socket.write(request.bytes)
+    if (this.#isConnected) this.#write(request)
   }
 
   /** Calls `done` once, when the connection has been established or has failed. */
@@ -145,13 +148,18 @@
     const exchange = this.#exchange
     if (!exchange) return
     if (this.#opts.timers.now() < exchange.expiresAt) {
-      this.#socket.write(exchange.request.bytes)
+      this.#write(exchange.request)
       return
     }
     this.#isReusable = false
     this.#finish({ kind: 'notRun', reason: 'expired' })
   }
 
+  #write ({ bytes, body }: TargetRequest): void {
+    this.#socket.write(bytes)
+    if (body) this.#socket.write(body)
+  }
+
   #newParser (): InstanceType<typeof HTTPParser> {
     const parser = new HTTPParser(HTTPParser.RESPONSE)
     parser.parseHeader = parseHeaderLine
@@ -180,6 +188,7 @@
     const isBodiless = this.#exchange.request.method === 'HEAD'
     this.#exchange.head = { status: info.statusCode, headers, body: Buffer.alloc(0), unframed: false }
     this.#exchange.budget = length === undefined ? responseLimits.unsizedBudget : responseLimits.sizedBudget
+    if (length !== undefined) this.#exchange.body = new BodyBuffer(length, MAX_FIRST_BLOCK_BYTES)
     if (!info.shouldKeepAlive) this.#isReusable = false
     if (!isBodiless && length !== undefined && length > responseLimits.maxBodyBytes) this.#onLimitExceeded('body', responseLimits.maxBodyBytes)
     return isBodiless ? 1 : 0
--- a/packages/hop/src/inbound/responseLimits.ts
+++ b/packages/hop/src/inbound/responseLimits.ts
@@ -1,5 +1,6 @@
 import { headerValue } from '../headers.js'
 import { BufferBudget } from '../buffers/bufferBudget.js'
+import { createMemoryBudget, DEFAULT_MEMORY_BYTES } from '../buffers/memoryBudget.js'
 
 /** Limits on what a target may send in response to one request, and on the unfinished responses of all requests together. */
 export interface ResponseLimits {
@@ -23,12 +24,11 @@
 const MAX_SKIPPED_MESSAGES = 16
 /** Largest body of a response; the limits of the configuration bound only what callers send. */
 const MAX_BODY_BYTES = 64 * 1024 * 1024
-const SIZED_BUDGET_BYTES = 96 * 1024 * 1024
 const UNSIZED_BUDGET_BYTES = 12 * 1024 * 1024
 
-/** Creates the limits of one daemon. */
-export function createResponseLimits (maxBodyBytes = MAX_BODY_BYTES): ResponseLimits {
-  return { maxBodyBytes, sizedBudget: new BufferBudget(SIZED_BUDGET_BYTES), unsizedBudget: new BufferBudget(UNSIZED_BUDGET_BYTES) }
+/** Creates the limits of one daemon; responses of a declared length count against the budget of the whole process. */
+export function createResponseLimits (maxBodyBytes = MAX_BODY_BYTES, sizedBudget = createMemoryBudget(DEFAULT_MEMORY_BYTES)): ResponseLimits {
+  return { maxBodyBytes, sizedBudget, unsizedBudget: new BufferBudget(UNSIZED_BUDGET_BYTES) }
 }
 
 /** What the target has sent since a request was sent to it. */
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -20,8 +20,16 @@
 
 type FieldValues = Readonly<Record<string, unknown>>
 
+/** Bytes that the encoder allocates at a time for small messages. */
+const ENCODER_BUFFER_BYTES = 8_192
+/** Messages from this length on make the encoder allocate several times as much. */
+const LONG_MESSAGE_BYTES = 64 * 1024
+
 export function encode (value: unknown): Buffer {
-  return packr.pack(value)
+  const bytes = packr.pack(value)
+  // The encoder would go on with what it allocated for a long message, and each later message would keep all of that from being freed.
+  if (bytes.length >= LONG_MESSAGE_BYTES) packr.useBuffer(Buffer.allocUnsafeSlow(ENCODER_BUFFER_BYTES))
+  return bytes
 }
 
 /** Checks that a message is an object with the required fields. Their types aren't checked, as all peers run the same protocol. */
--- a/packages/hop/src/link/frames.ts
+++ b/packages/hop/src/link/frames.ts
@@ -8,5 +8,24 @@
 } as const
 export type FrameKind = typeof FRAME_KINDS[keyof typeof FRAME_KINDS]
 
-/** `exchangeId` pairs a reply with its request on one connection; in the pieces of a frame it identifies that frame instead. */
-export type Frame = readonly [kind: FrameKind, exchangeId: number, payload?: unknown]
+/**
+ * `exchangeId` pairs a reply with its request on one connection; in the pieces of a frame it identifies that frame instead.
+ * `totalBytes`: length of the whole frame, in the first of its pieces.
+ */
+export type Frame = readonly [kind: FrameKind, exchangeId: number, payload?: unknown, totalBytes?: number]
+
+/** First byte of an array of three in MessagePack. */
+const ARRAY_OF_THREE = 0x93
+const MAX_FIXINT = 0x7f
+/** Bytes of an unsigned integer in MessagePack, by the byte before them. */
+const UINT_BYTES: Readonly<Record<number, number>> = { 0xcc: 1, 0xcd: 2, 0xce: 4 }
+
+/** Reads kind and exchange id of an encoded frame from its first bytes; undefined if they aren't those of a frame. */
+export function readFrameHeader (bytes: Uint8Array): [kind: number, exchangeId: number] | undefined {
+  const [first, kind, id] = bytes
+  if (first !== ARRAY_OF_THREE || kind === undefined || kind > MAX_FIXINT || id === undefined) return undefined
+  if (id <= MAX_FIXINT) return [kind, id]
+  const idBytes = UINT_BYTES[id]
+  if (idBytes === undefined || bytes.length < 3 + idBytes) return undefined
+  return [kind, Buffer.from(bytes.subarray(3, 3 + idBytes)).readUIntBE(0, idBytes)]
+}
--- a/packages/hop/src/link/nodeFrameSocket.ts
+++ b/packages/hop/src/link/nodeFrameSocket.ts
@@ -2,9 +2,10 @@
 import type { Socket } from 'node:net'
 import { errorCode, type Timers } from '@lentilwheel/core'
 import { BadMessage } from '../errors.js'
+import type { BufferBudget } from '../buffers/bufferBudget.js'
 import { encode } from './codec.js'
-import { FRAME_KINDS, type Frame } from './frames.js'
-import { FrameTransfer } from './nodeFrameTransfer.js'
+import { FRAME_KINDS, readFrameHeader, type Frame } from './frames.js'
+import { FrameTransfer, MAX_WHOLE_BYTES } from './nodeFrameTransfer.js'
 import { PartAssembler } from './partAssembler.js'
 import type { SendQueue } from './sendQueue.js'
 import { CONTROL_URGENCY } from './urgency.js'
@@ -13,6 +14,10 @@
   timers: Pick<Timers, 'now'>
   /** Queue of this host's link. */
   queue: SendQueue
+  /** Budget for what is held of incomplete messages, and of replies that wait; absent for none. */
+  budget?: BufferBudget
+  /** Called with the kind and the exchange id of a received message that was dropped for want of memory. */
+  onDropped? (kind: number, exchangeId: number): void
   onFrame (frame: Frame): void
   onClose (reason: string): void
 }
@@ -38,7 +43,7 @@
   readonly #socket: Socket
   readonly #opts: FrameSocketOptions
   readonly #unpackr = new Unpackr(UNPACK_OPTIONS as object)
-  readonly #parts = new PartAssembler(MAX_MESSAGE_BYTES)
+  readonly #parts: PartAssembler
   /** Frames that wait for the link, and what drops them. */
   readonly #waiting = new Map<FrameTransfer, () => void>()
   #lastTransferId = 0
@@ -52,6 +57,7 @@
     this.#socket = socket
     this.#opts = opts
     this.lastReceivedAt = opts.timers.now()
+    this.#parts = new PartAssembler(MAX_MESSAGE_BYTES, opts.budget, (firstPart) => this.#onEvicted(firstPart))
     const unpackr = new UnpackrStream({ ...UNPACK_OPTIONS, maxIncompleteBufferSize: MAX_MESSAGE_BYTES } as object)
     unpackr.on('data', (value: unknown) => this.#onValue(value))
     unpackr.on('error', (err: Error) => this.destroy(err.message))
@@ -63,18 +69,22 @@
     socket.on('error', (err) => { this.#closeReason = err.message })
     socket.on('end', () => socket.end())
     socket.on('close', () => {
-      for (const drop of this.#waiting.values()) drop()
+      for (const [transfer, drop] of this.#waiting) {
+        drop()
+        opts.budget?.release(transfer)
+      }
       this.#waiting.clear()
+      this.#parts.clear()
       opts.onClose(this.#closeReason)
     })
   }
 
-  /** Sends a frame when it is its turn. */
-  send (frame: Frame, urgency = CONTROL_URGENCY): SentFrame {
+  /** Sends a frame when it is its turn. `onEvicted`: counts it against the budget while it waits, and is called if it is dropped for that. */
+  send (frame: Frame, urgency = CONTROL_URGENCY, onEvicted?: () => void): SentFrame {
     if (this.#socket.destroyed) return SENT
     const { queue } = this.#opts
     const bytes = encode(frame)
-    if (!queue.trySendNow(bytes.length)) return this.#enqueue(bytes, urgency)
+    if (bytes.length > MAX_WHOLE_BYTES || !queue.trySendNow(bytes.length)) return this.#enqueue(bytes, urgency, onEvicted)
     this.#write(bytes)
     return SENT
   }
@@ -96,11 +106,16 @@
     this.#socket.destroy()
   }
 
-  #enqueue (bytes: Buffer, urgency: number): SentFrame {
+  #enqueue (bytes: Buffer, urgency: number, onEvicted?: () => void): SentFrame {
     const transfer = new FrameTransfer(this.#socket, (part) => this.#write(part), ++this.#lastTransferId, bytes, urgency)
+    transfer.onEvicted = () => {
+      this.#revoke(transfer)
+      onEvicted?.()
+    }
     const drop = this.#opts.queue.submit(transfer, () => this.#onSent(transfer))
     if (transfer.remaining === 0) return SENT
     this.#waiting.set(transfer, drop)
+    if (onEvicted) this.#opts.budget?.grow(transfer, bytes.length)
     const waiting = this.#waiting
     return {
       get isWaiting () { return waiting.has(transfer) },
@@ -112,13 +127,13 @@
   }
 
   #revoke (transfer: FrameTransfer): void {
-    this.#waiting.get(transfer)!()
+    this.#waiting.get(transfer)?.()
     transfer.abort()
     this.#onSent(transfer)
   }
 
   #onSent (transfer: FrameTransfer): void {
-    this.#waiting.delete(transfer)
+    if (this.#waiting.delete(transfer)) this.#opts.budget?.release(transfer)
     if (this.#isEnding && this.#waiting.size === 0) this.#socket.end()
   }
 
@@ -135,6 +150,13 @@
     this.#socket.write(bytes)
   }
 
+  /** The first bytes of a message are those of its frame: an array of three, its kind and its exchange id. */
+  #onEvicted (firstPart: Uint8Array): void {
+    const header = readFrameHeader(firstPart)
+    if (header) this.#opts.onDropped?.(...header)
+    else this.destroy('a message that had to be dropped is not a frame')
+  }
+
   #onValue (value: unknown): void {
     try {
       this.#onFrame(toFrame(value))
@@ -144,11 +166,11 @@
   }
 
   #onFrame (frame: Frame): void {
-    const [kind, id, payload] = frame
+    const [kind, id, payload, totalBytes] = frame
     switch (kind) {
       case FRAME_KINDS.part:
       case FRAME_KINDS.lastPart: {
-        const whole = this.#parts.add(id, payload, kind === FRAME_KINDS.lastPart)
+        const whole = this.#parts.add(id, payload, kind === FRAME_KINDS.lastPart, totalBytes)
         if (whole) this.#opts.onFrame(toFrame(this.#unpackr.unpack(whole)))
         return
       }
--- a/packages/hop/src/link/nodeFrameTransfer.ts
+++ b/packages/hop/src/link/nodeFrameTransfer.ts
@@ -1,10 +1,18 @@
 import type { Socket } from 'node:net'
+import type { BufferHolder } from '../buffers/bufferBudget.js'
 import { encode } from './codec.js'
 import { FRAME_KINDS, type Frame } from './frames.js'
 import type { Transfer } from './sendQueue.js'
 
+/** Longest frame that is sent whole. */
+export const MAX_WHOLE_BYTES = 256 * 1024
+/** Longest part of a longer one; the receiver copies a part with each chunk of it that arrives. */
+const MAX_PART_BYTES = 128 * 1024
+
 /** An encoded frame on its way to a connection, which may take several parts. */
-export class FrameTransfer implements Transfer {
+export class FrameTransfer implements Transfer, BufferHolder {
+  /** Called when it has to be dropped because the budget of the process is exceeded. */
+  onEvicted: () => void = () => {}
   readonly urgency: number
   readonly #socket: Socket
   readonly #write: (bytes: Buffer) => void
@@ -29,11 +37,16 @@
     return this.#socket.writableNeedDrain
   }
 
+  evict (): void {
+    this.onEvicted()
+  }
+
   write (maxBytes: number): number {
-    const isWhole = this.#offset === 0 && this.#bytes.length <= maxBytes
-    const part = this.#bytes.subarray(this.#offset, this.#offset + Math.ceil(maxBytes))
+    const isWhole = this.#offset === 0 && this.#bytes.length <= Math.min(MAX_WHOLE_BYTES, maxBytes)
+    const part = this.#bytes.subarray(this.#offset, isWhole ? undefined : this.#offset + Math.min(MAX_PART_BYTES, Math.ceil(maxBytes)))
+    const isFirst = this.#offset === 0
     this.#offset += part.length
-    this.#write(isWhole ? this.#bytes : this.#encodePart(part))
+    this.#write(isWhole ? this.#bytes : this.#encodePart(part, isFirst))
     return part.length
   }
 
@@ -42,8 +55,10 @@
     if (this.#offset > 0 && this.remaining > 0) this.#write(encode([FRAME_KINDS.abortedParts, this.#id] satisfies Frame))
   }
 
-  #encodePart (part: Buffer): Buffer {
+  /** The first part tells the length of the whole frame. */
+  #encodePart (part: Buffer, isFirst: boolean): Buffer {
     const kind = this.remaining > 0 ? FRAME_KINDS.part : FRAME_KINDS.lastPart
-    return encode([kind, this.#id, part] satisfies Frame)
+    const frame: Frame = isFirst ? [kind, this.#id, part, this.#bytes.length] : [kind, this.#id, part]
+    return encode(frame)
   }
 }
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -10,6 +10,8 @@
 import { FRAME_KINDS, type Frame } from './frames.js'
 import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
 import { readSyncMessage } from './readSyncMessage.js'
+import type { BufferBudget } from '../buffers/bufferBudget.js'
+import { CallBodies } from './callBodies.js'
 import type { SendQueue } from './sendQueue.js'
 import { NESTED_URGENCY, urgencyOf } from './urgency.js'
 
@@ -22,6 +24,8 @@
   lag: Pick<LoopLag, 'whenRead'>
   /** Queue of this host's link. */
   queue: SendQueue
+  /** Budget for the bodies of calls and for what waits of the replies; absent for none. */
+  budget?: BufferBudget
   onSync (message: SyncMessage): SyncMessage
   /** Returns the changes from the version that the peer holds to the active configuration; undefined if there is none. */
   deltaSince (heldVersion: number): ConfigDelta | undefined
@@ -66,18 +70,21 @@
   }
 
   #onConnection (socket: Socket): void {
-    const { handler: inbound, log, timers, queue } = this.#opts
-    const exchanges: Exchanges = { calls: new Map(), replies: new Map() }
+    const { handler: inbound, log, timers, queue, budget } = this.#opts
+    const exchanges: Exchanges = { calls: new Map(), replies: new Map(), bodies: new CallBodies(budget) }
     const peer = new FrameSocket(socket, {
       timers,
       queue,
+      ...budget ? { budget } : {},
       onFrame: (frame) => this.#onFrame(peer, exchanges, frame),
+      onDropped: (kind, exchangeId) => this.#onDropped(peer, kind, exchangeId),
       onClose: (reason) => {
         this.#peers.delete(peer)
         const { calls } = exchanges
         if (calls.size > 0) log.decision('peerClosed', { address: socket.remoteAddress, reason, calls: calls.size })
         for (const key of calls.values()) inbound.onSenderDisconnect(key)
         calls.clear()
+        exchanges.bodies.clear()
       }
     })
     this.#peers.add(peer)
@@ -89,6 +96,7 @@
     switch (kind) {
       case FRAME_KINDS.call: {
         const message = unpackCall(payload)
+        if (!exchanges.bodies.add(exchangeId, message.body.length)) return this.#onDropped(peer, kind, exchangeId)
         calls.set(exchangeId, message.key)
         const sendReply = (reply: HopReply): void => sendCallReply(peer, exchanges, exchangeId, reply, urgencyOf(message))
         return this.#opts.lag.whenRead(() => { if (calls.get(exchangeId) === message.key) inbound.offer(message, sendReply) })
@@ -114,10 +122,17 @@
     }
   }
 
+  /** Replies to a call that was dropped for want of memory; it has not run, and another target may take it. */
+  #onDropped (peer: FrameSocket, kind: number, exchangeId: number): void {
+    this.#opts.log.call(false, 'boundPassed', { from: 'peer', bound: 'buffers' })
+    if (kind === FRAME_KINDS.call) peer.send([FRAME_KINDS.reply, exchangeId, packReply({ kind: 'notRun', reason: 'busy' })])
+  }
+
   /** Cancels a call, or drops what has not been sent of its reply. */
-  #cancel ({ calls, replies }: Exchanges, exchangeId: number): void {
+  #cancel ({ calls, replies, bodies }: Exchanges, exchangeId: number): void {
     const key = calls.get(exchangeId)
     calls.delete(exchangeId)
+    bodies.release(exchangeId)
     if (key !== undefined) return this.#opts.handler.cancel(key)
     replies.get(exchangeId)?.revoke()
     replies.delete(exchangeId)
@@ -130,12 +145,15 @@
   calls: Map<number, string>
   /** Replies that wait for the link, or did when they were last looked at. */
   replies: Map<number, SentFrame>
+  bodies: CallBodies
 }
 
-function sendCallReply (peer: FrameSocket, { calls, replies }: Exchanges, exchangeId: number, reply: HopReply, urgency: number): void {
+function sendCallReply (peer: FrameSocket, { calls, replies, bodies }: Exchanges, exchangeId: number, reply: HopReply, urgency: number): void {
   calls.delete(exchangeId)
+  bodies.release(exchangeId)
   for (const [id, frame] of replies) if (!frame.isWaiting) replies.delete(id)
-  const frame = peer.send([FRAME_KINDS.reply, exchangeId, packReply(reply)], urgency)
+  const onEvicted = (): void => { peer.send([FRAME_KINDS.reply, exchangeId, packReply({ kind: 'failed', reason: 'lost' })], urgency) }
+  const frame = peer.send([FRAME_KINDS.reply, exchangeId, packReply(reply)], urgency, onEvicted)
   if (!frame.isWaiting) return
   replies.set(exchangeId, frame)
   peer.send([FRAME_KINDS.answered, exchangeId])
--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -3,6 +3,7 @@
 import type { CallLog } from '../observe/callLog.js'
 import { FRAME_KINDS, type FrameKind } from './frames.js'
 import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
+import type { BufferBudget } from '../buffers/bufferBudget.js'
 import type { SendQueue } from './sendQueue.js'
 import { CONTROL_URGENCY } from './urgency.js'
 
@@ -14,6 +15,8 @@
   log: CallLog
   /** Queue of this host's link. */
   queue: SendQueue
+  /** Budget for what is held of incomplete replies; absent for none. */
+  budget?: BufferBudget
   /** Whether to stay connected while there is nothing to send; otherwise a request opens the connection. */
   isPersistent: boolean
   /** Silence after which an idle connection is pinged. */
@@ -110,17 +113,18 @@
   }
 
   #connect (): FrameSocket {
-    const { address, port, timers, peer, log, queue } = this.#opts
+    const { address, port, timers, peer, log, queue, budget } = this.#opts
     const tcp = connect({ host: address, port, noDelay: true })
     const socket = new FrameSocket(tcp, {
       timers,
       queue,
+      ...budget ? { budget } : {},
       onFrame: ([kind, exchangeId, payload]) => {
-        const request = this.#pending.get(exchangeId)
-        if (kind === FRAME_KINDS.answered) return request?.onAnswered()
-        this.#pending.delete(exchangeId)
-        request?.done({ kind: 'payload', payload })
+        if (kind === FRAME_KINDS.answered) return this.#pending.get(exchangeId)?.onAnswered()
+        this.#onReply(exchangeId, payload)
       },
+      // The request ends without a reply that can be read.
+      onDropped: (_kind, exchangeId) => this.#onReply(exchangeId, undefined),
       onClose: (reason) => {
         stopTimeout()
         if (!this.#isClosed) log.decision('linkClosed', { peer, reason, wasUp: this.#isConnected, calls: this.#pending.size })
@@ -138,6 +142,12 @@
     return socket
   }
 
+  #onReply (exchangeId: number, payload: unknown): void {
+    const request = this.#pending.get(exchangeId)
+    this.#pending.delete(exchangeId)
+    request?.done({ kind: 'payload', payload })
+  }
+
   #onClosed (): void {
     const { timers } = this.#opts
     const wasConnected = this.#isConnected
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -8,6 +8,7 @@
 import { FRAME_KINDS, type FrameKind } from './frames.js'
 import { PeerConnection, type ExchangeOutcome } from './nodePeerConnection.js'
 import { readSyncMessage } from './readSyncMessage.js'
+import type { BufferBudget } from '../buffers/bufferBudget.js'
 import type { SendQueue } from './sendQueue.js'
 import { NESTED_URGENCY, urgencyOf } from './urgency.js'
 
@@ -19,6 +20,8 @@
   log: CallLog
   /** Queue of this host's link. */
   queue: SendQueue
+  /** Budget for what is held of incomplete replies; absent for none. */
+  budget?: BufferBudget
   /** Silence after which an idle connection is pinged. */
   idlePingMs (): number
   /** Called when the peer becomes reachable and when the connection to it is lost. */
@@ -58,8 +61,8 @@
 
   constructor (opts: PeerLinkOptions) {
     this.#opts = opts
-    const { host, address, port, timers, log, queue, idlePingMs, onSilent } = opts
-    const shared = { peer: host, address, port, timers, log, queue, idlePingMs, onSilent }
+    const { host, address, port, timers, log, queue, budget, idlePingMs, onSilent } = opts
+    const shared = { peer: host, address, port, timers, log, queue, idlePingMs, onSilent, ...budget ? { budget } : {} }
     this.#connection = new PeerConnection({ ...shared, isPersistent: true, onStateChange: (isUp) => opts.onStateChange(host, isUp) })
     this.#bulkConnection = new PeerConnection({ ...shared, isPersistent: false, onStateChange: () => {} })
   }
--- a/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
+++ b/packages/hop/src/outbound/__tests__/outboundServer.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { errorCode } from '@lentilwheel/core'
+import { errorCode, VirtualTimers } from '@lentilwheel/core'
 import { connect, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { ALWAYS_BEHIND, NO_LAG, TEST_HEADERS as names, unlimitedQueue } from '../../__tests__/fixtures.js'
@@ -8,8 +8,11 @@
 import type { CallMetrics } from '../../observe/callMetrics.js'
 import type { RequestOrigin } from '../../inbound/runningRequests.js'
 import type { OutboundHandler } from '../outboundHandler.js'
+import { createMemoryBudget, DEFAULT_MEMORY_BYTES } from '../../buffers/memoryBudget.js'
+import { DEFAULT_CALLER_LIMITS } from '../callerLimits.js'
 import { NodeOutboundServer } from '../nodeOutboundServer.js'
 
+const timers = new VirtualTimers()
 const MAX_BODY_BYTES = 256 * 1024
 /** Deadlines far apart, so that the time that the test takes doesn't matter. */
 const SHORT_MS = 1_000_000
@@ -41,7 +44,7 @@
       return () => {}
     }
   } as Partial<OutboundHandler> as OutboundHandler
-  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: handler ?? echoHandler, log: new NoopCallLog(), metrics, names, lag, queue: unlimitedQueue(), originOf })
+  const server = new NodeOutboundServer({ address: '127.0.0.1', port: 0, handler: handler ?? echoHandler, log: new NoopCallLog(), metrics, names, lag, queue: unlimitedQueue(), originOf, timers, budget: createMemoryBudget(DEFAULT_MEMORY_BYTES), callerLimits: DEFAULT_CALLER_LIMITS })
   server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: MAX_BODY_BYTES, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 })
   await server.listen()
   return { server, port: server.port, handledIds }
--- /dev/null
+++ b/packages/hop/src/outbound/nodeCallerConnection.ts
@@ -0,0 +1,194 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { BufferBudget, BufferHolder } from '../buffers/bufferBudget.js'
+import type { CallerLimits } from './callerLimits.js'
+import { CallerExchange } from './nodeCallerExchange.js'
+
+/** Why the daemon closed the connection of a caller that stayed outside the limits. */
+export type CallerCloseReason = 'stalledResponse' | 'noRequest' | 'memory' | 'connections'
+
+export interface CallerConnectionOptions {
+  readonly limits: CallerLimits
+  readonly budget: BufferBudget
+  /** Whether responses are to close their connections. */
+  isStopping (): boolean
+  /** Handles a request whose turn has come; its body may not have been read. */
+  onRequest (exchange: CallerExchange): void
+  onForcedClose (reason: CallerCloseReason, heldBytes: number): void
+}
+
+/** Bytes that a parsed request takes while it waits, about. */
+const WAITING_REQUEST_BYTES = 4_096
+
+/**
+ * One connection of a caller, with the requests that arrived on it. It hands on a bounded number of them at a time, accounts for what
+ * is held for them, cancels all of them when the caller leaves, and is closed only after the response to the last that was handed on.
+ */
+export class CallerConnection implements BufferHolder {
+  readonly #socket: Socket
+  readonly #opts: CallerConnectionOptions
+  /** Requests that have been handed on and whose responses have not been sent in full. */
+  readonly #active = new Set<CallerExchange>()
+  /** Requests that wait for one of these to end. */
+  readonly #waiting: CallerExchange[] = []
+  #last: CallerExchange | undefined
+  /** No further request is handed on, as a response closes the connection or its bytes are no requests. */
+  #isEnding = false
+  /** Response without a request, for bytes that could not be parsed; sent once the others are complete. */
+  #finalText: string | undefined
+  #heldBytes = 0
+  #unreadBytes = 0
+  #requests = 0
+  #progress = { at: 0, requests: 0, readBytes: 0, sentBytes: 0 }
+
+  constructor (socket: Socket, opts: CallerConnectionOptions, now: number) {
+    this.#socket = socket
+    this.#opts = opts
+    this.#progress.at = now
+    socket.once('close', () => this.#onClose())
+  }
+
+  /** Requests that wait for their response or are still being read. */
+  get inFlight (): number {
+    return this.#active.size + this.#waiting.length
+  }
+
+  /** Whether a request has been handed on and waits for its response. */
+  get isBusy (): boolean {
+    return this.#active.size > 0 && this.#last?.isReading !== true
+  }
+
+  /** Since when neither a request came nor bytes went either way, as of the last check. */
+  get quietSince (): number {
+    return this.#progress.at
+  }
+
+  get isGone (): boolean {
+    return this.#socket.destroyed || this.#socket.readableEnded
+  }
+
+  /** Takes a request whose head has arrived. */
+  add (req: IncomingMessage, res: ServerResponse): void {
+    this.#requests++
+    if (this.#isEnding) {
+      this.#socket.pause()
+      return
+    }
+    const exchange = new CallerExchange(this, req, res)
+    if (this.#hasRoom) return this.#begin(exchange)
+    this.#waiting.push(exchange)
+    this.#socket.pause()
+    exchange.hold(WAITING_REQUEST_BYTES)
+  }
+
+  /** Ends the connection because of bytes that are no request, after the responses to the requests before them. */
+  endWith (text: string): void {
+    this.#isEnding = true
+    this.#dropWaiting()
+    this.#finalText ??= text
+    if (this.#active.size === 0) this.#socket.end(this.#finalText)
+    else this.#socket.pause()
+  }
+
+  /** Closes the connection at once; what has been sent of a response is never taken for a complete one. */
+  destroy (reason: CallerCloseReason): void {
+    this.#opts.onForcedClose(reason, this.#heldBytes)
+    this.#socket.resetAndDestroy()
+  }
+
+  /** Whether the response to a request that is about to be written has to close the connection; if so, no further request is handed on. */
+  closesAfter (exchange: CallerExchange, isForced: boolean): boolean {
+    if (exchange !== this.#last || !(isForced || this.#opts.isStopping() || this.#isEnding)) return false
+    this.#isEnding = true
+    this.#dropWaiting()
+    return true
+  }
+
+  /** Called when the budget of the process is exceeded and this caller takes the largest part of it. */
+  evict (limitBytes: number): void {
+    const reading = this.#last?.isReading ? this.#last : undefined
+    if (reading && this.#unreadBytes < reading.heldBytes) reading.rejectUnread(503, 'buffersFull', limitBytes)
+    else this.destroy('memory')
+  }
+
+  grow (bytes: number): void {
+    this.#heldBytes += bytes
+    this.#opts.budget.grow(this, bytes)
+  }
+
+  shrink (bytes: number): void {
+    this.#heldBytes -= bytes
+    this.#opts.budget.shrink(this, bytes)
+  }
+
+  /** Counts bytes of a response that has been written but not sent. */
+  addUnread (bytes: number): void {
+    this.#unreadBytes += bytes
+  }
+
+  /** Called when a response has been sent in full, of which `unreadBytes` were counted. */
+  onSent (exchange: CallerExchange, unreadBytes: number): void {
+    this.#unreadBytes -= unreadBytes
+    this.#active.delete(exchange)
+    // What a connection refers to while it is idle isn't freed.
+    if (this.#last === exchange) this.#last = undefined
+    if (this.#finalText !== undefined && this.#active.size === 0) this.#socket.end(this.#finalText)
+    else if (this.#waiting.length > 0) this.#beginWaiting()
+  }
+
+  /** Returns why the connection is to be closed, if nothing has moved on it for too long; called periodically. */
+  check (now: number, idleMs: number): CallerCloseReason | undefined {
+    if (this.#hasMoved()) this.#progress.at = now
+    const quietMs = now - this.#progress.at
+    if (this.#active.size === 0) return quietMs > idleMs ? 'noRequest' : undefined
+    if (this.#socket.writableLength > 0 && quietMs > this.#opts.limits.stalledResponseMs) return 'stalledResponse'
+    if (this.#last?.isReading && quietMs > idleMs) this.#last.rejectUnread(408, 'bodyTimeout', idleMs)
+    return undefined
+  }
+
+  /** Bytes read count only while a request is in progress, as empty lines before a request are none. */
+  #hasMoved (): boolean {
+    const before = this.#progress
+    const readBytes = this.#active.size > 0 ? this.#socket.bytesRead : before.readBytes
+    const sentBytes = this.#socket.bytesWritten - this.#socket.writableLength
+    if (this.#requests === before.requests && readBytes === before.readBytes && sentBytes === before.sentBytes) return false
+    this.#progress = { at: before.at, requests: this.#requests, readBytes, sentBytes }
+    return true
+  }
+
+  get #hasRoom (): boolean {
+    const { maxPipelined, maxUnreadBytes } = this.#opts.limits
+    return this.#active.size < maxPipelined && this.#unreadBytes < maxUnreadBytes && this.#waiting.length === 0
+  }
+
+  #begin (exchange: CallerExchange): void {
+    this.#active.add(exchange)
+    this.#last = exchange
+    this.#opts.onRequest(exchange)
+  }
+
+  #beginWaiting (): void {
+    const { maxPipelined, maxUnreadBytes } = this.#opts.limits
+    while (this.#waiting.length > 0 && this.#active.size < maxPipelined && this.#unreadBytes < maxUnreadBytes) {
+      const exchange = this.#waiting.shift()!
+      exchange.hold(0)
+      this.#begin(exchange)
+    }
+    if (this.#waiting.length === 0) this.#socket.resume()
+    else this.#socket.pause()
+  }
+
+  #dropWaiting (): void {
+    for (const exchange of this.#waiting) exchange.hold(0)
+    this.#waiting.length = 0
+  }
+
+  #onClose (): void {
+    this.#isEnding = true
+    this.#dropWaiting()
+    const active = [...this.#active]
+    this.#active.clear()
+    this.#opts.budget.release(this)
+    for (const exchange of active) exchange.onCallerLeft()
+  }
+}
--- /dev/null
+++ b/packages/hop/src/outbound/nodeCallerExchange.ts
@@ -0,0 +1,140 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { BodyBuffer } from '../buffers/bodyBuffer.js'
+import { NotForwardable } from '../errors.js'
+import type { SendQueue } from '../link/sendQueue.js'
+import type { CallerConnection } from './nodeCallerConnection.js'
+import type { ForwardedResponse, Responder } from './outboundTypes.js'
+import { sendBody } from './nodeResponseTransfer.js'
+import { forwardedResponseHeaders } from './requestHead.js'
+
+/** Retry-After for callers whose body exceeded the buffers. */
+const RETRY_AFTER_BUFFERS_FULL_MS = 300
+/** Smaller bodies aren't accounted for; a connection has few of them at a time. */
+const MIN_COUNTED_BYTES = 2_048
+
+/** One request of a caller and its response. */
+export class CallerExchange {
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly #connection: CallerConnection
+  /** What has arrived of the body while it is incomplete; undefined before and after that. */
+  unreadBody: BodyBuffer | undefined
+  /** Called when the request is rejected while its body is being read. */
+  onRejectedUnread: (status: number, reason: string, limit: number) => void = () => {}
+  #heldBytes = 0
+  #unreadBytes = 0
+  #cancel: (() => void) | undefined
+  #dropBody: (() => void) | undefined
+
+  constructor (connection: CallerConnection, req: IncomingMessage, res: ServerResponse) {
+    this.#connection = connection
+    this.req = req
+    this.res = res
+    res.sendDate = false
+    res.on('finish', () => this.#onSent())
+  }
+
+  /** Whether nobody waits for the response any more. */
+  get isGone (): boolean {
+    return this.res.destroyed || this.#connection.isGone
+  }
+
+  /** Whether the body of the request is still arriving. */
+  get isReading (): boolean {
+    return this.unreadBody !== undefined
+  }
+
+  get heldBytes (): number {
+    return this.#heldBytes
+  }
+
+  /** Sets the bytes that are held for the request now; the connection may be closed for it before this returns. */
+  hold (bytes: number): void {
+    const counted = bytes < MIN_COUNTED_BYTES ? 0 : bytes
+    const addedBytes = counted - this.#heldBytes
+    if (addedBytes === 0) return
+    this.#heldBytes = counted
+    if (addedBytes > 0) this.#connection.grow(addedBytes)
+    else this.#connection.shrink(-addedBytes)
+  }
+
+  /** Sets what cancels the request; called when the caller leaves, and without effect once the request has ended. */
+  setCancel (cancel: () => void): void {
+    this.#cancel = cancel
+  }
+
+  /** `usesLink`: whether the caller is reached over the link of this host, so that its response waits for its turn there. */
+  responder (queue: SendQueue, usesLink: boolean): Responder {
+    return {
+      respond: (reply, urgency) => {
+        if (this.isGone) return
+        try {
+          this.#writeReply(reply, usesLink ? urgency : undefined, queue)
+        } catch (err) {
+          if (this.res.headersSent) this.res.destroy()
+          throw new NotForwardable('the response of a target cannot be written', err)
+        }
+      },
+      reject: (status, reason, retryAfterMs) => this.reject(status, reason, retryAfterMs)
+    }
+  }
+
+  reject (status: number, reason: string, retryAfterMs?: number, closes = false): void {
+    const { req, res } = this
+    if (this.isGone || res.headersSent) return
+    const body = `${reason}\n`
+    const headers = ['Content-Type', 'text/plain', 'Content-Length', String(Buffer.byteLength(body))]
+    if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3))
+    if (this.#connection.closesAfter(this, closes)) headers.push('Connection', 'close')
+    res.writeHead(status, headers)
+    res.end(req.method === 'HEAD' ? undefined : body)
+  }
+
+  /** Rejects a request before it has been read completely; its connection can't be reused and is closed. */
+  rejectUnread (status: number, reason: string, limit: number): void {
+    if (this.res.headersSent) return
+    this.unreadBody = undefined
+    this.hold(0)
+    this.onRejectedUnread(status, reason, limit)
+    this.reject(status, reason, status === 503 ? RETRY_AFTER_BUFFERS_FULL_MS : undefined, true)
+    this.req.resume()
+  }
+
+  /** Called when the connection has been closed. */
+  onCallerLeft (): void {
+    this.#dropBody?.()
+    this.#cancel?.()
+  }
+
+  #writeReply (reply: ForwardedResponse, urgency: number | undefined, queue: SendQueue): void {
+    const { req, res } = this
+    const headers = forwardedResponseHeaders(reply.headers)
+    const isBodiless = reply.status === 204 || reply.status === 304
+    const closes = this.#connection.closesAfter(this, reply.unframed)
+    if (reply.unframed && !closes) throw new NotForwardable('a response that ends by closing the connection has others behind it')
+    if (reply.unframed) endBodyByClosing(res)
+    else if (!isBodiless && req.method !== 'HEAD') headers.push('Content-Length', String(reply.body.length))
+    if (closes && !reply.unframed) headers.push('Connection', 'close')
+    res.writeHead(reply.status, headers)
+    this.#unreadBytes = isBodiless ? 0 : reply.body.length
+    this.#connection.addUnread(this.#unreadBytes)
+    this.hold(this.#unreadBytes)
+    if (this.isGone) return
+    if (isBodiless || urgency === undefined) res.end(isBodiless ? undefined : reply.body)
+    else this.#dropBody = sendBody(res, reply.body, urgency, queue)
+  }
+
+  #onSent (): void {
+    this.unreadBody = undefined
+    this.#dropBody = undefined
+    this.#cancel = undefined
+    this.hold(0)
+    this.#connection.onSent(this, this.#unreadBytes)
+  }
+}
+
+/** Ends the body by closing the connection: a body without a length can't be known to be complete, and is forwarded as such. */
+function endBodyByClosing (res: ServerResponse): void {
+  res.shouldKeepAlive = false
+  res.useChunkedEncodingByDefault = false
+}
--- a/packages/hop/src/outbound/nodeResponseTransfer.ts
+++ b/packages/hop/src/outbound/nodeResponseTransfer.ts
@@ -3,16 +3,20 @@
 
 /** Bytes of a response besides its body, about. */
 const HEAD_BYTES = 300
+/** Longest piece that a connection is given at once, so that a response that isn't read waits here and not in the connection. */
+const MAX_PIECE_BYTES = 256 * 1024
 
-/** Ends a response, whose head is set already, with a body that waits for its turn at the link of this host. */
-export function sendBody (res: ServerResponse, body: Uint8Array, urgency: number, queue: SendQueue): void {
-  if (body.length === 0 || queue.trySendNow(body.length + HEAD_BYTES)) {
+/**
+ * Ends a response, whose head is set already, with a body that waits for its turn at the link of this host. Returns a function that
+ * drops what has not been written, if anything waits.
+ */
+export function sendBody (res: ServerResponse, body: Uint8Array, urgency: number, queue: SendQueue): (() => void) | undefined {
+  if (body.length === 0 || (body.length <= MAX_PIECE_BYTES && queue.trySendNow(body.length + HEAD_BYTES))) {
     res.end(body)
-    return
+    return undefined
   }
-  const drop = queue.submit(new ResponseTransfer(res, body, urgency))
   res.on('drain', () => queue.resume())
-  res.on('close', drop)
+  return queue.submit(new ResponseTransfer(res, body, urgency))
 }
 
 /** The body of a response on its way to a caller. */
@@ -37,7 +41,7 @@
   }
 
   write (maxBytes: number): number {
-    const part = this.#body.subarray(this.#offset, this.#offset + Math.ceil(maxBytes))
+    const part = this.#body.subarray(this.#offset, this.#offset + Math.min(MAX_PIECE_BYTES, Math.ceil(maxBytes)))
     this.#offset += part.length
     if (this.remaining > 0) this.#res.write(part)
     else this.#res.end(part)
