--- a/packages/hop/src/buffers/__tests__/buffers.spec.ts
+++ b/packages/hop/src/buffers/__tests__/buffers.spec.ts
@@ -27,3 +27,51 @@
   t.is(body.take()[999], 999 % 256)
   t.true(body.capacity <= 2 * 100_000)
 })
+
+test('guards against a single long message being dropped while there is little else', (t) => {
+  const evicted: string[] = []
+  const budget = new BufferBudget(100, 0.25)
+  const long = holder(evicted, 'long')
+  const small = holder(evicted, 'small')
+  budget.grow(long, 150)
+  budget.grow(small, 20)
+  t.deepEqual(evicted, [])
+  t.false(budget.hasRoom(1))
+  budget.grow(small, 10)
+  t.deepEqual(evicted, ['long at 100'])
+  t.is(budget.totalBytes, 30)
+})
+
+test('guards against messages being dropped for bytes that are reserved and cannot be given up', (t) => {
+  const evicted: string[] = []
+  const budget = new BufferBudget(100, 0.25)
+  budget.reserve(150)
+  budget.grow(holder(evicted, 'small'), 20)
+  budget.grow(holder(evicted, 'other'), 20)
+  t.deepEqual(evicted, [])
+  budget.grow(holder(evicted, 'large'), 30)
+  t.deepEqual(evicted, ['large at 100'])
+  budget.unreserve(150)
+  t.is(budget.totalBytes, 40)
+})
+
+test('guards against bytes of an evicted holder being freed twice', (t) => {
+  const budget = new BufferBudget(100)
+  const large = holder([], 'large')
+  budget.grow(large, 200)
+  budget.shrink(large, 200)
+  t.is(budget.totalBytes, 0)
+  budget.grow(large, 50)
+  budget.shrink(large, 20)
+  t.is(budget.totalBytes, 30)
+})
+
+test('guards against a long body of known length being put together wrongly or taking more than its length', (t) => {
+  const bytes = Buffer.from(Array.from({ length: 2_000_000 }, (_, i) => i % 251))
+  for (const chunkBytes of [1_000, 65_536, 700_000]) {
+    const body = new BodyBuffer(bytes.length)
+    for (let offset = 0; offset < bytes.length; offset += chunkBytes) body.append(bytes.subarray(offset, offset + chunkBytes))
+    t.true(body.take().equals(bytes))
+    t.true(body.capacity <= bytes.length)
+  }
+})
--- a/packages/hop/src/buffers/nodeGarbageCollection.ts
+++ b/packages/hop/src/buffers/nodeGarbageCollection.ts
@@ -8,11 +8,20 @@
  * host, and lets up to 64 MiB of unused buffers gather, more while processor time is short.
  */
 export function collectAbove (residentBytes: number): void {
-  if (process.memoryUsage.rss() <= residentBytes) return
+  if (ownResidentBytes() <= residentBytes) return
   cachedCollect ??= exposedCollect()
   cachedCollect()
 }
 
+/** 0 where a confined process can't read it; the garbage collector then runs as usual. */
+function ownResidentBytes (): number {
+  try {
+    return process.memoryUsage.rss()
+  } catch {
+    return 0
+  }
+}
+
 /** The function exists only in contexts that are created while the flag is set. */
 function exposedCollect (): () => void {
   v8.setFlagsFromString('--expose-gc')
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -1,7 +1,7 @@
 import { errorCode, type Random, type Timers } from '@lentilwheel/core'
 import type { HeaderNames } from '../headers.js'
 import type { BufferBudget } from '../buffers/bufferBudget.js'
-import { createMemoryBudget } from '../buffers/memoryBudget.js'
+import { createMemoryBudget, DEFAULT_MEMORY_BYTES } from '../buffers/memoryBudget.js'
 import { Fleet } from '../fleet/fleet.js'
 import { departuresNotIn, type Departure, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
@@ -16,6 +16,7 @@
 import type { CallMetrics } from '../observe/callMetrics.js'
 import { TrafficSummary } from '../observe/trafficSummary.js'
 import { NodeMetricsServer } from '../observe/nodeMetricsServer.js'
+import { resolveCallerLimits } from '../outbound/callerLimits.js'
 import { NodeOutboundServer } from '../outbound/nodeOutboundServer.js'
 import { OutboundHandler } from '../outbound/outboundHandler.js'
 import { LoadBalancer } from '../outbound/loadBalancer.js'
@@ -93,7 +94,7 @@
   constructor (opts: HopDaemonOptions) {
     const { cfg, timers, random, log, metrics, names, store, codec } = opts
     const queue = this.#sendQueue = new SendQueue({ timers, bytesPerMs: cfg.linkBytesPerMs })
-    const budget = this.#budget = createMemoryBudget(cfg.memoryBytes)
+    const budget = this.#budget = createMemoryBudget(cfg.memoryBytes ?? DEFAULT_MEMORY_BYTES)
     this.#opts = opts
     this.#cfg = cfg
     this.#localTarget = new LocalTarget(cfg.announceMs)
@@ -177,7 +178,7 @@
     })
     const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
-      ...cfg.outbound, timers, lag, queue, budget, callerLimits: cfg.callerLimits, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
+      ...cfg.outbound, timers, lag, queue, budget, callerLimits: resolveCallerLimits(cfg.callerLimits, cfg.memoryBytes, cfg.maxDescriptors), handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
     })
     this.#configUpdater = new ConfigUpdater({
       fleet: this.#fleet,
--- a/packages/hop/src/daemon/resolvedHopConfig.ts
+++ b/packages/hop/src/daemon/resolvedHopConfig.ts
@@ -29,7 +29,10 @@
   retryBudget: RetryBudgetLimits
   /** What the link of this host carries, in bytes a millisecond; Infinity if that isn't known. */
   linkBytesPerMs: number
-  /** Memory that the process may take. */
-  memoryBytes: number
-  callerLimits: CallerLimits
+  /** Memory that the process may take; undefined if that isn't known. */
+  memoryBytes: number | undefined
+  /** Descriptors that the process may have open; undefined if that isn't known. */
+  maxDescriptors: number | undefined
+  /** Limits that differ from the defaults. */
+  callerLimits: Partial<CallerLimits>
 }
--- a/packages/hop/src/outbound/__tests__/pipelining.spec.ts
+++ b/packages/hop/src/outbound/__tests__/pipelining.spec.ts
@@ -189,6 +189,18 @@
   t.true(events.includes('boundPassed'))
 })
 
+test('guards against pipelined requests without bodies taking the memory', async (t) => {
+  const { passedOn, events, connectCaller } = await setUp(t, {}, new BufferBudget(200_000))
+  const [few, many] = [connectCaller(), connectCaller()]
+  few.socket.write(requests(1, 5))
+  await until(t, 'five are passed on', () => passedOn.length === 5)
+  many.socket.write(requests(101, 200))
+  await until(t, 'the other connection is closed', () => many.isClosed)
+  for (const request of passedOn) if (!request.isCancelled) answer(request)
+  await until(t, 'five are answered', () => answeredIds(few.received).length === 5)
+  t.deepEqual(events, ['callerClosed'])
+})
+
 test('guards against a response that does not fit into memory looking complete', async (t) => {
   const { passedOn, events, connectCaller } = await setUp(t, {}, new BufferBudget(1_000_000))
   const caller = connectCaller()
--- a/packages/hop/src/outbound/callerLimits.ts
+++ b/packages/hop/src/outbound/callerLimits.ts
@@ -19,10 +19,15 @@
 const MEMORY_PER_CONNECTION_BYTES = 128 * 1024
 
 /** Connections that callers may open to a process with this many descriptors and this much memory. */
-export function maxCallerConnections (memoryBytes: number, maxDescriptors = DEFAULT_MAX_DESCRIPTORS): number {
+function maxCallerConnections (memoryBytes: number, maxDescriptors = DEFAULT_MAX_DESCRIPTORS): number {
   return Math.floor(Math.min(maxDescriptors * CALLERS_DESCRIPTOR_SHARE, memoryBytes / MEMORY_PER_CONNECTION_BYTES))
 }
 
+/** The limits of a daemon, with a default for each that isn't set. */
+export function resolveCallerLimits (limits: Partial<CallerLimits>, memoryBytes = DEFAULT_MEMORY_BYTES, maxDescriptors?: number): CallerLimits {
+  return { ...DEFAULT_CALLER_LIMITS, maxConnections: maxCallerConnections(memoryBytes, maxDescriptors), ...limits }
+}
+
 export const DEFAULT_CALLER_LIMITS: CallerLimits = {
   maxConnections: maxCallerConnections(DEFAULT_MEMORY_BYTES), maxPipelined: 32, maxUnreadBytes: 1024 * 1024, stalledResponseMs: 30_000
 }
--- a/packages/hop/src/outbound/nodeCallerConnection.ts
+++ b/packages/hop/src/outbound/nodeCallerConnection.ts
@@ -17,8 +17,8 @@
   onForcedClose (reason: CallerCloseReason, heldBytes: number): void
 }
 
-/** Bytes that a parsed request takes while it waits, about. */
-const WAITING_REQUEST_BYTES = 4_096
+/** Bytes that a request without a body takes, about, and a short response. Counted for those behind another on their connection. */
+const PIPELINED_REQUEST_BYTES = 8_192
 
 /**
  * One connection of a caller, with the requests that arrived on it. It hands on a bounded number of them at a time, accounts for what
@@ -78,7 +78,7 @@
     if (this.#hasRoom) return this.#begin(exchange)
     this.#waiting.push(exchange)
     this.#socket.pause()
-    exchange.hold(WAITING_REQUEST_BYTES)
+    exchange.setBase(PIPELINED_REQUEST_BYTES)
   }
 
   /** Ends the connection because of bytes that are no request, after the responses to the requests before them. */
@@ -92,7 +92,9 @@
 
   /** Closes the connection at once; what has been sent of a response is never taken for a complete one. */
   destroy (reason: CallerCloseReason): void {
+    this.#isEnding = true
     this.#opts.onForcedClose(reason, this.#heldBytes)
+    this.#dropWaiting()
     this.#socket.resetAndDestroy()
   }
 
@@ -113,7 +115,7 @@
 
   grow (bytes: number): void {
     this.#heldBytes += bytes
-    this.#opts.budget.grow(this, bytes)
+    if (!this.#socket.destroyed) this.#opts.budget.grow(this, bytes)
   }
 
   shrink (bytes: number): void {
@@ -162,24 +164,24 @@
   }
 
   #begin (exchange: CallerExchange): void {
+    const isPipelined = this.#active.size > 0
     this.#active.add(exchange)
     this.#last = exchange
-    this.#opts.onRequest(exchange)
+    if (isPipelined) exchange.setBase(PIPELINED_REQUEST_BYTES)
+    if (!this.#socket.destroyed) this.#opts.onRequest(exchange)
   }
 
   #beginWaiting (): void {
     const { maxPipelined, maxUnreadBytes } = this.#opts.limits
     while (this.#waiting.length > 0 && this.#active.size < maxPipelined && this.#unreadBytes < maxUnreadBytes) {
-      const exchange = this.#waiting.shift()!
-      exchange.hold(0)
-      this.#begin(exchange)
+      this.#begin(this.#waiting.shift()!)
     }
     if (this.#waiting.length === 0) this.#socket.resume()
     else this.#socket.pause()
   }
 
   #dropWaiting (): void {
-    for (const exchange of this.#waiting) exchange.hold(0)
+    for (const exchange of this.#waiting) exchange.setBase(0)
     this.#waiting.length = 0
   }
 
--- a/packages/hop/src/outbound/nodeCallerExchange.ts
+++ b/packages/hop/src/outbound/nodeCallerExchange.ts
@@ -21,6 +21,7 @@
   unreadBody: BodyBuffer | undefined
   /** Called when the request is rejected while its body is being read. */
   onRejectedUnread: (status: number, reason: string, limit: number) => void = () => {}
+  #baseBytes = 0
   #heldBytes = 0
   #unreadBytes = 0
   #cancel: (() => void) | undefined
@@ -50,7 +51,7 @@
 
   /** Sets the bytes that are held for the request now; the connection may be closed for it before this returns. */
   hold (bytes: number): void {
-    const counted = bytes < MIN_COUNTED_BYTES ? 0 : bytes
+    const counted = this.#baseBytes + (bytes < MIN_COUNTED_BYTES ? 0 : bytes)
     const addedBytes = counted - this.#heldBytes
     if (addedBytes === 0) return
     this.#heldBytes = counted
@@ -58,6 +59,12 @@
     else this.#connection.shrink(-addedBytes)
   }
 
+  /** Sets the bytes that are held for the request besides bodies, before any of these arrive or after they were dropped. */
+  setBase (bytes: number): void {
+    this.#baseBytes = bytes
+    this.hold(0)
+  }
+
   /** Sets what cancels the request; called when the caller leaves, and without effect once the request has ended. */
   setCancel (cancel: () => void): void {
     this.#cancel = cancel
@@ -128,7 +135,7 @@
     this.unreadBody = undefined
     this.#dropBody = undefined
     this.#cancel = undefined
-    this.hold(0)
+    this.setBase(0)
     this.#connection.onSent(this, this.#unreadBytes)
   }
 }
