Don't leave frames to a connection whose peer takes none

Now frames above 16 KB wait in the queue of the link, count against the budget, and are dropped with a reply that says so. The new test fails without the change.

--- a/packages/hop/src/link/__tests__/memory.spec.ts
+++ b/packages/hop/src/link/__tests__/memory.spec.ts
@@ -1,5 +1,6 @@
 import test, { type ExecutionContext } from 'ava'
-import { connect } from 'node:net'
+import { once } from 'node:events'
+import { connect, type Socket } from 'node:net'
 import { NodeTimers, SeededRandom } from '@lentilwheel/core'
 import { NO_LAG, unlimitedQueue } from '../../__tests__/fixtures.js'
 import { BufferBudget } from '../../buffers/bufferBudget.js'
@@ -22,7 +23,7 @@
 }
 
 /** A server that takes calls and answers none until told, and a peer connected to it. */
-async function setUp (t: ExecutionContext): Promise<{ budget: BufferBudget, taken: Map<string, (reply: HopReply) => void>, peer: FrameSocket, replies: Map<number, HopReply> }> {
+async function setUp (t: ExecutionContext): Promise<{ budget: BufferBudget, server: NodeHopServer, taken: Map<string, (reply: HopReply) => void>, socket: Socket, peer: FrameSocket, replies: Map<number, HopReply> }> {
   const budget = new BufferBudget(BUDGET_BYTES, 0.25)
   const taken = new Map<string, (reply: HopReply) => void>()
   const handler: Partial<InboundHandler> = { offer: (message, reply) => { taken.set(message.key, reply) }, onSenderDisconnect: () => {} }
@@ -31,14 +32,15 @@
   })
   await server.listen()
   const replies = new Map<number, HopReply>()
-  const peer = new FrameSocket(connect(server.port, '127.0.0.1'), {
+  const socket = connect(server.port, '127.0.0.1')
+  const peer = new FrameSocket(socket, {
     timers, queue: unlimitedQueue(), onFrame: ([kind, id, payload]) => { if (kind === FRAME_KINDS.reply) replies.set(id, unpackReply(payload, 0)) }, onClose: () => {}
   })
   t.teardown(() => {
     peer.destroy('end of the test')
     server.close()
   })
-  return { budget, taken, peer, replies }
+  return { budget, server, taken, socket, peer, replies }
 }
 
 async function until (check: () => boolean): Promise<void> {
@@ -61,6 +63,26 @@
   t.pass()
 })
 
+test('guards against replies to a peer that reads nothing taking more memory than there is, and against one that was dropped counting as not run', async (t) => {
+  const { budget, server, taken, socket, peer, replies } = await setUp(t)
+  await once(socket, 'connect')
+  socket.pause()
+  const ids = Array.from({ length: 200 }, (_, id) => id)
+  for (const id of ids) peer.send([FRAME_KINDS.call, id, packCall(call(`k${id}`, 0))])
+  await until(() => taken.size === ids.length)
+  for (const reply of taken.values()) {
+    reply({ kind: 'response', status: 200, headers: [], body: new Uint8Array(200_000), unframed: false })
+    await new Promise((resolve) => setImmediate(resolve))
+  }
+  t.true(budget.totalBytes <= BUDGET_BYTES)
+  t.true(server.unsentBytes <= BUDGET_BYTES, String(server.unsentBytes))
+  socket.resume()
+  await until(() => replies.size === ids.length)
+  const outcomes = new Set([...replies.values()].map((reply) => reply.kind === 'response' ? reply.body.length : reply.reason))
+  t.deepEqual([...outcomes].sort(), [200_000, 'lost'])
+  t.is(budget.totalBytes, 0)
+})
+
 test('guards against an incomplete message of a peer being kept although there is no memory for it', (t) => {
   const budget = new BufferBudget(100_000)
   const dropped: unknown[] = []
--- a/packages/hop/src/link/nodeFrameSocket.ts
+++ b/packages/hop/src/link/nodeFrameSocket.ts
@@ -32,6 +32,8 @@
 
 /** Limit for buffering an incomplete message of a peer; a longer message closes the connection. */
 const MAX_MESSAGE_BYTES = 80 * 1024 * 1024
+/** Shorter frames are written also while the peer takes none. */
+const MIN_WAITING_BYTES = 16 * 1024
 const SENT: SentFrame = { isWaiting: false, revoke: () => false }
 const UNPACK_OPTIONS = { useRecords: false, int64AsType: 'number' } as const
 
@@ -84,11 +86,16 @@
     if (this.#socket.destroyed) return SENT
     const { queue } = this.#opts
     const bytes = encode(frame)
-    if (bytes.length > MAX_WHOLE_BYTES || !queue.trySendNow(bytes.length)) return this.#enqueue(bytes, urgency, onEvicted)
+    if (this.#hasToWait(bytes.length) || !queue.trySendNow(bytes.length)) return this.#enqueue(bytes, urgency, onEvicted)
     this.#write(bytes)
     return SENT
   }
 
+  /** Long frames, and shorter ones as well while the peer takes none, are not left to the connection: what it has can't be dropped. */
+  #hasToWait (bytes: number): boolean {
+    return bytes > MAX_WHOLE_BYTES || (bytes > MIN_WAITING_BYTES && this.#socket.writableNeedDrain)
+  }
+
   /** Bytes that the connection has not taken yet. */
   get unsentBytes (): number {
     return this.#socket.writableLength
