--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -3,6 +3,8 @@
 import type { EvacuationRecord } from '../evacuation/evacuationRecord.js'
 import { Evacuations } from '../evacuation/evacuations.js'
 import { EvacuationWatcher } from '../evacuation/evacuationWatcher.js'
+import type { BufferBudget } from '../buffers/bufferBudget.js'
+import { createMemoryBudget, DEFAULT_MEMORY_BYTES } from '../buffers/memoryBudget.js'
 import { Fleet } from '../fleet/fleet.js'
 import { departuresNotIn, type Departure, type HostRecord, type TargetRecord } from '../fleet/hostRecord.js'
 import { InboundHandler } from '../inbound/inboundHandler.js'
@@ -17,6 +19,7 @@
 import type { CallMetrics } from '../observe/callMetrics.js'
 import { TrafficSummary } from '../observe/trafficSummary.js'
 import { NodeMetricsServer } from '../observe/nodeMetricsServer.js'
+import { resolveCallerLimits } from '../outbound/callerLimits.js'
 import { NodeOutboundServer } from '../outbound/nodeOutboundServer.js'
 import { OutboundHandler } from '../outbound/outboundHandler.js'
 import type { OutboundOptions } from '../outbound/outboundTypes.js'
@@ -57,6 +60,8 @@
 const TARGET_CHECK_INTERVAL_MS = 250
 /** Time for the last responses to be sent before the servers are closed. */
 const LAST_RESPONSES_MS = 50
+/** Part of the budget for memory that replies of ended calls may take in addition to it. */
+const MAX_RETAINED_SHARE = 0.25
 /** Time after which a daemon without any peer reports that it is ready nevertheless. */
 const ALONE_READY_MS = 3_000
 
@@ -78,6 +83,7 @@
   readonly #hedging: Hedging
   readonly #traffic: TrafficSummary
   readonly #sendQueue: SendQueue
+  readonly #budget: BufferBudget
   readonly #outboundServer: NodeOutboundServer
   readonly #hopServer: NodeHopServer
   readonly #metricsServer: NodeMetricsServer
@@ -99,6 +105,7 @@
   constructor (opts: HopDaemonOptions) {
     const { cfg, timers, random, log, metrics, names, store, codec } = opts
     const queue = this.#sendQueue = new SendQueue({ timers, bytesPerMs: cfg.linkBytesPerMs })
+    const budget = this.#budget = createMemoryBudget(cfg.memoryBytes ?? DEFAULT_MEMORY_BYTES)
     this.#opts = opts
     this.#cfg = cfg
     this.#localTarget = new LocalTarget(cfg.announceMs)
@@ -128,7 +135,7 @@
       random,
       log,
       openLink: (host, address, port) => new NodePeerLink({
-        host, address, port, timers, log, queue, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
+        host, address, port, timers, log, queue, budget, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
       }),
       onChange: () => this.#onFleetChange(),
       onNewerPeerVersion: () => this.#configUpdater.catchUp(),
@@ -154,7 +161,7 @@
         metrics.event('strayBytes')
         log.call(false, 'strayBytes', { why })
       },
-      limits: createResponseLimits(),
+      limits: createResponseLimits(undefined, budget),
       onLimitExceeded: (exceeded) => {
         metrics.event('boundPassed')
         const { requestId: id, ...rest } = exceeded
@@ -177,6 +184,7 @@
       isEvacuated: () => evacuations.isEvacuated(cfg.dataCentre),
       isPresumedCold: () => this.#localTarget.isPresumedCold,
       link,
+      maxRetainedBytes: budget.limitBytes * MAX_RETAINED_SHARE,
       quarantine: this.#quarantine,
       onTargetLeaving: (departure) => this.#onTargetLeaving(departure),
       onRefusal: (route, reason) => this.#traffic.recordRefusal(route, reason),
@@ -189,7 +197,7 @@
     this.#outbound = new OutboundHandler(outboundOptions)
     const lag = new LoopLag(timers)
     this.#outboundServer = new NodeOutboundServer({
-      ...cfg.outbound, lag, queue, handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
+      ...cfg.outbound, timers, lag, queue, budget, callerLimits: resolveCallerLimits(cfg.callerLimits, cfg.memoryBytes, cfg.maxDescriptors), handler: this.#outbound, log, metrics, names, originOf: (id) => this.#inbound.originOf(id)
     })
     this.#configUpdater = new ConfigUpdater({
       fleet: this.#fleet,
@@ -218,7 +226,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, lag, queue, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.gate.onQuestions(message, reply), isUp: (host) => this.#fleet.isUp(host), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, lag, queue, budget, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.gate.onQuestions(message, reply), isUp: (host) => this.#fleet.isUp(host), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     const explainer = new RouteExplainer({
       outbound: outboundOptions, table: () => this.#outbound.table, versionOptions: (service) => this.#moves.options(service)
@@ -239,7 +247,7 @@
     this.#moves.start()
     this.#evacuationWatcher.start()
     timers.every(TARGET_CHECK_INTERVAL_MS, () => this.#checkTarget())
-    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, queue: this.#sendQueue, quarantine: this.#quarantine, evacuations: this.#evacuations, traffic: this.#traffic, quota: this.#quota.gate }).start()
+    new ResourceReport({ timers, log, metrics, store, fleet: this.#fleet, inbound: this.#inbound, hopServer: this.#hopServer, outboundServer: this.#outboundServer, budget: this.#budget, queue: this.#sendQueue, quarantine: this.#quarantine, evacuations: this.#evacuations, traffic: this.#traffic, quota: this.#quota.gate }).start()
   }
 
   /** Handles an announcement of the target beside this daemon. */
--- a/packages/hop/src/daemon/resolvedHopConfig.ts
+++ b/packages/hop/src/daemon/resolvedHopConfig.ts
@@ -1,4 +1,5 @@
 import type { HedgingLimits } from '../outbound/hedging.js'
+import type { CallerLimits } from '../outbound/callerLimits.js'
 import type { RetryBudgetLimits } from '../outbound/retryBudget.js'
 
 export interface Endpoint {
@@ -33,4 +34,10 @@
   linkBytesPerMs: number
   /** Whether operators may order the evacuation of a data centre; absent for no. */
   hasEvacuations?: boolean
+  /** Memory that the process may take; undefined if that isn't known. */
+  memoryBytes: number | undefined
+  /** Descriptors that the process may have open; undefined if that isn't known. */
+  maxDescriptors: number | undefined
+  /** Limits that differ from the defaults. */
+  callerLimits: Partial<CallerLimits>
 }
--- a/packages/hop/src/daemon/resourceReport.ts
+++ b/packages/hop/src/daemon/resourceReport.ts
@@ -1,4 +1,5 @@
 import type { Timers } from '@lentilwheel/core'
+import type { BufferBudget } from '../buffers/bufferBudget.js'
 import type { Evacuations } from '../evacuation/evacuations.js'
 import type { Fleet } from '../fleet/fleet.js'
 import type { InboundHandler } from '../inbound/inboundHandler.js'
@@ -6,6 +7,7 @@
 import type { SendQueue } from '../link/sendQueue.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
+import type { NodeOutboundServer } from '../outbound/nodeOutboundServer.js'
 import type { TrafficSummary } from '../observe/trafficSummary.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
 import type { FleetQuotaGate } from '../quota/fleetQuotaGate.js'
@@ -21,6 +23,8 @@
   fleet: Fleet
   inbound: InboundHandler
   hopServer: NodeHopServer
+  outboundServer: Pick<NodeOutboundServer, 'connections'>
+  budget: Pick<BufferBudget, 'totalBytes'>
   queue: SendQueue
   quarantine: Quarantine
   evacuations: Evacuations
@@ -57,6 +61,8 @@
     metrics.state('queued', queued)
     metrics.state('slots', slots)
     metrics.state('unsentBytes', this.#unsentBytes)
+    metrics.state('heldBytes', this.#parts.budget.totalBytes)
+    metrics.state('callers', this.#parts.outboundServer.connections)
     metrics.state('processorMs', processorMs())
     metrics.state('storeEpoch', store.epochs.current)
     metrics.state('suspects', suspects)
--- a/packages/hop/src/inbound/inboundCall.ts
+++ b/packages/hop/src/inbound/inboundCall.ts
@@ -35,6 +35,8 @@
   isEvacuated? (): boolean
   /** Whether the target counts as cold until it announces itself again; absent for never. */
   isPresumedCold? (): boolean
+  /** Limit on the replies that are kept for senders that lost their connection; absent for the default. */
+  maxRetainedBytes?: number
   /** What is known about requests that crash targets. */
   quarantine: CrashGuardOptions['quarantine']
   /** Called when the target says in a response that it leaves. */
