--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -193,8 +193,8 @@
 
   /** Nested calls go first, and so does a workspace with nothing in the queue: how long others waited says little about them. */
   #waitFactorOf (request: SlotRequest, now: number): number {
-    const hasTurn = request.workspace !== undefined && !this.#queue.hasRequestsOf(request)
-    return request.nested || hasTurn ? 1 : this.#waitFactor.at(now)
+    const isNextInTurn = request.workspace !== undefined && !this.#queue.hasRequestsOf(request)
+    return request.nested || isNextInTurn ? 1 : this.#waitFactor.at(now)
   }
 
   /** Whether a request would still start in time if it were queued now, with `ahead` others before it; `waitFactor`: factor on the estimated wait. */
