--- a/packages/hop/src/evacuation/evacuationRecord.ts
+++ b/packages/hop/src/evacuation/evacuationRecord.ts
@@ -15,7 +15,10 @@
   isEvacuated (dataCentre: string): boolean
 }
 
-/** Whether record `a` replaces record `b`. The event of a removal may carry the revision of the removed order, so of two at the same revision the removal counts. */
+/**
+ * Whether record `a` replaces record `b`. The event of a removal may carry the revision of the removed order, so of two at the same
+ * revision the removal counts.
+ */
 export function replaces (a: EvacuationRecord, b: EvacuationRecord): boolean {
   if (isLater(a.revision, b.revision)) return true
   return !isLater(b.revision, a.revision) && b.isOrdered && !a.isOrdered
--- a/packages/hop/src/observe/callMetrics.ts
+++ b/packages/hop/src/observe/callMetrics.ts
@@ -5,15 +5,20 @@
 /** Upper bounds of the buckets of the latency histogram. */
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5]
 
-/** `boundPassed`: a target, a caller or a peer sent a message that exceeds a size limit. `callerClosed`: the connection of a caller was closed because it stayed outside the limits. `targetCrash`: the target ended without saying that it leaves. */
+/**
+ * `boundPassed`: a target, a caller or a peer sent a message that exceeds a size limit. `callerClosed`: the connection of a caller
+ * was closed because it stayed outside the limits. `targetCrash`: the target ended without saying that it leaves.
+ */
 export type MetricEventName = 'strayBytes' | 'targetConnection' | 'storeCall' | 'badInput' | 'boundPassed' | 'callerClosed' | 'targetCrash'
 
 /**
  * `targetLimit`: requests per second that the target says it takes, -1 for no limit. `targetSent`: requests that it was sent
- * within the last 4 s. `targetSlowdown`: how long work on its machine takes as a multiple of the usual, 1 if it doesn't tell. `queued`: requests that wait for one of the target's `slots`. `unsentBytes`: bytes that wait for the link
- * of this host, or that connections to other daemons have not taken yet. `heldBytes`: bytes that are held for callers, targets and
- * other daemons, as far as they count against the budget. `callers`: open connections of callers. `processorMs`: processor time since the start. `storeEpoch`: epoch of the store as this daemon knows it. `suspects`, `blocked`: requests that may crash targets, and those
- * that are refused because they do. `evacuated`: data centres whose targets get no requests. `quotaGranted`, `quotaExceeded`,
+ * within the last 4 s. `targetSlowdown`: how long work on its machine takes as a multiple of the usual, 1 if it doesn't tell.
+ * `queued`: requests that wait for one of the target's `slots`. `unsentBytes`: bytes that wait for the link of this host, or that
+ * connections to other daemons have not taken yet. `heldBytes`: bytes that are held for callers, targets and other daemons, as far
+ * as they count against the budget. `callers`: open connections of callers. `processorMs`: processor time since the start.
+ * `storeEpoch`: epoch of the store as this daemon knows it. `suspects`, `blocked`: requests that may crash targets, and those that
+ * are refused because they do. `evacuated`: data centres whose targets get no requests. `quotaGranted`, `quotaExceeded`,
  * `quotaUnknown`: decisions about requests of workspaces since the start. `quotaQuestions`: messages sent to other daemons for them.
  * `quotaLent`: credits lent. `quotaBuckets`: workspaces lent for.
  */
