--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -135,7 +135,7 @@
   /** Limit of the workspace in the configuration of the asker. */
   ratePerS: number
   burst: number
-  /** Whether the credits are for callers that come back after a refusal. */
+  /** Whether the credits are for callers that retry after a refusal. */
   isRepeat: boolean
 }
 
--- a/packages/hop/src/quota/creditAsker.ts
+++ b/packages/hop/src/quota/creditAsker.ts
@@ -38,7 +38,7 @@
 /** What this daemon keeps for a workspace whose callers use it. */
 interface Account {
   workspace: MeshWorkspace
-  /** Whether it is for callers that come back after a refusal; they get what new requests leave. */
+  /** Whether it is for callers that retry after a refusal; they get what new requests leave. */
   readonly isRepeat: boolean
   readonly credits: WorkspaceCredits
   /** Requests that wait for an answer, in the order in which they came. */
@@ -77,7 +77,7 @@
   readonly #opts: CreditAskerOptions
   /** For new requests, by workspace. */
   readonly #accounts = new Map<string, Account>()
-  /** For callers that come back after a refusal. */
+  /** For callers that retry after a refusal. */
   readonly #repeatAccounts = new Map<string, Account>()
   /** Decisions so far. */
   readonly decisions = { granted: 0, exceeded: 0, unknown: 0 }
--- a/packages/hop/src/quota/lender.ts
+++ b/packages/hop/src/quota/lender.ts
@@ -33,7 +33,7 @@
 
 /** Tokens that a bucket starts with, so that a small workspace isn't refused its first request. */
 const START_TOKENS = 2
-/** Part of the bucket that callers who come back leave to new requests, which can still be answered within their target latency. */
+/** Part of the bucket that retries of refused requests leave to new ones, which can still be answered within their target latency. */
 const REPEAT_RESERVE = 0.25
 /** Longest time that an asker is told to wait while tokens may be left unused. */
 const MAX_DEFER_MS = 1_000
@@ -175,7 +175,7 @@
   return { bucket, start, limit, share, deferredTo: 0, askedAt: now, replacedAt: undefined }
 }
 
-/** Tokens that callers who come back leave in the bucket; a full one always has one for them. */
+/** Tokens that retries of refused requests leave in the bucket; a full one always has one for them. */
 function reserveOf (limit: QuotaLimit, share: number): number {
   const capacity = capacityOf(limit, share)
   return Math.max(0, Math.min(REPEAT_RESERVE * capacity, capacity - 1))
--- a/packages/hop/src/quota/quotaGate.ts
+++ b/packages/hop/src/quota/quotaGate.ts
@@ -10,7 +10,7 @@
 
 /** Counts what workspaces send; asked once for each request of a caller that belongs to a workspace with a rate. */
 export interface QuotaGate {
-  /** Calls `done` once, possibly before it returns. `isRepeat`: the caller comes back after a refusal; absent for no. */
+  /** Calls `done` once, possibly before it returns. `isRepeat`: the caller retries after a refusal; absent for no. */
   admit (workspace: MeshWorkspace, done: (decision: QuotaDecision) => void, isRepeat?: boolean): void
   /** Gives back the right of a request that ended without having run. */
   giveBack (workspace: MeshWorkspace): void
--- a/packages/hop/src/quota/quotaWait.ts
+++ b/packages/hop/src/quota/quotaWait.ts
@@ -9,7 +9,7 @@
   gate: QuotaGate
   timers: Timers
   workspace: MeshWorkspace
-  /** Whether the caller comes back after a refusal. */
+  /** Whether the caller retries after a refusal. */
   isRepeat: boolean
   /** Time after which the decision no longer helps the caller. */
   timeoutMs: number
