--- a/packages/hop/src/quota/creditAsker.ts
+++ b/packages/hop/src/quota/creditAsker.ts
@@ -146,7 +146,7 @@
     const accounts = isRepeat ? this.#repeatAccounts : this.#accounts
     let account = accounts.get(workspace.name)
     if (!account) {
-      account = { workspace, isRepeat, credits: new WorkspaceCredits(), waiting: [], question: undefined, lastLender: undefined, handover: undefined, emptyUntil: 0, pausedUntil: 0, isGiveUpScheduled: false, requestedAt: this.#opts.timers.now() }
+      account = createAccount(workspace, isRepeat, this.#opts.timers.now())
       accounts.set(workspace.name, account)
     }
     account.workspace = workspace
@@ -181,20 +181,24 @@
   }
 
   #onAnswer (account: Account, sent: SentQuestion, answer: QuotaAnswer | undefined): void {
-    const now = this.#opts.timers.now()
     const isAwaited = account.question === sent
     if (isAwaited) account.question = undefined
     const isLent = answer?.kind === 'lent'
     if (isLent && answer.count > 0) account.credits.add(answer.count, sent.askedAt + CREDIT_TTL_MS)
     this.#serve(account)
     if (!isAwaited) return
-    if (isLent) {
-      account.lastLender = sent.host
-      if (answer.count < sent.count) this.#refuseWaiting(account, answer.waitMs)
-      else this.#ask(account)
-    } else if (sent.mode === 'handover') this.#endHandover(account)
-    else if (answer?.kind === 'settling') this.#waitForLender(account, sent.host, answer.waitMs)
-    else if (this.#opts.ranking.first(account.workspace.name, now) !== sent.host) this.#ask(account)
+    if (!isLent) return this.#onNotLent(account, sent, answer)
+    account.lastLender = sent.host
+    if (answer.count < sent.count) this.#refuseWaiting(account, answer.waitMs)
+    else this.#ask(account)
+  }
+
+  /** Chooses whom to ask next, and when, after a question that was lost or whose receiver doesn't lend. */
+  #onNotLent (account: Account, { host, mode }: SentQuestion, answer: Exclude<QuotaAnswer, { kind: 'lent' }> | undefined): void {
+    if (mode === 'handover') return this.#endHandover(account)
+    if (answer?.kind === 'settling') return this.#waitForLender(account, host, answer.waitMs)
+    const isReplaced = this.#opts.ranking.first(account.workspace.name, this.#opts.timers.now()) !== host
+    if (isReplaced) this.#ask(account)
     else this.#pause(account, ASK_AGAIN_MS)
   }
 
@@ -256,3 +260,19 @@
     for (const { done } of late) this.#decide(done, { kind: 'unknown', retryAfterMs: UNKNOWN_RETRY_AFTER_MS })
   }
 }
+
+function createAccount (workspace: MeshWorkspace, isRepeat: boolean, now: number): Account {
+  return {
+    workspace,
+    isRepeat,
+    credits: new WorkspaceCredits(),
+    waiting: [],
+    question: undefined,
+    lastLender: undefined,
+    handover: undefined,
+    emptyUntil: 0,
+    pausedUntil: 0,
+    isGiveUpScheduled: false,
+    requestedAt: now
+  }
+}
