--- a/packages/hop/src/outbound/nodeCallerConnection.ts
+++ b/packages/hop/src/outbound/nodeCallerConnection.ts
@@ -75,7 +75,7 @@
       return
     }
     const exchange = new CallerExchange(this, req, res)
-    if (this.#hasRoom) return this.#begin(exchange)
+    if (this.#waiting.length === 0 && this.#hasRoom) return this.#begin(exchange)
     this.#waiting.push(exchange)
     this.#socket.pause()
     exchange.setBase(PIPELINED_REQUEST_BYTES)
@@ -158,9 +158,10 @@
     return true
   }
 
+  /** Whether one more request may be handed on. */
   get #hasRoom (): boolean {
     const { maxPipelined, maxUnreadBytes } = this.#opts.limits
-    return this.#active.size < maxPipelined && this.#unreadBytes < maxUnreadBytes && this.#waiting.length === 0
+    return this.#active.size < maxPipelined && this.#unreadBytes < maxUnreadBytes
   }
 
   #begin (exchange: CallerExchange): void {
@@ -172,10 +173,7 @@
   }
 
   #beginWaiting (): void {
-    const { maxPipelined, maxUnreadBytes } = this.#opts.limits
-    while (this.#waiting.length > 0 && this.#active.size < maxPipelined && this.#unreadBytes < maxUnreadBytes) {
-      this.#begin(this.#waiting.shift()!)
-    }
+    while (this.#waiting.length > 0 && this.#hasRoom) this.#begin(this.#waiting.shift()!)
     if (this.#waiting.length === 0) this.#socket.resume()
     else this.#socket.pause()
   }
