--- a/packages/hop/src/outbound/routeExplainer.ts
+++ b/packages/hop/src/outbound/routeExplainer.ts
@@ -5,7 +5,7 @@
 import type { RouteTable } from '../routing/routeTable.js'
 import type { OfferMode } from '../link/messages.js'
 import type { CallCommand } from './callFlow.js'
-import { judgeCaller } from './callerIdentity.js'
+import { judgeCaller, type ClaimedWorkspace } from './callerIdentity.js'
 import type { Candidate } from './costEstimate.js'
 import type { TargetFigures } from './loadBalancer.js'
 import { OutboundCall } from './outboundCall.js'
@@ -92,13 +92,12 @@
   explain (query: RouteQuery): RouteExplanation {
     const { own } = this.#opts.outbound.fleet
     const table = this.#opts.table()
-    const start = { protocol: PROTOCOL, daemon: own.host, dataCentre: own.dataCentre, config: table?.config.version ?? 0, services: [] } as const
-    if (!table) return { ...start, services: [], rejection: { status: 503, reason: 'noConfiguration' } }
+    const start: RouteExplanation = { protocol: PROTOCOL, daemon: own.host, dataCentre: own.dataCentre, config: table?.config.version ?? 0, services: [] }
+    if (!table) return { ...start, rejection: { status: 503, reason: 'noConfiguration' } }
     const route = table.match(hostName(query.host), pathOf(query))
-    if (!route) return { ...start, services: [], rejection: { status: 404, reason: 'noRoute' } }
-    const named = query.workspace === undefined ? undefined : table.config.workspaces.get(query.workspace)
-    const identity = judgeCaller(table, route, 'caller', named ?? (query.workspace === undefined ? 'none' : 'unknown'))
-    if (identity.kind === 'rejected') return { ...start, route, services: [], rejection: { status: 401, reason: identity.reason } }
+    if (!route) return { ...start, rejection: { status: 404, reason: 'noRoute' } }
+    const identity = judgeCaller(table, route, 'caller', claimedWorkspace(table, query))
+    if (identity.kind === 'rejected') return { ...start, route, rejection: { status: 401, reason: identity.reason } }
     const { workspace } = identity
     return {
       ...start,
@@ -155,6 +154,10 @@
   return query < 0 ? path : path.slice(0, query)
 }
 
+function claimedWorkspace (table: RouteTable, { workspace }: RouteQuery): ClaimedWorkspace {
+  return workspace === undefined ? 'none' : table.config.workspaces.get(workspace) ?? 'unknown'
+}
+
 function requestOf (query: RouteQuery): CallerRequest {
   const { method, host, path } = query
   const head = { requestId: '', host: hostName(host), path: pathOf(query), headers: ['Host', host], deadlineMs: Infinity }
