--- a/packages/hop/src/evacuation/evacuations.ts
+++ b/packages/hop/src/evacuation/evacuations.ts
@@ -72,8 +72,9 @@
     const { log } = this.#opts
     const known = this.#records.get(dataCentre)
     if (known && !replaces(record, known)) return false
-    const fields = { dataCentre, isOrdered, revision: formatRevision(revision), from, ...known ? { before: formatRevision(known.revision), wasOrdered: known.isOrdered } : {} }
-    const refusal = known && this.#isHeld(record, known) ? 'evacuationHeld' : !known && !this.#makeRoom() ? 'evacuationIgnored' : undefined
+    const before = known ? { before: formatRevision(known.revision), wasOrdered: known.isOrdered } : {}
+    const fields = { dataCentre, isOrdered, revision: formatRevision(revision), from, ...before }
+    const refusal = this.#refusal(record, known)
     if (refusal) {
       log.decision(refusal, fields)
       return false
@@ -84,6 +85,12 @@
     return true
   }
 
+  /** Name of the log line for a record that is not taken over; undefined for one that is, for which there is room then. */
+  #refusal (record: EvacuationRecord, known: EvacuationRecord | undefined): 'evacuationHeld' | 'evacuationIgnored' | undefined {
+    if (known) return this.#isHeld(record, known) ? 'evacuationHeld' : undefined
+    return this.#makeRoom() ? undefined : 'evacuationIgnored'
+  }
+
   /** The removal of an order that a peer still holds although a list of the store shows that it is gone; otherwise the record itself. */
   #withoutRemoved (record: EvacuationRecord): EvacuationRecord {
     const { dataCentre, isOrdered, revision } = record
