--- a/packages/hop/src/outbound/outboundHandler.ts
+++ b/packages/hop/src/outbound/outboundHandler.ts
@@ -130,12 +130,11 @@
     return () => onCallerLeft()
   }
 
+  /** Starts or rejects the request; returns what to call when its caller leaves. */
   #onQuotaDecision (request: RoutedRequest, workspace: MeshWorkspace, decision: QuotaDecision): () => void {
-    const { req, res, arrivedAt, route } = request
+    const { req, res, arrivedAt } = request
     if (decision.kind !== 'granted') {
-      const rejection = decision.kind === 'exceeded' ? { status: 429, reason: 'quotaExceeded' } as const : { status: 503, reason: 'quotaUnknown' } as const
-      this.#opts.traffic.recordWorkspace(workspace.name, decision.kind === 'exceeded' ? 'overQuota' : 'rejected')
-      this.#reject(req, res, { ...rejection, retryAfterMs: decision.retryAfterMs, route: route.name, workspace: workspace.name })
+      this.#rejectForQuota(request, workspace, decision)
       return () => {}
     }
     const giveBack = (): void => this.#opts.quota.giveBack(workspace)
@@ -146,6 +145,13 @@
     return () => {}
   }
 
+  #rejectForQuota ({ req, res, route }: RoutedRequest, workspace: MeshWorkspace, { kind, retryAfterMs }: Exclude<QuotaDecision, { kind: 'granted' }>): void {
+    const isExceeded = kind === 'exceeded'
+    const rejection = isExceeded ? { status: 429, reason: 'quotaExceeded' } as const : { status: 503, reason: 'quotaUnknown' } as const
+    this.#opts.traffic.recordWorkspace(workspace.name, isExceeded ? 'overQuota' : 'rejected')
+    this.#reject(req, res, { ...rejection, retryAfterMs, route: route.name, workspace: workspace.name })
+  }
+
   #cancelWait (wait: QuotaWait, { req, route, workspace }: RoutedRequest): void {
     if (!this.#quotaWaits.delete(wait)) return
     wait.cancel()
