--- a/packages/hop/src/inbound/admission.ts
+++ b/packages/hop/src/inbound/admission.ts
@@ -34,6 +34,16 @@
 const EWMA_WEIGHT = 0.1
 /** Observations of the pace are capped here, because a single slow request says little about the pace of the target. */
 const MAX_OBSERVED_PACE = 4
+/** Smallest part of the slots assumed to be left over by more urgent requests. */
+const MIN_SLOT_SHARE = 0.1
+/** Part of the target latency that queueing and running may take; the rest is for the network. */
+const USABLE_LATENCY_SHARE = 0.9
+/** Duration of a slow request as a multiple of the expected one. */
+const SLOW_REQUEST_FACTOR = 1.6
+/** Part of the target latency that the delivery of an answer may take where another host may have more room on its link. */
+const BUSY_LINK_SHARE = 0.4
+/** Part of the target latency for which any request may wait, so that short bursts are smoothed. */
+const MIN_WAIT_SHARE = 0.1
 
 /**
  * Admission control for the slots of one target and for the rate of requests that it takes. A target never gets more
@@ -58,7 +68,6 @@
   readonly #rejectionRates = new RejectionRates()
   readonly #slotUsage = new SlotUsage()
   readonly #waitFactor = new WaitFactor()
-
   readonly #slowdown: TargetSlowdown
 
   /** `slowdown`: how much the target's machine slows it down now. */
@@ -259,17 +268,6 @@
   }
 }
 
-/** Smallest part of the slots assumed to be left over by more urgent requests. */
-const MIN_SLOT_SHARE = 0.1
-/** Part of the target latency that queueing and running may take; the rest is for the network. */
-const USABLE_LATENCY_SHARE = 0.9
-/** Duration of a slow request as a multiple of the expected one. */
-const SLOW_REQUEST_FACTOR = 1.6
-/** Part of the target latency that the delivery of an answer may take where another host may have more room on its link. */
-const BUSY_LINK_SHARE = 0.4
-/** Part of the target latency for which any request may wait, so that short bursts are smoothed. */
-const MIN_WAIT_SHARE = 0.1
-
 function isLinkBusy ({ nested, deliveryMs, targetLatencyMs }: SlotRequest): boolean {
   return !nested && deliveryMs > BUSY_LINK_SHARE * targetLatencyMs
 }
