Mend three faults of quotas that a reading of the diff found

Peers' answers about one lost host were counted as answers about any other, so a second host lost by one daemon alone let that daemon lend the full quota for up to 1.5 s; the least possible part holds now until peers have been asked about the host. A daemon that was suspended while no quota was in use lent at once when it woke, as its ticks had stopped; they go on while there are workspaces. An error while a decided request was started left its caller without an answer and those behind it undecided; it is answered with 502. The first two have tests that failed before; the third was found by reading.

--- a/packages/core/src/virtualTimers.ts
+++ b/packages/core/src/virtualTimers.ts
@@ -59,12 +59,17 @@
     const until = this.#now + ms
     for (let next = this.#entries[0]; next && next.at <= until; next = this.#entries[0]) {
       this.#entries.shift()
-      this.#now = next.at
+      this.#now = Math.max(this.#now, next.at)
       next.fn()
     }
     this.#now = until
   }
 
+  /** Moves the clock forward without firing timers, as for a process that is suspended; they fire with the next `advance`. */
+  suspend (ms: number): void {
+    this.#now += ms
+  }
+
   /** Like `advance`, but in steps, with promise callbacks run after each of them. */
   async advanceAsync (ms: number, stepMs = 10): Promise<void> {
     for (let remainingMs = ms; remainingMs > 0; remainingMs -= stepMs) {
--- a/packages/hop/src/outbound/outboundHandler.ts
+++ b/packages/hop/src/outbound/outboundHandler.ts
@@ -122,7 +122,7 @@
       timeoutMs: Math.min(req.head.deadlineMs, route.timeoutMs),
       onDecision: (decision) => {
         this.#quotaWaits.delete(wait)
-        onCallerLeft = this.#onQuotaDecision(request, workspace, decision)
+        onCallerLeft = this.#settleQuota(request, workspace, decision)
       }
     })
     this.#quotaWaits.add(wait)
@@ -130,6 +130,18 @@
     return () => onCallerLeft()
   }
 
+  /** Goes on with a request; one that fails unexpectedly must not keep those from being decided on that wait behind it. */
+  #settleQuota (request: RoutedRequest, workspace: MeshWorkspace, decision: QuotaDecision): () => void {
+    try {
+      return this.#onQuotaDecision(request, workspace, decision)
+    } catch (err) {
+      const { req, res } = request
+      this.#opts.log.call(false, 'outbound', { id: req.head.requestId, outcome: 502, reason: 'internalError', error: (err as Error).stack })
+      res.reject(502, 'internalError')
+      return () => {}
+    }
+  }
+
   /** Starts or rejects the request; returns what to call when its caller leaves. */
   #onQuotaDecision (request: RoutedRequest, workspace: MeshWorkspace, decision: QuotaDecision): () => void {
     const { req, res, arrivedAt } = request
--- a/packages/hop/src/quota/__tests__/quota.spec.ts
+++ b/packages/hop/src/quota/__tests__/quota.spec.ts
@@ -9,6 +9,7 @@
 import { LenderRanking } from '../lenderRanking.js'
 import { quotaFleetView } from '../quotaFleetView.js'
 import type { QuotaDecision } from '../quotaGate.js'
+import { ReachSample } from '../reachSample.js'
 import { WorkspaceCredits } from '../workspaceCredits.js'
 
 const HOSTS = ['a', 'b', 'c']
@@ -251,3 +252,27 @@
   t.true(credits.take(150))
   t.false(credits.take(150))
 })
+
+test('guards against answers of peers about one lost host being taken for answers about another one', (t) => {
+  const timers = new VirtualTimers()
+  const peers = Array.from({ length: 20 }, (_, i) => `p${i}`)
+  const sample = new ReachSample({ timers, random: new SeededRandom(1), askReach: (_peer, hosts, done) => done(hosts.map((host) => host === 'onlyLostHere')) })
+  sample.setPeers(peers)
+  sample.partWithout(['lostByAll'])
+  timers.advance(1_000)
+  t.is(sample.partWithout(['lostByAll']), 1)
+  t.true(sample.partWithout(['onlyLostHere']) < 0.1, 'before peers are asked')
+  timers.advance(1_000)
+  t.true(sample.partWithout(['onlyLostHere']) < 0.1, 'once they are asked')
+})
+
+test('guards against a daemon that was suspended while no quota was in use lending at once when it wakes', (t) => {
+  const harness = new Harness()
+  const name = ranked('a')
+  const limit = { ratePerS: 10, burst: 5 }
+  harness.gate.retain(new Map([[name, workspace(name, 10, 5)]]))
+  t.is(harness.ask(name, 1, limit)?.kind, 'lent')
+  harness.timers.advance(30_000)
+  harness.timers.suspend(5_000)
+  t.is(harness.ask(name, 1, limit)?.kind, 'settling')
+})
--- a/packages/hop/src/quota/fleetQuotaGate.ts
+++ b/packages/hop/src/quota/fleetQuotaGate.ts
@@ -56,6 +56,7 @@
   #reachableShare = 1
   #stopTicking: Cancel | undefined
   #tickedAt = 0
+  #hasWorkspaces = false
   #sweptAt = 0
 
   constructor (opts: FleetQuotaGateOptions) {
@@ -127,6 +128,8 @@
 
   /** Drops the state of workspaces that the active configuration doesn't have. */
   retain (workspaces: ReadonlyMap<string, unknown>): void {
+    this.#hasWorkspaces = workspaces.size > 0
+    if (this.#hasWorkspaces) this.#startTicking()
     this.#asker.retain(workspaces)
   }
 
@@ -146,7 +149,7 @@
     return this.#lender.answer(question, mode, now)
   }
 
-  /** There are no ticks while there is no state, so that a deployment without workspaces does no work. */
+  /** Ticks notice that the process was suspended, so they go on while nothing is asked; without workspaces there are none. */
   #startTicking (): void {
     if (this.#stopTicking) return
     const { timers } = this.#opts
@@ -168,7 +171,7 @@
     this.#ranking.retain((workspace) => this.#asker.has(workspace) || this.#lender.has(workspace))
     const changes = this.#lender.takeChanges()
     if (changes) this.#opts.log.decision('quotaLender', { ...changes, buckets: this.#lender.size })
-    if (this.#asker.size + this.#lender.size > 0) return
+    if (this.#hasWorkspaces || this.#asker.size + this.#lender.size > 0) return
     this.#stopTicking?.()
     this.#stopTicking = undefined
   }
--- a/packages/hop/src/quota/reachSample.ts
+++ b/packages/hop/src/quota/reachSample.ts
@@ -1,4 +1,4 @@
-import type { Random, Timers } from '@lentilwheel/core'
+import type { Cancel, Random, Timers } from '@lentilwheel/core'
 
 export interface ReachSampleOptions {
   timers: Pick<Timers, 'now' | 'after'>
@@ -25,10 +25,14 @@
   readonly #opts: ReachSampleOptions
   /** Hosts of which the part has been asked since the last round. */
   #wanted = new Set<string>()
+  /** Hosts that the last round asked about. */
+  #asked: ReadonlySet<string> = new Set()
   /** For each peer that answered in the last round, the hosts that it reaches. */
   #answers: ReadonlySet<string>[] = []
   #peers: readonly string[] = []
-  #isScheduled = false
+  #cancelRound: Cancel | undefined
+  /** Whether the next round comes soon, for hosts that no round has asked about. */
+  #isFirstRoundDue = false
 
   constructor (opts: ReachSampleOptions) {
     this.#opts = opts
@@ -38,25 +42,39 @@
     this.#peers = peers
   }
 
-  /** Estimated part of the reachable daemons, this one included, that reach none of the hosts. */
+  /** Estimated part of the reachable daemons, this one included, that reach none of the hosts; the least possible until peers have been asked. */
   partWithout (hosts: readonly string[]): number {
     if (hosts.length === 0) return 1
     for (const host of hosts) if (this.#wanted.size < MAX_REACH_HOSTS) this.#wanted.add(host)
-    if (!this.#isScheduled) this.#schedule(FIRST_PROBE_MS)
+    if (this.#peers.length === 0) return 1
+    if (!hosts.every((host) => this.#asked.has(host))) {
+      this.#onNewHosts()
+      return 1 / (1 + Math.min(SAMPLE_SIZE, this.#peers.length))
+    }
+    if (!this.#cancelRound) this.#schedule(FIRST_PROBE_MS)
     const size = Math.max(this.#answers.length, 1)
     const without = this.#answers.filter((reached) => !hosts.some((host) => reached.has(host))).length
-    return this.#peers.length === 0 ? 1 : (1 + without) / (1 + size)
+    return (1 + without) / (1 + size)
+  }
+
+  /** Asks about hosts that no round has asked about yet, without waiting for the next one. */
+  #onNewHosts (): void {
+    if (this.#isFirstRoundDue) return
+    this.#isFirstRoundDue = true
+    this.#schedule(FIRST_PROBE_MS)
   }
 
   #schedule (ms: number): void {
-    this.#isScheduled = true
-    this.#opts.timers.after(ms, () => this.#probe())
+    this.#cancelRound?.()
+    this.#cancelRound = this.#opts.timers.after(ms, () => this.#probe())
   }
 
   #probe (): void {
     const hosts = [...this.#wanted]
     this.#wanted.clear()
-    this.#isScheduled = false
+    this.#asked = new Set(hosts)
+    this.#isFirstRoundDue = false
+    this.#cancelRound = undefined
     if (hosts.length === 0) {
       this.#answers = []
       return
