Let buckets hold a part of the slack that a deployment allows beyond quotas

Change: three tenths of bounds.quota_slack are added to the bucket's capacity; without that setting nothing changes.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -150,7 +150,7 @@
       quarantine: this.#quarantine
     })
     this.#evacuationWatcher = new EvacuationWatcher({ isEnabled: cfg.hasEvacuations ?? false, evacuations, fleet: this.#fleet, store, codec, timers, random, log })
-    this.#quota = new DaemonQuota({ host: cfg.host, timers, random, log, fleet: this.#fleet })
+    this.#quota = new DaemonQuota({ host: cfg.host, timers, random, log, fleet: this.#fleet, slack: cfg.quotaSlack })
     this.#moves = new MoveController({ fleet: this.#fleet, store, codec, evacuations, timers, random, log })
     const client = new NodeTargetClient({
       host: cfg.target.address,
--- a/packages/hop/src/daemon/resolvedHopConfig.ts
+++ b/packages/hop/src/daemon/resolvedHopConfig.ts
@@ -32,6 +32,8 @@
   hedging?: HedgingLimits
   /** What the link of this host carries, in bytes a millisecond; Infinity if that isn't known. */
   linkBytesPerMs: number
+  /** Requests by which a workspace may pass its quota in a short time; absent for none. */
+  quotaSlack?: number
   /** Whether operators may order the evacuation of a data centre; absent for no. */
   hasEvacuations?: boolean
   /** Memory that the process may take; undefined if that isn't known. */
--- a/packages/hop/src/quota/__tests__/quota.spec.ts
+++ b/packages/hop/src/quota/__tests__/quota.spec.ts
@@ -276,3 +276,15 @@
   harness.timers.suspend(5_000)
   t.is(harness.ask(name, 1, limit)?.kind, 'settling')
 })
+
+test('guards against a small workspace being refused for the uneven arrivals of its requests where the deployment has slack', (t) => {
+  const timers = new VirtualTimers()
+  const gate = new FleetQuotaGate({
+    own: OWN, timers, random: new SeededRandom(1), log: new NoopCallLog(), limitOf: () => undefined, slack: 20, defer: (fn) => fn(), send: () => {}, askReach: () => {}
+  })
+  gate.setFleet({ candidates: [OWN], reachable: [OWN], unreachable: [] })
+  timers.advance(10_000)
+  const decisions: string[] = []
+  for (let i = 0; i < 10; i++) gate.admit(workspace('w', 2, 2), ({ kind }) => { decisions.push(kind) })
+  t.deepEqual(decisions.filter((kind) => kind === 'granted').length, 8, 'the burst, and three tenths of the slack')
+})
--- a/packages/hop/src/quota/__tests__/quotaSimulator.ts
+++ b/packages/hop/src/quota/__tests__/quotaSimulator.ts
@@ -154,6 +154,7 @@
       random,
       log: new NoopCallLog(),
       limitOf: (name) => this.workspaces.get(name),
+      slack: QUOTA_SLACK,
       defer: (fn) => daemon.after(0, fn),
       send: (peer, message, done) => this.#send(daemon, this.#daemon(peer), (receiver, reply) => receiver.gate.onQuestions(message, reply), done),
       askReach: (peer, hosts, done) => this.#send(daemon, this.#daemon(peer), (receiver, reply) => reply(hosts.map((host) => receiver.up.has(host))), done)
--- a/packages/hop/src/quota/daemonQuota.ts
+++ b/packages/hop/src/quota/daemonQuota.ts
@@ -12,6 +12,8 @@
   random: Random
   log: CallLog
   fleet: Fleet
+  /** Requests by which the deployment lets a workspace pass its quota in a short time; absent for none. */
+  slack: number | undefined
 }
 
 const NO_WORKSPACES: ReadonlyMap<string, MeshWorkspace> = new Map()
@@ -23,13 +25,14 @@
   #workspaces = NO_WORKSPACES
   #isUpdateDue = false
 
-  constructor ({ host, timers, random, log, fleet }: DaemonQuotaOptions) {
+  constructor ({ host, timers, random, log, fleet, slack }: DaemonQuotaOptions) {
     this.#fleet = fleet
     this.gate = new FleetQuotaGate({
       own: host,
       timers,
       random,
       log,
+      slack,
       limitOf: (workspace) => this.#workspaces.get(workspace),
       defer: runAfterTurn,
       send: (peer, message, done) => {
--- a/packages/hop/src/quota/fleetQuotaGate.ts
+++ b/packages/hop/src/quota/fleetQuotaGate.ts
@@ -18,6 +18,8 @@
   log: CallLog
   /** Limit in the active configuration; undefined if it doesn't have the workspace. */
   limitOf (workspace: string): QuotaLimit | undefined
+  /** Requests by which the deployment lets a workspace pass its quota in a short time; absent for none. */
+  slack?: number | undefined
 }
 
 /** Decisions and messages so far. */
@@ -60,11 +62,11 @@
   #sweptAt = 0
 
   constructor (opts: FleetQuotaGateOptions) {
-    const { own, timers, random, limitOf } = opts
+    const { own, timers, random, limitOf, slack } = opts
     this.#opts = opts
     this.#ranking = new LenderRanking({ own, startedAt: timers.now() })
     this.#reachSample = new ReachSample(opts)
-    this.#lender = new Lender({ random, ranking: this.#ranking, limitOf, shareOf: (workspace) => this.#shareOf(workspace) })
+    this.#lender = new Lender({ random, ranking: this.#ranking, limitOf, slack, shareOf: (workspace) => this.#shareOf(workspace) })
     this.#batcher = new QuestionBatcher(opts)
     this.#asker = new CreditAsker({
       timers,
--- a/packages/hop/src/quota/lender.ts
+++ b/packages/hop/src/quota/lender.ts
@@ -15,6 +15,8 @@
   shareOf (workspace: string): number
   /** Limit in the active configuration; undefined if it doesn't have the workspace. */
   limitOf (workspace: string): QuotaLimit | undefined
+  /** Requests by which the deployment lets a workspace pass its quota in a short time; absent for none. */
+  slack?: number | undefined
 }
 
 /** What this daemon keeps for a workspace that it lends for. */
@@ -31,6 +33,8 @@
   replacedAt: number | undefined
 }
 
+/** Part of the slack that a bucket may hold; the rest covers credits that are out, and what is lent twice until a cut is noticed. */
+const BUCKET_SLACK_SHARE = 0.3
 /** Tokens that a bucket starts with, so that a small workspace isn't refused its first request. */
 const START_TOKENS = 2
 /** Part of the bucket that retries of refused requests leave to new ones, which can still be answered within their target latency. */
@@ -126,16 +130,22 @@
     const known = this.#quotas.get(workspace)
     if (known && known.replacedAt === undefined && known.start.lendsFrom === start.lendsFrom) return known
     if (known) this.#end(workspace)
-    const limit = lowerLimit(this.#opts.limitOf(workspace), stated)
+    const limit = this.#limitFor(workspace, stated)
     const quota = createQuota(limit, this.#opts.shareOf(workspace), start, now)
     this.#quotas.set(workspace, quota)
     this.#changes.began++
     return quota
   }
 
+  /** The limit that the bucket applies: without the slack, the uneven arrivals of a small workspace would cost it requests within its quota. */
+  #limitFor (workspace: string, stated: QuotaLimit): QuotaLimit {
+    const { ratePerS, burst } = lowerLimit(this.#opts.limitOf(workspace), stated)
+    return { ratePerS, burst: burst + (this.#opts.slack ?? 0) * BUCKET_SLACK_SHARE }
+  }
+
   /** Applies the limits as they are now. */
   #setLimits (quota: LentQuota, question: QuotaQuestion, now: number): void {
-    const limit = lowerLimit(this.#opts.limitOf(question.workspace), question)
+    const limit = this.#limitFor(question.workspace, question)
     const share = this.#opts.shareOf(question.workspace)
     if (quota.share === share && quota.limit.ratePerS === limit.ratePerS && quota.limit.burst === limit.burst) return
     quota.bucket.setLimits(now, limit.ratePerS * share, capacityOf(limit, share))
