Tell peers of a planned stop 1.5 s after it began, so that the target beside the daemon serves them until then

Cause: a stopping daemon stays for its callers for 2.5 to 5.3 s (52 planned stops under load on hrm), and from the first moment peers sent nothing to the target beside it. Change: peers are told after 1.5 s, or a quarter of the grace period; the daemon goes on for at least a second after that.

--- a/packages/hop/src/daemon/__tests__/gracefulShutdown.spec.ts
+++ b/packages/hop/src/daemon/__tests__/gracefulShutdown.spec.ts
@@ -25,7 +25,7 @@
     if (isRefusing && refusedAt === Infinity) refusedAt = timers.now()
     return timers.now() < refusedAt + requestMs ? 1 : 0
   }
-  const { done } = new GracefulShutdown({ timers, graceMs: GRACE_MS, server, inFlight })
+  const { done } = new GracefulShutdown({ timers, graceMs: GRACE_MS, server, tellPeers: () => record('peers are told'), inFlight })
   done.then((outcome) => record(outcome))
   for (let elapsedMs = 0; elapsedMs < GRACE_MS; elapsedMs += 50) {
     timers.advance(50)
--- a/packages/hop/src/daemon/gracefulShutdown.ts
+++ b/packages/hop/src/daemon/gracefulShutdown.ts
@@ -18,6 +18,8 @@
   graceMs: number
   /** Server for the callers' requests. */
   server: StoppableServer
+  /** Tells peers that the daemon stops, after which they send no more requests for the target beside it. */
+  tellPeers (): void
   /** Number of requests in flight, outbound and inbound. */
   inFlight (): number
 }
@@ -25,6 +27,12 @@
 /** `quiet`: no caller is left; `refused`: new requests were refused until none was in flight; `graceOver`: time ran out. */
 export type ShutdownOutcome = 'quiet' | 'refused' | 'graceOver'
 
+/**
+ * Time until peers are told, and its longest part of the grace period. The target beside the daemon serves them until then, as the
+ * daemon stays for its callers anyway: in a rolling restart the slots of many targets would be missing.
+ */
+const MAX_TELL_DELAY_MS = 1_500
+const TELL_DELAY_SHARE = 0.25
 /** Least time for which all requests are still accepted, so that callers notice that the daemon is no longer ready. */
 const MIN_ACCEPT_MS = 2_500
 /** Time without a request after which no caller is assumed to be left. */
@@ -36,7 +44,7 @@
 const CHECK_INTERVAL_MS = 50
 
 /**
- * Stops a daemon without cutting off requests: asks callers to connect elsewhere, accepts requests until none come or most
+ * Stops a daemon without cutting off requests: asks callers to connect elsewhere, tells peers a moment later, accepts requests until none come or most
  * of the grace period is over, then refuses new ones. Before that, a request that may outlast the grace period is refused
  * as soon as callers have had time to notice. `done` resolves once no request is in flight or the time is over.
  */
@@ -48,6 +56,7 @@
     const startedAt = timers.now()
     const endsAt = startedAt + graceMs - CLOSE_RESERVE_MS
     server.startStopping()
+    timers.after(Math.min(MAX_TELL_DELAY_MS, graceMs * TELL_DELAY_SHARE), () => opts.tellPeers())
     timers.after(MIN_ACCEPT_MS, () => server.refuseLaterThan(endsAt))
     this.done = new Promise((resolve) => {
       let isRefusing = false
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -304,9 +304,9 @@
       timers,
       graceMs: this.#cfg.graceMs,
       server: this.#outboundServer,
+      tellPeers: () => this.#fleet.setStopping(),
       inFlight: () => this.#outboundServer.inFlight + this.#inbound.active + this.#sendQueue.waiting
     })
-    this.#fleet.setStopping()
     this.#discovery.stop()
     if (!this.#localTarget.record(timers.now())) this.#registration.deregister()
     const how = await this.#shutdown.done
