--- a/packages/hop/src/quota/__tests__/quotaScale.ts
+++ b/packages/hop/src/quota/__tests__/quotaScale.ts
@@ -11,7 +11,7 @@
 const WORKSPACES = 10_000
 const CHANGES = 20
 
-const records = Array.from({ length: HOSTS }, (_, i) => testHost(`sidecar-otaru-${i}`))
+const records = Array.from({ length: HOSTS }, (_, i) => testHost(`host-${i}`))
 const workspaces: MeshWorkspace[] = Array.from({ length: WORKSPACES }, (_, i) => ({ name: `workspace-${i}`, keyHashes: [], ratePerS: 300, burst: 300 }))
 const timers = new VirtualTimers()
 const gate = new FleetQuotaGate({ own: records[0]!.host, timers, random: new SeededRandom(1), log: new NoopCallLog(), limitOf: () => undefined, defer: (fn) => { timers.after(0, fn) }, send: () => {}, askReach: () => {} })
--- a/packages/hop/src/quota/__tests__/quotaSimulator.ts
+++ b/packages/hop/src/quota/__tests__/quotaSimulator.ts
@@ -109,7 +109,7 @@
     this.#opts = opts
     this.#random = new SeededRandom(opts.seed)
     this.workspaces = new Map((opts.workspaces ?? unevenWorkspaces()).map((workspace) => [workspace.name, workspace]))
-    this.daemons = Array.from({ length: opts.daemons ?? 82 }, (_, i) => new SimDaemon(`sidecar-${i}`, this.timers))
+    this.daemons = Array.from({ length: opts.daemons ?? 82 }, (_, i) => new SimDaemon(`host-${i}`, this.timers))
     for (const daemon of this.daemons) this.start(daemon)
   }
 
@@ -204,7 +204,7 @@
   }
 
   #daemon (host: string): SimDaemon {
-    return this.daemons[Number(host.slice('sidecar-'.length))]!
+    return this.daemons[Number(host.slice('host-'.length))]!
   }
 
   #between ({ least, spread }: { least: number, spread: number }): number {
