Drop the review's case on roll-outs, which review/4 shows

Cause: the case was written before the earlier ones were read; review/4 and KNOWN-RED.txt have the same fault.

--- a/review/10/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec node "$(dirname "$0")/case.mjs"
