Show that one spoilt answer keeps the daemon from working for seconds

Cause: the expression that reads a header line tries the blanks inside a value from each position on, which takes time with the square of their number; a head may have 64 KiB. Change: review/10. Nothing of the software is changed. Measured: one line of 60,000 blanks, in one answer of an instance, left 200 and more requests of the machine without an answer half a second after their route's timeout.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/case.mjs"
