--- a/review/lib-2/runCase.mjs
+++ b/review/lib-2/runCase.mjs
@@ -23,6 +23,7 @@
   const timer = setTimeout(() => finish(2, 'could not run: the time is over'), LIMIT_MS)
   process.on('SIGTERM', () => finish(2, 'could not run: stopped'))
   process.on('SIGINT', () => finish(2, 'could not run: stopped'))
+  process.on('uncaughtException', (err) => finish(2, `could not run: ${err.stack}`))
   try {
     const broken = await play({ record, end: (fn) => ends.push(fn) })
     if (broken.length === 0) await finish(0, 'the rule held')
