Send answers to their end before a connection is closed, and wait for callers at a planned stop

Cause: connections were closed while unread bytes were waiting or more could arrive. The system then resets them and drops what it still has to send. Node.js closes the connection itself after an answer with Connection: close, and idle ones when the server closes; the process didn't wait for anything that the system had taken.

Change: what arrives behind the last answer is read and dropped until the caller closes as well, 5 s at most. At a planned stop the daemon ends idle connections, rejects what still arrives as not run, and exits when callers and other daemons have closed their connections or the grace period is over.

Why it works: a system that has no unread bytes and still reads has no reason to reset; the caller closes once it has read the end.

--- a/packages/hop/src/daemon/gracefulShutdown.ts
+++ b/packages/hop/src/daemon/gracefulShutdown.ts
@@ -41,6 +41,8 @@
 const ACCEPT_FRACTION = 0.75
 /** Time reserved at the end of the grace period for closing. */
 const CLOSE_RESERVE_MS = 250
+/** Time between the exit and the end of the grace period. */
+const EXIT_RESERVE_MS = 50
 const CHECK_INTERVAL_MS = 50
 
 /**
@@ -50,11 +52,14 @@
  */
 export class GracefulShutdown {
   readonly done: Promise<ShutdownOutcome>
+  /** When the process has to exit at the latest, in monotonic milliseconds. */
+  readonly exitAt: number
 
   constructor (opts: GracefulShutdownOptions) {
     const { timers, graceMs, server } = opts
     const startedAt = timers.now()
     const endsAt = startedAt + graceMs - CLOSE_RESERVE_MS
+    this.exitAt = startedAt + graceMs - EXIT_RESERVE_MS
     server.startStopping()
     timers.after(Math.min(MAX_TELL_DELAY_MS, graceMs * TELL_DELAY_SHARE), () => opts.tellPeers())
     timers.after(MIN_ACCEPT_MS, () => server.refuseLaterThan(endsAt))
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -1,5 +1,4 @@
-import { errorCode, type Random, type Timers } from '@lentilwheel/core'
-import type { HeaderNames } from '../headers.js'
+import { errorCode } from '@lentilwheel/core'
 import type { EvacuationRecord } from '../evacuation/evacuationRecord.js'
 import { Evacuations } from '../evacuation/evacuations.js'
 import { EvacuationWatcher } from '../evacuation/evacuationWatcher.js'
@@ -14,9 +13,8 @@
 import { createResponseLimits } from '../inbound/responseLimits.js'
 import { NodeHopServer } from '../link/nodeHopServer.js'
 import { SendQueue } from '../link/sendQueue.js'
+import { OpenSockets } from '../link/nodeOpenSockets.js'
 import { NodePeerLink } from '../link/nodePeerLink.js'
-import type { CallLog } from '../observe/callLog.js'
-import type { CallMetrics } from '../observe/callMetrics.js'
 import { TrafficSummary } from '../observe/trafficSummary.js'
 import { NodeMetricsServer } from '../observe/nodeMetricsServer.js'
 import { resolveCallerLimits } from '../outbound/callerLimits.js'
@@ -33,30 +31,16 @@
 import { NewsSpreader } from '../quarantine/newsSpreader.js'
 import { Quarantine } from '../quarantine/quarantine.js'
 import { DaemonQuota } from '../quota/daemonQuota.js'
-import type { ObjectStore } from '../store/objectStore.js'
-import type { StoreCodec } from './storeCodec.js'
+import { closeConnections } from './connectionClose.js'
 import { ConfigUpdater } from './configUpdater.js'
 import { DaemonRegistration } from './daemonRegistration.js'
 import { PeerDiscovery } from './peerDiscovery.js'
 import type { ResolvedHopConfig } from './resolvedHopConfig.js'
 import { LoopLag } from './nodeLoopLag.js'
+import type { HopDaemonOptions, ReceiptOutcome } from './hopDaemonTypes.js'
 import { GracefulShutdown } from './gracefulShutdown.js'
 import { ResourceReport } from './resourceReport.js'
 
-export interface HopDaemonOptions {
-  cfg: ResolvedHopConfig
-  timers: Timers
-  random: Random
-  log: CallLog
-  metrics: CallMetrics
-  names: HeaderNames
-  store: ObjectStore
-  codec: StoreCodec
-}
-
-/** What became of a target's message. `unconfirmed`: it was handled, but what it says would be forgotten if all daemons restarted now. */
-export type ReceiptOutcome = 'confirmed' | 'unconfirmed' | 'invalid'
-
 const TARGET_CHECK_INTERVAL_MS = 250
 /** Time for the last responses to be sent before the servers are closed. */
 const LAST_RESPONSES_MS = 50
@@ -86,6 +70,8 @@
   readonly #budget: BufferBudget
   readonly #outboundServer: NodeOutboundServer
   readonly #hopServer: NodeHopServer
+  /** Connections to and from other daemons. */
+  readonly #peerSockets = new OpenSockets()
   readonly #metricsServer: NodeMetricsServer
   readonly #configUpdater: ConfigUpdater
   readonly #registration: DaemonRegistration
@@ -101,6 +87,8 @@
   /** Set once the daemon has been told to stop. */
   #shutdown: GracefulShutdown | undefined
   #wasReady = false
+  /** Departures that wait for the store, with the messages of the target that tell them. */
+  #unconfirmed = 0
 
   constructor (opts: HopDaemonOptions) {
     const { cfg, timers, random, log, metrics, names, store, codec } = opts
@@ -135,7 +123,7 @@
       random,
       log,
       openLink: (host, address, port) => new NodePeerLink({
-        host, address, port, timers, log, queue, budget, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
+        host, address, port, timers, log, queue, budget, openSockets: this.#peerSockets, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
       }),
       onChange: () => this.#onFleetChange(),
       onNewerPeerVersion: () => this.#configUpdater.catchUp(),
@@ -226,7 +214,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, lag, queue, budget, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.gate.onQuestions(message, reply), isUp: (host) => this.#fleet.isUp(host), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, lag, queue, budget, openSockets: this.#peerSockets, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.gate.onQuestions(message, reply), isUp: (host) => this.#fleet.isUp(host), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     const explainer = new RouteExplainer({
       outbound: outboundOptions, table: () => this.#outbound.table, versionOptions: (service) => this.#moves.options(service)
@@ -305,7 +293,7 @@
       graceMs: this.#cfg.graceMs,
       server: this.#outboundServer,
       tellPeers: () => this.#fleet.setStopping(),
-      inFlight: () => this.#outboundServer.inFlight + this.#inbound.active + this.#sendQueue.waiting
+      inFlight: () => this.#outboundServer.inFlight + this.#inbound.active + this.#sendQueue.waiting + this.#unconfirmed
     })
     this.#discovery.stop()
     if (!this.#localTarget.record(timers.now())) this.#registration.deregister()
@@ -319,9 +307,12 @@
     this.#moves.stop()
     this.#evacuationWatcher.stop()
     this.#blockStore.stop()
-    this.#hopServer.close()
-    this.#outboundServer.close()
-    this.#fleet.close()
+    this.#inbound.startRefusing()
+    const closePeers = (): void => {
+      this.#hopServer.close()
+      this.#fleet.close()
+    }
+    await closeConnections({ timers, log, exitAt: this.#shutdown.exitAt, callers: this.#outboundServer, peers: this.#peerSockets, closePeers })
   }
 
   #ownRecord (): HostRecord {
@@ -337,7 +328,9 @@
 
   /** Confirms a departure once it can't be forgotten any more. The target gets no new requests in either case. */
   async #confirm (departure: Departure): Promise<ReceiptOutcome> {
-    if (await this.#registration.keep(departure)) return 'confirmed'
+    this.#unconfirmed++
+    const isKept = await this.#registration.keep(departure).finally(() => { this.#unconfirmed-- })
+    if (isKept) return 'confirmed'
     this.#opts.log.decision('departureNotConfirmed', { target: departure.id, startedAt: departure.startedAt, state: departure.state })
     return 'unconfirmed'
   }
--- a/packages/hop/src/inbound/inboundHandler.ts
+++ b/packages/hop/src/inbound/inboundHandler.ts
@@ -39,6 +39,7 @@
   readonly #crashes: CrashGuard
   /** The target whose state the other fields hold. */
   #known: TargetRecord | undefined
+  #isRefusing = false
 
   constructor (opts: InboundOptions) {
     this.#opts = opts
@@ -92,6 +93,11 @@
     this.#runningRequests.recordNestedRefusal(requestId)
   }
 
+  /** From now on all offers are rejected, as the daemon is about to exit. */
+  startRefusing (): void {
+    this.#isRefusing = true
+  }
+
   /** Cancels the runs of a request that is no longer sent, before they crash the target; one that isn't idempotent goes on. */
   cancelRefused (fingerprint: string): void {
     for (const call of this.#calls.values()) if (call.message.idempotent && this.#crashes.fingerprintOf(call.message) === fingerprint) call.abort?.()
@@ -216,6 +222,7 @@
   /** Why the target can't take a call, whatever its load; undefined when it can. */
   #rejectionReason (message: CallMessage, target: TargetRecord | undefined): NotRunReason | undefined {
     if (message.incarnation !== this.#opts.incarnation()) return 'unsent'
+    if (this.#isRefusing) return 'stopping'
     if (this.#opts.isEvacuated?.()) return 'evacuated'
     if (!target) return 'noTarget'
     if (target.id !== message.targetId || target.service !== message.service) return 'otherTarget'
--- a/packages/hop/src/index.ts
+++ b/packages/hop/src/index.ts
@@ -1,5 +1,6 @@
 export * from './daemon/storeCodec.js'
 export * from './daemon/hopDaemon.js'
+export * from './daemon/hopDaemonTypes.js'
 export * from './daemon/resolvedHopConfig.js'
 export * from './errors.js'
 export type { TargetState } from './fleet/hostRecord.js'
--- a/packages/hop/src/link/nodeFrameSocket.ts
+++ b/packages/hop/src/link/nodeFrameSocket.ts
@@ -83,7 +83,7 @@
 
   /** Sends a frame when it is its turn. `onEvicted`: counts it against the budget while it waits, and is called if it is dropped for that. */
   send (frame: Frame, urgency = CONTROL_URGENCY, onEvicted?: () => void): SentFrame {
-    if (this.#socket.destroyed) return SENT
+    if (this.#socket.destroyed || this.#socket.writableEnded) return SENT
     const { queue } = this.#opts
     const bytes = encode(frame)
     if (this.#hasToWait(bytes.length) || !queue.trySendNow(bytes.length)) return this.#enqueue(bytes, urgency, onEvicted)
@@ -164,7 +164,9 @@
     else this.destroy('a message that had to be dropped is not a frame')
   }
 
+  /** What arrives after the end can't be answered any more. */
   #onValue (value: unknown): void {
+    if (this.#socket.writableEnded) return
     try {
       this.#onFrame(toFrame(value))
     } catch (err) {
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -9,6 +9,7 @@
 import type { HopReply, QuotaAnswer, QuotaMessage, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, type Frame } from './frames.js'
 import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
+import type { OpenSockets } from './nodeOpenSockets.js'
 import { packQuotaAnswers, unpackQuotaMessage, unpackReachHosts } from './quotaCodec.js'
 import { readSyncMessage } from './readSyncMessage.js'
 import type { BufferBudget } from '../buffers/bufferBudget.js'
@@ -27,6 +28,8 @@
   queue: SendQueue
   /** Budget for the bodies of calls and for what waits of the replies; absent for none. */
   budget?: BufferBudget
+  /** Gets each connection of another daemon. */
+  openSockets?: OpenSockets
   onSync (message: SyncMessage): SyncMessage
   /** Answers another daemon's questions about quotas; calls `reply` once. */
   onQuota (message: QuotaMessage, reply: (answers: QuotaAnswer[]) => void): void
@@ -69,6 +72,7 @@
     return bytes
   }
 
+  /** Accepts no more connections, and ends the open ones once what has been handed over for them is sent. */
   close (): void {
     this.#server.close()
     for (const peer of this.#peers) peer.end()
@@ -76,6 +80,7 @@
 
   #onConnection (socket: Socket): void {
     const { handler: inbound, log, timers, queue, budget } = this.#opts
+    this.#opts.openSockets?.add(socket)
     const exchanges: Exchanges = { calls: new Map(), replies: new Map(), bodies: new CallBodies(budget) }
     const peer = new FrameSocket(socket, {
       timers,
--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -4,6 +4,7 @@
 import { FRAME_KINDS, type FrameKind } from './frames.js'
 import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
 import type { BufferBudget } from '../buffers/bufferBudget.js'
+import type { OpenSockets } from './nodeOpenSockets.js'
 import type { SendQueue } from './sendQueue.js'
 import { CONTROL_URGENCY } from './urgency.js'
 
@@ -17,6 +18,8 @@
   queue: SendQueue
   /** Budget for what is held of incomplete replies; absent for none. */
   budget?: BufferBudget
+  /** Gets each connection that is opened. */
+  openSockets?: OpenSockets
   /** Whether to stay connected while there is nothing to send; otherwise a request opens the connection. */
   isPersistent: boolean
   /** Silence after which an idle connection is pinged. */
@@ -127,6 +130,7 @@
   #connect (): FrameSocket {
     const { address, port, timers, peer, log, queue, budget } = this.#opts
     const tcp = connect({ host: address, port, noDelay: true })
+    this.#opts.openSockets?.add(tcp)
     const socket = new FrameSocket(tcp, {
       timers,
       queue,
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -10,6 +10,7 @@
 import { packQuotaMessage, unpackQuotaAnswers, unpackReached } from './quotaCodec.js'
 import { readSyncMessage } from './readSyncMessage.js'
 import type { BufferBudget } from '../buffers/bufferBudget.js'
+import type { OpenSockets } from './nodeOpenSockets.js'
 import type { SendQueue } from './sendQueue.js'
 import { CONTROL_URGENCY, NESTED_URGENCY, urgencyOf } from './urgency.js'
 
@@ -23,6 +24,8 @@
   queue: SendQueue
   /** Budget for what is held of incomplete replies; absent for none. */
   budget?: BufferBudget
+  /** Gets each connection that is opened. */
+  openSockets?: OpenSockets
   /** Silence after which an idle connection is pinged. */
   idlePingMs (): number
   /** Called when the peer becomes reachable and when the connection to it is lost. */
@@ -62,8 +65,8 @@
 
   constructor (opts: PeerLinkOptions) {
     this.#opts = opts
-    const { host, address, port, timers, log, queue, budget, idlePingMs, onSilent } = opts
-    const shared = { peer: host, address, port, timers, log, queue, idlePingMs, onSilent, ...budget ? { budget } : {} }
+    const { host, address, port, timers, log, queue, budget, openSockets, idlePingMs, onSilent } = opts
+    const shared = { peer: host, address, port, timers, log, queue, idlePingMs, onSilent, ...budget ? { budget } : {}, ...openSockets ? { openSockets } : {} }
     this.#connection = new PeerConnection({ ...shared, isPersistent: true, onStateChange: (isUp) => opts.onStateChange(host, isUp) })
     this.#bulkConnection = new PeerConnection({ ...shared, isPersistent: false, onStateChange: () => {} })
   }
--- /dev/null
+++ b/packages/hop/src/outbound/__tests__/endingConnections.spec.ts
@@ -0,0 +1,137 @@
+import test, { type ExecutionContext } from 'ava'
+import { setTimeout as delay } from 'node:timers/promises'
+import { BufferBudget } from '../../buffers/bufferBudget.js'
+import { answer, requests, setUp, until, type Caller, type Setup } from './callerSetup.js'
+
+// How connections of callers end. The responses are larger than what the system keeps for a connection, so that a reset loses a part of them.
+
+const BODY = 'x'.repeat(8 * 1024 * 1024)
+const SEND_INTERVAL_MS = 5
+/** Beyond the time that a caller has to close an ended connection. */
+const LONG_MS = 20_000
+
+/** Requests and bodies that keep arriving until the caller sees the end of its connection, or until it can't write any more. */
+async function keepSending ({ socket }: Caller, text: string): Promise<void> {
+  while (socket.writable && !socket.readableEnded) {
+    socket.write(text)
+    await delay(SEND_INTERVAL_MS)
+  }
+}
+
+/** Waits until the caller has read everything, which it does in pieces, with pauses that let the server end the connection before. */
+async function readSlowly (t: ExecutionContext, caller: Caller): Promise<void> {
+  caller.socket.on('data', () => {
+    caller.socket.pause()
+    setTimeout(() => caller.socket.resume(), 1)
+  })
+  caller.socket.resume()
+  await until(t, 'the connection is closed', () => caller.isClosed)
+}
+
+function connectPaused ({ connectCaller }: Setup): Caller {
+  const caller = connectCaller()
+  caller.socket.pause()
+  return caller
+}
+
+for (const behind of ['requests', 'a body', 'bytes that are no request'] as const) {
+  test(`guards against a planned stop cutting off responses because of what arrives behind them: ${behind}`, async (t) => {
+    const setup = await setUp(t, { maxUnreadBytes: Infinity })
+    const { server, passedOn } = setup
+    const caller = connectPaused(setup)
+    caller.socket.write(requests(1, 2))
+    await until(t, 'two are passed on', () => passedOn.length === 2)
+    server.startStopping()
+    answer(passedOn[1]!, 'answer to r2;')
+    const text = { requests: requests(3, 5), 'a body': 'y'.repeat(10_000), 'bytes that are no request': '\x00\x01\r\n\r\n' }[behind]
+    if (behind === 'a body') caller.socket.write('POST /a/ HTTP/1.1\r\nHost: h\r\nx-id: r3\r\nContent-Length: 900000000\r\n\r\n')
+    const sending = keepSending(caller, text)
+    answer(passedOn[0]!, BODY)
+    await readSlowly(t, caller)
+    await sending
+    t.is(caller.errorCode, undefined)
+    t.is(caller.received.match(/x/g)?.length, BODY.length)
+    t.true(caller.received.endsWith('answer to r2;'))
+    t.is(passedOn.length, 2)
+  })
+}
+
+test('guards against the end of a planned stop cutting off a response that its caller is still reading, where another request crosses it', async (t) => {
+  const setup = await setUp(t, { maxUnreadBytes: Infinity })
+  const { server, passedOn } = setup
+  const caller = connectPaused(setup)
+  caller.socket.write(requests(1, 1))
+  await until(t, 'it is passed on', () => passedOn.length === 1)
+  answer(passedOn[0]!, BODY)
+  caller.socket.resume()
+  await until(t, 'the system has taken the response', () => server.inFlight === 0)
+  caller.socket.pause()
+  server.startStopping()
+  server.close()
+  await delay(50)
+  const sending = keepSending(caller, requests(2, 3))
+  let isClosed = false
+  const closing = server.whenClosed().then(() => { isClosed = true })
+  await delay(50)
+  t.false(isClosed)
+  await readSlowly(t, caller)
+  await sending
+  await closing
+  t.is(caller.errorCode, undefined)
+  t.is(caller.received.match(/x/g)?.length, BODY.length)
+})
+
+test('guards against a request that has arrived by the end of a planned stop staying without an answer', async (t) => {
+  const setup = await setUp(t)
+  const { server, passedOn } = setup
+  const [idle, late, reading] = [setup.connectCaller(), setup.connectCaller(), setup.connectCaller()]
+  reading.socket.write('POST /a/ HTTP/1.1\r\nHost: h\r\nx-id: r2\r\nContent-Length: 100\r\n\r\nhalf')
+  await until(t, 'all are connected, and a body is arriving', () => server.connections === 3 && server.inFlight === 1)
+  server.startStopping()
+  late.socket.write(requests(1, 1))
+  await delay(50)
+  server.close()
+  answer(passedOn[0]!)
+  await until(t, 'all are closed', () => [idle, late, reading].every(({ isClosed }) => isClosed))
+  t.regex(late.received, /^HTTP\/1.1 200.*Connection: close.*answer to r1;$/si)
+  t.regex(reading.received, /^HTTP\/1.1 503.*Connection: close.*Retry-After: 0\.050|^HTTP\/1.1 503.*Retry-After: 0\.050.*Connection: close/si)
+  t.deepEqual([idle.received, idle.errorCode, late.errorCode, reading.errorCode], ['', undefined, undefined, undefined])
+  await server.whenClosed()
+})
+
+const refusals: Record<string, { status: number, head: string, budgetBytes?: number }> = {
+  'a body over the limit': { status: 413, head: 'POST /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nContent-Length: 2000000\r\n\r\n' },
+  'a body that grows over the limit': { status: 413, head: 'POST /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nTransfer-Encoding: chunked\r\n\r\n1000000\r\n' },
+  'a body that does not fit into memory': { status: 503, budgetBytes: 200_000, head: 'POST /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nContent-Length: 900000\r\n\r\n' },
+  'a head over the limit': { status: 431, head: `GET /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nx-long: ${'x'.repeat(10_000)}\r\n\r\n` },
+  'a head without end': { status: 431, head: 'GET /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nx-long: ' },
+  'bytes that are no request': { status: 400, head: 'no request\r\n\r\n' }
+}
+
+for (const [name, { status, head, budgetBytes = Infinity }] of Object.entries(refusals)) {
+  test(`guards against a caller that sends on losing the refusal of its request: ${name}`, async (t) => {
+    const setup = await setUp(t, {}, new BufferBudget(budgetBytes))
+    const caller = setup.connectCaller()
+    caller.socket.write(head)
+    await keepSending(caller, 'y'.repeat(50_000))
+    await until(t, 'the connection is closed', () => caller.isClosed)
+    t.true(caller.received.startsWith(`HTTP/1.1 ${status} `), caller.received.slice(0, 100))
+    t.is(caller.errorCode, undefined)
+    t.deepEqual(setup.passedOn, [])
+  })
+}
+
+test('guards against a caller that never closes its connection keeping it open', async (t) => {
+  const setup = await setUp(t)
+  const { server, timers, events } = setup
+  const caller = setup.connectCaller({ allowHalfOpen: true })
+  caller.socket.write('no request\r\n\r\n')
+  await until(t, 'it is refused', () => caller.received.startsWith('HTTP/1.1 400'))
+  for (let ms = 0; ms < LONG_MS; ms += 1_000) {
+    caller.socket.write('more')
+    timers.advance(1_000)
+    await delay(1)
+  }
+  await until(t, 'the connection is closed', () => server.connections === 0)
+  t.deepEqual(events, ['badInput', 'callerClosed'])
+})
--- a/packages/hop/src/outbound/nodeCallerConnection.ts
+++ b/packages/hop/src/outbound/nodeCallerConnection.ts
@@ -3,9 +3,13 @@
 import type { BufferBudget, BufferHolder } from '../buffers/bufferBudget.js'
 import type { CallerLimits } from './callerLimits.js'
 import { CallerExchange } from './nodeCallerExchange.js'
+import { discardInput } from './nodeDiscardedInput.js'
 
-/** Why the daemon closed the connection of a caller that stayed outside the limits. */
-export type CallerCloseReason = 'stalledResponse' | 'noRequest' | 'memory' | 'connections'
+/**
+ * Why the daemon closed the connection of a caller that stayed outside the limits; `unclosed`: the caller didn't close it after its last
+ * response, which it has had time to read.
+ */
+export type CallerCloseReason = 'stalledResponse' | 'noRequest' | 'memory' | 'connections' | 'unclosed'
 
 export interface CallerConnectionOptions {
   readonly limits: CallerLimits
@@ -19,10 +23,13 @@
 
 /** Bytes that a request without a body takes, about, and a short response. Counted for those behind another on their connection. */
 const PIPELINED_REQUEST_BYTES = 8_192
+/** Time for a caller to read the rest of its last response and to close its end, from when the system has taken all of it. */
+const LINGER_MS = 5_000
 
 /**
  * One connection of a caller, with the requests that arrived on it. It hands on a bounded number of them at a time, accounts for what
- * is held for them, cancels all of them when the caller leaves, and is closed only after the response to the last that was handed on.
+ * is held for them, cancels all of them when the caller leaves, and is ended only after the response to the last that was handed on: what
+ * arrives behind that one is read and dropped until the caller closes the connection as well.
  */
 export class CallerConnection implements BufferHolder {
   readonly #socket: Socket
@@ -34,6 +41,8 @@
   #last: CallerExchange | undefined
   /** No further request is handed on, as a response closes the connection or its bytes are no requests. */
   #isEnding = false
+  /** When the system was first seen to have taken everything up to the end of the connection. */
+  #endedAt: number | undefined
   /** Response without a request, for bytes that could not be parsed; sent once the others are complete. */
   #finalText: string | undefined
   #heldBytes = 0
@@ -46,6 +55,8 @@
     this.#opts = opts
     this.#progress.at = now
     socket.once('close', () => this.#onClose())
+    // Node.js calls this after a response that closes the connection; its own method would close it at once.
+    socket.destroySoon = () => { socket.end() }
   }
 
   /** Requests that wait for their response or are still being read. */
@@ -67,13 +78,15 @@
     return this.#socket.destroyed || this.#socket.readableEnded
   }
 
+  /** Whether no further request is handed on. */
+  get isEnding (): boolean {
+    return this.#isEnding
+  }
+
   /** Takes a request whose head has arrived. */
   add (req: IncomingMessage, res: ServerResponse): void {
+    if (this.#isEnding) return
     this.#requests++
-    if (this.#isEnding) {
-      this.#socket.pause()
-      return
-    }
     const exchange = new CallerExchange(this, req, res)
     if (this.#waiting.length === 0 && this.#hasRoom) return this.#begin(exchange)
     this.#waiting.push(exchange)
@@ -83,11 +96,19 @@
 
   /** Ends the connection because of bytes that are no request, after the responses to the requests before them. */
   endWith (text: string): void {
-    this.#isEnding = true
-    this.#dropWaiting()
-    this.#finalText ??= text
-    if (this.#active.size === 0) this.#socket.end(this.#finalText)
-    else this.#socket.pause()
+    if (this.#isEnding) return
+    this.#finalText = text
+    this.#endInput()
+    if (this.#active.size === 0) this.#socket.end(text)
+  }
+
+  /** Ends the connection unless requests are in progress, whose last response does so; `reject` is called with one that is still arriving. */
+  endIdle (reject: (exchange: CallerExchange) => void): void {
+    if (this.#isEnding) return
+    if (this.#last?.isReading) return reject(this.#last)
+    if (this.#active.size > 0) return
+    this.#endInput()
+    this.#socket.end()
   }
 
   /** Closes the connection at once; what has been sent of a response is never taken for a complete one. */
@@ -95,14 +116,15 @@
     this.#isEnding = true
     this.#opts.onForcedClose(reason, this.#heldBytes)
     this.#dropWaiting()
-    this.#socket.resetAndDestroy()
+    // A reset would drop what the system still has to send.
+    if (reason === 'unclosed') this.#socket.destroy()
+    else this.#socket.resetAndDestroy()
   }
 
   /** Whether the response to a request that is about to be written has to close the connection; if so, no further request is handed on. */
   closesAfter (exchange: CallerExchange, isForced: boolean): boolean {
     if (exchange !== this.#last || !(isForced || this.#opts.isStopping() || this.#isEnding)) return false
-    this.#isEnding = true
-    this.#dropWaiting()
+    this.#endInput()
     return true
   }
 
@@ -142,6 +164,10 @@
   check (now: number, idleMs: number): CallerCloseReason | undefined {
     if (this.#hasMoved()) this.#progress.at = now
     const quietMs = now - this.#progress.at
+    if (this.#socket.writableFinished) {
+      this.#endedAt ??= now
+      return now - this.#endedAt > LINGER_MS ? 'unclosed' : undefined
+    }
     if (this.#active.size === 0) return quietMs > idleMs ? 'noRequest' : undefined
     if (this.#socket.writableLength > 0 && quietMs > this.#opts.limits.stalledResponseMs) return 'stalledResponse'
     if (this.#last?.isReading && quietMs > idleMs) this.#last.rejectUnread(408, 'bodyTimeout', idleMs)
@@ -178,6 +204,13 @@
     else this.#socket.pause()
   }
 
+  /** From now on no request is handed on, and what arrives is dropped. */
+  #endInput (): void {
+    this.#isEnding = true
+    this.#dropWaiting()
+    discardInput(this.#socket)
+  }
+
   #dropWaiting (): void {
     for (const exchange of this.#waiting) exchange.setBase(0)
     this.#waiting.length = 0
--- a/packages/hop/src/outbound/nodeCallerConnections.ts
+++ b/packages/hop/src/outbound/nodeCallerConnections.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Timers } from '@lentilwheel/core'
+import type { CallerExchange } from './nodeCallerExchange.js'
 import { CallerConnection, type CallerConnectionOptions } from './nodeCallerConnection.js'
 
 export interface CallerConnectionsOptions extends CallerConnectionOptions {
@@ -48,6 +49,16 @@
     this.#connections.get(socket)?.endWith(text)
   }
 
+  /** Ends the connections on which no response is due; the others end with their last response. `reject` is called with requests that are still arriving. */
+  endIdle (reject: (exchange: CallerExchange) => void): void {
+    for (const connection of this.#connections.values()) connection.endIdle(reject)
+  }
+
+  /** Whether what arrives on a connection is dropped. */
+  isEnding (socket: Socket): boolean {
+    return this.#connections.get(socket)?.isEnding === true
+  }
+
   #check (): void {
     const now = this.#opts.timers.now()
     const idleMs = this.#opts.idleMs()
--- a/packages/hop/src/outbound/nodeCallerExchange.ts
+++ b/packages/hop/src/outbound/nodeCallerExchange.ts
@@ -99,12 +99,12 @@
   }
 
   /** Rejects a request before it has been read completely; its connection can't be reused and is closed. */
-  rejectUnread (status: number, reason: string, limit: number): void {
+  rejectUnread (status: number, reason: string, limit: number, retryAfterMs = status === 503 ? RETRY_AFTER_BUFFERS_FULL_MS : undefined): void {
     if (this.res.headersSent) return
     this.unreadBody = undefined
     this.hold(0)
     this.onRejectedUnread(status, reason, limit)
-    this.reject(status, reason, status === 503 ? RETRY_AFTER_BUFFERS_FULL_MS : undefined, true)
+    this.reject(status, reason, retryAfterMs, true)
     this.req.resume()
   }
 
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -1,11 +1,12 @@
-import http, { type Server } from 'node:http'
+import { Server } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import type { Timers } from '@lentilwheel/core'
 import type { HeaderNames } from '../headers.js'
 import type { BufferBudget } from '../buffers/bufferBudget.js'
 import type { StoppableServer } from '../daemon/gracefulShutdown.js'
-import type { LoopLag } from '../daemon/nodeLoopLag.js'
+import { runAfterReading, type LoopLag } from '../daemon/nodeLoopLag.js'
 import type { RequestOrigin } from '../inbound/runningRequests.js'
+import { OpenSockets } from '../link/nodeOpenSockets.js'
 import type { SendQueue } from '../link/sendQueue.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { CallMetrics } from '../observe/callMetrics.js'
@@ -49,11 +50,17 @@
 /** Retry-After for callers rejected because the daemon is stopping. */
 const RETRY_AFTER_STOPPING_MS = 50
 
+/** Node.js closes idle connections at once when its server closes, also before their callers have read the last response. */
+class CallerServer extends Server {
+  override closeIdleConnections (): void {}
+}
+
 /** HTTP/1.1 server for callers: reads requests within the limits, passes complete ones to the handler, and writes the responses. */
 export class NodeOutboundServer implements StoppableServer {
   readonly #opts: OutboundServerOptions
   readonly #server: Server
   readonly #connections: CallerConnections
+  readonly #openSockets = new OpenSockets()
   #limits = DEFAULT_LIMITS
   #isStopping = false
   #isRejecting = false
@@ -75,11 +82,14 @@
         opts.log.call(false, 'callerClosed', { reason, heldBytes })
       }
     })
-    this.#server = http.createServer({ requestTimeout: 0, noDelay: true, connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS }, (req, res) => {
+    this.#server = new CallerServer({ requestTimeout: 0, noDelay: true, connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS }, (req, res) => {
       this.#lastRequestAt = performance.now()
       this.#connections.addRequest(req, res)
     })
-    this.#server.on('connection', (socket) => this.#connections.add(socket))
+    this.#server.on('connection', (socket) => {
+      this.#openSockets.add(socket)
+      this.#connections.add(socket)
+    })
     this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.#onClientError(err, socket))
     this.#applyLimits()
   }
@@ -131,10 +141,17 @@
     this.#isRejecting = true
   }
 
-  /** Accepts no more connections, and closes the idle ones. */
+  /** Accepts no more connections and rejects what has still arrived; each connection ends after its last response. */
   close (): void {
+    this.#isStopping = true
+    this.#isRejecting = true
     this.#server.close()
-    this.#server.closeIdleConnections()
+    runAfterReading(() => this.#connections.endIdle((exchange) => exchange.rejectUnread(503, 'stopping', 0, RETRY_AFTER_STOPPING_MS)))
+  }
+
+  /** Resolves once all connections are closed; after `close`, callers do so when they have read their last response. */
+  async whenClosed (): Promise<void> {
+    await this.#openSockets.whenEmpty()
   }
 
   /** The limit of the parser holds for connections that are opened from now on. */
@@ -160,7 +177,7 @@
       metrics.event('boundPassed')
       log.call(false, 'boundPassed', { from: 'caller', bound, limit })
     }
-    metrics.event('badInput')
+    if (reason !== 'stopping') metrics.event('badInput')
     log.call(false, 'outbound', { outcome: status, reason })
   }
 
@@ -196,6 +213,8 @@
   }
 
   #onClientError (err: NodeJS.ErrnoException, socket: Socket): void {
+    // The end of what is dropped may be in the middle of a request.
+    if (this.#connections.isEnding(socket) && err.code !== 'ECONNRESET') return
     this.#opts.metrics.event('badInput')
     const status = CLIENT_ERROR_STATUS[err.code ?? ''] ?? '400 Bad Request'
     this.#opts.log.call(err.code === 'ECONNRESET', 'badInput', { code: err.code, reason: err.message })
