Hand answers without a length to the system at once, so that no part of one looks whole

Cause: such an answer was passed on as it came, piece by piece; the system ends the connection of a killed process in order.

Change: head and body go to the system in one write, past the queue of the link. Where it doesn't take all of it, the connection is reset; bodies above 1 MiB, and those behind other answers, get 502.

Why it works: what the system has taken it sends whatever becomes of the process, and a reset is no end of an answer.

--- a/packages/hop/src/outbound/__tests__/callerSetup.ts
+++ b/packages/hop/src/outbound/__tests__/callerSetup.ts
@@ -42,7 +42,7 @@
   errorCode: string | undefined
 }
 
-export async function setUp (t: ExecutionContext, overrides: Partial<CallerLimits> = {}, budget = UNLIMITED): Promise<Setup> {
+export async function setUp (t: ExecutionContext, overrides: Partial<CallerLimits> = {}, budget = UNLIMITED, queue = unlimitedQueue()): Promise<Setup> {
   const passedOn: PassedOn[] = []
   const events: string[] = []
   const timers = new VirtualTimers()
@@ -55,7 +55,7 @@
     }
   }
   const server = new NodeOutboundServer({
-    address: '127.0.0.1', port: 0, timers, handler: handler as OutboundHandler, log: new NoopCallLog(), metrics, names, lag: NO_LAG, queue: unlimitedQueue(), budget, callerLimits: { ...DEFAULT_CALLER_LIMITS, ...overrides }, originOf: () => 'caller'
+    address: '127.0.0.1', port: 0, timers, handler: handler as OutboundHandler, log: new NoopCallLog(), metrics, names, lag: NO_LAG, queue, budget, callerLimits: { ...DEFAULT_CALLER_LIMITS, ...overrides }, originOf: () => 'caller'
   })
   server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: 1_000_000, headerTimeoutMs: HEADER_MS, idleTimeoutMs: IDLE_MS })
   await server.listen()
--- a/packages/hop/src/outbound/nodeCallerConnection.ts
+++ b/packages/hop/src/outbound/nodeCallerConnection.ts
@@ -7,9 +7,9 @@
 
 /**
  * Why the daemon closed the connection of a caller that stayed outside the limits; `unclosed`: the caller didn't close it after its last
- * response, which it has had time to read.
+ * response, which it has had time to read; `unframed`: a response without a length could not be handed to the system at once.
  */
-export type CallerCloseReason = 'stalledResponse' | 'noRequest' | 'memory' | 'connections' | 'unclosed'
+export type CallerCloseReason = 'stalledResponse' | 'noRequest' | 'memory' | 'connections' | 'unclosed' | 'unframed'
 
 export interface CallerConnectionOptions {
   readonly limits: CallerLimits
@@ -83,6 +83,11 @@
     return this.#isEnding
   }
 
+  /** Whether the system has not taken all that was written. */
+  get hasUntakenBytes (): boolean {
+    return this.#socket.writableLength > 0
+  }
+
   /** Takes a request whose head has arrived. */
   add (req: IncomingMessage, res: ServerResponse): void {
     if (this.#isEnding) return
--- a/packages/hop/src/outbound/nodeCallerExchange.ts
+++ b/packages/hop/src/outbound/nodeCallerExchange.ts
@@ -11,6 +11,8 @@
 const RETRY_AFTER_BUFFERS_FULL_MS = 300
 /** Smaller bodies aren't accounted for; a connection has few of them at a time. */
 const MIN_COUNTED_BYTES = 2_048
+/** Longest body that is passed on without a length; systems take as much for a connection on which nothing waits. */
+const MAX_UNFRAMED_BYTES = 1024 * 1024
 
 /** One request of a caller and its response. */
 export class CallerExchange {
@@ -118,11 +120,9 @@
     const { req, res } = this
     const headers = forwardedResponseHeaders(reply.headers)
     const isBodiless = reply.status === 204 || reply.status === 304
-    const closes = this.#connection.closesAfter(this, reply.unframed)
-    if (reply.unframed && !closes) throw new NotForwardable('a response that ends by closing the connection has others behind it')
-    if (reply.unframed) endBodyByClosing(res)
-    else if (!isBodiless && req.method !== 'HEAD') headers.push('Content-Length', String(reply.body.length))
-    if (closes && !reply.unframed) headers.push('Connection', 'close')
+    if (reply.unframed) return this.#writeUnframed(reply, headers)
+    if (!isBodiless && req.method !== 'HEAD') headers.push('Content-Length', String(reply.body.length))
+    if (this.#connection.closesAfter(this, false)) headers.push('Connection', 'close')
     res.writeHead(reply.status, headers)
     this.#unreadBytes = isBodiless ? 0 : reply.body.length
     this.#connection.addUnread(this.#unreadBytes)
@@ -132,6 +132,24 @@
     else this.#dropBody = sendBody(res, reply.body, urgency, queue)
   }
 
+  /**
+   * Passes on a response that ends with its connection. It isn't given a length, as the target may have cut it off without a sign. Nor would
+   * its caller notice the end of this process in the middle of it, so the system has to take it whole, and sends it then in any case.
+   */
+  #writeUnframed ({ status, body }: ForwardedResponse, headers: string[]): void {
+    const { res } = this
+    if (body.length > MAX_UNFRAMED_BYTES) throw new NotForwardable('a response that ends by closing the connection is too long to be sent at once')
+    if (!res.socket) throw new NotForwardable('a response that ends by closing the connection has others before it')
+    if (!this.#connection.closesAfter(this, true)) throw new NotForwardable('a response that ends by closing the connection has others behind it')
+    res.shouldKeepAlive = false
+    res.useChunkedEncodingByDefault = false
+    res.writeHead(status, headers)
+    res.end(body)
+    if (!this.#connection.hasUntakenBytes) return
+    this.#connection.destroy('unframed')
+    throw new NotForwardable('the system did not take at once a response that ends by closing the connection')
+  }
+
   #onSent (): void {
     this.unreadBody = undefined
     this.#dropBody = undefined
@@ -140,9 +158,3 @@
     this.#connection.onSent(this, this.#unreadBytes)
   }
 }
-
-/** Ends the body by closing the connection: a body without a length can't be known to be complete, and is forwarded as such. */
-function endBodyByClosing (res: ServerResponse): void {
-  res.shouldKeepAlive = false
-  res.useChunkedEncodingByDefault = false
-}
