Read each byte of a header line once, and reject expressions that don't

Cause: the expression for header lines ended in `(.*?)[ \t]*$`, which tries the blanks again from each of their positions.

Change: loops cut the value out. The linter rejects expressions whose time grows faster than the text (eslint-plugin-regexp, a development dependency), and expressions.spec.ts runs the same rules as a test. Of a target's load figures only those that are used are split off.

Why it works: a loop from each end looks at each blank once, whatever stands inside.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,5 @@
 import neostandard from 'neostandard'
+import * as regexp from 'eslint-plugin-regexp'
 
 /** Packages that each package may import; docs/design.md, section 3, gives the reasons. */
 const allowedImports = {
@@ -49,10 +50,20 @@
   }
 }
 
+/** Expressions whose time grows faster than the text, as texts come from targets, callers and peers. */
+const linearExpressions = {
+  plugins: { regexp },
+  rules: {
+    'regexp/no-super-linear-backtracking': ['error', { report: 'potential' }],
+    'regexp/no-super-linear-move': ['error', { report: 'potential', ignorePartial: false }]
+  }
+}
+
 export default [
   { ignores: ['**/dist/**', '**/gen/**', 'bench-out/**', 'target/**', 'journal/**'] },
   ...neostandard({ ts: true }),
   { rules: { 'max-lines': ['error', { max: 400 }] } },
   pureDecisions,
+  linearExpressions,
   ...importDirection
 ]
--- a/packages/bench/src/docs/metricTable.ts
+++ b/packages/bench/src/docs/metricTable.ts
@@ -30,7 +30,7 @@
 /** Reads the metrics table of a page in the form of `findMetrics`; rows without a unit or meaning are left out. */
 export function metricsInTable (page: string): MetricLine[] {
   const section = page.slice(page.indexOf('\n## Metrics\n'))
-  return [...section.matchAll(/^\| `([\w.]+)` \| (count|gauge|timing) \| [^|]*\w[^|]* \| ([^|]*) \| [^|]*\w[^|]* \|$/gm)]
+  return [...section.matchAll(/^\| `([\w.]+)` \| (count|gauge|timing) \| [^|\w]*\w[^|]* \| ([^|]*) \| [^|\w]*\w[^|]* \|$/gm)]
     .map(([, name, type, tags]) => [name, type, ...Array.from(tags!.matchAll(/`(\w+)`/g), (tag) => tag[1])].join(' '))
     .sort()
 }
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -72,7 +72,7 @@
   const isWide = lines.every((line) => line.trimEnd().length <= columns)
   if (isWide) return lines.map((line) => line.trimEnd()).join('\n')
   return lines.map((line) => {
-    const found = /^( {2}\S.*?) {2,}(\S.*)$/.exec(line)
+    const found = /^( {2}\S(?:\S| (?! ))*) {2,}(\S.*)$/.exec(line)
     return wrapBlock(found ? `${found[1]}\n      ${found[2]!.trimEnd()}` : line, columns)
   }).join('\n')
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -59,7 +59,7 @@
 /** Exits even if some ports are open. Prints the error as one line, since supervisors log by line. */
 function fail (err: unknown): never {
   const isUsage = err instanceof UsageError || (err instanceof Error && err.name === 'CACError')
-  const message = (err as Error).message.replaceAll(/\s*\n\s*/g, ' ')
+  const message = (err as Error).message.split('\n').map((line) => line.trim()).filter(Boolean).join(' ')
   console.error(`${PROGRAM_NAME}: ${isUsage ? 'usage' : errorCode(err)}: ${message}`)
   process.exit(isUsage ? EXIT_USAGE : EXIT_FAILED)
 }
--- /dev/null
+++ b/packages/hop/src/__tests__/linearCost.spec.ts
@@ -0,0 +1,50 @@
+import test from 'ava'
+import { parseHeaderLine } from '../inbound/headerLines.js'
+
+// Guards against bytes of a target, a caller or a peer whose reading costs more than in proportion to their number. Costs are counted, not timed: as
+// characters or entries that a method of the language has gone through while it ran. Expressions are checked by the linter, see expressions.spec.ts.
+
+type Method = (this: unknown, ...args: unknown[]) => unknown
+
+/** Sum of the sizes of all calls of a method while `run` runs. */
+function sizeOfCalls (owner: object, name: string, sizeOf: (receiver: unknown, args: unknown[], result: unknown) => number, run: () => void): number {
+  const methods = owner as Record<string, Method>
+  const original = methods[name]!
+  let size = 0
+  methods[name] = function (...args) {
+    const result = original.apply(this, args)
+    size += sizeOf(this, args, result)
+    return result
+  }
+  try {
+    run()
+  } finally {
+    methods[name] = original
+  }
+  return size
+}
+
+const BYTES = 16_000
+/** Entries or characters that may be gone through for each byte. */
+const MAX_PER_BYTE = 4
+
+/** Cost of reading a number of bytes. */
+const costs: Record<string, (bytes: number) => number> = {
+  'blanks inside a header line of a target': (bytes) => sizeOfCalls(String.prototype, 'charCodeAt', () => 1, () => parseHeaderLine(`x-a:${' '.repeat(bytes / 4)}a${' '.repeat(bytes / 2)}b${' '.repeat(bytes / 4)}`, []))
+}
+
+for (const [name, costOf] of Object.entries(costs)) {
+  test.serial(`guards against a process that stands still over a few bytes: ${name}`, (t) => {
+    for (const bytes of [BYTES, 2 * BYTES]) t.true(costOf(bytes) <= MAX_PER_BYTE * bytes, `${costOf(bytes)} for ${bytes} bytes`)
+  })
+}
+
+test('guards against a header line being read otherwise than HTTP defines it', (t) => {
+  const read = (line: string): string[] => {
+    const headers: string[] = []
+    parseHeaderLine(line, headers)
+    return headers
+  }
+  t.deepEqual(['a:b', 'a: b', 'a:\t b c \t', 'a:', 'a: \t', 'a:b:c', 'a:\x85b\xa0'].map(read), [['a', 'b'], ['a', 'b'], ['a', 'b c'], ['a', ''], ['a', ''], ['a', 'b:c'], ['a', '\x85b\xa0']])
+  for (const line of ['', ':', ':b', 'a', 'a b: c', 'a : b', ' a: b', 'a: b\rc', 'a\r: b', 'HTTP/1.1 200 OK']) t.throws(() => read(line), { any: true }, line)
+})
--- a/packages/hop/src/inbound/classifyMessage.ts
+++ b/packages/hop/src/inbound/classifyMessage.ts
@@ -1,4 +1,5 @@
 import { countHeader, headerValue, type HeaderNames } from '../headers.js'
+import { HEADER_NAME } from './headerLines.js'
 import type { ReportedLoad, TargetResult, TargetStatement } from './targetResult.js'
 
 /** A complete HTTP message from a target. */
@@ -47,7 +48,6 @@
   return headers.every((text, i) => (i % 2 === 0 ? HEADER_NAME : HEADER_VALUE).test(text))
 }
 
-const HEADER_NAME = /^[\w!#$%&'*+\-.^`|~]+$/
 /** Visible characters, blanks, tabs, and bytes above 127 as one character each. */
 const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
 
@@ -66,9 +66,12 @@
 const MIN_SLOWDOWN = 0.1
 const MAX_SLOWDOWN = 100
 
+/** Figures of a reported load; more than these are ignored. */
+const MAX_LOAD_FIGURES = 4
+
 /** Running and waiting requests, slots and, from some targets, the time that work takes in percent of the usual. */
 function parseLoad (value: string | undefined): ReportedLoad | undefined {
-  const figures = value?.split(',') ?? []
+  const figures = value?.split(',', MAX_LOAD_FIGURES) ?? []
   const [running, waiting, slots] = figures.map(parseCount)
   if (running === undefined || waiting === undefined || slots === undefined) return undefined
   if (![running, waiting, slots].every((n) => Number.isInteger(n) && n >= 0)) return undefined
