Look at the start of an incomplete status line only until it is known

A target that sends a long status line byte by byte makes the daemon put the line together for each byte.

Cause: each chunk was followed by a look at the start of the line so far, and a text that was joined from pieces is copied as a whole for that.

A wrong start is still found at once (malformedMessages.spec.ts).

--- a/packages/hop/src/__tests__/linearCost.spec.ts
+++ b/packages/hop/src/__tests__/linearCost.spec.ts
@@ -1,5 +1,7 @@
 import test from 'ava'
+import { HTTPParser } from 'http-parser-js'
 import { parseHeaderLine } from '../inbound/headerLines.js'
+import { checkLines } from '../inbound/responseSyntax.js'
 import { forwardedResponseHeaders, parseRequestHead } from '../outbound/requestHead.js'
 import { TEST_HEADERS } from './fixtures.js'
 
@@ -34,6 +36,11 @@
 /** Cost of reading a number of bytes. */
 const costs: Record<string, (bytes: number) => number> = {
   'blanks inside a header line of a target': (bytes) => sizeOfCalls(String.prototype, 'charCodeAt', () => 1, () => parseHeaderLine(`x-a:${' '.repeat(bytes / 4)}a${' '.repeat(bytes / 2)}b${' '.repeat(bytes / 4)}`, [])),
+  'a status line of a target in single bytes': (bytes) => sizeOfCalls(String.prototype, 'startsWith', lengthOf, () => {
+    const parser = new HTTPParser(HTTPParser.RESPONSE)
+    checkLines(parser)
+    for (const byte of Buffer.from(`HTTP/1.1 200 ${'a'.repeat(bytes)}`)) parser.execute(Buffer.of(byte))
+  }),
   'names in a connection header of a target': (bytes) => sizeOfCalls(Array.prototype, 'includes', lengthOf, () => forwardedResponseHeaders(manyHeaders(bytes))),
   'names in a connection header of a caller': (bytes) => sizeOfCalls(Array.prototype, 'includes', lengthOf, () => parseRequestHead('/', ['host', 'h', 'x-id', 'r', ...manyHeaders(bytes)], TEST_HEADERS))
 }
--- a/packages/hop/src/inbound/responseSyntax.ts
+++ b/packages/hop/src/inbound/responseSyntax.ts
@@ -29,10 +29,13 @@
 export function checkLines (parser: InstanceType<typeof HTTPParser>): void {
   const lines = parser as unknown as LineParser
   const consumeLine = lines.consumeLine.bind(lines)
+  // The line is put together anew for each look at it, so an incomplete one is looked at only until its start is known.
+  let isStartKnown = false
   lines.consumeLine = () => {
     const line = consumeLine()
-    if (line === undefined) checkPartialLine(lines)
-    else checkLine(lines.state, line)
+    if (line !== undefined) checkLine(lines.state, line)
+    else if (!isStartKnown) checkPartialLine(lines)
+    isStartKnown = line === undefined && lines.line.length >= STATUS_LINE_START.length
     return line
   }
 }
