--- a/packages/hop/src/__tests__/linearCost.spec.ts
+++ b/packages/hop/src/__tests__/linearCost.spec.ts
@@ -3,7 +3,8 @@
 import { parseHeaderLine } from '../inbound/headerLines.js'
 import { checkLines } from '../inbound/responseSyntax.js'
 import { forwardedResponseHeaders, parseRequestHead } from '../outbound/requestHead.js'
-import { TEST_HEADERS } from './fixtures.js'
+import { RouteTable } from '../routing/routeTable.js'
+import { TEST_HEADERS, TEST_ROUTE } from './fixtures.js'
 
 // Guards against bytes of a target, a caller or a peer whose reading costs more than in proportion to their number. Costs are counted, not timed: as
 // characters or entries that a method of the language has gone through while it ran. Expressions are checked by the linter, see expressions.spec.ts.
@@ -42,13 +43,19 @@
     for (const byte of Buffer.from(`HTTP/1.1 200 ${'a'.repeat(bytes)}`)) parser.execute(Buffer.of(byte))
   }),
   'names in a connection header of a target': (bytes) => sizeOfCalls(Array.prototype, 'includes', lengthOf, () => forwardedResponseHeaders(manyHeaders(bytes))),
-  'names in a connection header of a caller': (bytes) => sizeOfCalls(Array.prototype, 'includes', lengthOf, () => parseRequestHead('/', ['host', 'h', 'x-id', 'r', ...manyHeaders(bytes)], TEST_HEADERS))
+  'names in a connection header of a caller': (bytes) => sizeOfCalls(Array.prototype, 'includes', lengthOf, () => parseRequestHead('/', ['host', 'h', 'x-id', 'r', ...manyHeaders(bytes)], TEST_HEADERS)),
+  'slashes in the path of a caller': (bytes) => sizeOfCalls(String.prototype, 'slice', (_, __, result) => lengthOf(result), () => routes().match('h', '/'.repeat(bytes)))
 }
 
 function manyHeaders (bytes: number): string[] {
   return ['connection', 'x,'.repeat(bytes / 4), ...Array.from({ length: bytes / 16 }, (_, i) => [`h${i}`, 'v']).flat()]
 }
 
+function routes (): RouteTable {
+  const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+  return new RouteTable({ version: 1, routes: ['/a/', '/a/b/', '/c/d/'].map((pathPrefix, i) => ({ ...TEST_ROUTE, name: `r${i}`, pathPrefix })), services: new Map(), workspaces: new Map(), limits })
+}
+
 for (const [name, costOf] of Object.entries(costs)) {
   test.serial(`guards against a process that stands still over a few bytes: ${name}`, (t) => {
     for (const bytes of [BYTES, 2 * BYTES]) t.true(costOf(bytes) <= MAX_PER_BYTE * bytes, `${costOf(bytes)} for ${bytes} bytes`)
