Limit what a peer may send whole to twice what daemons send whole

A peer could send a single frame of up to 80 MiB, which is buffered in one piece and counted by no budget.

Cause: the limit for messages in parts also stood before frames that come whole; daemons send frames of at most 256 KiB so.

Measured: linearCost.spec.ts: before, 1 MiB of an unfinished frame is taken in without an end; after, the connection is closed at 512 KiB. Reading a frame in single bytes costs in proportion before and after: the library grows its buffer in steps.

--- a/packages/hop/src/__tests__/linearCost.spec.ts
+++ b/packages/hop/src/__tests__/linearCost.spec.ts
@@ -1,10 +1,17 @@
 import test from 'ava'
+import { EventEmitter } from 'node:events'
+import type { Socket } from 'node:net'
+import { setImmediate } from 'node:timers/promises'
 import { HTTPParser } from 'http-parser-js'
+import { VirtualTimers } from '@lentilwheel/core'
 import { parseHeaderLine } from '../inbound/headerLines.js'
 import { checkLines } from '../inbound/responseSyntax.js'
+import { encode } from '../link/codec.js'
+import { FRAME_KINDS } from '../link/frames.js'
+import { FrameSocket } from '../link/nodeFrameSocket.js'
 import { forwardedResponseHeaders, parseRequestHead } from '../outbound/requestHead.js'
 import { RouteTable } from '../routing/routeTable.js'
-import { TEST_HEADERS, TEST_ROUTE } from './fixtures.js'
+import { TEST_HEADERS, TEST_ROUTE, unlimitedQueue } from './fixtures.js'
 
 // Guards against bytes of a target, a caller or a peer whose reading costs more than in proportion to their number. Costs are counted, not timed: as
 // characters or entries that a method of the language has gone through while it ran. Expressions are checked by the linter, see expressions.spec.ts.
@@ -30,6 +37,9 @@
 }
 
 const BYTES = 16_000
+const CHUNK_BYTES = 64 * 1024
+/** Far more than any daemon sends at once. */
+const MAX_TAKEN_BYTES = 1024 * 1024
 /** Entries or characters that may be gone through for each byte. */
 const MAX_PER_BYTE = 4
 const lengthOf = (value: unknown): number => (value as { length: number }).length
@@ -44,7 +54,24 @@
   }),
   'names in a connection header of a target': (bytes) => sizeOfCalls(Array.prototype, 'includes', lengthOf, () => forwardedResponseHeaders(manyHeaders(bytes))),
   'names in a connection header of a caller': (bytes) => sizeOfCalls(Array.prototype, 'includes', lengthOf, () => parseRequestHead('/', ['host', 'h', 'x-id', 'r', ...manyHeaders(bytes)], TEST_HEADERS)),
-  'slashes in the path of a caller': (bytes) => sizeOfCalls(String.prototype, 'slice', (_, __, result) => lengthOf(result), () => routes().match('h', '/'.repeat(bytes)))
+  'slashes in the path of a caller': (bytes) => sizeOfCalls(String.prototype, 'slice', (_, __, result) => lengthOf(result), () => routes().match('h', '/'.repeat(bytes))),
+  'a frame of a peer in single bytes': (bytes) => copiedBytes(() => {
+    const socket = new EventEmitter()
+    const frames: unknown[] = []
+    const frameSocket = new FrameSocket(socket as Socket, { timers: new VirtualTimers(), queue: unlimitedQueue(), onFrame: (frame) => { frames.push(frame) }, onClose: () => {} })
+    for (const byte of encode([FRAME_KINDS.reply, 1, 'x'.repeat(bytes)])) socket.emit('data', Buffer.of(byte))
+    if (frames.length !== 1 || frameSocket.lastReceivedAt < 0) throw new Error('the frame was not read')
+  })
+}
+
+function copiedBytes (run: () => void): number {
+  let other = 0
+  const set = sizeOfCalls(Object.getPrototypeOf(Uint8Array.prototype) as object, 'set', (_, [source]) => lengthOf(source), () => {
+    other = sizeOfCalls(Buffer, 'concat', (_, __, result) => lengthOf(result), () => {
+      other = sizeOfCalls(Buffer.prototype, 'copy', (_, __, result) => result as number, run)
+    }) + other
+  })
+  return set + other
 }
 
 function manyHeaders (bytes: number): string[] {
@@ -71,3 +98,18 @@
   t.deepEqual(['a:b', 'a: b', 'a:\t b c \t', 'a:', 'a: \t', 'a:b:c', 'a:\x85b\xa0'].map(read), [['a', 'b'], ['a', 'b'], ['a', 'b c'], ['a', ''], ['a', ''], ['a', 'b:c'], ['a', '\x85b\xa0']])
   for (const line of ['', ':', ':b', 'a', 'a b: c', 'a : b', ' a: b', 'a: b\rc', 'a\r: b', 'HTTP/1.1 200 OK']) t.throws(() => read(line), { any: true }, line)
 })
+
+test('guards against a frame of a peer being taken in without end', async (t) => {
+  const socket = Object.assign(new EventEmitter(), { destroyed: false, destroy: () => { socket.destroyed = true } })
+  const frameSocket = new FrameSocket(socket as unknown as Socket, { timers: new VirtualTimers(), queue: unlimitedQueue(), onFrame: () => t.fail('a frame'), onClose: () => {} })
+  // Binary of 64 MB within an array of three.
+  socket.emit('data', Buffer.from([0x93, FRAME_KINDS.part, 0x01, 0xc6, 0x04, 0x00, 0x00, 0x00]))
+  let taken = 0
+  while (!socket.destroyed && taken < MAX_TAKEN_BYTES) {
+    socket.emit('data', Buffer.alloc(CHUNK_BYTES))
+    taken += CHUNK_BYTES
+    await setImmediate()
+  }
+  t.true(taken < MAX_TAKEN_BYTES)
+  t.true(frameSocket.lastReceivedAt >= 0)
+})
--- a/packages/hop/src/link/nodeFrameSocket.ts
+++ b/packages/hop/src/link/nodeFrameSocket.ts
@@ -30,8 +30,10 @@
   revoke (): boolean
 }
 
-/** Limit for buffering an incomplete message of a peer; a longer message closes the connection. */
+/** Limit for buffering incomplete messages of a peer that come in parts; a longer message closes the connection. */
 const MAX_MESSAGE_BYTES = 80 * 1024 * 1024
+/** Limit for what a peer sends whole, or as one part, which its budget doesn't count. */
+const MAX_FRAME_BYTES = 2 * MAX_WHOLE_BYTES
 /** Shorter frames are written also while the peer takes none. */
 const MIN_WAITING_BYTES = 16 * 1024
 const SENT: SentFrame = { isWaiting: false, revoke: () => false }
@@ -60,7 +62,7 @@
     this.#opts = opts
     this.lastReceivedAt = opts.timers.now()
     this.#parts = new PartAssembler(MAX_MESSAGE_BYTES, opts.budget, (firstPart) => this.#onEvicted(firstPart))
-    const unpackr = new UnpackrStream({ ...UNPACK_OPTIONS, maxIncompleteBufferSize: MAX_MESSAGE_BYTES } as object)
+    const unpackr = new UnpackrStream({ ...UNPACK_OPTIONS, maxIncompleteBufferSize: MAX_FRAME_BYTES } as object)
     unpackr.on('data', (value: unknown) => this.#onValue(value))
     unpackr.on('error', (err: Error) => this.destroy(err.message))
     socket.on('data', (chunk: Buffer) => {
