Weigh what is held with its time when memory is short

Cause: the largest holder of the budget gave way, whatever it held. Many stalled bodies filled the budget, and any larger answer was the largest holder as soon as it was counted.

Change: the holder of most bytes times the time for which they have been held gives way; younger ones count as 100 ms old.

Why it works: what has stalled weighs more from second to second, an answer that is on its way weighs little.

--- a/packages/hop/src/buffers/__tests__/buffers.spec.ts
+++ b/packages/hop/src/buffers/__tests__/buffers.spec.ts
@@ -75,3 +75,34 @@
     t.true(body.capacity <= bytes.length)
   }
 })
+
+test('guards against many holders that each take little and keep it driving out what has just come', (t) => {
+  const evicted: string[] = []
+  let now = 0
+  const budget = new BufferBudget(1_000, 0.25, undefined, () => now)
+  for (let i = 0; i < 10; i++, now += 10) budget.grow(holder(evicted, `stalled ${i}`), 100)
+  for (now = 5_000; now < 6_000; now += 100) {
+    const answer = holder(evicted, `answer at ${now}`)
+    budget.grow(answer, 250)
+    now += 100
+    budget.release(answer)
+  }
+  t.deepEqual(evicted, ['stalled 0 at 1000', 'stalled 1 at 1000', 'stalled 2 at 1000'])
+})
+
+test('guards against a holder whose bytes come and go counting as one that keeps them', (t) => {
+  const evicted: string[] = []
+  let now = 0
+  const budget = new BufferBudget(1_000, 0.25, undefined, () => now)
+  const busy = holder(evicted, 'busy')
+  const stalled = holder(evicted, 'stalled')
+  budget.grow(busy, 500)
+  now = 5_000
+  budget.grow(stalled, 400)
+  for (; now < 8_000; now += 100) {
+    budget.shrink(busy, 400)
+    budget.grow(busy, 400)
+  }
+  budget.grow(busy, 200)
+  t.deepEqual(evicted, ['stalled at 1000'])
+})
--- a/packages/hop/src/buffers/bufferBudget.ts
+++ b/packages/hop/src/buffers/bufferBudget.ts
@@ -9,25 +9,36 @@
   onReached (): void
 }
 
+/** What a holder holds, and since when on average, in monotonic milliseconds. */
+interface Holding {
+  bytes: number
+  since: number
+}
+
+/** What is held for less than this counts as held for this long: among holders that have just come the one of the most bytes is evicted. */
+const MIN_AGE_MS = 100
+
 /**
- * Limits the bytes that all holders of the process hold together. When the limit is exceeded, the holder of the most bytes is
- * evicted, so that one that takes too much doesn't harm the others.
+ * Limits the bytes that all holders of the process hold together. When the limit is exceeded, the holder of the most bytes for the longest
+ * time is evicted: one that takes too much doesn't harm the others, nor do many that each take little and keep it.
  */
 export class BufferBudget {
   readonly #limitBytes: number
   readonly #minOthersBytes: number
-  readonly #bytesByHolder = new Map<BufferHolder, number>()
+  readonly #holdings = new Map<BufferHolder, Holding>()
+  readonly #now: () => number
   readonly #churn: Churn | undefined
   #addedBytes = 0
   #heldBytes = 0
   #reservedBytes = 0
 
   /**
-   * `minOthersShare`: share of the limit that the other holders must hold together for the largest one to be evicted. A single large
+   * `minOthersShare`: share of the limit that the other holders must hold together for one of them to be evicted. A single large
    * message is then served while there is little else, even if it exceeds the limit for a moment. `churn`: what to do each time that so
-   * many bytes have been added.
+   * many bytes have been added. `now`: monotonic milliseconds; without it the age of what is held doesn't count.
    */
-  constructor (limitBytes: number, minOthersShare = 0, churn?: Churn) {
+  constructor (limitBytes: number, minOthersShare = 0, churn?: Churn, now: () => number = () => 0) {
+    this.#now = now
     this.#limitBytes = limitBytes
     this.#churn = churn
     this.#minOthersBytes = limitBytes * minOthersShare
@@ -49,16 +60,19 @@
 
   /** Adds bytes to what a holder holds. Any holder, also this one, may be evicted before this returns. */
   grow (holder: BufferHolder, bytes: number): void {
-    this.#bytesByHolder.set(holder, (this.#bytesByHolder.get(holder) ?? 0) + bytes)
+    if (bytes === 0) return
+    const now = this.#now()
+    const { bytes: before, since } = this.#holdings.get(holder) ?? { bytes: 0, since: now }
+    this.#holdings.set(holder, { bytes: before + bytes, since: (before * since + bytes * now) / (before + bytes) })
     this.#heldBytes += bytes
     this.#countAdded(bytes)
-    this.#evictLargest()
+    this.#evictExcess()
   }
 
   /** Adds bytes that can't be given up, as those of a request that a target is at work on. Any holder may be evicted before this returns. */
   reserve (bytes: number): void {
     this.#reservedBytes += bytes
-    this.#evictLargest()
+    this.#evictExcess()
   }
 
   /** Frees bytes that were added by `reserve`. */
@@ -66,19 +80,21 @@
     this.#reservedBytes -= bytes
   }
 
-  /** Frees some bytes of a holder; fewer if it has been evicted since. */
+  /** Frees some bytes of a holder; fewer if it has been evicted since. The oldest are taken to go first. */
   shrink (holder: BufferHolder, bytes: number): void {
-    const heldBytes = this.#bytesByHolder.get(holder)
-    if (heldBytes === undefined) return
-    if (bytes >= heldBytes) return this.release(holder)
-    this.#bytesByHolder.set(holder, heldBytes - bytes)
+    const held = this.#holdings.get(holder)
+    if (held === undefined) return
+    if (bytes >= held.bytes) return this.release(holder)
+    const now = this.#now()
+    const rest = held.bytes - bytes
+    this.#holdings.set(holder, { bytes: rest, since: now - (now - held.since) * rest / held.bytes })
     this.#heldBytes -= bytes
   }
 
   /** Frees all bytes of a holder, whose message is complete or was dropped. */
   release (holder: BufferHolder): void {
-    this.#heldBytes -= this.#bytesByHolder.get(holder) ?? 0
-    this.#bytesByHolder.delete(holder)
+    this.#heldBytes -= this.#holdings.get(holder)?.bytes ?? 0
+    this.#holdings.delete(holder)
   }
 
   #countAdded (bytes: number): void {
@@ -89,20 +105,29 @@
     this.#churn.onReached()
   }
 
-  #evictLargest (): void {
+  #evictExcess (): void {
     while (this.totalBytes > this.#limitBytes) {
-      const largest = this.#largest()
-      if (!largest) return
-      const [holder, heldBytes] = largest
-      if (this.#heldBytes - heldBytes < this.#minOthersBytes) return
+      const first = this.#firstToEvict()
+      if (!first) return
+      const [holder, { bytes }] = first
+      if (this.#heldBytes - bytes < this.#minOthersBytes) return
       this.release(holder)
       holder.evict(this.#limitBytes)
     }
   }
 
-  #largest (): [BufferHolder, number] | undefined {
-    let largest: [BufferHolder, number] | undefined
-    for (const entry of this.#bytesByHolder) if (!largest || entry[1] > largest[1]) largest = entry
-    return largest
+  /** The holder of the most bytes, each weighted with the time for which it has been held. */
+  #firstToEvict (): [BufferHolder, Holding] | undefined {
+    const now = this.#now()
+    let first: [BufferHolder, Holding] | undefined
+    let mostByteMs = -1
+    for (const entry of this.#holdings) {
+      const [, { bytes, since }] = entry
+      const byteMs = bytes * Math.max(MIN_AGE_MS, now - since)
+      if (byteMs <= mostByteMs) continue
+      first = entry
+      mostByteMs = byteMs
+    }
+    return first
   }
 }
--- a/packages/hop/src/buffers/memoryBudget.ts
+++ b/packages/hop/src/buffers/memoryBudget.ts
@@ -13,12 +13,12 @@
 /** Bytes that come in between two looks at the memory. */
 const CHURN_BYTES = 8 * BYTES_PER_MIB
 const MIN_BUDGET_BYTES = 16 * BYTES_PER_MIB
-/** Share of the budget that others must hold before the largest holder is evicted. */
+/** Share of the budget that others must hold before a holder is evicted. */
 const MIN_OTHERS_SHARE = 0.25
 
-/** Creates the budget for all bytes that a process with this much memory holds for callers, targets and other daemons. */
-export function createMemoryBudget (memoryBytes: number): BufferBudget {
+/** Creates the budget for all bytes that a process with this much memory holds for callers, targets and other daemons. `now`: monotonic milliseconds. */
+export function createMemoryBudget (memoryBytes: number, now?: () => number): BufferBudget {
   const limitBytes = Math.max(MIN_BUDGET_BYTES, (memoryBytes - RESERVED_BYTES) * HELD_SHARE)
   const churn = { bytes: CHURN_BYTES, onReached: () => collectAbove(memoryBytes * COLLECT_SHARE) }
-  return new BufferBudget(Math.floor(limitBytes), MIN_OTHERS_SHARE, churn)
+  return new BufferBudget(Math.floor(limitBytes), MIN_OTHERS_SHARE, churn, now)
 }
--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -93,7 +93,7 @@
   constructor (opts: HopDaemonOptions) {
     const { cfg, timers, random, log, metrics, names, store, codec } = opts
     const queue = this.#sendQueue = new SendQueue({ timers, bytesPerMs: cfg.linkBytesPerMs })
-    const budget = this.#budget = createMemoryBudget(cfg.memoryBytes ?? DEFAULT_MEMORY_BYTES)
+    const budget = this.#budget = createMemoryBudget(cfg.memoryBytes ?? DEFAULT_MEMORY_BYTES, () => timers.now())
     this.#opts = opts
     this.#cfg = cfg
     this.#localTarget = new LocalTarget(cfg.announceMs)
