Keep long heads in one piece while a body arrives, and count them

Cause: the lines of a head were kept as texts, in a list and in a table, for as long as the body was open: several times the bytes of the head, in the JavaScript heap, and nothing counted them.

Change: a head of 2 KB and more is kept in one buffer until the body is complete. It counts against the budget with 8 KB for each such request; an incomplete head counts five times its bytes. A request whose body can't be read any further is forgotten at once.

Why it works: what is left for each connection is about what came, and who holds most for longest gives way when it is too much.

--- a/packages/hop/src/outbound/nodeBodyReader.ts
+++ b/packages/hop/src/outbound/nodeBodyReader.ts
@@ -10,7 +10,7 @@
   if (declaredLength === undefined && encoding === undefined) return onRead(NO_BODY)
   const declaredBytes = declaredLength === undefined ? Infinity : Number(declaredLength)
   if (declaredLength !== undefined && declaredBytes > maxBytes) return exchange.rejectUnread(413, 'bodyTooLarge', maxBytes)
-  exchange.unreadBody = new BodyBuffer(declaredBytes)
+  exchange.startReading(new BodyBuffer(declaredBytes))
   req.on('data', (chunk: Buffer) => {
     const body = exchange.unreadBody
     if (!body) return
@@ -22,9 +22,8 @@
   req.on('end', () => {
     const body = exchange.unreadBody
     if (!body) return
-    exchange.unreadBody = undefined
     // The request is copied once more on its way to the target.
-    exchange.hold(2 * body.length)
+    exchange.endReading(2 * body.length)
     if (!exchange.isGone) onRead(body.take())
   })
 }
--- a/packages/hop/src/outbound/nodeCallerConnection.ts
+++ b/packages/hop/src/outbound/nodeCallerConnection.ts
@@ -23,6 +23,10 @@
 
 /** Bytes that a request without a body takes, about, and a short response. Counted for those behind another on their connection. */
 const PIPELINED_REQUEST_BYTES = 8_192
+/** Memory that a byte of an incomplete head takes, whose lines the parser keeps apart. */
+const PARTIAL_HEAD_FACTOR = 5
+/** Shorter incomplete heads aren't accounted for. */
+const MIN_PARTIAL_HEAD_BYTES = 2_048
 /** Time for a caller to read the rest of its last response and to close its end, from when the system has taken all of it. */
 const LINGER_MS = 5_000
 
@@ -47,6 +51,9 @@
   #finalText: string | undefined
   #heldBytes = 0
   #unreadBytes = 0
+  /** What is held for a head that isn't complete, and the bytes that were read before it. */
+  #partialHeadBytes = 0
+  #readBeforeHead = 0
   #requests = 0
   #progress = { at: 0, requests: 0, readBytes: 0, sentBytes: 0 }
 
@@ -103,6 +110,7 @@
   endWith (text: string): void {
     if (this.#isEnding) return
     this.#finalText = text
+    this.#dropUnread()
     this.#endInput()
     if (this.#active.size === 0) this.#socket.end(text)
   }
@@ -161,12 +169,15 @@
     this.#active.delete(exchange)
     // What a connection refers to while it is idle isn't freed.
     if (this.#last === exchange) this.#last = undefined
+    if (this.#active.size === 0) this.#readBeforeHead = this.#socket.bytesRead
     if (this.#finalText !== undefined && this.#active.size === 0) this.#socket.end(this.#finalText)
     else if (this.#waiting.length > 0) this.#beginWaiting()
   }
 
   /** Returns why the connection is to be closed, if nothing has moved on it for too long; called periodically. */
   check (now: number, idleMs: number): CallerCloseReason | undefined {
+    if (this.#socket.destroyed) return undefined
+    this.#countPartialHead()
     if (this.#hasMoved()) this.#progress.at = now
     const quietMs = now - this.#progress.at
     if (this.#socket.writableFinished) {
@@ -179,6 +190,15 @@
     return undefined
   }
 
+  #countPartialHead (): void {
+    const read = this.#active.size > 0 || this.#isEnding ? 0 : this.#socket.bytesRead - this.#readBeforeHead
+    const bytes = read < MIN_PARTIAL_HEAD_BYTES ? 0 : read * PARTIAL_HEAD_FACTOR
+    const added = bytes - this.#partialHeadBytes
+    this.#partialHeadBytes = bytes
+    if (added > 0) this.grow(added)
+    else if (added < 0) this.shrink(-added)
+  }
+
   /** Bytes read count only while a request is in progress, as empty lines before a request are none. */
   #hasMoved (): boolean {
     const before = this.#progress
@@ -209,6 +229,15 @@
     else this.#socket.pause()
   }
 
+  /** Forgets the request whose body is still arriving, as the rest of it can't be told from what follows. */
+  #dropUnread (): void {
+    const last = this.#last
+    if (!last?.isReading) return
+    this.#active.delete(last)
+    this.#last = undefined
+    last.drop()
+  }
+
   /** From now on no request is handed on, and what arrives is dropped. */
   #endInput (): void {
     this.#isEnding = true
--- a/packages/hop/src/outbound/nodeCallerConnections.ts
+++ b/packages/hop/src/outbound/nodeCallerConnections.ts
@@ -10,7 +10,8 @@
   idleMs (): number
 }
 
-const CHECK_INTERVAL_MS = 1_000
+/** Short, as many callers together can send the largest part of the memory in incomplete heads within a second. */
+const CHECK_INTERVAL_MS = 250
 
 /** The open connections of callers. Those on which nothing moves for too long are closed, and one of them early when there are too many. */
 export class CallerConnections {
--- a/packages/hop/src/outbound/nodeCallerExchange.ts
+++ b/packages/hop/src/outbound/nodeCallerExchange.ts
@@ -5,10 +5,13 @@
 import type { CallerConnection } from './nodeCallerConnection.js'
 import type { ForwardedResponse, Responder } from './outboundTypes.js'
 import { sendBody } from './nodeResponseTransfer.js'
-import { forwardedResponseHeaders } from './requestHead.js'
+import { PackedHead } from './packedHead.js'
+import { forwardedResponseHeaders, headBytes } from './requestHead.js'
 
 /** Retry-After for callers whose body exceeded the buffers. */
 const RETRY_AFTER_BUFFERS_FULL_MS = 300
+/** Memory of a request whose body is arriving, besides its head and body, about. */
+const OPEN_REQUEST_BYTES = 8_192
 /** Smaller bodies aren't accounted for; a connection has few of them at a time. */
 const MIN_COUNTED_BYTES = 2_048
 /** Longest body that is passed on without a length; systems take as much for a connection on which nothing waits. */
@@ -23,6 +26,8 @@
   unreadBody: BodyBuffer | undefined
   /** Called when the request is rejected while its body is being read. */
   onRejectedUnread: (status: number, reason: string, limit: number) => void = () => {}
+  #packedHead: PackedHead | undefined
+  #readingBytes = 0
   #baseBytes = 0
   #heldBytes = 0
   #unreadBytes = 0
@@ -53,7 +58,7 @@
 
   /** Sets the bytes that are held for the request now; the connection may be closed for it before this returns. */
   hold (bytes: number): void {
-    const counted = this.#baseBytes + (bytes < MIN_COUNTED_BYTES ? 0 : bytes)
+    const counted = this.#baseBytes + this.#readingBytes + (bytes < MIN_COUNTED_BYTES ? 0 : bytes)
     const addedBytes = counted - this.#heldBytes
     if (addedBytes === 0) return
     this.#heldBytes = counted
@@ -67,6 +72,33 @@
     this.hold(0)
   }
 
+  /** Called when the body begins to arrive. Counts the request until all has, with its head, which is kept in one piece if it is long. */
+  startReading (body: BodyBuffer): void {
+    const { req } = this
+    this.unreadBody = body
+    if (headBytes(req.rawHeaders) >= MIN_COUNTED_BYTES) {
+      this.#packedHead = new PackedHead(req.rawHeaders)
+      req.rawHeaders = []
+      req.headers = {}
+    }
+    this.#readingBytes = OPEN_REQUEST_BYTES + (this.#packedHead?.length ?? 0)
+    this.hold(0)
+  }
+
+  /** Called when the body has arrived, or won't be read any more; `bytes` are held for it from now on. */
+  endReading (bytes: number): void {
+    this.unreadBody = undefined
+    this.#readingBytes = 0
+    this.hold(bytes)
+  }
+
+  /** Names and values of the request's headers, which alternate. */
+  takeHeaders (): string[] {
+    const headers = this.#packedHead?.unpack() ?? this.req.rawHeaders
+    this.#packedHead = undefined
+    return headers
+  }
+
   /** Sets what cancels the request; called when the caller leaves, and without effect once the request has ended. */
   setCancel (cancel: () => void): void {
     this.#cancel = cancel
@@ -103,13 +135,18 @@
   /** Rejects a request before it has been read completely; its connection can't be reused and is closed. */
   rejectUnread (status: number, reason: string, limit: number, retryAfterMs = status === 503 ? RETRY_AFTER_BUFFERS_FULL_MS : undefined): void {
     if (this.res.headersSent) return
-    this.unreadBody = undefined
-    this.hold(0)
+    this.endReading(0)
     this.onRejectedUnread(status, reason, limit)
     this.reject(status, reason, retryAfterMs, true)
     this.req.resume()
   }
 
+  /** Frees what is held for a request that will get no response of its own. */
+  drop (): void {
+    this.#baseBytes = 0
+    this.endReading(0)
+  }
+
   /** Called when the connection has been closed. */
   onCallerLeft (): void {
     this.#dropBody?.()
@@ -152,6 +189,7 @@
 
   #onSent (): void {
     this.unreadBody = undefined
+    this.#readingBytes = 0
     this.#dropBody = undefined
     this.#cancel = undefined
     this.setBase(0)
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -16,7 +16,7 @@
 import { readBody } from './nodeBodyReader.js'
 import { CallerConnections } from './nodeCallerConnections.js'
 import type { CallerExchange } from './nodeCallerExchange.js'
-import { parseRequestHead } from './requestHead.js'
+import { headBytes, parseRequestHead } from './requestHead.js'
 
 export interface OutboundServerOptions {
   address: string
@@ -165,7 +165,7 @@
   #onRequest (exchange: CallerExchange): void {
     const { req } = exchange
     exchange.onRejectedUnread = (status, reason, limit) => this.#onRejectedUnread(status, reason, limit)
-    const headerBytes = req.rawHeaders.reduce((total, text) => total + text.length + 2, req.url?.length ?? 0)
+    const headerBytes = headBytes(req.rawHeaders) + (req.url?.length ?? 0)
     if (headerBytes > this.#limits.maxHeaderBytes) return exchange.rejectUnread(431, 'headerTooLarge', this.#limits.maxHeaderBytes)
     readBody(exchange, this.#limits.maxBodyBytes, (body) => this.#opts.lag.whenRead(() => this.#onRequestRead(exchange, body)))
   }
@@ -186,7 +186,7 @@
     const { handler, log, metrics, names, originOf, queue } = this.#opts
     const { req } = exchange
     if (exchange.isGone) return log.call(false, 'outbound', { outcome: 'callerLeft', reason: 'unread' })
-    const outcome = parseRequestHead(req.url!, req.rawHeaders, names)
+    const outcome = parseRequestHead(req.url!, exchange.takeHeaders(), names)
     if (outcome.kind === 'bad') {
       metrics.event('badInput')
       log.call(false, 'outbound', { outcome: 400, reason: outcome.reason })
--- a/packages/hop/src/outbound/requestHead.ts
+++ b/packages/hop/src/outbound/requestHead.ts
@@ -46,6 +46,11 @@
   return { kind: 'head', head: { requestId, host: hostName(host), path, headers, deadlineMs } }
 }
 
+/** Bytes of a list of names and values, with what stands between them in a head. */
+export function headBytes (raw: readonly string[]): number {
+  return raw.reduce((total, text) => total + text.length + 2, 0)
+}
+
 /** Headers of a response to forward to the caller: names and values, flat, without hop-by-hop headers. */
 export function forwardedResponseHeaders (headers: readonly string[]): string[] {
   const connectionHeaders = connectionHeaderNames(headers)
