Close the connection of a caller that leaves in the middle of a body

Cause: the end of a connection within a body is an error of the parser, which was answered once the request in front of it would be complete; it never is. The connection stayed until the idle time-out of 19 s, as did one whose body went on with bytes that are no chunk.

Change: a caller that has ended its side in the middle of a request has left; bytes that are no chunk get 400 at once.

Measured: endingConnections.spec.ts, "left in the middle of a body" and "bytes that are no chunk": red before, green after.

--- a/packages/hop/src/outbound/__tests__/endingConnections.spec.ts
+++ b/packages/hop/src/outbound/__tests__/endingConnections.spec.ts
@@ -115,7 +115,8 @@
   'a body that does not fit into memory': { status: 503, budgetBytes: 200_000, head: 'POST /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nContent-Length: 900000\r\n\r\n' },
   'a head over the limit': { status: 431, head: `GET /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nx-long: ${'x'.repeat(10_000)}\r\n\r\n` },
   'a head without end': { status: 431, head: 'GET /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nx-long: ' },
-  'bytes that are no request': { status: 400, head: 'no request\r\n\r\n' }
+  'bytes that are no request': { status: 400, head: 'no request\r\n\r\n' },
+  'bytes that are no chunk': { status: 400, head: 'POST /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nno chunk\r\n' }
 }
 
 for (const [name, { status, head, budgetBytes = Infinity }] of Object.entries(refusals)) {
@@ -131,6 +132,17 @@
   })
 }
 
+test('guards against callers that have left in the middle of a body keeping their connections', async (t) => {
+  const setup = await setUp(t)
+  const { server } = setup
+  const caller = setup.connectCaller()
+  caller.socket.write('POST /a/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\nContent-Length: 100\r\n\r\nhalf')
+  await until(t, 'a body is arriving', () => server.inFlight === 1)
+  caller.socket.end()
+  await until(t, 'the connection is closed', () => server.connections === 0)
+  t.deepEqual([server.inFlight, caller.errorCode], [0, undefined])
+})
+
 test('guards against a caller that never closes its connection keeping it open', async (t) => {
   const setup = await setUp(t)
   const { server, timers, events } = setup
--- a/packages/hop/src/outbound/nodeOutboundServer.ts
+++ b/packages/hop/src/outbound/nodeOutboundServer.ts
@@ -218,7 +218,8 @@
     this.#opts.metrics.event('badInput')
     const status = CLIENT_ERROR_STATUS[err.code ?? ''] ?? '400 Bad Request'
     this.#opts.log.call(err.code === 'ECONNRESET', 'badInput', { code: err.code, reason: err.message })
-    if (err.code === 'ECONNRESET' || !socket.writable) {
+    // A caller that has ended its side in the middle of a request has left.
+    if (err.code === 'ECONNRESET' || !socket.writable || socket.readableEnded) {
       socket.destroy()
       return
     }
