--- a/packages/hop/src/errors.ts
+++ b/packages/hop/src/errors.ts
@@ -30,7 +30,7 @@
   readonly code = 'write-unknown'
 }
 
-/** A response of a target can't be passed on to the caller, as HTTP doesn't allow a part of it. */
+/** A response of a target can't be passed on to the caller: HTTP doesn't allow a part of it, or it has no length and can't be handed to the system at once. */
 export class NotForwardable extends LentilwheelError {
   readonly code = 'not-forwardable'
 }
