Bound the wait for connections that nobody closes at the end of a planned stop

With hundreds of hosts some daemon can't be reached at most times.

Cause: the exit waited for all connections alike.

--- a/packages/hop/src/link/nodeOpenSockets.ts
+++ b/packages/hop/src/link/nodeOpenSockets.ts
@@ -10,6 +10,13 @@
     return this.#sockets.size
   }
 
+  /** Bytes that the system has not taken yet. */
+  get unsentBytes (): number {
+    let bytes = 0
+    for (const socket of this.#sockets) bytes += socket.writableLength
+    return bytes
+  }
+
   add (socket: Socket): void {
     this.#sockets.add(socket)
     socket.once('close', () => this.#remove(socket))
--- a/packages/hop/src/outbound/__tests__/endingConnections.spec.ts
+++ b/packages/hop/src/outbound/__tests__/endingConnections.spec.ts
@@ -3,7 +3,7 @@
 import { BufferBudget } from '../../buffers/bufferBudget.js'
 import { errorCode, VirtualTimers } from '@lentilwheel/core'
 import { SendQueue } from '../../link/sendQueue.js'
-import { answer, requests, setUp, until, type Caller, type Setup } from './callerSetup.js'
+import { answer, POLL_MS, requests, setUp, until, type Caller, type Setup } from './callerSetup.js'
 
 // How connections of callers end. The responses are larger than what the system keeps for a connection, so that a reset loses a part of them.
 
@@ -132,6 +132,23 @@
   })
 }
 
+test('guards against a caller that has long been idle, and doesn\'t close its connection, holding up a planned stop', async (t) => {
+  const { server, timers, connectCaller, passedOn } = await setUp(t)
+  server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: 1_000_000, headerTimeoutMs: 1_000, idleTimeoutMs: 60_000 })
+  const caller = connectCaller({ allowHalfOpen: true })
+  caller.socket.write(requests(1, 1))
+  await until(t, 'it is passed on', () => passedOn.length === 1)
+  answer(passedOn[0]!)
+  await until(t, 'it is answered', () => caller.received !== '')
+  timers.advance(10_000)
+  server.close()
+  await until(t, 'its connection is ended', () => caller.socket.readableEnded)
+  await delay(POLL_MS)
+  timers.advance(1_000)
+  await until(t, 'the connection is closed', () => server.connections === 0)
+  t.pass()
+})
+
 test('guards against callers that have left in the middle of a body keeping their connections', async (t) => {
   const setup = await setUp(t)
   const { server } = setup
--- a/packages/hop/src/outbound/nodeCallerConnection.ts
+++ b/packages/hop/src/outbound/nodeCallerConnection.ts
@@ -29,6 +29,8 @@
 const MIN_PARTIAL_HEAD_BYTES = 2_048
 /** Time for a caller to read the rest of its last response and to close its end, from when the system has taken all of it. */
 const LINGER_MS = 5_000
+/** The same for a caller that has had that time already, as its connection was idle. */
+const IDLE_LINGER_MS = 500
 
 /**
  * One connection of a caller, with the requests that arrived on it. It hands on a bounded number of them at a time, accounts for what
@@ -47,6 +49,8 @@
   #isEnding = false
   /** When the system was first seen to have taken everything up to the end of the connection. */
   #endedAt: number | undefined
+  /** Whether it had been idle for long when it was ended. */
+  #wasIdle = false
   /** Response without a request, for bytes that could not be parsed; sent once the others are complete. */
   #finalText: string | undefined
   #heldBytes = 0
@@ -116,10 +120,11 @@
   }
 
   /** Ends the connection unless requests are in progress, whose last response does so; `reject` is called with one that is still arriving. */
-  endIdle (reject: (exchange: CallerExchange) => void): void {
+  endIdle (now: number, reject: (exchange: CallerExchange) => void): void {
     if (this.#isEnding) return
     if (this.#last?.isReading) return reject(this.#last)
     if (this.#active.size > 0) return
+    this.#wasIdle = now - this.#progress.at > LINGER_MS
     this.#endInput()
     this.#socket.end()
   }
@@ -182,7 +187,8 @@
     const quietMs = now - this.#progress.at
     if (this.#socket.writableFinished) {
       this.#endedAt ??= now
-      return now - this.#endedAt > LINGER_MS ? 'unclosed' : undefined
+      const lingerMs = this.#wasIdle ? IDLE_LINGER_MS : LINGER_MS
+      return now - this.#endedAt > lingerMs ? 'unclosed' : undefined
     }
     if (this.#active.size === 0) return quietMs > idleMs ? 'noRequest' : undefined
     if (this.#socket.writableLength > 0 && quietMs > this.#opts.limits.stalledResponseMs) return 'stalledResponse'
--- a/packages/hop/src/outbound/nodeCallerConnections.ts
+++ b/packages/hop/src/outbound/nodeCallerConnections.ts
@@ -52,7 +52,8 @@
 
   /** Ends the connections on which no response is due; the others end with their last response. `reject` is called with requests that are still arriving. */
   endIdle (reject: (exchange: CallerExchange) => void): void {
-    for (const connection of this.#connections.values()) connection.endIdle(reject)
+    const now = this.#opts.timers.now()
+    for (const connection of this.#connections.values()) connection.endIdle(now, reject)
   }
 
   /** Whether what arrives on a connection is dropped. */
