review: add the case of lost watchers whose addresses are reused

Cause: as in case 11 a lost machine whose address is reused counts as live, here in the choice of the daemons that watch the configuration: with the first two of a data centre lost, none watches. Change: review/12 holds the script and its claim (rule CONFIG).

--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,61 +1,51 @@
 import { hasTrouble, runCase } from '../lib-3/case.mjs'
-import { judgeExposure } from '../lib-3/exposure.mjs'
-import { Load, loadRoutes } from '../lib-3/load.mjs'
-import { endProcess, meshConfig, sleep } from '../lib-3/mesh.mjs'
+import { meshConfig, sleep } from '../lib-3/mesh.mjs'
 
-const DURATION_S = 8
-const BAD_DURATION_S = 12
-const BAD_SHARE = 0.5
-/** Name of the bad version: with trouble one that the service has run before. */
-const BAD_VERSION = hasTrouble ? 'v2' : 'v3'
+/** Figures of the site `kitaboshi-mesh`. */
+const CONFIG_APPLY_MS = 2_000
+const ADDRESS_REUSE_MS = 2_000
+/** Time between two losses, and before the change: all machines have been calm for longer than `stability_window_ms`. */
+const CALM_MS = 6_000
+const CHECKS = 20
 
 await runCase(import.meta.url, {}, async (mesh, record) => {
-  await mesh.start(meshConfig(1, loadRoutes('shop')))
-  const callers = [await mesh.addHost({ service: 'web' }), await mesh.addHost({ service: 'web' })]
-  let current = []
-  for (let i = 0; i < 3; i++) current.push(await mesh.addHost({ service: 'shop', version: 'v1' }))
+  await mesh.start(meshConfig(1, { list: { service: 'shop' } }))
+  const first = [await mesh.addHost({ service: 'web' }), await mesh.addHost({ service: 'web' })]
+  const others = []
+  for (const service of ['web', 'shop', 'books']) others.push(await mesh.addHost({ service }))
   await mesh.ready()
-  const load = new Load(mesh, record)
-  load.start(callers, 20)
   await sleep(2_000)
-
-  /** Orders a version and does what the platform does at the end of the roll-out; returns when it was ordered. */
-  const order = async (version, durationS, statusOf) => {
-    const next = []
-    for (let i = 0; i < 3; i++) next.push(await mesh.addHost({ service: 'shop', version, statusOf }))
-    await sleep(1_000)
-    const orderedAt = performance.now()
-    record.add(`the operator orders ${version} within ${durationS} s`)
-    mesh.store.put('rollouts', 'shop', { service: 'shop', target_version: version, duration_s: durationS })
-    const status = await endOf(version, orderedAt + durationS * 2_000)
-    record.add(`the status of ${version} is ${JSON.stringify(status)} after ${Math.round(performance.now() - orderedAt)} ms`)
-    if (status?.state !== 'completed') return orderedAt
-    for (const { instance, daemon } of current) {
-      instance.stop()
-      endProcess(daemon, 'SIGTERM')
-    }
-    current = next
-    return orderedAt
+  for (const lost of first) {
+    record.add(`the machine of ${lost.name} is lost for good`)
+    await mesh.loseHost(lost)
+    await sleep(ADDRESS_REUSE_MS + 300)
+    const added = await mesh.addHost({ service: 'billing', ...hasTrouble ? { formerHost: lost } : {} })
+    others.push(added)
+    record.add(`a new machine, ${added.name}, with an instance of another service starts at ${hasTrouble ? 'the address of the lost one' : 'an address of its own'}`)
+    await sleep(CALM_MS)
   }
-  const endOf = async (version, until) => {
-    for (;;) {
-      const { status } = mesh.store.read('rollouts', 'shop')
-      if (status?.target_version === version && status.state !== 'running') return status
-      if (performance.now() > until) return status
-      await sleep(20)
-    }
+  mesh.store.put('config', 'main', meshConfig(2, { list: { service: 'books' }, added: { service: 'shop' } }))
+  record.add('the store confirms version 2: list goes to books, and the route added is new')
+  await sleep(CONFIG_APPLY_MS + 1_000)
+  let breaches = 0
+  for (let n = 1; n <= CHECKS; n++) {
+    for (const host of others) breaches += await check(mesh, record, host, n)
+    await sleep(500)
   }
-
-  await order('v2', DURATION_S)
-  await sleep(2_000)
-  await order('v1', DURATION_S)
-  if (mesh.store.read('rollouts', 'shop').status?.state !== 'completed') throw new Error('the good versions were not completed')
-  await sleep(2_000)
-  record.add(`half of the answers of ${BAD_VERSION} are failures now`)
-  const orderedAt = await order(BAD_VERSION, BAD_DURATION_S, () => Math.random() < BAD_SHARE ? 500 : 200)
-  await sleep(Math.max(0, orderedAt + BAD_DURATION_S * 1_000 - performance.now()))
-  await load.stop()
-  record.add(`answers by status: ${load.summary()}`)
-  const sentAt = new Map(load.answers.map((answer) => [answer.id, answer.sentAt]))
-  return judgeExposure(record, { runs: mesh.runs.filter(({ service }) => service === 'shop'), sentAt, version: BAD_VERSION, orderedAt, durationMs: BAD_DURATION_S * 1_000 })
+  record.add(`handled as only version 1 allows: ${breaches} of ${2 * CHECKS * others.length} requests, sent 3 s and more after the confirmation`)
+  return breaches > 0 ? `CONFIG: ${breaches} requests were handled as only version 1 allows` : undefined
 })
+
+/** Sends one request on each route and counts those that are handled as only version 1 allows. */
+async function check (mesh, record, host, n) {
+  let breaches = 0
+  for (const route of ['list', 'added']) {
+    const id = `${route}-${host.name}-${n}`
+    record.add(`sent ${id} GET /${route}/a on ${host.name}`)
+    const { status } = await mesh.request(host, { id, path: `/${route}/a` })
+    record.add(`answer ${id} ${status}`)
+    const run = mesh.runs.find(({ requestId }) => requestId === id)
+    if (route === 'list' ? run?.service === 'shop' : status === 404) breaches++
+  }
+  return breaches
+}
--- a/review/lib-3/mesh.mjs
+++ b/review/lib-3/mesh.mjs
@@ -35,14 +35,14 @@
     this.store.put('config', 'main', config)
   }
 
-  /** Adds a host with a daemon and an instance. */
-  async addHost ({ service, version = 'v1', zone = 'zone-a', slots = 6, workMs = 20, statusOf }) {
+  /** Adds a host with a daemon and an instance, at an address of its own or at that of a former host. */
+  async addHost ({ service, version = 'v1', zone = 'zone-a', slots = 6, workMs = 20, statusOf, formerHost }) {
     const n = this.hosts.length + 1
     const onRun = ({ requestId, id, status }) => {
       this.runs.push({ requestId, id, service, version, status, at: performance.now() })
       this.opts.record?.add(`run ${requestId} ${service} ${version} on ${id}, to be answered ${status}`)
     }
-    const address = `127.${this.#subnet}.0.${n + 1}`
+    const address = formerHost?.address ?? `127.${this.#subnet}.0.${n + 1}`
     const { app, control } = this.ports
     const instance = new Instance({ id: `i-${n}`, service, version, zone, address, port: app, controlPort: control, slots, workMs, onRun })
     if (statusOf) instance.statusOf = statusOf
@@ -53,6 +53,12 @@
     return host
   }
 
+  /** Ends the daemon and the instance of a host at once, as when its machine is lost for good. */
+  async loseHost (host) {
+    host.instance.stop()
+    await endProcess(host.daemon, 'SIGKILL')
+  }
+
   /** Writes the settings file of a host's daemon, as the platform does when they change. */
   writeSettings (host) {
     const file = join(this.#dir, `${host.name}.json`)
