--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -17,19 +17,6 @@
     return `${address}:${this.#server.address().port}`
   }
 
-  /** Listens at one more address; returns it and what closes the one before. */
-  async addAddress () {
-    const old = this.#server
-    const { address } = old.address()
-    this.#server = http.createServer(...old.listeners('request'))
-    await new Promise((resolve) => this.#server.listen(0, address, resolve))
-    const closeOld = () => {
-      old.closeAllConnections()
-      old.close()
-    }
-    return { address: `${address}:${this.#server.address().port}`, closeOld }
-  }
-
   stop () {
     this.#server.closeAllConnections()
     this.#server.close()
