Prove in the link which daemon answers

Cause: an open connection counted as the daemon of the wanted host, whoever had accepted it, so duties stayed with hosts that no longer exist.

Now the first frame names the wanted host and the reply tells host and incarnation; only then is a link up. A daemon of another host handles nothing on such a connection. All duties go by the link, so all of them are right with it.

Tests that used servers which never say who they are got ones that do; their checks are unchanged. The sampling of random peers, which stood twice, is one function now.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -123,7 +123,7 @@
       random,
       log,
       openLink: (host, address, port) => new NodePeerLink({
-        host, address, port, timers, log, queue, budget, openSockets: this.#peerSockets, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, isUp) => this.#fleet.onLinkState(peer, isUp), onSilent: () => this.#fleet.onSilentLink()
+        host, address, port, timers, log, queue, budget, openSockets: this.#peerSockets, idlePingMs: () => this.#fleet.idlePingMs, onStateChange: (peer, incarnation) => this.#fleet.onLinkState(peer, incarnation), onSilent: () => this.#fleet.onSilentLink()
       }),
       onChange: () => this.#onFleetChange(),
       onNewerPeerVersion: () => this.#configUpdater.catchUp(),
@@ -214,7 +214,7 @@
     })
     this.#discovery = new PeerDiscovery({ fleet: this.#fleet, store, timers, random, log, seeds: cfg.seeds })
     this.#hopServer = new NodeHopServer({
-      ...cfg.hop, lag, queue, budget, openSockets: this.#peerSockets, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.gate.onQuestions(message, reply), isUp: (host) => this.#fleet.isUp(host), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
+      ...cfg.hop, identity: () => this.#fleet.own, lag, queue, budget, openSockets: this.#peerSockets, timers, handler: this.#inbound, log, onSync: (message) => this.#fleet.onSync(message), onQuota: (message, reply) => this.#quota.gate.onQuestions(message, reply), isUp: (host) => this.#fleet.isUp(host), deltaSince: (heldVersion) => this.#configUpdater.deltaSince(heldVersion)
     })
     const explainer = new RouteExplainer({
       outbound: outboundOptions, table: () => this.#outbound.table, versionOptions: (service) => this.#moves.options(service)
--- a/packages/hop/src/daemon/peerDiscovery.ts
+++ b/packages/hop/src/daemon/peerDiscovery.ts
@@ -59,7 +59,7 @@
   /** Removes the object of one daemon that is gone; only one per list, to keep the rate of writes low. */
   async #removeGoneDaemon (objects: readonly StoredObject[]): Promise<void> {
     const { fleet, store, timers, log } = this.#opts
-    const gone = new Set(fleet.goneHosts(timers.now()))
+    const gone = new Set(fleet.goneHosts())
     const isOld = (stoppedAt: number | undefined): boolean => stoppedAt !== undefined && timers.wallNow() - stoppedAt > KEEP_STOPPED_MS
     const object = objects.find((candidate) => gone.has(candidate.name) || isOld(stoppedAtOf(candidate)))
     if (!object) return
--- a/packages/hop/src/evacuation/__tests__/spread.spec.ts
+++ b/packages/hop/src/evacuation/__tests__/spread.spec.ts
@@ -130,7 +130,7 @@
   await sim.advance(1_000)
   const restarted = sim.start('h9', 2)
   restarted.merge(sim.fleets.get('h0')!.records())
-  restarted.onLinkState('h3', true)
+  restarted.onLinkState('h3', 1)
   await sim.advance(3 * ONE_WAY_DELAY_MS)
   t.true(sim.evacuations.get('h9')!.isEvacuated(ORDER.dataCentre))
 })
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -32,7 +32,7 @@
     for (let i = 0; i < size; i++) this.add(`h${i}`, i)
     const records = [...this.byHost.values()].map(({ own }) => own)
     for (const fleet of this.byHost.values()) fleet.merge(records)
-    for (const fleet of this.byHost.values()) for (const { host } of records) if (host !== fleet.own.host) fleet.onLinkState(host, true)
+    for (const fleet of this.byHost.values()) for (const { host } of records) if (host !== fleet.own.host) fleet.onLinkState(host, 1)
   }
 
   /** Advances the clock and lets pending messages arrive. */
@@ -231,7 +231,7 @@
   sim.add('h9', 9, 2)
   const fleet = sim.byHost.get('h9')!
   fleet.merge([sim.byHost.get('h0')!.own])
-  fleet.onLinkState('h0', true)
+  fleet.onLinkState('h0', 1)
   await sim.advance(100)
   t.is(sim.quarantines.get('h9')!.standing(DEADLY), 'blocked')
 })
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -5,9 +5,11 @@
 import type { QuarantineNews } from '../quarantine/quarantineNews.js'
 import { formatRevision } from '../store/storeRevision.js'
 import type { WatchTurn } from '../store/storeWatcher.js'
+import { sample } from '../sample.js'
 import { MoveFactSet } from './moveFactSet.js'
 import { HostTable } from './hostTable.js'
 import { WatchDuty } from './watchDuty.js'
+import { PeerStates } from './peerStates.js'
 import type { FleetOptions, PeerLink } from './fleetTypes.js'
 import type { HostRecord, Departure, TargetRecord } from './hostRecord.js'
 
@@ -27,8 +29,6 @@
 const VERSION_FANOUT = 3
 /** Random peers that a daemon tells of an evacuation of which it has heard from another one. */
 const EVACUATION_FANOUT = 3
-/** Time without a working link after which a peer counts as gone. */
-const GONE_AFTER_MS = 60_000
 /** Time after the start in which a daemon knows too few peers to tell its rank among them. */
 const WARM_UP_MS = 1_000
 
@@ -43,9 +43,7 @@
   readonly #table: HostTable
   readonly #watchDuty: WatchDuty
   readonly #links = new Map<string, PeerLink>()
-  /** When the link to a peer went down. */
-  readonly #downSince = new Map<string, number>()
-  readonly #configVersions = new Map<string, number>()
+  readonly #peers: PeerStates
   readonly #startedAt: number
   #isPushScheduled = false
   #lastPushAt = -Infinity
@@ -55,9 +53,10 @@
     this.#opts = opts
     this.#table = new HostTable(opts.own)
     this.#watchDuty = new WatchDuty(opts.timers)
+    this.#peers = new PeerStates(opts.timers)
     this.#startedAt = opts.timers.now()
     opts.epochs.onRise((from) => { if (from === 'store') this.schedulePush() })
-    opts.timers.every(KEEP_ALIVE_INTERVAL_MS, () => this.#keepLinksAlive(), { jitter: 0.2 })
+    opts.timers.every(KEEP_ALIVE_INTERVAL_MS, () => { for (const link of this.#links.values()) link.keepAlive() }, { jitter: 0.2 })
     opts.timers.every(EXCHANGE_INTERVAL_MS, () => this.#exchangeWithRandomPeer(), { jitter: 0.3 })
   }
 
@@ -82,7 +81,7 @@
     return host === this.own.host || (this.#links.get(host)?.isUp ?? false)
   }
 
-  /** Whether the host runs, but no daemon on it. */
+  /** Whether the daemon of a host is known not to run at its address. */
   isRefused (host: string): boolean {
     return this.#links.get(host)?.isRefused ?? false
   }
@@ -94,19 +93,12 @@
 
   /** Number of daemons ranked before this one; 0 makes it the leader, which performs duties that only one daemon may have. */
   rank (): number {
-    return this.#rankedBefore().length
+    return this.#dutyCandidates().filter(({ host }) => host < this.own.host).length
   }
 
   /** Place of this daemon among those that watch something, so many in each data centre; undefined if it need not watch. */
   turnInDataCentres (perDataCentre: number): WatchTurn | undefined {
-    if (!this.isWarmedUp) return undefined
-    const groups = new Map<string, HostRecord[]>()
-    for (const record of this.#dutyCandidates()) {
-      const group = groups.get(record.dataCentre)
-      if (group) group.push(record)
-      else groups.set(record.dataCentre, [record])
-    }
-    return this.#watchDuty.turn(this.own, groups.values(), perDataCentre)
+    return this.isWarmedUp ? this.#watchDuty.turnInDataCentres(this.own, this.#dutyCandidates(), perDataCentre) : undefined
   }
 
   /** Place of this daemon among those that watch something for the whole fleet; undefined if it need not watch. */
@@ -134,8 +126,8 @@
   }
 
   /** Hosts whose daemons have been unreachable for so long that they count as gone. */
-  goneHosts (now: number): string[] {
-    return [...this.#downSince].filter(([, since]) => now - since > GONE_AFTER_MS).map(([host]) => host)
+  goneHosts (): string[] {
+    return this.#peers.goneHosts()
   }
 
   /** Silence after which an idle link is pinged; grows with the number of peers. */
@@ -172,7 +164,7 @@
 
   /** Active configuration version of a daemon according to its last message; 0 if unknown or none. */
   configVersionOf (host: string): number {
-    return this.#configVersions.get(host) ?? 0
+    return this.#peers.configVersionOf(host)
   }
 
   /**
@@ -180,7 +172,7 @@
    * it came from the store. The others learn of it in later exchanges.
    */
   setConfigVersion (version: number, isFromStore: boolean): void {
-    this.#configVersions.set(this.own.host, version)
+    this.#peers.setConfigVersion(this.own.host, version)
     const nearby = isFromStore ? this.#upPeers().filter((host) => this.record(host)?.dataCentre === this.own.dataCentre) : []
     const message = this.#updateMessage([])
     for (const host of new Set([...nearby, ...this.#randomPeers(VERSION_FANOUT)])) this.#syncWith(host, message)
@@ -191,10 +183,12 @@
     let hasChanged = false
     for (const record of records) {
       if (record.host === this.own.host && record.leavings) this.#opts.onDepartures(record.leavings)
+      const knownIncarnation = this.record(record.host)?.incarnation
       if (!this.#table.merge(record)) continue
       hasChanged = true
+      if (record.incarnation !== knownIncarnation) this.#peers.clearUnreachable(record.host)
       if (record.host === this.own.host) this.#push()
-      else this.#ensureLink(record)
+      else this.#ensureLink(record, record.incarnation !== knownIncarnation)
     }
     if (hasChanged) this.#opts.onChange()
   }
@@ -204,8 +198,7 @@
     if (!this.#table.remove(host)) return
     this.#links.get(host)?.close()
     this.#links.delete(host)
-    this.#downSince.delete(host)
-    this.#configVersions.delete(host)
+    this.#peers.remove(host)
     this.#opts.onChange()
   }
 
@@ -249,15 +242,31 @@
     return sent && this.#table.hasDeparturesMissingIn(sent) ? [this.#table.get(from)!] : []
   }
 
-  /** Called when the link to a peer came up or went down. */
-  onLinkState (host: string, isUp: boolean): void {
-    if (isUp) this.#downSince.delete(host)
-    else if (!this.#downSince.has(host)) this.#downSince.set(host, this.#opts.timers.now())
-    this.#opts.log.decision(isUp ? 'peerUp' : 'peerDown', { peer: host })
-    if (isUp) this.#syncWith(host, { ...this.#updateMessage([this.own]), ...this.#quarantineQuestion() })
+  /** Called when the link to a peer came up, with the incarnation that the peer has, or went down, with undefined. */
+  onLinkState (host: string, incarnation: number | undefined): void {
+    if (incarnation === undefined) this.#onPeerDown(host)
+    else this.#onPeerUp(host, incarnation)
     this.#opts.onChange()
   }
 
+  #onPeerUp (host: string, incarnation: number): void {
+    this.#peers.clearUnreachable(host)
+    if (incarnation !== this.record(host)?.incarnation) this.#forgetReports(host)
+    this.#opts.log.decision('peerUp', { peer: host, incarnation })
+    this.#syncWith(host, { ...this.#updateMessage([this.own]), ...this.#quarantineQuestion() })
+  }
+
+  #onPeerDown (host: string): void {
+    this.#peers.setUnreachable(host)
+    this.#opts.log.decision('peerDown', { peer: host })
+  }
+
+  /** Forgets what the daemon of a host said of itself besides its record; a later start doesn't hold to it. */
+  #forgetReports (host: string): void {
+    this.#peers.forgetMessages(host)
+    if (this.#watchDuty.setStoreLost(host, false)) this.#opts.onWatchersChange()
+  }
+
   /**
    * Called when a link turned out to be dead although nothing had ended it. Often many go silent together, so others are pinged before they are
    * needed; not more than a number of them, as a host that is gone makes each of its peers do so.
@@ -299,18 +308,13 @@
     return this.live().filter((record) => !record.stopping)
   }
 
-  /** Duty candidates ranked before this daemon. */
-  #rankedBefore (): HostRecord[] {
-    return this.#dutyCandidates().filter((record) => record.host < this.own.host)
-  }
-
   /** Takes over everything that a message brings. */
   #apply (message: SyncMessage): void {
     if (message.storeEpoch > 0) this.#opts.epochs.observe(message.storeEpoch, 'peer')
     if (message.evacuations) this.#opts.evacuations?.merge(message.evacuations, message.from)
     this.merge(message.records)
     if (this.#watchDuty.setStoreLost(message.from, message.isStoreLost === true)) this.#opts.onWatchersChange()
-    this.#configVersions.set(message.from, message.configVersion)
+    this.#peers.setConfigVersion(message.from, message.configVersion)
     if (message.configVersion > this.configVersionOf(this.own.host)) this.#opts.onNewerPeerVersion()
     for (const fact of message.facts) if (this.facts.add(fact)) this.#opts.onFact(fact)
     for (const order of message.orders) this.#opts.onOrder(order, message.from)
@@ -341,15 +345,13 @@
     return this.#updateMessage(this.records())
   }
 
-  #keepLinksAlive (): void {
-    for (const link of this.#links.values()) link.keepAlive()
-  }
-
-  /** Opens a link to the daemon, unless there is one to its current address. */
-  #ensureLink (record: HostRecord): void {
-    const { host, address, port } = record
+  /** Opens a link to the daemon, unless there is one to its current address; a broken one connects at once after a new start of the daemon. */
+  #ensureLink ({ host, address, port }: HostRecord, isNewStart: boolean): void {
     const link = this.#links.get(host)
-    if (link && link.endpoint.address === address && link.endpoint.port === port) return
+    if (link && link.endpoint.address === address && link.endpoint.port === port) {
+      if (isNewStart) link.reopen()
+      return
+    }
     link?.close()
     this.#links.set(host, this.#opts.openLink(host, address, port))
   }
@@ -382,10 +384,7 @@
 
   /** Up to `count` connected peers, chosen at random. */
   #randomPeers (count: number): string[] {
-    const up = this.#upPeers()
-    const chosen: string[] = []
-    while (chosen.length < count && up.length > 0) chosen.push(...up.splice(this.#opts.random.int(up.length), 1))
-    return chosen
+    return sample(this.#upPeers(), count, this.#opts.random)
   }
 
   async #syncWith (host: string, message: SyncMessage): Promise<void> {
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -11,8 +11,9 @@
 
 /** Connection to the daemon of another host, opened again when it breaks. */
 export interface PeerLink {
+  /** Whether the peer is connected and has proved that it is the daemon of its host. */
   readonly isUp: boolean
-  /** Whether the peer's host refused the last attempt to connect: the host runs, but no daemon on it. */
+  /** Whether the last attempt to connect showed that the peer doesn't run: its host refused it, or another host has the address now. */
   readonly isRefused: boolean
   readonly endpoint: { address: string, port: number }
   /**
--- a/packages/hop/src/fleet/watchDuty.ts
+++ b/packages/hop/src/fleet/watchDuty.ts
@@ -32,6 +32,11 @@
     return this.#timers.now() - (this.#storeLostAt.get(host) ?? -Infinity) < STORE_LOST_MS
   }
 
+  /** Place of a daemon among those that watch in each data centre; undefined if it need not watch. */
+  turnInDataCentres (own: HostRecord, candidates: readonly HostRecord[], perDataCentre: number): WatchTurn | undefined {
+    return this.turn(own, byDataCentre(candidates), perDataCentre)
+  }
+
   /** Place of a daemon among those that watch, `perGroup` in each group; undefined if it need not watch. */
   turn (own: HostRecord, groups: Iterable<readonly HostRecord[]>, perGroup: number): WatchTurn | undefined {
     const hosts = [...groups].flatMap((group) => this.#watchersOf(group, perGroup)).sort()
@@ -57,3 +62,13 @@
   }
   return first
 }
+
+function byDataCentre (records: readonly HostRecord[]): Iterable<HostRecord[]> {
+  const groups = new Map<string, HostRecord[]>()
+  for (const record of records) {
+    const group = groups.get(record.dataCentre)
+    if (group) group.push(record)
+    else groups.set(record.dataCentre, [record])
+  }
+  return groups.values()
+}
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -85,7 +85,7 @@
     const linkedHosts: string[] = []
     const fleet = createFleet(linkedHosts)
     const server = new NodeHopServer({
-      address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: new NoopCallLog(), onSync: (message) => fleet.onSync(message), onQuota: () => {}, isUp: () => true, deltaSince: () => undefined
+      address: '127.0.0.1', port: 0, identity: () => ({ host: 'p', incarnation: 1 }), lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: new NoopCallLog(), onSync: (message) => fleet.onSync(message), onQuota: () => {}, isUp: () => true, deltaSince: () => undefined
     })
     await server.listen()
     t.teardown(() => server.close())
@@ -111,7 +111,7 @@
     const decisions: string[] = []
     const fleet = createFleet(linkedHosts, received)
     const server = new NodeHopServer({
-      address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: { call: () => {}, decision: (what) => { decisions.push(what) } }, onSync: (message) => fleet.onSync(message), onQuota: () => {}, isUp: () => true, deltaSince: () => undefined
+      address: '127.0.0.1', port: 0, identity: () => ({ host: 'p', incarnation: 1 }), lag: NO_LAG, queue: unlimitedQueue(), timers, handler: {} as InboundHandler, log: { call: () => {}, decision: (what) => { decisions.push(what) } }, onSync: (message) => fleet.onSync(message), onQuota: () => {}, isUp: () => true, deltaSince: () => undefined
     })
     await server.listen()
     t.teardown(() => server.close())
--- a/packages/hop/src/link/__tests__/closingLinks.spec.ts
+++ b/packages/hop/src/link/__tests__/closingLinks.spec.ts
@@ -35,7 +35,7 @@
     onSenderDisconnect: () => {}
   } as Partial<InboundHandler> as InboundHandler
   const openSockets = new OpenSockets()
-  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue: unlimitedQueue(), handler, log: new NoopCallLog(), lag: NO_LAG, openSockets, onSync: (message) => message, onQuota: () => {}, isUp: () => true, deltaSince: () => undefined })
+  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, identity: () => ({ host: 'p', incarnation: 1 }), timers, queue: unlimitedQueue(), handler, log: new NoopCallLog(), lag: NO_LAG, openSockets, onSync: (message) => message, onQuota: () => {}, isUp: () => true, deltaSince: () => undefined })
   await server.listen()
   const replies = new Set<number>()
   const socket = connect(server.port, '127.0.0.1')
--- a/packages/hop/src/link/__tests__/lateCancel.spec.ts
+++ b/packages/hop/src/link/__tests__/lateCancel.spec.ts
@@ -25,7 +25,7 @@
 async function offeredKeys (lag: Pick<LoopLag, 'whenRead'>): Promise<string[]> {
   const offered: string[] = []
   const handler = { offer: ({ key }) => { offered.push(key) }, cancel: () => {}, onSenderDisconnect: () => {} } as Partial<InboundHandler> as InboundHandler
-  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue: unlimitedQueue(), handler, log: new NoopCallLog(), lag, onSync: (message) => message, onQuota: () => {}, isUp: () => true, deltaSince: () => undefined })
+  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, identity: () => ({ host: 'p', incarnation: 1 }), timers, queue: unlimitedQueue(), handler, log: new NoopCallLog(), lag, onSync: (message) => message, onQuota: () => {}, isUp: () => true, deltaSince: () => undefined })
   await server.listen()
   const peer = new FrameSocket(connect(server.port, '127.0.0.1'), { timers, queue: unlimitedQueue(), onFrame: () => {}, onClose: () => {} })
   sendThreeCalls(peer)
@@ -52,7 +52,7 @@
   const queue = new SendQueue({ timers, bytesPerMs: 100 })
   const reply: HopReply = { kind: 'response', status: 200, headers: [], body: new Uint8Array(200_000), unframed: false }
   const handler = { offer: (_message, done) => done(reply), cancel: () => {}, onSenderDisconnect: () => {} } as Partial<InboundHandler> as InboundHandler
-  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue, handler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, onQuota: () => {}, isUp: () => true, deltaSince: () => undefined })
+  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, identity: () => ({ host: 'p', incarnation: 1 }), timers, queue, handler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, onQuota: () => {}, isUp: () => true, deltaSince: () => undefined })
   await server.listen()
   const kinds: number[] = []
   const peer = new FrameSocket(connect(server.port, '127.0.0.1'), {
--- a/packages/hop/src/link/__tests__/memory.spec.ts
+++ b/packages/hop/src/link/__tests__/memory.spec.ts
@@ -28,7 +28,7 @@
   const taken = new Map<string, (reply: HopReply) => void>()
   const handler: Partial<InboundHandler> = { offer: (message, reply) => { taken.set(message.key, reply) }, onSenderDisconnect: () => {} }
   const server = new NodeHopServer({
-    address: '127.0.0.1', port: 0, lag: NO_LAG, queue: unlimitedQueue(), budget, timers, handler: handler as InboundHandler, log: new NoopCallLog(), onSync: (message) => message, onQuota: (_message, reply) => reply([]), isUp: () => true, deltaSince: () => undefined
+    address: '127.0.0.1', port: 0, identity: () => ({ host: 'p', incarnation: 1 }), lag: NO_LAG, queue: unlimitedQueue(), budget, timers, handler: handler as InboundHandler, log: new NoopCallLog(), onSync: (message) => message, onQuota: (_message, reply) => reply([]), isUp: () => true, deltaSince: () => undefined
   })
   await server.listen()
   const replies = new Map<number, HopReply>()
--- a/packages/hop/src/link/__tests__/peerConnection.spec.ts
+++ b/packages/hop/src/link/__tests__/peerConnection.spec.ts
@@ -3,6 +3,7 @@
 import { VirtualTimers } from '@lentilwheel/core'
 import { unlimitedQueue } from '../../__tests__/fixtures.js'
 import { NoopCallLog } from '../../observe/callLog.js'
+import { packIdentity } from '../codec.js'
 import { FRAME_KINDS } from '../frames.js'
 import { FrameSocket } from '../nodeFrameSocket.js'
 import { PeerConnection, type ExchangeOutcome } from '../nodePeerConnection.js'
@@ -11,7 +12,7 @@
 /** Time in which a peer has to answer a ping. */
 const PING_TIMEOUT_MS = 800
 
-/** A connection to a peer that reads everything and never answers. */
+/** A connection to a peer that tells which daemon it is, reads everything and answers nothing else. */
 class Harness {
   readonly timers = new VirtualTimers()
   readonly receivedKinds: number[] = []
@@ -33,7 +34,8 @@
       const frames = new FrameSocket(socket, {
         timers: harness.timers,
         queue: unlimitedQueue(),
-        onFrame: ([kind]) => {
+        onFrame: ([kind, exchangeId]) => {
+          if (kind === FRAME_KINDS.hello) return frames.send([FRAME_KINDS.reply, exchangeId, packIdentity({ host: 'p', incarnation: 1 })])
           harness.receivedKinds.push(kind)
           harness.#onReceived()
         },
@@ -85,7 +87,7 @@
   timers.advance(PING_TIMEOUT_MS + 100)
   connection.keepAlive()
   t.is(harness.silent, 1)
-  t.deepEqual(await outcome, { kind: 'broken', wasConnected: true })
+  t.deepEqual(await outcome, { kind: 'broken', mayHaveArrived: true })
 })
 
 test('guards against a silent connection being found out only by the call that needs it', async (t) => {
--- a/packages/hop/src/link/__tests__/quotaFrame.spec.ts
+++ b/packages/hop/src/link/__tests__/quotaFrame.spec.ts
@@ -16,7 +16,7 @@
 
 /** Two daemons' ends of a link over loopback; the second one handles questions by the given function. */
 async function linked (t: ExecutionContext, onQuota: HopServerOptions['onQuota']): Promise<NodePeerLink> {
-  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue: unlimitedQueue(), handler: {} as InboundHandler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, onQuota, isUp: (host) => host === 'a', deltaSince: () => undefined })
+  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, identity: () => ({ host: 'p', incarnation: 1 }), timers, queue: unlimitedQueue(), handler: {} as InboundHandler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, onQuota, isUp: (host) => host === 'a', deltaSince: () => undefined })
   await server.listen()
   const link = new NodePeerLink({ host: 'p', address: '127.0.0.1', port: server.port, timers, log: new NoopCallLog(), queue: unlimitedQueue(), idlePingMs: () => 3_000, onStateChange: () => {}, onSilent: () => {} })
   t.teardown(() => {
--- a/packages/hop/src/link/__tests__/refusedLink.spec.ts
+++ b/packages/hop/src/link/__tests__/refusedLink.spec.ts
@@ -3,10 +3,22 @@
 import { VirtualTimers } from '@lentilwheel/core'
 import { unlimitedQueue } from '../../__tests__/fixtures.js'
 import { NoopCallLog } from '../../observe/callLog.js'
+import { packIdentity } from '../codec.js'
+import { FRAME_KINDS } from '../frames.js'
+import { FrameSocket } from '../nodeFrameSocket.js'
 import { NodePeerLink } from '../nodePeerLink.js'
 
+/** A server that tells which daemon it is and answers nothing else. */
 async function listening (port: number): Promise<Server> {
-  const server = createServer((socket) => { socket.on('error', () => {}) })
+  const timers = new VirtualTimers()
+  const server = createServer((socket) => {
+    const frames = new FrameSocket(socket, {
+      timers,
+      queue: unlimitedQueue(),
+      onFrame: ([, exchangeId]) => { frames.send([FRAME_KINDS.reply, exchangeId, packIdentity({ host: 'p', incarnation: 1 })]) },
+      onClose: () => {}
+    })
+  })
   await new Promise<void>((resolve) => { server.listen(port, '127.0.0.1', resolve) })
   return server
 }
--- a/packages/hop/src/link/codec.ts
+++ b/packages/hop/src/link/codec.ts
@@ -1,14 +1,14 @@
 import { Packr } from 'msgpackr'
 import { BadMessage } from '../errors.js'
 import { readDeparture } from '../fleet/records.js'
-import type { CallMessage, HopReply, TargetLoad } from './messages.js'
+import type { CallMessage, DaemonIdentity, HelloMessage, HopReply, TargetLoad } from './messages.js'
 
 // Encodes messages between daemons as MessagePack.
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true, int64AsType: 'number' })
 
 /** Has to be raised whenever the field lists below change; messages with another number are rejected. */
-const PROTOCOL_VERSION = 8
+const PROTOCOL_VERSION = 9
 
 /** Calls and replies make up most of the traffic between daemons, so their fields are sent by position without names. */
 const CALL_FIELDS = [
@@ -18,6 +18,9 @@
 const REPLY_FIELDS = ['kind', 'reason', 'status', 'headers', 'body', 'unframed', 'departure', 'isFinal', 'load', 'queuedMs', 'ranMs'] as const
 const LOAD_FIELDS = ['targetId', 'running', 'queued', 'slots', 'pace', 'failing', 'pressedPriority', 'pressedShare', 'limitPerS', 'limitedMs', 'linkMs', 'linkMsPerKib', 'slowdown'] as const satisfies readonly (keyof TargetLoad)[]
 
+const HELLO_FIELDS = ['wantedHost'] as const satisfies readonly (keyof HelloMessage)[]
+const IDENTITY_FIELDS = ['host', 'incarnation'] as const satisfies readonly (keyof DaemonIdentity)[]
+
 type FieldValues = Readonly<Record<string, unknown>>
 
 /** Bytes that the encoder allocates at a time for small messages. */
@@ -64,6 +67,26 @@
   return fields as unknown as HopReply
 }
 
+export function packHello (message: HelloMessage): unknown[] {
+  return [PROTOCOL_VERSION, ...packFields(message as unknown as FieldValues, HELLO_FIELDS)]
+}
+
+export function unpackHello (value: unknown): HelloMessage {
+  const { wantedHost } = unpackFields(value, HELLO_FIELDS)
+  if (typeof wantedHost !== 'string') throw new BadMessage('hello from a peer names no host')
+  return { wantedHost }
+}
+
+export function packIdentity (identity: DaemonIdentity): unknown[] {
+  return [PROTOCOL_VERSION, ...packFields(identity as unknown as FieldValues, IDENTITY_FIELDS)]
+}
+
+export function unpackIdentity (value: unknown): DaemonIdentity {
+  const { host, incarnation } = unpackFields(value, IDENTITY_FIELDS)
+  if (typeof host !== 'string' || typeof incarnation !== 'number') throw new BadMessage('identity of a peer has a field of another type')
+  return { host, incarnation }
+}
+
 /** A response is passed on to a caller, so a field of another type mustn't get that far. */
 function checkResponse ({ status, headers, body }: Record<string, unknown>): void {
   if (!Number.isInteger(status) || !Array.isArray(headers) || !(body instanceof Uint8Array)) throw new BadMessage('response from a peer has a field of another type')
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -8,6 +8,15 @@
 
 // The messages that daemons exchange: calls, their replies, and the gossip about hosts, configuration and moves.
 
+/** First message on a connection, as an address may have been given to another host since it was learned. */
+export interface HelloMessage {
+  /** Host whose daemon the sender wants; empty for any. */
+  wantedHost: string
+}
+
+/** Which daemon a connection has reached. */
+export type DaemonIdentity = Pick<HostRecord, 'host' | 'incarnation'>
+
 /**
  * How an offered request may take a slot. `now`: only if a slot is free. `queue`: may wait for one. `ask`: only reports
  * whether a slot is free; sent without headers and body.
--- a/packages/hop/src/link/nodeHopServer.ts
+++ b/packages/hop/src/link/nodeHopServer.ts
@@ -5,8 +5,8 @@
 import type { CallLog } from '../observe/callLog.js'
 import type { InboundHandler } from '../inbound/inboundHandler.js'
 import type { ConfigDelta } from '../routing/configDelta.js'
-import { packReply, unpackCall, validateFields } from './codec.js'
-import type { HopReply, QuotaAnswer, QuotaMessage, SettleMessage, SyncMessage } from './messages.js'
+import { packIdentity, packReply, unpackCall, unpackHello, validateFields } from './codec.js'
+import type { DaemonIdentity, HopReply, QuotaAnswer, QuotaMessage, SettleMessage, SyncMessage } from './messages.js'
 import { FRAME_KINDS, type Frame } from './frames.js'
 import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
 import type { OpenSockets } from './nodeOpenSockets.js'
@@ -24,6 +24,8 @@
   handler: InboundHandler
   log: CallLog
   lag: Pick<LoopLag, 'whenRead'>
+  /** This daemon, for peers that connect to its address. */
+  identity (): DaemonIdentity
   /** Queue of this host's link. */
   queue: SendQueue
   /** Budget for the bodies of calls and for what waits of the replies; absent for none. */
@@ -81,7 +83,7 @@
   #onConnection (socket: Socket): void {
     const { handler: inbound, log, timers, queue, budget } = this.#opts
     this.#opts.openSockets?.add(socket)
-    const exchanges: Exchanges = { calls: new Map(), replies: new Map(), bodies: new CallBodies(budget) }
+    const exchanges: Exchanges = { isForOtherHost: false, calls: new Map(), replies: new Map(), bodies: new CallBodies(budget) }
     const peer = new FrameSocket(socket, {
       timers,
       queue,
@@ -103,7 +105,10 @@
   #onFrame (peer: FrameSocket, exchanges: Exchanges, [kind, exchangeId, payload]: Frame): void {
     const { handler: inbound } = this.#opts
     const { calls } = exchanges
+    if (exchanges.isForOtherHost) return
     switch (kind) {
+      case FRAME_KINDS.hello:
+        return this.#onHello(peer, exchanges, exchangeId, unpackHello(payload).wantedHost)
       case FRAME_KINDS.call: {
         const message = unpackCall(payload)
         if (!exchanges.bodies.add(exchangeId, message.body.length)) return this.#onDropped(peer, kind, exchangeId)
@@ -138,6 +143,16 @@
     }
   }
 
+  /** Tells a peer which daemon it has reached. One that wants the daemon of another host gets nothing else here. */
+  #onHello (peer: FrameSocket, exchanges: Exchanges, exchangeId: number, wantedHost: string): void {
+    const { host, incarnation } = this.#opts.identity()
+    peer.send([FRAME_KINDS.reply, exchangeId, packIdentity({ host, incarnation })])
+    if (wantedHost === '' || wantedHost === host) return
+    exchanges.isForOtherHost = true
+    this.#opts.log.decision('otherHostWanted', { wantedHost })
+    peer.end()
+  }
+
   /** Replies to a call that was dropped for want of memory; it has not run, and another target may take it. */
   #onDropped (peer: FrameSocket, kind: number, exchangeId: number): void {
     this.#opts.log.call(false, 'boundPassed', { from: 'peer', bound: 'buffers' })
@@ -157,6 +172,8 @@
 
 /** State of one connection, by exchange id. */
 interface Exchanges {
+  /** Whether the peer wants the daemon of another host, so that nothing it sends is handled. */
+  isForOtherHost: boolean
   /** Keys of the calls that have no reply yet. */
   calls: Map<number, string>
   /** Replies that wait for the link, or did when they were last looked at. */
--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net'
 import type { Timers } from '@lentilwheel/core'
 import type { CallLog } from '../observe/callLog.js'
+import { packHello, unpackIdentity } from './codec.js'
 import { FRAME_KINDS, type FrameKind } from './frames.js'
 import { FrameSocket, type SentFrame } from './nodeFrameSocket.js'
 import type { BufferBudget } from '../buffers/bufferBudget.js'
@@ -9,6 +10,7 @@
 import { CONTROL_URGENCY } from './urgency.js'
 
 export interface PeerConnectionOptions {
+  /** Host whose daemon has to answer; empty for any. */
   peer: string
   address: string
   port: number
@@ -24,7 +26,8 @@
   isPersistent: boolean
   /** Silence after which an idle connection is pinged. */
   idlePingMs (): number
-  onStateChange (isUp: boolean): void
+  /** Called with the incarnation of the peer once that has proved its identity, and with undefined when the connection has ended. */
+  onStateChange (incarnation: number | undefined): void
   /** Called when the connection was closed because the peer left a ping unanswered. */
   onSilent (): void
 }
@@ -36,8 +39,8 @@
   done (outcome: ExchangeOutcome): void
 }
 
-/** Result of a request: the payload of the reply, or whether the connection was established before it broke. */
-export type ExchangeOutcome = { kind: 'payload', payload: unknown } | { kind: 'broken', wasConnected: boolean }
+/** Result of a request: the payload of the reply, or whether the peer may have got the request before the connection broke. */
+export type ExchangeOutcome = { kind: 'payload', payload: unknown } | { kind: 'broken', mayHaveArrived: boolean }
 
 const CONNECT_TIMEOUT_MS = 700
 /** Silence after which the peer is pinged while a request is pending. */
@@ -49,10 +52,13 @@
 /** Bounds of the exponential delay before another attempt to connect to an unreachable peer. */
 const MIN_RECONNECT_DELAY_MS = 150
 const MAX_RECONNECT_DELAY_MS = 2_000
+/** Delay after another host's daemon has answered; the wanted one can't be at that address until it is heard of again. */
+const OTHER_HOST_DELAY_MS = 30_000
 
 /**
  * Sends requests to one peer over a single TCP connection, which is opened again after it broke. Requests pending on a
- * broken connection end as `broken` and aren't sent again.
+ * broken connection end as `broken` and aren't sent again. The peer has to prove that it is the daemon of the wanted host, as
+ * an open connection only shows that some daemon listens at the address; another one handles no request.
  */
 export class PeerConnection {
   readonly #opts: PeerConnectionOptions
@@ -60,6 +66,8 @@
   readonly #pending = new Map<number, PendingRequest>()
   #socket: FrameSocket | undefined
   #isConnected = false
+  #isProven = false
+  #isOtherHost = false
   #pingedAt = -Infinity
   #connectFailures = 0
   #retryAt = 0
@@ -72,10 +80,10 @@
   }
 
   get isUp (): boolean {
-    return this.#isConnected
+    return this.#isProven
   }
 
-  /** Whether the peer's host refused the last attempt to connect, as no process listens there. */
+  /** Whether the last attempt to connect showed that the peer doesn't run: no process listens there, or the daemon of another host. */
   get isRefused (): boolean {
     return this.#isRefused
   }
@@ -93,7 +101,7 @@
   request (kind: FrameKind, payload: unknown, done: (outcome: ExchangeOutcome) => void, urgency = CONTROL_URGENCY, onAnswered = (): void => {}): number {
     const socket = this.#open()
     if (!socket) {
-      done({ kind: 'broken', wasConnected: false })
+      done({ kind: 'broken', mayHaveArrived: false })
       return 0
     }
     const exchangeId = ++this.#lastExchangeId
@@ -143,7 +151,7 @@
       onDropped: (_kind, exchangeId) => this.#onReply(exchangeId, undefined),
       onClose: (reason) => {
         stopTimeout()
-        if (!this.#isClosed) log.decision('linkClosed', { peer, reason, wasUp: this.#isConnected, calls: this.#pending.size })
+        if (!this.#isClosed) log.decision('linkClosed', { peer, reason, wasUp: this.#isProven, calls: this.#pending.size })
         this.#onClosed()
       }
     })
@@ -156,14 +164,31 @@
     tcp.once('connect', () => {
       stopTimeout()
       this.#isConnected = true
-      this.#isRefused = false
-      this.#connectFailures = 0
-      this.#opts.onStateChange(true)
     })
     this.#socket = socket
+    this.#askIdentity(socket)
     return socket
   }
 
+  /** Asks which daemon listens there. Requests may follow at once, as another host's daemon handles none of them. */
+  #askIdentity (socket: FrameSocket): void {
+    const exchangeId = ++this.#lastExchangeId
+    const frame = socket.send([FRAME_KINDS.hello, exchangeId, packHello({ wantedHost: this.#opts.peer })])
+    const done = (outcome: ExchangeOutcome): void => { if (outcome.kind === 'payload') this.#onIdentity(socket, outcome.payload) }
+    this.#pending.set(exchangeId, { sentAt: this.#opts.timers.now(), frame, done, onAnswered: () => {} })
+  }
+
+  #onIdentity (socket: FrameSocket, payload: unknown): void {
+    const { host, incarnation } = unpackIdentity(payload)
+    const { peer } = this.#opts
+    this.#isOtherHost = peer !== '' && host !== peer
+    this.#isRefused = this.#isOtherHost
+    if (this.#isOtherHost) return socket.destroy(`the daemon of host ${host} answered`)
+    this.#isProven = true
+    this.#connectFailures = 0
+    this.#opts.onStateChange(incarnation)
+  }
+
   #onReply (exchangeId: number, payload: unknown): void {
     const request = this.#pending.get(exchangeId)
     this.#pending.delete(exchangeId)
@@ -172,17 +197,27 @@
 
   #onClosed (): void {
     const { timers } = this.#opts
-    const wasConnected = this.#isConnected
+    const wasProven = this.#isProven
+    const mayHaveArrived = this.#isConnected && !this.#isOtherHost
+    if (!wasProven) this.#connectFailures++
+    this.#retryAt = timers.now() + this.#reconnectDelayMs()
     this.#socket = undefined
     this.#isConnected = false
-    if (!wasConnected) this.#connectFailures++
-    const delayMs = wasConnected ? 0 : Math.min(MAX_RECONNECT_DELAY_MS, MIN_RECONNECT_DELAY_MS * 2 ** Math.min(this.#connectFailures - 1, 6))
-    this.#retryAt = timers.now() + delayMs
+    this.#isProven = false
+    this.#isOtherHost = false
     const pending = [...this.#pending.values()]
     this.#pending.clear()
-    if (!this.#isClosed) this.#opts.onStateChange(false)
-    if (wasConnected && this.#opts.isPersistent) this.#open()
-    for (const { done } of pending) done({ kind: 'broken', wasConnected })
+    if (!this.#isClosed) this.#opts.onStateChange(undefined)
+    if (wasProven && this.#opts.isPersistent) this.#open()
+    for (const { done } of pending) done({ kind: 'broken', mayHaveArrived })
+  }
+
+  /** Delay before the next attempt to connect, for the connection that has just ended. */
+  #reconnectDelayMs (): number {
+    if (this.#isOtherHost) return OTHER_HOST_DELAY_MS
+    const isFirstLoss = this.#isConnected && this.#connectFailures <= 1
+    if (this.#isProven || isFirstLoss) return 0
+    return Math.min(MAX_RECONNECT_DELAY_MS, MIN_RECONNECT_DELAY_MS * 2 ** Math.min(this.#connectFailures - 1, 6))
   }
 
   /** Called at intervals: opens a persistent connection, pings a silent peer, and disconnects if a ping stays unanswered. */
--- a/packages/hop/src/link/nodePeerLink.ts
+++ b/packages/hop/src/link/nodePeerLink.ts
@@ -28,8 +28,8 @@
   openSockets?: OpenSockets
   /** Silence after which an idle connection is pinged. */
   idlePingMs (): number
-  /** Called when the peer becomes reachable and when the connection to it is lost. */
-  onStateChange (host: string, isUp: boolean): void
+  /** Called with the peer's incarnation when it becomes reachable, and with undefined when the connection to it is lost. */
+  onStateChange (host: string, incarnation: number | undefined): void
   /** Called when a connection turned out to be dead although nothing had ended it. */
   onSilent (): void
 }
@@ -67,7 +67,7 @@
     this.#opts = opts
     const { host, address, port, timers, log, queue, budget, openSockets, idlePingMs, onSilent } = opts
     const shared = { peer: host, address, port, timers, log, queue, idlePingMs, onSilent, ...budget ? { budget } : {}, ...openSockets ? { openSockets } : {} }
-    this.#connection = new PeerConnection({ ...shared, isPersistent: true, onStateChange: (isUp) => opts.onStateChange(host, isUp) })
+    this.#connection = new PeerConnection({ ...shared, isPersistent: true, onStateChange: (incarnation) => opts.onStateChange(host, incarnation) })
     this.#bulkConnection = new PeerConnection({ ...shared, isPersistent: false, onStateChange: () => {} })
   }
 
@@ -155,7 +155,7 @@
   #onOutcome (call: PendingCall, outcome: ExchangeOutcome): void {
     if (call.hasEnded) return
     if (outcome.kind === 'payload') return this.#onReply(call, outcome.payload)
-    if (!outcome.wasConnected) return this.#end(call, { kind: 'notRun', reason: 'unsent' })
+    if (!outcome.mayHaveArrived) return this.#end(call, { kind: 'notRun', reason: 'unsent' })
     call.brokenAt = this.#opts.timers.now()
     this.#settle(call)
   }
--- a/packages/hop/src/quota/__tests__/questionCost.ts
+++ b/packages/hop/src/quota/__tests__/questionCost.ts
@@ -47,7 +47,7 @@
 
 async function runLender (): Promise<void> {
   const gate = createGate(LENDER, (_host, _message, done) => done(undefined))
-  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, timers, queue: unlimitedQueue(), handler: {} as InboundHandler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, onQuota: (message, reply) => gate.onQuestions(message, reply), isUp: () => true, deltaSince: () => undefined })
+  const server = new NodeHopServer({ address: '127.0.0.1', port: 0, identity: () => ({ host: LENDER, incarnation: 1 }), timers, queue: unlimitedQueue(), handler: {} as InboundHandler, log: new NoopCallLog(), lag: NO_LAG, onSync: (message) => message, onQuota: (message, reply) => gate.onQuestions(message, reply), isUp: () => true, deltaSince: () => undefined })
   await server.listen()
   let startedAt = process.cpuUsage()
   process.on('message', (command) => {
--- a/packages/hop/src/quota/reachSample.ts
+++ b/packages/hop/src/quota/reachSample.ts
@@ -1,4 +1,5 @@
 import type { Cancel, Random, Timers } from '@lentilwheel/core'
+import { sample } from '../sample.js'
 
 export interface ReachSampleOptions {
   timers: Pick<Timers, 'now' | 'after'>
@@ -80,7 +81,7 @@
       return
     }
     const answers: ReadonlySet<string>[] = []
-    for (const peer of this.#sample()) {
+    for (const peer of sample(this.#peers, SAMPLE_SIZE, this.#opts.random)) {
       this.#opts.askReach(peer, hosts, (reached) => {
         if (reached) answers.push(new Set(hosts.filter((_, i) => reached[i])))
         this.#answers = answers
@@ -89,11 +90,4 @@
     const isAgreed = this.#answers.length > 0 && this.#answers.every((reached) => reached.size === 0)
     this.#schedule(isAgreed ? AGREED_INTERVAL_MS : PROBE_INTERVAL_MS)
   }
-
-  #sample (): string[] {
-    const rest = [...this.#peers]
-    const sample: string[] = []
-    while (sample.length < SAMPLE_SIZE && rest.length > 0) sample.push(...rest.splice(this.#opts.random.int(rest.length), 1))
-    return sample
-  }
 }
