Keep the version that a service runs in the store, and give others only their move's share

Cause: the version that a service runs was a guess from the ready targets, given up as soon as an order named it. Now it is a fact in the store, written when all targets run one version and when a move is completed; an order for it ends the present move at once, and a version that is neither trusted nor ordered gets nothing.

--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -31,6 +31,7 @@
 import { NewsSpreader } from '../quarantine/newsSpreader.js'
 import { Quarantine } from '../quarantine/quarantine.js'
 import { DaemonQuota } from '../quota/daemonQuota.js'
+import type { RouteTable } from '../routing/routeTable.js'
 import { closeConnections } from './connectionClose.js'
 import { ConfigUpdater } from './configUpdater.js'
 import { DaemonRegistration } from './daemonRegistration.js'
@@ -133,6 +134,8 @@
       orders: () => this.#moves.orders(),
       onOrder: (order, from) => this.#moves.onOrder(order, from),
       onReport: (report) => this.#moves.onReport(report),
+      trustedVersions: () => this.#moves.trustedVersions(),
+      onTrustedVersions: (versions) => this.#moves.onTrustedVersions(versions),
       epochs: store.epochs,
       evacuations,
       quarantine: this.#quarantine
@@ -194,13 +197,8 @@
       timers,
       random,
       log,
-      // Without routes no request is sent, so a daemon that starts sends none before it knows which data centres are evacuated.
-      onConfig: (table) => this.#evacuationWatcher.whenLoaded(() => {
-        this.#outbound.setTable(table)
-        this.#outboundServer.setLimits(table.config.limits)
-        this.#quota.setWorkspaces(table.config.workspaces)
-        metrics.state('configVersion', table.config.version)
-      })
+      // Without routes no request is sent, so a daemon that starts sends none before it knows which data centres are evacuated, and which versions services run.
+      onConfig: (table) => this.#evacuationWatcher.whenLoaded(() => this.#moves.whenLoaded(() => this.#setTable(table)))
     })
     this.#registration = new DaemonRegistration({
       fleet: this.#fleet,
@@ -376,6 +374,14 @@
     this.#fleet.sendEvacuations(from === 'store')
   }
 
+  #setTable (table: RouteTable): void {
+    const { config } = table
+    this.#outbound.setTable(table)
+    this.#outboundServer.setLimits(config.limits)
+    this.#quota.setWorkspaces(config.workspaces)
+    this.#opts.metrics.state('configVersion', config.version)
+  }
+
   /** Passes changed records to the parts that use them; a failure there is logged, not thrown. */
   #onFleetChange (): void {
     try {
--- a/packages/hop/src/evacuation/__tests__/spread.spec.ts
+++ b/packages/hop/src/evacuation/__tests__/spread.spec.ts
@@ -66,6 +66,8 @@
       onDepartures: () => {},
       onFact: () => {},
       orders: () => [],
+      trustedVersions: () => [],
+      onTrustedVersions: () => {},
       onOrder: () => {},
       onReport: () => {}
     })
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -84,6 +84,8 @@
       onDepartures: (departures) => this.departedIds.set(host, departures.map(({ id }) => id)),
       onFact: () => {},
       orders: () => [],
+      trustedVersions: () => [],
+      onTrustedVersions: () => {},
       onOrder: () => {},
       onReport: () => {},
       epochs: new EpochTracker(new NoopCallLog())
--- a/packages/hop/src/fleet/__tests__/reusedAddress.spec.ts
+++ b/packages/hop/src/fleet/__tests__/reusedAddress.spec.ts
@@ -71,6 +71,8 @@
     onDepartures: () => {},
     onFact: () => {},
     orders: () => [],
+    trustedVersions: () => [],
+    onTrustedVersions: () => {},
     onOrder: () => {},
     onReport: () => {},
     epochs: new EpochTracker(log),
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -1,15 +1,14 @@
-import { createHash } from 'node:crypto'
 import { errorCode, type MoveFact } from '@lentilwheel/core'
 import type { BriefReport } from '@lentilwheel/moves'
 import type { SyncMessage } from '../link/messages.js'
 import type { QuarantineNews } from '../quarantine/quarantineNews.js'
-import { formatRevision } from '../store/storeRevision.js'
 import type { WatchTurn } from '../store/storeWatcher.js'
 import { sample } from '../sample.js'
 import { MoveFactSet } from './moveFactSet.js'
 import { HostTable } from './hostTable.js'
 import { WatchDuty } from './watchDuty.js'
 import { PeerStates } from './peerStates.js'
+import { SyncMessages } from './syncMessages.js'
 import type { FleetOptions, PeerLink } from './fleetTypes.js'
 import type { HostRecord, Departure, TargetRecord } from './hostRecord.js'
 
@@ -44,6 +43,7 @@
   readonly #watchDuty: WatchDuty
   readonly #links = new Map<string, PeerLink>()
   readonly #peers: PeerStates
+  readonly #messages: SyncMessages
   readonly #startedAt: number
   #isPushScheduled = false
   #lastPushAt = -Infinity
@@ -54,6 +54,7 @@
     this.#table = new HostTable(opts.own)
     this.#watchDuty = new WatchDuty(opts.timers)
     this.#peers = new PeerStates(opts.timers)
+    this.#messages = new SyncMessages({ opts, table: this.#table, facts: this.facts, peers: this.#peers, watchDuty: this.#watchDuty })
     this.#startedAt = opts.timers.now()
     opts.epochs.onRise((from) => { if (from === 'store') this.schedulePush() })
     opts.timers.every(KEEP_ALIVE_INTERVAL_MS, () => { for (const link of this.#links.values()) link.keepAlive() }, { jitter: 0.2 })
@@ -120,7 +121,7 @@
 
   /** Sends results of a service's versions to the daemon that coordinates its move. */
   sendReport (host: string, report: BriefReport): void {
-    this.#links.get(host)?.sync({ ...this.#updateMessage([]), reports: [report] }).then((reply) => this.#apply(reply), (err) => {
+    this.#links.get(host)?.sync({ ...this.#messages.update([]), reports: [report] }).then((reply) => this.#apply(reply), (err) => {
       this.#opts.log.decision('reportLost', { peer: host, code: errorCode(err) })
     })
   }
@@ -174,7 +175,7 @@
   setConfigVersion (version: number, isFromStore: boolean): void {
     this.#peers.setConfigVersion(this.own.host, version)
     const nearby = isFromStore ? this.#upPeers().filter((host) => this.record(host)?.dataCentre === this.own.dataCentre) : []
-    const message = this.#updateMessage([])
+    const message = this.#messages.update([])
     for (const host of new Set([...nearby, ...this.#randomPeers(VERSION_FANOUT)])) this.#syncWith(host, message)
   }
 
@@ -211,12 +212,12 @@
 
   /** Tells a few random peers what is new about requests that crash targets. */
   sendQuarantineNews (news: QuarantineNews, peers: number): void {
-    for (const host of this.#randomPeers(peers)) this.#syncWith(host, { ...this.#emptyMessage(), quarantine: news })
+    for (const host of this.#randomPeers(peers)) this.#syncWith(host, { ...this.#messages.empty(), quarantine: news })
   }
 
   /** Tells peers of a changed evacuation at once: all of them if it was read from the store, else a few, as most hear of it from those that read it. */
   sendEvacuations (isFromStore: boolean): void {
-    const message = this.#emptyMessage()
+    const message = this.#messages.empty()
     for (const host of isFromStore ? this.#upPeers() : this.#randomPeers(EVACUATION_FANOUT)) this.#syncWith(host, message)
   }
 
@@ -225,7 +226,7 @@
     this.#apply(message)
     this.#links.get(message.from)?.reopen()
     const isDifferent = message.digest !== undefined && message.digest !== this.digest()
-    const reply = isDifferent ? this.#fullMessage() : { ...this.#emptyMessage(), records: this.#recordToRestore(message) }
+    const reply = isDifferent ? this.#messages.full() : { ...this.#messages.empty(), records: this.#recordToRestore(message) }
     return { ...reply, ...this.#quarantineFor(message) }
   }
 
@@ -253,7 +254,7 @@
     this.#peers.clearUnreachable(host)
     if (incarnation !== this.record(host)?.incarnation) this.#forgetReports(host)
     this.#opts.log.decision('peerUp', { peer: host, incarnation })
-    this.#syncWith(host, { ...this.#updateMessage([this.own]), ...this.#quarantineQuestion() })
+    this.#syncWith(host, this.#messages.welcome())
   }
 
   #onPeerDown (host: string): void {
@@ -282,7 +283,7 @@
   async contactSeed (address: string, port: number): Promise<boolean> {
     const link = this.#opts.openLink('', address, port)
     try {
-      this.#apply(await link.sync({ ...this.#fullMessage(), digest: this.digest(), ...this.#quarantineQuestion() }))
+      this.#apply(await link.sync({ ...this.#messages.full(), digest: this.digest(), ...this.#messages.quarantineQuestion() }))
       return true
     } catch (err) {
       this.#opts.log.decision('seedUnreachable', { address, code: errorCode(err) })
@@ -292,11 +293,9 @@
     }
   }
 
-  /** Fingerprint of all records, facts, orders and evacuations known here; equal on daemons that know the same. */
+  /** Fingerprint of everything known here that spreads; equal on daemons that know the same. */
   digest (): string {
-    const facts = this.facts.all().map((fact) => JSON.stringify(fact)).sort()
-    const orders = this.#opts.orders().map(({ id, revision }) => `${id} ${formatRevision(revision)}`).sort()
-    return createHash('sha1').update([this.#table.digest(), ...facts, ...orders, ...this.#opts.evacuations?.digestLines() ?? []].join('\n')).digest('base64')
+    return this.#messages.digest()
   }
 
   close (): void {
@@ -312,6 +311,8 @@
   #apply (message: SyncMessage): void {
     if (message.storeEpoch > 0) this.#opts.epochs.observe(message.storeEpoch, 'peer')
     if (message.evacuations) this.#opts.evacuations?.merge(message.evacuations, message.from)
+    // Before the records: a version that no order names mustn't get requests until this is known.
+    if (message.trustedVersions) this.#opts.onTrustedVersions(message.trustedVersions)
     this.merge(message.records)
     if (this.#watchDuty.setStoreLost(message.from, message.isStoreLost === true)) this.#opts.onWatchersChange()
     this.#peers.setConfigVersion(message.from, message.configVersion)
@@ -322,29 +323,6 @@
     if (message.quarantine) this.#opts.quarantine.merge(message.quarantine)
   }
 
-  /** A message with no content except what every message tells: the active configuration version, the store's epoch and evacuations. */
-  #emptyMessage (): SyncMessage {
-    const { host } = this.own
-    const reach = this.#watchDuty.isStoreLost(host) ? { isStoreLost: true } : {}
-    const evacuations = this.#opts.evacuations?.records() ?? []
-    return { ...reach, ...evacuations.length > 0 ? { evacuations } : {}, from: host, configVersion: this.configVersionOf(host), storeEpoch: this.#opts.epochs.current, records: [], facts: [], orders: [], reports: [] }
-  }
-
-  /** Makes the receiver answer with what it knows about requests that crash targets, if it knows something else. */
-  #quarantineQuestion (): Pick<SyncMessage, 'quarantineDigest'> {
-    return { quarantineDigest: this.#opts.quarantine.digest() }
-  }
-
-  /** A message with the given records and all facts and orders; without a digest, so no full reply is requested. */
-  #updateMessage (records: HostRecord[]): SyncMessage {
-    return { ...this.#emptyMessage(), records, facts: this.facts.all(), orders: this.#opts.orders() }
-  }
-
-  /** A message with everything known here. */
-  #fullMessage (): SyncMessage {
-    return this.#updateMessage(this.records())
-  }
-
   /** Opens a link to the daemon, unless there is one to its current address; a broken one connects at once after a new start of the daemon. */
   #ensureLink ({ host, address, port }: HostRecord, isNewStart: boolean): void {
     const link = this.#links.get(host)
@@ -370,12 +348,12 @@
   /** Sends the own record, all facts and all orders to every connected peer. */
   #push (): void {
     this.#lastPushAt = this.#opts.timers.now()
-    const message = this.#updateMessage([this.own])
+    const message = this.#messages.update([this.own])
     for (const [host, link] of this.#links) if (link.isUp) this.#syncWith(host, message)
   }
 
   #exchangeWithRandomPeer (): void {
-    for (const host of this.#randomPeers(1)) this.#syncWith(host, { ...this.#updateMessage([]), digest: this.digest(), ...this.#quarantineQuestion() })
+    for (const host of this.#randomPeers(1)) this.#syncWith(host, { ...this.#messages.update([]), digest: this.digest(), ...this.#messages.quarantineQuestion() })
   }
 
   #upPeers (): string[] {
--- a/packages/hop/src/fleet/fleetTypes.ts
+++ b/packages/hop/src/fleet/fleetTypes.ts
@@ -4,6 +4,7 @@
 import type { CallMessage, HopReply, QuotaAnswer, QuotaMessage, SyncMessage } from '../link/messages.js'
 import type { CallLog } from '../observe/callLog.js'
 import type { MoveOrder } from '../rollout/moveOrder.js'
+import type { TrustedVersion } from '../rollout/trustedVersion.js'
 import type { ConfigDelta } from '../routing/configDelta.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
 import type { EpochTracker } from '../store/epochTracker.js'
@@ -60,6 +61,9 @@
   /** `from`: host of the peer that sent the order. */
   onOrder (order: MoveOrder, from: string): void
   onReport (report: BriefReport): void
+  /** Trusted versions of services that this daemon knows, for messages to peers. */
+  trustedVersions (): TrustedVersion[]
+  onTrustedVersions (versions: readonly TrustedVersion[]): void
   /** Epoch of the store as far as known, which spreads with every message. */
   epochs: EpochTracker
   /** Which data centres are evacuated, which spreads with every message; absent where there are no evacuations. */
--- a/packages/hop/src/fleet/records.ts
+++ b/packages/hop/src/fleet/records.ts
@@ -3,6 +3,7 @@
 import type { BriefReport } from '@lentilwheel/moves'
 import type { EvacuationRecord } from '../evacuation/evacuationRecord.js'
 import { MOVE_STATES, type MoveOrder } from '../rollout/moveOrder.js'
+import type { TrustedVersion } from '../rollout/trustedVersion.js'
 import { isStoreRevision } from '../store/storeRevision.js'
 import { MAX_DEPARTURES, TARGET_STATES, type Departure, type HostRecord, type TargetRecord } from './hostRecord.js'
 
@@ -70,6 +71,13 @@
   return { id, service, to, durationMs, state, revision: { epoch: revision.epoch, number: revision.number } }
 }
 
+/** The trusted version of a service that a value holds; undefined if a field is missing or invalid. */
+export function readTrustedVersion (value: unknown): TrustedVersion | undefined {
+  const { service, version, since } = fieldsOf<TrustedVersion>(value)
+  if (!isName(service) || !isText(version) || !isStoreRevision(since)) return undefined
+  return { service, version, since: { epoch: since.epoch, number: since.number } }
+}
+
 /** The state of a data centre that a value holds; undefined if a field is missing or invalid. */
 export function readEvacuation (value: unknown): EvacuationRecord | undefined {
   const { dataCentre, isOrdered, revision } = fieldsOf<EvacuationRecord>(value)
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -74,6 +74,8 @@
     onDepartures: () => {},
     onFact: (fact) => { received.push(fact) },
     orders: () => [],
+    trustedVersions: () => [],
+    onTrustedVersions: () => {},
     onOrder: (given) => { received.push(given) },
     onReport: (report) => { received.push(report) },
     epochs: new EpochTracker(new NoopCallLog())
--- a/packages/hop/src/link/messages.ts
+++ b/packages/hop/src/link/messages.ts
@@ -1,5 +1,6 @@
 import type { BriefReport } from '@lentilwheel/moves'
 import type { MoveOrder } from '../rollout/moveOrder.js'
+import type { TrustedVersion } from '../rollout/trustedVersion.js'
 import type { EvacuationRecord } from '../evacuation/evacuationRecord.js'
 import type { Departure, HostRecord } from '../fleet/hostRecord.js'
 import type { QuarantineNews } from '../quarantine/quarantineNews.js'
@@ -120,6 +121,8 @@
   facts: MoveFact[]
   /** Orders of moves, each with its revision in the store. */
   orders: MoveOrder[]
+  /** Trusted versions of services; absent in messages that only push changes. */
+  trustedVersions?: TrustedVersion[]
   /** Request results of the versions in a move, for the daemon that coordinates the move. */
   reports: BriefReport[]
   /** Whether the sender can't reach the store, so that another daemon has to watch in its place; absent for no. */
@@ -131,7 +134,7 @@
   /** Digest of what the sender knows about them. A receiver that knows something else answers with everything; absent where that isn't wanted. */
   quarantineDigest?: string
   /**
-   * Hash of all records, facts, orders and evacuations that the sender knows. A receiver whose hash differs answers with everything
+   * Hash of all records, facts, orders, trusted versions and evacuations that the sender knows. A receiver whose hash differs answers with everything
    * that it knows. Absent in messages that only push changes.
    */
   digest?: string
--- a/packages/hop/src/link/readSyncMessage.ts
+++ b/packages/hop/src/link/readSyncMessage.ts
@@ -1,6 +1,6 @@
 import type { Timers } from '@lentilwheel/core'
 import { BadMessage } from '../errors.js'
-import { readBriefReport, readEvacuation, readHostRecord, readMoveFact, readMoveOrder } from '../fleet/records.js'
+import { readBriefReport, readEvacuation, readHostRecord, readMoveFact, readMoveOrder, readTrustedVersion } from '../fleet/records.js'
 import type { CallLog } from '../observe/callLog.js'
 import { readQuarantineNews } from '../quarantine/quarantineNews.js'
 import { validateFields } from './codec.js'
@@ -18,11 +18,11 @@
  */
 export function readSyncMessage (value: unknown, { timers, log }: SyncReader): SyncMessage {
   const message = validateFields<SyncMessage>(value, REQUIRED_SYNC_FIELDS)
-  const { from, configVersion, storeEpoch, isStoreLost, evacuations, digest, quarantine, quarantineDigest } = message
+  const { from, configVersion, storeEpoch, isStoreLost, trustedVersions, evacuations, digest, quarantine, quarantineDigest } = message
   if (typeof from !== 'string' || !isCount(configVersion) || !isCount(storeEpoch)) throw new BadMessage('sync message has an invalid sender, version or epoch')
   const wallNow = timers.wallNow()
   const onBadRecord = (field: keyof SyncMessage): void => log.decision('badRecord', { from, field })
-  const readAll = <T>(field: 'records' | 'facts' | 'orders' | 'reports' | 'evacuations', read: (entry: unknown) => T | undefined): T[] => {
+  const readAll = <T>(field: 'records' | 'facts' | 'orders' | 'reports' | 'trustedVersions' | 'evacuations', read: (entry: unknown) => T | undefined): T[] => {
     const entries: unknown = message[field]
     if (!Array.isArray(entries)) throw new BadMessage(`field ${field} of a sync message is not a list`)
     return entries.flatMap((entry) => {
@@ -39,6 +39,7 @@
     facts: readAll('facts', (entry) => readMoveFact(entry, wallNow)),
     orders: readAll('orders', readMoveOrder),
     reports: readAll('reports', readBriefReport),
+    ...trustedVersions ? { trustedVersions: readAll('trustedVersions', readTrustedVersion) } : {},
     ...evacuations ? { evacuations: readAll('evacuations', readEvacuation) } : {},
     ...isStoreLost === true ? { isStoreLost } : {},
     ...typeof digest === 'string' ? { digest } : {},
--- a/packages/hop/src/quarantine/__tests__/blockStore.spec.ts
+++ b/packages/hop/src/quarantine/__tests__/blockStore.spec.ts
@@ -1,11 +1,8 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
 import { testQuarantine } from '../../__tests__/fixtures.js'
-import { RevisionConflict, StoreUnavailable } from '../../errors.js'
+import { MemoryStore } from '../../__tests__/memoryStore.js'
 import type { CallLog } from '../../observe/callLog.js'
-import { NoopCallLog } from '../../observe/callLog.js'
-import { EpochTracker } from '../../store/epochTracker.js'
-import type { ObjectStore, StoredObject } from '../../store/objectStore.js'
 import { BlockStore } from '../blockStore.js'
 import type { Block } from '../quarantineNews.js'
 
@@ -14,38 +11,6 @@
 const HOUR_MS = 3_600_000
 const block: Block = { fingerprint: DEADLY, level: 1, isCleared: false, ageMs: 0 }
 
-/** A store of one kind of objects, in memory. */
-class MemoryStore implements ObjectStore {
-  readonly epochs = new EpochTracker(new NoopCallLog())
-  readonly objects = new Map<string, StoredObject>()
-  isAway = false
-  #number = 0
-
-  put (name: string, spec: unknown): StoredObject {
-    const object = { name, revision: { epoch: 1, number: ++this.#number }, spec, status: null }
-    this.objects.set(name, object)
-    return object
-  }
-
-  async list (): Promise<{ objects: StoredObject[], revision: { epoch: number, number: number } }> {
-    if (this.isAway) throw new StoreUnavailable('away')
-    return { objects: [...this.objects.values()], revision: { epoch: 1, number: this.#number } }
-  }
-
-  async get (_kind: string, name: string): Promise<StoredObject | undefined> { return this.objects.get(name) }
-
-  async create (_kind: string, name: string, spec: unknown): Promise<StoredObject> {
-    if (this.isAway) throw new StoreUnavailable('away')
-    if (this.objects.has(name)) throw new RevisionConflict('exists')
-    return this.put(name, spec)
-  }
-
-  async replace (_kind: string, name: string, spec: unknown): Promise<StoredObject> { return this.put(name, spec) }
-  async remove (_kind: string, name: string): Promise<void> { this.objects.delete(name) }
-  async watch (): Promise<never> { throw new StoreUnavailable('not used') }
-  async setStatus (): Promise<never> { throw new StoreUnavailable('not used') }
-}
-
 class TestSetup {
   readonly timers = new VirtualTimers()
   readonly decisions: string[] = []
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -12,6 +12,8 @@
 import { ResultAggregator, type RequestResult } from './resultAggregator.js'
 import { REWRITE_MS, SupersededOrders } from './supersededOrders.js'
 import type { MoveOrder, MoveState } from './moveOrder.js'
+import type { TrustedVersion } from './trustedVersion.js'
+import { TrustedVersionStore } from './trustedVersionStore.js'
 import { phaseOf, VersionRules, type VersionChoice, type VersionChooser, type VersionOption } from './versionRules.js'
 
 export interface MoveControllerOptions {
@@ -50,6 +52,7 @@
   readonly #rules: VersionRules
   readonly #results = new ResultAggregator()
   readonly #superseded: SupersededOrders
+  readonly #trustedStore: TrustedVersionStore
   /** Moves that this daemon coordinates, by order id. */
   readonly #coordinated = new Map<string, BriefMove>()
   /** States that are not in the store yet, by order id; `since`: when the state became due, or was last tried. */
@@ -61,19 +64,27 @@
   constructor (opts: MoveControllerOptions) {
     this.#opts = opts
     this.#rules = new VersionRules(opts.random, opts.evacuations)
-    const { timers, store: { epochs } } = opts
+    const { timers, random, log, store, store: { epochs } } = opts
+    this.#trustedStore = new TrustedVersionStore({ store, rules: this.#rules, timers, random, log })
     this.#superseded = new SupersededOrders(timers, epochs)
     // Orders that are held count once the hold is over.
     epochs.onRise(() => timers.after(REWRITE_MS, () => this.#watcher?.relist()))
   }
 
   start (): void {
+    this.#trustedStore.start()
     this.#opts.timers.every(TICK_INTERVAL_MS, () => this.#tick(), { jitter: 0.2 })
     this.#opts.timers.every(WATCHER_CHECK_INTERVAL_MS, () => { if (!this.#watcher && this.#opts.fleet.turnInFleet(MAX_WATCHERS)) this.#startWatcher() })
   }
 
   stop (): void {
     this.#watcher?.stop()
+    this.#trustedStore.stop()
+  }
+
+  /** Calls `fn` once the versions that services run are known, or could have been. */
+  whenLoaded (fn: () => void): void {
+    this.#trustedStore.whenLoaded(fn)
   }
 
   setHosts (records: readonly HostRecord[]): void {
@@ -105,6 +116,15 @@
     this.#opts.fleet.schedulePush()
   }
 
+  trustedVersions (): TrustedVersion[] {
+    return this.#rules.trustedVersions()
+  }
+
+  /** Takes over what a peer knows of the versions that services run. */
+  onTrustedVersions (versions: readonly TrustedVersion[]): void {
+    for (const version of versions) this.#rules.trust(version)
+  }
+
   /** Applies a fact that was added to the facts known here. */
   onFact (fact: MoveFact): void {
     const facts = this.#opts.fleet.facts.of(fact.move)
@@ -180,6 +200,8 @@
   #tick (): void {
     this.#sendReport()
     for (const order of this.#rules.orders()) this.#coordinate(order)
+    const { fleet } = this.#opts
+    if (fleet.isWarmedUp && fleet.rank() === 0) this.#trustedStore.reconcile()
   }
 
   /** Writes the order's state if it is due, and advances the move if this daemon is the leader. */
@@ -199,7 +221,7 @@
       this.#coordinated.set(id, move)
     }
     const facts = fleet.facts.of(order.id)
-    const input = { now, wallNow: timers.wallNow(), facts, ...this.#rules.slots(order.service) }
+    const input = { now, wallNow: timers.wallNow(), facts, isReturn: this.#rules.isReturn(order), ...this.#rules.slots(order.service) }
     runEffects(move.tick(input), (fact) => fleet.publishFact(fact))
   }
 
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -4,6 +4,7 @@
 import { availableTarget, type HostRecord } from '../fleet/hostRecord.js'
 import { isLater } from '../store/storeRevision.js'
 import type { MoveOrder } from './moveOrder.js'
+import { BEFORE_ORDERS, type TrustedVersion } from './trustedVersion.js'
 
 /** Which targets may get one particular request. */
 export interface VersionChoice {
@@ -37,9 +38,9 @@
 }
 
 /**
- * Decides which versions of a service get its traffic, by the orders and facts of moves. A version other than the one that
- * the service runs gets no traffic until an order names it, as targets of a new version may start before their order
- * reaches this daemon.
+ * Decides which versions of a service get its traffic, by the orders and facts of moves. A version other than the trusted one
+ * gets no traffic until an order names it, as targets of a new version may start before their order reaches this daemon, and
+ * then only what the move to it gives it. An order for the trusted version gives it all traffic at once.
  */
 export class VersionRules {
   readonly #random: Random
@@ -48,7 +49,8 @@
   readonly #facts = new Map<string, MoveFacts>()
   /** Hosts with a ready target, by service. */
   readonly #readyHosts = new Map<string, HostRecord[]>()
-  /** Version that gets the traffic of a service while no order is known, and what an order that isn't completed leaves to the old version. */
+  readonly #trusted = new Map<string, TrustedVersion>()
+  /** Version that gets what no move gives to another: the trusted one, or one in its place while that is unknown or no ready target runs it. */
   readonly #baselineVersions = new Map<string, string>()
 
   constructor (random: Random, evacuations?: EvacuationView) {
@@ -74,13 +76,43 @@
     const known = this.#orders.get(order.service)
     if (known && !isLater(order.revision, known.revision)) return false
     this.#orders.set(order.service, order)
-    this.#updateBaseline(order.service)
+    this.#onProgress(order)
     return true
   }
 
   setFacts (move: string, facts: MoveFacts): void {
     this.#facts.set(move, facts)
-    for (const { id, service } of this.#orders.values()) if (id === move) this.#updateBaseline(service)
+    for (const order of this.#orders.values()) if (order.id === move) this.#onProgress(order)
+  }
+
+  trustedVersions (): TrustedVersion[] {
+    return [...this.#trusted.values()]
+  }
+
+  /** Takes over the trusted version of a service, unless that of a later order is known. */
+  trust (trusted: TrustedVersion): void {
+    const { service, since } = trusted
+    const known = this.#trusted.get(service)
+    if (known && !isLater(since, known.since)) return
+    this.#trusted.set(service, trusted)
+    this.#updateBaseline(service)
+  }
+
+  /** Whether the order's version is the trusted one. */
+  isReturn ({ service, to }: MoveOrder): boolean {
+    return this.#trusted.get(service)?.version === to
+  }
+
+  /** Versions that services without a trusted one can be taken to run: the only one of their ready targets, besides that of an order under way. */
+  presumedVersions (): TrustedVersion[] {
+    const presumed: TrustedVersion[] = []
+    for (const [service, hosts] of this.#readyHosts) {
+      if (this.#trusted.has(service)) continue
+      const versions = new Set(this.#provenHosts(service, hosts).map(({ target }) => target!.version))
+      const [version] = versions
+      if (version !== undefined && versions.size === 1) presumed.push({ service, version, since: BEFORE_ORDERS })
+    }
+    return presumed
   }
 
   /** Takes over the ready targets. */
@@ -96,13 +128,14 @@
     for (const service of this.#readyHosts.keys()) this.#updateBaseline(service)
   }
 
-  /** Total slots of the ready targets of the order's new version and of all others, and the slots of one new target. */
+  /** Total slots of the ready targets of the order's new version and of the baseline version, and the slots of one new target. */
   slots (service: string): { newSlots: number, oldSlots: number, slotsPerTarget: number } {
     const to = this.#orders.get(service)?.to
+    const baseline = this.#baselineVersions.get(service)
     const counts = { newSlots: 0, oldSlots: 0, slotsPerTarget: 1 }
     for (const { target } of this.#readyHosts.get(service) ?? []) {
       if (target!.version !== to) {
-        counts.oldSlots += target!.slots
+        if (target!.version === baseline) counts.oldSlots += target!.slots
         continue
       }
       counts.newSlots += target!.slots
@@ -122,10 +155,11 @@
     const order = this.#orders.get(service)
     if (!order) return this.#baselineOptions(service)
     const { to } = order
-    const newHosts = (this.#readyHosts.get(service) ?? []).filter(({ target }) => target!.version === to)
     const baseline = this.#baselineVersions.get(service)
-    const isOld = ({ target }: HostRecord): boolean => target!.version !== to && (baseline === to || target!.version === baseline)
-    const isNew = (record: HostRecord): boolean => record.target!.version === to
+    const isOld = ({ target }: HostRecord): boolean => target!.version === baseline
+    const isNew = ({ target }: HostRecord): boolean => target!.version === to
+    if (to === baseline) return [only(isNew)]
+    const newHosts = (this.#readyHosts.get(service) ?? []).filter(isNew)
     switch (phaseOf(order, this.#facts.get(order.id) ?? {})) {
       case 'completed':
         return newHosts.length > 0 ? [only(isNew)] : []
@@ -147,24 +181,36 @@
     const order = this.#orders.get(service)
     if (!order) return true
     const phase = phaseOf(order, this.#facts.get(order.id) ?? {})
-    if (order.to === version) return phase !== 'rolledBack' && phase !== 'waiting'
+    const trusted = this.#trusted.get(service)?.version
+    if (order.to === version) return version === trusted || (phase !== 'rolledBack' && phase !== 'waiting')
+    if (trusted !== undefined && version !== this.#baselineVersions.get(service)) return false
     return phase !== 'completed'
   }
 
-  /** A baseline is kept while any target of the service still runs it; a completed move makes its version the baseline. */
+  /** The version of a completed move is trusted from then on. */
+  #onProgress ({ service, to, revision }: MoveOrder): void {
+    if (this.phase(service) === 'completed') this.trust({ service, version: to, since: revision })
+    this.#updateBaseline(service)
+  }
+
+  /** A version in place of the trusted one is kept while any target of the service still runs it, and isn't that of an order under way. */
   #updateBaseline (service: string): void {
     const hosts = this.#readyHosts.get(service) ?? []
-    const runs = (version: string | undefined): boolean => hosts.some(({ target }) => target!.version === version)
-    const to = this.#orders.get(service)?.to
-    const isCompleted = this.phase(service) === 'completed'
-    if (to !== undefined && isCompleted && runs(to)) {
-      this.#baselineVersions.set(service, to)
+    const trusted = this.#trusted.get(service)?.version
+    if (trusted !== undefined && isRunBy(hosts, trusted)) {
+      this.#baselineVersions.set(service, trusted)
       return
     }
+    const proven = this.#provenHosts(service, hosts)
     const known = this.#baselineVersions.get(service)
-    if (known !== undefined && known !== to && runs(known)) return
-    const old = hosts.filter(({ target }) => isCompleted || target!.version !== to)
-    if (old.length > 0) this.#baselineVersions.set(service, mostCommonVersion(old))
+    if (proven.length === 0 || (known !== undefined && isRunBy(proven, known))) return
+    this.#baselineVersions.set(service, mostCommonVersion(proven))
+  }
+
+  /** The hosts without those of the version that an order under way names. */
+  #provenHosts (service: string, hosts: readonly HostRecord[]): HostRecord[] {
+    const to = this.phase(service) === 'completed' ? undefined : this.#orders.get(service)?.to
+    return hosts.filter(({ target }) => target!.version !== to)
   }
 
   /** Without an order: only the baseline version, or no restriction if all ready targets run it. */
@@ -176,6 +222,10 @@
   }
 }
 
+function isRunBy (records: readonly HostRecord[], version: string): boolean {
+  return records.some(({ target }) => target!.version === version)
+}
+
 /** The choice of the same targets for all requests. */
 function only (accepts: VersionChoice['accepts']): VersionOption {
   return { accepts, preferredHost: undefined, share: 1 }
--- a/packages/moves/src/brief/__tests__/briefMove.spec.ts
+++ b/packages/moves/src/brief/__tests__/briefMove.spec.ts
@@ -57,7 +57,7 @@
         .map(([version, row]) => ({ route: 'r', version, ms: row.calls * 250, ...row }))
       move.onReport({ service: 's', daemon: 'd', rows: report }, now)
       for (const fact of move.tick({
-        now, wallNow: now, facts, newSlots: now > 1_000 ? 24 : 0, oldSlots: 24, slotsPerTarget: 6
+        now, wallNow: now, facts, newSlots: now > 1_000 ? 24 : 0, oldSlots: 24, slotsPerTarget: 6, isReturn: false
       })) facts = mergeMoveFact(facts, fact)
       if (facts.rollback ?? facts.outcome) Object.assign(outcome, { end: facts.rollback ? 'rolledBack' : 'done', endedAtMs: now })
     }
@@ -109,7 +109,7 @@
   let facts: MoveFacts = {}
   const reached: string[] = []
   const tick = (now: number, oldSlots: number): void => {
-    for (const fact of move.tick({ now, wallNow: now, facts, newSlots: 24, oldSlots, slotsPerTarget: 6 })) {
+    for (const fact of move.tick({ now, wallNow: now, facts, newSlots: 24, oldSlots, slotsPerTarget: 6, isReturn: false })) {
       facts = mergeMoveFact(facts, fact)
       reached.push(`${fact.kind} ${fact.kind === 'stage' ? fact.stage : ''} at ${now}`)
     }
@@ -117,3 +117,17 @@
   for (let now = 0; now < 12_000; now += 200) tick(now, now >= 2_000 && now < 2_600 ? 6 : 0)
   t.snapshot(reached)
 })
+
+test('guards against the trusted version being tested and taken back when an operator orders it again', (t) => {
+  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v1', durationMs: 60_000, startedAt: 0 })
+  let facts: MoveFacts = {}
+  const reached: string[] = []
+  for (let now = 0; now < 4_000; now += 200) {
+    move.onReport({ service: 's', daemon: 'd', rows: [{ route: 'r', version: 'v1', calls: 20, errors: 20, slow: 0, ms: 100 }, { route: 'r', version: 'v2', calls: 20, errors: 0, slow: 0, ms: 100 }] }, now)
+    for (const fact of move.tick({ now, wallNow: now, facts, newSlots: now < 400 ? 0 : 24, oldSlots: 24, slotsPerTarget: 6, isReturn: true })) {
+      facts = mergeMoveFact(facts, fact)
+      reached.push(`${fact.kind} ${fact.kind === 'stage' ? `${fact.stage} ${fact.share} ` : ''}at ${now}`)
+    }
+  }
+  t.deepEqual(reached, ['stage 4 1 at 400', 'outcome at 2200'])
+})
--- a/packages/moves/src/brief/briefMove.ts
+++ b/packages/moves/src/brief/briefMove.ts
@@ -14,6 +14,8 @@
   oldSlots: number
   /** Slots of one target of the new version. */
   slotsPerTarget: number
+  /** Whether the version to move to is the trusted one, from which an earlier move led that isn't completed. */
+  isReturn: boolean
 }
 
 export interface BriefMoveOptions {
@@ -112,6 +114,7 @@
     const { rollback, outcome, stage } = input.facts
     if (rollback || outcome) return
     if (stage && stage.stage > this.#stage) this.#enterStage(stage.stage, input.now)
+    if (input.isReturn) return yield * this.#return(input)
     const { verdict } = this.#cusumTest
     if (verdict !== undefined) {
       const { move, daemon } = this.#opts
@@ -121,14 +124,22 @@
     yield * this.#advance(input)
   }
 
-  * #advance (input: BriefInput): Generator<MoveFact> {
+  /** The trusted version is not tested: it gets all traffic at once, and nothing is left to compare it with. */
+  * #return (input: BriefInput): Generator<MoveFact> {
+    if (this.#stage >= FULL_STAGE) yield * this.#finish(input, 'it is the version that was left')
+    else if (input.newSlots > 0) yield * this.#publishStage(input, FULL_STAGE, 1)
+  }
+
+  /** Ends the move once the last calls to the other version have ended. */
+  * #finish ({ now, wallNow }: BriefInput, why: string): Generator<MoveFact> {
     const { move, to } = this.#opts
+    if (now - this.#enteredAt < FULL_STAGE_MS) return
+    yield { kind: 'outcome', move, outcome: 'done', reason: `all traffic is on ${to}, and ${why}`, at: wallNow }
+  }
+
+  * #advance (input: BriefInput): Generator<MoveFact> {
+    if (this.#stage >= FULL_STAGE) return yield * this.#finish(input, 'no fault showed')
     const stageMs = input.now - this.#enteredAt
-    if (this.#stage >= FULL_STAGE) {
-      if (stageMs < FULL_STAGE_MS) return
-      yield { kind: 'outcome', move, outcome: 'done', reason: `all traffic is on ${to}, and no fault showed`, at: input.wallNow }
-      return
-    }
     const isOldVersionGone = this.#isOldVersionGone(input)
     if (input.newSlots === 0) return
     if (isOldVersionGone) return yield * this.#publishStage(input, FULL_STAGE, 1)
