Take no reset connection for the end of an answer without a length

What callers saw: a part of an answer as a whole one, after the target had reset the connection, with and without a long upload under way.

Cause: if a reset arrives together with data, Node.js reports the end of the stream and no error. Now the daemon writes zero bytes at such an end, which fails on a connection that was reset.

--- a/packages/hop/src/inbound/nodeTargetConnection.ts
+++ b/packages/hop/src/inbound/nodeTargetConnection.ts
@@ -9,6 +9,7 @@
 import type { ConnectOutcome } from './crashDetector.js'
 import { isSpliced, parseHeaderLine } from './headerLines.js'
 import { classifyMessage, type TargetMessage } from './classifyMessage.js'
+import { whenEndedInOrder } from './nodeEndCheck.js'
 import { checkLines, isBodiless, isFramed } from './responseSyntax.js'
 import type { TargetResult } from './targetResult.js'
 
@@ -96,7 +97,7 @@
   constructor (opts: TargetConnectionOptions) {
     this.#opts = opts
     this.#idleSince = opts.timers.now()
-    this.#socket = connect({ host: opts.host, port: opts.port, noDelay: true, keepAlive: true, keepAliveInitialDelay: 1_000 })
+    this.#socket = connect({ host: opts.host, port: opts.port, noDelay: true, allowHalfOpen: true, keepAlive: true, keepAliveInitialDelay: 1_000 })
     this.#socket.on('connect', () => this.#onConnect())
     this.#socket.on('data', (chunk: Buffer) => this.#onData(chunk))
     this.#socket.on('end', () => this.#onEnd())
@@ -274,7 +275,14 @@
     return offset < end
   }
 
+  /** The end may be that of a body without a length, unless the connection was reset. */
   #onEnd (): void {
+    this.#isReusable = false
+    if (this.#exchange?.head) whenEndedInOrder(this.#socket, this.#opts.timers, () => this.#onEndInOrder())
+    else this.#fail('reset')
+  }
+
+  #onEndInOrder (): void {
     if (this.#exchange?.head) this.#exchange.head.unframed = true
     const outcome: unknown = this.#exchange ? this.#parser.finish() : undefined
     if (this.#exchange?.result) this.#finish(this.#exchange.result)
