--- a/packages/hop/src/fleet/records.ts
+++ b/packages/hop/src/fleet/records.ts
@@ -65,10 +65,12 @@
 
 /** The order of a move that a value holds; undefined if a field is missing or invalid. */
 export function readMoveOrder (value: unknown): MoveOrder | undefined {
-  const { id, service, to, durationMs, state, revision } = fieldsOf<MoveOrder>(value)
+  const { id, givenAt, service, to, durationMs, state, revision } = fieldsOf<MoveOrder>(value)
   if (!isName(id) || !isName(service) || !isName(to) || !isAmount(durationMs, MAX_DURATION_MS)) return undefined
   if (!isOneOf(MOVE_STATES, state) || !isStoreRevision(revision)) return undefined
-  return { id, service, to, durationMs, state, revision: { epoch: revision.epoch, number: revision.number } }
+  if (isPresent(givenAt) && !Number.isSafeInteger(givenAt)) return undefined
+  const order: MoveOrder = { id, service, to, durationMs, state, revision: { epoch: revision.epoch, number: revision.number } }
+  return isPresent(givenAt) ? { ...order, givenAt: givenAt as number } : order
 }
 
 /** The trusted version of a service that a value holds; undefined if a field is missing or invalid. */
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -97,15 +97,15 @@
   }
 
   /** Takes over an order from the store or a peer, unless it is older than the known one. */
-  onOrder (order: MoveOrder, from: string): void {
-    const known = this.#rules.order(order.service)
-    if (known && order.revision.epoch > known.revision.epoch) {
-      if (this.#superseded.isHeld(order)) {
-        this.#opts.log.decision('moveOrderHeld', { ...order, from, known })
-        return
-      }
-      this.#keepEnd(known, order)
+  onOrder (received: MoveOrder, from: string): void {
+    const known = this.#rules.order(received.service)
+    const isRestored = known !== undefined && received.revision.epoch > known.revision.epoch
+    if (isRestored && this.#superseded.isHeld(received)) {
+      this.#opts.log.decision('moveOrderHeld', { ...received, from, known })
+      return
     }
+    const order = isRestored ? writtenAgain(known, received) : received
+    if (isRestored) this.#keepEnd(known, order)
     if (!this.#rules.setOrder(order)) {
       const { id, state, revision } = order
       if (from === 'store') this.#opts.log.decision('moveOrderIgnored', { id, state, revision, known })
@@ -298,6 +298,12 @@
   return state === 'completed' || state === 'rolledBack'
 }
 
+/** An order from a restored store under the id by which its move is known, if the operator may have written it again as the store had lost it. */
+function writtenAgain (known: MoveOrder, order: MoveOrder): MoveOrder {
+  if (known.to !== order.to || order.state !== 'ordered' || known.givenAt === undefined) return order
+  return { ...order, id: known.id, givenAt: known.givenAt }
+}
+
 /** The state that the store should hold for an order, given the facts known here. */
 function desiredState (order: MoveOrder, fleet: Fleet): MoveState {
   if (isEnded(order.state)) return order.state
