End a move when the operator removes its order

A version on trial kept its share, and gained more, after its order had been removed from the store.

Cause: deletions of orders were ignored. A removed order is withdrawn now: its version keeps only what it has as the trusted one. A list that lacks the order tells the same, but not in the 10 s after a restore of the store, in which operators write lost orders again.

--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -9,6 +9,7 @@
 import type { CallLog } from '../observe/callLog.js'
 import { StoreWatcher } from '../store/storeWatcher.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
+import { isLater, type StoreRevision } from '../store/storeRevision.js'
 import { ResultAggregator, type RequestResult } from './resultAggregator.js'
 import { REWRITE_MS, SupersededOrders } from './supersededOrders.js'
 import type { MoveOrder, MoveState } from './moveOrder.js'
@@ -166,7 +167,7 @@
 
   /** Publishes the end of a move as a fact if a restored store shows the order without it, as it was known from there alone. */
   #keepEnd (known: MoveOrder, order: MoveOrder): void {
-    if (known.id !== order.id || !isEnded(known.state) || isEnded(order.state)) return
+    if (known.id !== order.id || !isEnded(known.state) || known.state === 'withdrawn' || isEnded(order.state)) return
     const { fleet, timers } = this.#opts
     const origin = { move: order.id, reason: 'the store held it before it was restored from a copy', at: timers.wallNow() }
     fleet.publishFact(known.state === 'rolledBack' ? { kind: 'rollback', ...origin, daemon: fleet.own.host } : { kind: 'outcome', ...origin, outcome: 'done' })
@@ -190,12 +191,33 @@
       batchDelayMs: BATCH_DELAY_MS,
       turn: () => fleet.turnInFleet(MAX_WATCHERS),
       onReachable: (isReachable) => fleet.setStoreLost(!isReachable),
-      onList: (objects) => objects.forEach(readOrder),
-      onChange: (object, deleted) => { if (!deleted) readOrder(object) }
+      onList: (objects, revision) => {
+        objects.forEach(readOrder)
+        this.#withdrawMissing(objects, revision)
+      },
+      onChange: (object, deleted) => {
+        if (deleted) this.#withdraw(object.name, object.revision)
+        else readOrder(object)
+      }
     })
     this.#watcher.run()
   }
 
+  /** Takes back the orders that the operator has removed, unless they are missing because the store has just been restored from a copy. */
+  #withdrawMissing (objects: readonly StoredObject[], revision: StoreRevision): void {
+    if (this.#superseded.isHolding) return
+    const present = new Set(objects.map(({ name }) => name))
+    for (const { service } of this.#rules.orders()) if (!present.has(service)) this.#withdraw(service, revision)
+  }
+
+  /** Takes back the order of a service. Its version keeps what it has only if it is the trusted one. */
+  #withdraw (service: string, revision: StoreRevision): void {
+    const order = this.#rules.order(service)
+    if (!order || order.state === 'withdrawn') return
+    if (isLater(revision, order.revision)) this.onOrder({ ...order, state: 'withdrawn', revision }, 'store')
+    else this.#watcher?.relist()
+  }
+
   /** Reports results and coordinates every known move; called periodically. */
   #tick (): void {
     this.#sendReport()
@@ -295,7 +317,7 @@
 }
 
 function isEnded (state: MoveState): boolean {
-  return state === 'completed' || state === 'rolledBack'
+  return state === 'completed' || state === 'rolledBack' || state === 'withdrawn'
 }
 
 /** An order from a restored store under the id by which its move is known, if the operator may have written it again as the store had lost it. */
--- a/packages/hop/src/rollout/moveOrder.ts
+++ b/packages/hop/src/rollout/moveOrder.ts
@@ -1,6 +1,7 @@
 import type { StoreRevision } from '../store/storeRevision.js'
 
-export const MOVE_STATES = ['ordered', 'running', 'completed', 'rolledBack'] as const
+/** `withdrawn`: the operator has removed the order. */
+export const MOVE_STATES = ['ordered', 'running', 'completed', 'rolledBack', 'withdrawn'] as const
 export type MoveState = typeof MOVE_STATES[number]
 
 /** An operator's order to move the traffic of a service to targets of another version, as read from the store. */
--- a/packages/hop/src/rollout/supersededOrders.ts
+++ b/packages/hop/src/rollout/supersededOrders.ts
@@ -18,9 +18,14 @@
     epochs.onRise(() => { this.#heldUntil = timers.now() + REWRITE_MS })
   }
 
+  /** Whether the store has just been restored, so that orders may be missing which operators will write again. */
+  get isHolding (): boolean {
+    return this.#timers.now() < this.#heldUntil
+  }
+
   /** Whether a restored store may show the order only because the later one has not been written again yet. */
   isHeld ({ service, id }: MoveOrder): boolean {
-    return this.#timers.now() < this.#heldUntil && (this.#ids.get(service)?.includes(id) ?? false)
+    return this.isHolding && (this.#ids.get(service)?.includes(id) ?? false)
   }
 
   /** Called when `next` replaces `known`, if there was one. */
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -25,7 +25,7 @@
 export type MovePhase = 'waiting' | 'moving' | 'full' | 'completed' | 'rolledBack'
 
 export function phaseOf (order: MoveOrder, facts: MoveFacts): MovePhase {
-  if (order.state === 'rolledBack' || facts.rollback) return 'rolledBack'
+  if (order.state === 'withdrawn' || order.state === 'rolledBack' || facts.rollback) return 'rolledBack'
   if (order.state === 'completed' || facts.outcome?.outcome === 'done') return 'completed'
   if (!facts.stage) return 'waiting'
   return facts.stage.stage >= FULL_STAGE ? 'full' : 'moving'
