--- a/packages/hop/src/daemon/hopDaemon.ts
+++ b/packages/hop/src/daemon/hopDaemon.ts
@@ -36,7 +36,7 @@
 import { ConfigUpdater } from './configUpdater.js'
 import { DaemonRegistration } from './daemonRegistration.js'
 import { PeerDiscovery } from './peerDiscovery.js'
-import type { ResolvedHopConfig } from './resolvedHopConfig.js'
+import { START_SETTINGS, type ResolvedHopConfig } from './resolvedHopConfig.js'
 import { LoopLag } from './nodeLoopLag.js'
 import type { HopDaemonOptions, ReceiptOutcome } from './hopDaemonTypes.js'
 import { GracefulShutdown } from './gracefulShutdown.js'
@@ -269,13 +269,16 @@
     return isReady
   }
 
-  /** Applies changed settings. Only the service, the retry budget and the limits on hedging change; addresses stay as they were at the start. */
+  /** Applies changed settings, and logs the names of those that differ and only count from the next start. */
   reload (cfg: ResolvedHopConfig): void {
-    const { service, retryBudget, hedging } = cfg
-    this.#cfg = { ...this.#cfg, service, retryBudget }
+    const { service, retryBudget, hedging, graceMs, announceMs, linkBytesPerMs } = cfg
+    const needRestart = START_SETTINGS.filter((name) => JSON.stringify(cfg[name]) !== JSON.stringify(this.#cfg[name]))
+    this.#cfg = { ...this.#cfg, service, retryBudget, graceMs, announceMs, linkBytesPerMs }
     this.#retryBudget.setLimits(retryBudget)
     this.#hedging.setLimits(hedging)
-    this.#opts.log.decision('reloaded', { service, maxHedgeShare: hedging?.maxShare })
+    this.#localTarget.setPeriod(announceMs)
+    this.#sendQueue.setBytesPerMs(linkBytesPerMs)
+    this.#opts.log.decision('reloaded', { service, graceMs, announceMs, maxHedgeShare: hedging?.maxShare, ...needRestart.length > 0 ? { needRestart } : {} })
   }
 
   /** Lets requests in flight complete, within the grace period, then closes everything. */
@@ -285,7 +288,7 @@
       return
     }
     const { timers, log } = this.#opts
-    log.decision('stopping', { outbound: this.#outbound.active, inbound: this.#inbound.active })
+    log.decision('stopping', { graceMs: this.#cfg.graceMs, outbound: this.#outbound.active, inbound: this.#inbound.active })
     this.#shutdown = new GracefulShutdown({
       timers,
       graceMs: this.#cfg.graceMs,
--- a/packages/hop/src/daemon/resolvedHopConfig.ts
+++ b/packages/hop/src/daemon/resolvedHopConfig.ts
@@ -43,3 +43,8 @@
   /** Limits that differ from the defaults. */
   callerLimits: Partial<CallerLimits>
 }
+
+/** Settings that count from the start of the process on. */
+export const START_SETTINGS = [
+  'host', 'dataCentre', 'outbound', 'hop', 'metrics', 'target', 'seeds', 'quotaSlack', 'hasEvacuations', 'memoryBytes', 'maxDescriptors', 'callerLimits'
+] as const satisfies readonly (keyof ResolvedHopConfig)[]
--- a/packages/hop/src/inbound/localTarget.ts
+++ b/packages/hop/src/inbound/localTarget.ts
@@ -39,8 +39,8 @@
  * draining or gone until it is started again.
  */
 export class LocalTarget {
-  readonly #goneAfterMs: number
-  readonly #overdueAfterMs: number
+  #goneAfterMs = 0
+  #overdueAfterMs = 0
   readonly #departures = new Map<string, Departure>()
   #current: CurrentTarget | undefined
   /** Whether the target may have turned cold since its last announcement. */
@@ -48,6 +48,11 @@
 
   /** `periodMs`: time between two announcements of a target. */
   constructor (periodMs: number) {
+    this.setPeriod(periodMs)
+  }
+
+  /** Changes the time between two announcements. */
+  setPeriod (periodMs: number): void {
     this.#goneAfterMs = GONE_AFTER_PERIODS * periodMs
     this.#overdueAfterMs = OVERDUE_AFTER_PERIODS * periodMs
   }
--- a/packages/hop/src/link/sendQueue.ts
+++ b/packages/hop/src/link/sendQueue.ts
@@ -47,7 +47,7 @@
  */
 export class SendQueue {
   readonly #opts: SendQueueOptions
-  readonly #bytesPerMs: number
+  #bytesPerMs = Infinity
   /** Sorted by the order in which it is to be sent. */
   readonly #waiting: Waiting[] = []
   /** Bytes that may be written now; negative after a part that was longer. */
@@ -61,11 +61,16 @@
 
   constructor (opts: SendQueueOptions) {
     this.#opts = opts
-    this.#bytesPerMs = opts.bytesPerMs * USABLE_LINK_SHARE
+    this.setBytesPerMs(opts.bytesPerMs)
     this.#credit = this.#maxCredit
     this.#creditAt = opts.timers.now()
   }
 
+  /** Changes what the link carries, in bytes a millisecond. */
+  setBytesPerMs (bytesPerMs: number): void {
+    this.#bytesPerMs = bytesPerMs * USABLE_LINK_SHARE
+  }
+
   /** Longest piece that one write may have while others wait, in bytes. */
   get partBytes (): number {
     return Math.max(MIN_PART_BYTES, this.#bytesPerMs * PART_MS)
