Trust a version only once the store says that its move is completed

Found in the last reading of the changes: a version was trusted by the fact of its completion. If another coordinator takes it back at the same moment, around a hand-over, the roll-back wins in the store, and the version would have kept all requests. The new test fails before (v2 keeps all) and passes after. A connection that opens again no longer counts as refused until its peer has answered, as before the proof of identity.

--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -164,6 +164,7 @@
     tcp.once('connect', () => {
       stopTimeout()
       this.#isConnected = true
+      this.#isRefused = false
     })
     this.#socket = socket
     this.#askIdentity(socket)
--- a/packages/hop/src/rollout/__tests__/trustedVersion.spec.ts
+++ b/packages/hop/src/rollout/__tests__/trustedVersion.spec.ts
@@ -93,6 +93,15 @@
   t.deepEqual(sharesOf(rules), { v1: 0, v2: 1, v3: 0 }, 'the version before is tested like any other')
 })
 
+test('guards against a version being trusted that one coordinator completed while another one took it back', (t) => {
+  const rules = movingRules()
+  const outcome: MoveFacts = { ...stageOf(onTheWay, 4, 1), outcome: { kind: 'outcome', move: onTheWay.id, outcome: 'done', reason: 'fine', at: 2 } }
+  rules.setFacts(onTheWay.id, outcome)
+  t.deepEqual(sharesOf(rules), { v1: 0, v2: 1, v3: 0 })
+  rules.setFacts(onTheWay.id, { ...outcome, rollback: { kind: 'rollback', move: onTheWay.id, reason: 'bad', at: 3, daemon: 'a' } })
+  t.deepEqual(sharesOf(rules), { v1: 1, v2: 0, v3: 0 })
+})
+
 test('guards against a daemon that starts taking the version of most targets for the one that the service runs', (t) => {
   const crowded = [...hostsOf(['v1', 'v2']), ...hostsOf(['v2']).map((record) => ({ ...record, host: `${record.host}-b` }))]
   const rules = new VersionRules(new SeededRandom(1))
--- a/packages/hop/src/rollout/versionRules.ts
+++ b/packages/hop/src/rollout/versionRules.ts
@@ -76,13 +76,13 @@
     const known = this.#orders.get(order.service)
     if (known && !isLater(order.revision, known.revision)) return false
     this.#orders.set(order.service, order)
-    this.#onProgress(order)
+    this.#onOrder(order)
     return true
   }
 
   setFacts (move: string, facts: MoveFacts): void {
     this.#facts.set(move, facts)
-    for (const order of this.#orders.values()) if (order.id === move) this.#onProgress(order)
+    for (const { id, service } of this.#orders.values()) if (id === move) this.#updateBaseline(service)
   }
 
   trustedVersions (): TrustedVersion[] {
@@ -187,9 +187,9 @@
     return phase !== 'completed'
   }
 
-  /** The version of a completed move is trusted from then on. */
-  #onProgress ({ service, to, revision }: MoveOrder): void {
-    if (this.phase(service) === 'completed') this.trust({ service, version: to, since: revision })
+  /** The version of a completed move is trusted once the store says so: until then another coordinator may have taken it back. */
+  #onOrder ({ service, to, state, revision }: MoveOrder): void {
+    if (state === 'completed') this.trust({ service, version: to, since: revision })
     this.#updateBaseline(service)
   }
 
