--- a/packages/hop/src/__tests__/fixtures.ts
+++ b/packages/hop/src/__tests__/fixtures.ts
@@ -1,6 +1,7 @@
 import { VirtualTimers } from '@lentilwheel/core'
 import type { HeaderNames } from '../headers.js'
 import { runAfterReading, type LoopLag } from '../daemon/nodeLoopLag.js'
+import type { FleetOptions } from '../fleet/fleetTypes.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
 import { SendQueue } from '../link/sendQueue.js'
 import { NoopCallLog } from '../observe/callLog.js'
@@ -44,6 +45,20 @@
   return new Quarantine({ timers, log: new NoopCallLog(), idPrefix: () => 'own', onNews: () => {}, onRefused: () => {}, onBlocked: () => {}, onUnblocked: () => {}, ...overrides })
 }
 
+/** What a fleet reports and asks for, of which a test needs nothing. */
+export const NO_FLEET_EVENTS: Pick<FleetOptions, 'onChange' | 'onNewerPeerVersion' | 'onWatchersChange' | 'onDepartures' | 'onFact' | 'orders' | 'onOrder' | 'onReport' | 'trustedVersions' | 'onTrustedVersions'> = {
+  onChange: () => {},
+  onNewerPeerVersion: () => {},
+  onWatchersChange: () => {},
+  onDepartures: () => {},
+  onFact: () => {},
+  orders: () => [],
+  onOrder: () => {},
+  onReport: () => {},
+  trustedVersions: () => [],
+  onTrustedVersions: () => {}
+}
+
 /** Record of a host whose target is ready; the target is named after the host. */
 export function testHost (name: string, dataCentre = 'dc', target: Partial<TargetRecord> = {}): HostRecord {
   return {
--- a/packages/hop/src/__tests__/loadSimulator.ts
+++ b/packages/hop/src/__tests__/loadSimulator.ts
@@ -1,5 +1,5 @@
 import { keyHash, SeededRandom, VirtualTimers, type Random } from '@lentilwheel/core'
-import { TEST_HEADERS as names, testQuarantine } from './fixtures.js'
+import { NO_FLEET_EVENTS, TEST_HEADERS as names, testQuarantine } from './fixtures.js'
 import { Fleet } from '../fleet/fleet.js'
 import type { PeerLink } from '../fleet/fleetTypes.js'
 import type { HostRecord, TargetRecord } from '../fleet/hostRecord.js'
@@ -286,7 +286,7 @@
     const log = new NoopCallLog()
     const quarantine = testQuarantine(timers, { idPrefix: () => `${host}/${incarnation}`, onNews: (news, isOwn) => { if (isOwn) this.#tellOthers(host, news) } })
     const fleet = new Fleet({
-      own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(host, peer, dataCentre), onChange: () => {}, onNewerPeerVersion: () => {}, onWatchersChange: () => {}, onDepartures: () => {}, onFact: () => {}, orders: () => [], trustedVersions: () => [], onTrustedVersions: () => {}, onOrder: () => {}, onReport: () => {}, epochs: new EpochTracker(new NoopCallLog())
+      own: record, quarantine, timers, random, log, openLink: (peer) => this.#link(host, peer, dataCentre), ...NO_FLEET_EVENTS, epochs: new EpochTracker(new NoopCallLog())
     })
     const sizes = new ResponseSizes()
     const link = new LinkForecast(this.#links.queue(host), sizes)
--- a/packages/hop/src/evacuation/__tests__/spread.spec.ts
+++ b/packages/hop/src/evacuation/__tests__/spread.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { testQuarantine } from '../../__tests__/fixtures.js'
+import { NO_FLEET_EVENTS, testQuarantine } from '../../__tests__/fixtures.js'
 import { Fleet } from '../../fleet/fleet.js'
 import type { HostRecord } from '../../fleet/hostRecord.js'
 import { encode } from '../../link/codec.js'
@@ -60,16 +60,7 @@
         check: () => {},
         close: () => {}
       }),
-      onChange: () => {},
-      onWatchersChange: () => {},
-      onNewerPeerVersion: () => {},
-      onDepartures: () => {},
-      onFact: () => {},
-      orders: () => [],
-      trustedVersions: () => [],
-      onTrustedVersions: () => {},
-      onOrder: () => {},
-      onReport: () => {}
+      ...NO_FLEET_EVENTS
     })
     this.fleets.set(host, fleet)
     this.evacuations.set(host, evacuations)
--- a/packages/hop/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/hop/src/fleet/__tests__/fleet.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { testQuarantine } from '../../__tests__/fixtures.js'
+import { NO_FLEET_EVENTS, testQuarantine } from '../../__tests__/fixtures.js'
 import type { SyncMessage } from '../../link/messages.js'
 import { NoopCallLog } from '../../observe/callLog.js'
 import { NewsSpreader } from '../../quarantine/newsSpreader.js'
@@ -78,16 +78,9 @@
         check: () => { this.checks++ },
         close: () => {}
       }),
-      onChange: () => {},
-      onWatchersChange: () => {},
+      ...NO_FLEET_EVENTS,
       onNewerPeerVersion: () => this.learnedVersions.set(host, Math.max(0, ...fleet.records().map((record) => fleet.configVersionOf(record.host)))),
       onDepartures: (departures) => this.departedIds.set(host, departures.map(({ id }) => id)),
-      onFact: () => {},
-      orders: () => [],
-      trustedVersions: () => [],
-      onTrustedVersions: () => {},
-      onOrder: () => {},
-      onReport: () => {},
       epochs: new EpochTracker(new NoopCallLog())
     })
     this.byHost.set(host, fleet)
--- a/packages/hop/src/fleet/__tests__/reusedAddress.spec.ts
+++ b/packages/hop/src/fleet/__tests__/reusedAddress.spec.ts
@@ -1,6 +1,6 @@
 import test, { type ExecutionContext } from 'ava'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { NO_LAG, testQuarantine, unlimitedQueue } from '../../__tests__/fixtures.js'
+import { NO_FLEET_EVENTS, NO_LAG, testQuarantine, unlimitedQueue } from '../../__tests__/fixtures.js'
 import type { InboundHandler } from '../../inbound/inboundHandler.js'
 import type { DaemonIdentity, SyncMessage } from '../../link/messages.js'
 import { NodeHopServer } from '../../link/nodeHopServer.js'
@@ -65,16 +65,7 @@
     random: new SeededRandom(1),
     log,
     openLink: (host, address, port) => new NodePeerLink({ host, address, port, timers, log, queue: unlimitedQueue(), idlePingMs: () => 3_000, onStateChange: (peer, incarnation) => fleet.onLinkState(peer, incarnation), onSilent: () => {} }),
-    onChange: () => {},
-    onWatchersChange: () => {},
-    onNewerPeerVersion: () => {},
-    onDepartures: () => {},
-    onFact: () => {},
-    orders: () => [],
-    trustedVersions: () => [],
-    onTrustedVersions: () => {},
-    onOrder: () => {},
-    onReport: () => {},
+    ...NO_FLEET_EVENTS,
     epochs: new EpochTracker(log),
     quarantine: testQuarantine(timers)
   })
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { connect } from 'node:net'
 import { SeededRandom, VirtualTimers } from '@lentilwheel/core'
-import { NO_LAG, testQuarantine, unlimitedQueue } from '../../__tests__/fixtures.js'
+import { NO_FLEET_EVENTS, NO_LAG, testQuarantine, unlimitedQueue } from '../../__tests__/fixtures.js'
 import { Fleet } from '../../fleet/fleet.js'
 import type { InboundHandler } from '../../inbound/inboundHandler.js'
 import { NoopCallLog } from '../../observe/callLog.js'
@@ -68,14 +68,8 @@
       linkedHosts.push(host)
       return { isUp: false, isRefused: false, endpoint: { address: '', port: 0 }, call: () => () => {}, sync: async (message) => message, fetchConfig: async () => undefined, askQuota: () => {}, askReach: () => {}, keepAlive: () => {}, reopen: () => {}, check: () => {}, close: () => {} }
     },
-    onChange: () => {},
-    onNewerPeerVersion: () => {},
-    onWatchersChange: () => {},
-    onDepartures: () => {},
+    ...NO_FLEET_EVENTS,
     onFact: (fact) => { received.push(fact) },
-    orders: () => [],
-    trustedVersions: () => [],
-    onTrustedVersions: () => {},
     onOrder: (given) => { received.push(given) },
     onReport: (report) => { received.push(report) },
     epochs: new EpochTracker(new NoopCallLog())
