--- a/packages/hop/src/rollout/__tests__/trustedVersion.spec.ts
+++ b/packages/hop/src/rollout/__tests__/trustedVersion.spec.ts
@@ -93,6 +93,13 @@
   t.deepEqual(sharesOf(rules), { v1: 0, v2: 1, v3: 0 }, 'the version before is tested like any other')
 })
 
+test('guards against requests being refused because the operator orders the version that the service runs, with or without a move before', (t) => {
+  const rules = setUp(['v1'])
+  rules.setOrder(orderOf('v1', 20, 'ordered'))
+  t.deepEqual(sharesOf(rules, ['v1']), { v1: 1 })
+  t.true(rules.isVersionAllowed('s', 'v1'))
+})
+
 test('guards against a version being trusted that one coordinator completed while another one took it back', (t) => {
   const rules = movingRules()
   const outcome: MoveFacts = { ...stageOf(onTheWay, 4, 1), outcome: { kind: 'outcome', move: onTheWay.id, outcome: 'done', reason: 'fine', at: 2 } }
