Keep the evidence on a move when its coordinator is lost

What callers saw: the coordinator of a move is lost or stops responding, and the bad version keeps its share (EXPOSURE) until as much evidence has come in again; with few requests it stays for good.

Cause: each report of results went once, to one daemon. One that wasn't delivered was dropped, what had been delivered was lost with its receiver, and only the daemon that took itself for the first could roll back.

Now the three daemons ranked first get the reports, and each of them may roll back, as a rollback needs no agreement. Only the first advances a move. The loss of the coordinator has not to be noticed any more before a bad version is taken back, while one of the three lives.

--- a/packages/hop/src/fleet/__tests__/reusedAddress.spec.ts
+++ b/packages/hop/src/fleet/__tests__/reusedAddress.spec.ts
@@ -98,7 +98,7 @@
   await linked('n3')
   timers.advance(WARM_UP_MS)
   t.deepEqual(fleet.live().map(({ host }) => host).sort(), ['n1', 'n3', 'z'])
-  t.is(fleet.leader(), 'n1', 'coordinator, and receiver of reports')
+  t.is(fleet.firstRanked(1)[0], 'n1', 'coordinator, and receiver of reports')
   t.deepEqual(fleet.turnInDataCentres(2), { position: 2, watchers: 3 })
   t.deepEqual(fleet.turnInFleet(3), { position: 2, watchers: 3 })
   t.is(fleet.live().length, 3, 'daemons that share the retry budget')
@@ -126,7 +126,7 @@
   fleet.merge([recordOf('predecessor', port, 1)])
   await linked('predecessor')
   t.false(fleet.isUp('predecessor'))
-  t.is(fleet.leader(), 'z')
+  t.is(fleet.firstRanked(1)[0], 'z')
   t.is(fleet.live().length, 1)
 })
 
--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -6,7 +6,7 @@
 import { sample } from '../sample.js'
 import { MoveFactSet } from './moveFactSet.js'
 import { HostTable } from './hostTable.js'
-import { WatchDuty } from './watchDuty.js'
+import { firstHosts, WatchDuty } from './watchDuty.js'
 import { PeerStates } from './peerStates.js'
 import { SyncMessages } from './syncMessages.js'
 import type { FleetOptions, PeerLink } from './fleetTypes.js'
@@ -114,16 +114,14 @@
     this.#push()
   }
 
-  /** Host of the daemon ranked first, which performs the duties of a single daemon. */
-  leader (): string {
-    return this.#dutyCandidates().map(({ host }) => host).sort()[0] ?? this.own.host
+  /** Hosts of the daemons ranked first, in order; the first one performs the duties of a single daemon. */
+  firstRanked (count: number): string[] {
+    return firstHosts(this.#dutyCandidates(), count)
   }
 
-  /** Sends results of a service's versions to the daemon that coordinates its move. */
-  sendReport (host: string, report: BriefReport): void {
-    this.#links.get(host)?.sync({ ...this.#messages.update([]), reports: [report] }).then((reply) => this.#apply(reply), (err) => {
-      this.#opts.log.decision('reportLost', { peer: host, code: errorCode(err) })
-    })
+  /** Sends results of a service's versions to a daemon that watches its move; tells whether they have arrived. */
+  async sendReports (host: string, reports: BriefReport[]): Promise<boolean> {
+    return await this.#syncWith(host, { ...this.#messages.update([]), reports })
   }
 
   /** Hosts whose daemons have been unreachable for so long that they count as gone. */
@@ -365,13 +363,16 @@
     return sample(this.#upPeers(), count, this.#opts.random)
   }
 
-  async #syncWith (host: string, message: SyncMessage): Promise<void> {
+  /** Sends a message and applies the reply; tells whether there was one. */
+  async #syncWith (host: string, message: SyncMessage): Promise<boolean> {
     const link = this.#links.get(host)
-    if (!link) return
+    if (!link) return false
     try {
       this.#apply(await link.sync(message))
+      return true
     } catch (err) {
-      this.#opts.log.decision('syncFailed', { peer: host, code: errorCode(err) })
+      this.#opts.log.decision('syncFailed', { peer: host, code: errorCode(err), reports: message.reports.length })
+      return false
     }
   }
 }
--- a/packages/hop/src/fleet/records.ts
+++ b/packages/hop/src/fleet/records.ts
@@ -16,7 +16,7 @@
 /** Times in the future are accepted up to this, as clocks of hosts differ. */
 const MAX_CLOCK_SKEW_MS = 24 * 3_600_000
 const MAX_DURATION_MS = 30 * 24 * 3_600_000
-/** Changes of a record and announcements of a target since a start; one in each millisecond for days. */
+/** Changes of a record, announcements of a target and reports since a start; one in each millisecond for days. */
 const MAX_SEQUENCE = 1_000_000_000
 /** Stages and rows of results; far more than any move or report has. */
 const MAX_COUNT = 1_000_000_000
@@ -99,10 +99,11 @@
 
 /** The results of versions in a move that a value holds; undefined if a field is missing or invalid. */
 export function readBriefReport (value: unknown): BriefReport | undefined {
-  const { service, daemon, rows } = fieldsOf<BriefReport>(value)
-  if (!isName(service) || !isName(daemon) || !Array.isArray(rows) || rows.length > MAX_REPORT_ROWS) return undefined
+  const { service, daemon, incarnation, sequence, rows } = fieldsOf<BriefReport>(value)
+  if (!isName(service) || !isName(daemon) || !isAmount(incarnation, Number.MAX_SAFE_INTEGER) || !isWhole(sequence, MAX_SEQUENCE)) return undefined
+  if (!Array.isArray(rows) || rows.length > MAX_REPORT_ROWS) return undefined
   const read = rows.map(readRow)
-  return read.every((row) => row !== undefined) ? { service, daemon, rows: read } : undefined
+  return read.every((row) => row !== undefined) ? { service, daemon, incarnation, sequence, rows: read } : undefined
 }
 
 function readRow (value: unknown): BriefReport['rows'][number] | undefined {
--- a/packages/hop/src/fleet/watchDuty.ts
+++ b/packages/hop/src/fleet/watchDuty.ts
@@ -52,7 +52,7 @@
 }
 
 /** The first hosts by name, in order. */
-function firstHosts (records: readonly HostRecord[], count: number): string[] {
+export function firstHosts (records: readonly HostRecord[], count: number): string[] {
   const first: string[] = []
   for (const { host } of records) {
     const at = first.findIndex((other) => host < other)
--- a/packages/hop/src/link/__tests__/badMessages.spec.ts
+++ b/packages/hop/src/link/__tests__/badMessages.spec.ts
@@ -54,7 +54,8 @@
   'an order that takes for ever': { orders: [{ ...order, durationMs: Infinity }] },
   'a fact of an unknown kind': { facts: [{ kind: 'odd', move: 's/v2', at: 1 }] },
   'a null fact': { facts: [null] },
-  'a report whose rows are no list': { reports: [{ service: 's', daemon: 'p', rows: 'x' }] }
+  'a report whose rows are no list': { reports: [{ service: 's', daemon: 'p', incarnation: 1, sequence: 1, rows: 'x' }] },
+  'a report without a number': { reports: [{ service: 's', daemon: 'p', incarnation: 1, rows: [] }] }
 }
 
 function createFleet (linkedHosts: string[], received: unknown[] = []): Fleet {
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -10,6 +10,7 @@
 import { StoreWatcher } from '../store/storeWatcher.js'
 import type { ObjectStore, StoredObject } from '../store/objectStore.js'
 import { isLater, type StoreRevision } from '../store/storeRevision.js'
+import { ReportSender } from './reportSender.js'
 import { ResultAggregator, type RequestResult } from './resultAggregator.js'
 import { REWRITE_MS, SupersededOrders } from './supersededOrders.js'
 import type { MoveOrder, MoveState } from './moveOrder.js'
@@ -41,12 +42,14 @@
 const MIN_URGENT_REPORT_INTERVAL_MS = 40
 /** A daemon of rank n writes a state to the store if it is still missing after n times this long. */
 const TAKEOVER_DELAY_MS = 1_500
+/** Daemons that get the reports: the coordinator, and those that succeed it if it is lost and the next one, too. */
+const REPORT_RECEIVERS = 3
 
 /**
  * This daemon's part in moving the traffic of services to new versions. Every daemon follows the orders and routes
  * requests by them, and reports how the target beside it did. The leader among the live daemons coordinates: it advances
- * each move or rolls it back by these reports, publishes each such decision as a fact, and writes the state to the store; daemons ranked
- * after it write the state if it is missing for long.
+ * each move by these reports, publishes each such decision as a fact, and writes the state to the store; daemons ranked
+ * after it write the state if it is missing for long. Each daemon that gets the reports may roll the move back.
  */
 export class MoveController implements VersionChooser {
   readonly #opts: MoveControllerOptions
@@ -54,8 +57,9 @@
   readonly #results = new ResultAggregator()
   readonly #superseded: SupersededOrders
   readonly #trustedStore: TrustedVersionStore
-  /** Moves that this daemon coordinates, by order id. */
-  readonly #coordinated = new Map<string, BriefMove>()
+  readonly #reports: ReportSender
+  /** Moves of which this daemon has got reports or that it coordinates, by order id. */
+  readonly #watched = new Map<string, BriefMove>()
   /** States that are not in the store yet, by order id; `since`: when the state became due, or was last tried. */
   readonly #pendingWrites = new Map<string, { state: MoveState, since: number, isWriting: boolean }>()
   #watcher: StoreWatcher | undefined
@@ -68,6 +72,7 @@
     const { timers, random, log, store, store: { epochs } } = opts
     this.#trustedStore = new TrustedVersionStore({ store, rules: this.#rules, timers, random, log })
     this.#superseded = new SupersededOrders(timers, epochs)
+    this.#reports = new ReportSender({ fleet: opts.fleet, timers, receivers: REPORT_RECEIVERS, onOwnReport: (report) => this.onReport(report) })
     // Orders that are held count once the hold is over.
     epochs.onRise(() => timers.after(REWRITE_MS, () => this.#watcher?.relist()))
   }
@@ -113,6 +118,7 @@
       return
     }
     this.#superseded.onReplaced(known, order)
+    if (known && known.id !== order.id) this.#watched.delete(known.id)
     this.#opts.log.decision('moveOrder', { ...order, from })
     this.#opts.fleet.schedulePush()
   }
@@ -143,11 +149,11 @@
     if (!ok || slow) this.#scheduleReport()
   }
 
-  /** Handles a daemon's report, as the coordinator of the move. */
+  /** Handles a daemon's report, whether or not this daemon takes itself for the coordinator of the move. */
   onReport (report: BriefReport): void {
     const order = this.#rules.order(report.service)
-    if (!order) return
-    this.#coordinated.get(order.id)?.onReport(report, this.#opts.timers.now())
+    if (!order || isEnded(order.state)) return
+    this.#watch(order).onReport(report, this.#opts.timers.now())
     this.#coordinate(order)
   }
 
@@ -226,27 +232,30 @@
     if (fleet.isWarmedUp && fleet.rank() === 0) this.#trustedStore.reconcile()
   }
 
-  /** Writes the order's state if it is due, and advances the move if this daemon is the leader. */
+  /** Writes the order's state if it is due. Rolls a bad version back, and advances the move if this daemon is the leader. */
   #coordinate (order: MoveOrder): void {
     const { fleet, timers } = this.#opts
     const rank = fleet.rank()
     this.#reconcileState(order, rank)
-    if (rank > 0 || isEnded(order.state)) {
-      this.#coordinated.delete(order.id)
+    if (isEnded(order.state)) {
+      this.#watched.delete(order.id)
       return
     }
-    const now = timers.now()
-    let move = this.#coordinated.get(order.id)
-    if (!move) {
-      const { id, to, durationMs } = order
-      move = new BriefMove({ move: id, daemon: fleet.own.host, to, durationMs, startedAt: now })
-      this.#coordinated.set(id, move)
-    }
+    const isCoordinator = rank === 0
+    const move = isCoordinator ? this.#watch(order) : this.#watched.get(order.id)
+    if (!move) return
     const facts = fleet.facts.of(order.id)
-    const input = { now, wallNow: timers.wallNow(), facts, isReturn: this.#rules.isReturn(order), ...this.#rules.slots(order.service) }
+    const input = { isCoordinator, now: timers.now(), wallNow: timers.wallNow(), facts, isReturn: this.#rules.isReturn(order), ...this.#rules.slots(order.service) }
     runEffects(move.tick(input), (fact) => fleet.publishFact(fact))
   }
 
+  /** The move of an order, which this daemon watches from now on. */
+  #watch ({ id, to, durationMs }: MoveOrder): BriefMove {
+    let move = this.#watched.get(id)
+    if (!move) this.#watched.set(id, move = new BriefMove({ move: id, daemon: this.#opts.fleet.own.host, to, durationMs }))
+    return move
+  }
+
   /** Writes the state that follows from the facts to the store, if the order there has another one. */
   #reconcileState (order: MoveOrder, rank: number): void {
     const state = desiredState(order, this.#opts.fleet)
@@ -305,14 +314,11 @@
   }
 
   #sendReport (): void {
-    const { fleet, timers } = this.#opts
     this.#isReportScheduled = false
-    this.#lastReportAt = timers.now()
-    const report = this.#results.drain(fleet.own.host)
-    if (!report) return
-    const coordinator = fleet.leader()
-    if (coordinator === fleet.own.host) this.onReport(report)
-    else fleet.sendReport(coordinator, report)
+    this.#lastReportAt = this.#opts.timers.now()
+    const results = this.#results.drain()
+    if (results) this.#reports.add(results, this.#rules.order(results.service)?.id)
+    this.#reports.send()
   }
 }
 
--- a/packages/hop/src/rollout/resultAggregator.ts
+++ b/packages/hop/src/rollout/resultAggregator.ts
@@ -1,4 +1,4 @@
-import type { BriefReport, BriefRow } from '@lentilwheel/moves'
+import type { BriefRow } from '@lentilwheel/moves'
 
 /** Result of one request that the target beside this daemon ran. */
 export interface RequestResult {
@@ -9,10 +9,13 @@
   targetLatencyMs: number
 }
 
-/**
- * Sums up the results of the target beside this daemon by version and route until they are reported to the daemon that
- * coordinates the move.
- */
+/** Results of a service's versions by version and route. */
+export interface VersionResults {
+  service: string
+  rows: BriefRow[]
+}
+
+/** Sums up the results of the target beside this daemon by version and route until they are reported. */
 export class ResultAggregator {
   #rows = new Map<string, BriefRow>()
   #service = ''
@@ -30,11 +33,11 @@
     this.#rows.set(key, row)
   }
 
-  /** Returns the results since the last call as a report from `daemon` and starts over; undefined if there are none. */
-  drain (daemon: string): BriefReport | undefined {
+  /** Returns the results since the last call and starts over; undefined if there are none. */
+  drain (): VersionResults | undefined {
     if (this.#rows.size === 0) return undefined
-    const report = { service: this.#service, daemon, rows: [...this.#rows.values()] }
+    const results = { service: this.#service, rows: [...this.#rows.values()] }
     this.#rows = new Map()
-    return report
+    return results
   }
 }
--- a/packages/moves/src/brief/__tests__/briefMove.spec.ts
+++ b/packages/moves/src/brief/__tests__/briefMove.spec.ts
@@ -30,7 +30,7 @@
 /** Simulates the calls of a service during a brief move in virtual time, with the faults of the new version. */
 function simulate (scenario: Scenario): Outcome {
   const random = new SeededRandom(scenario.seed)
-  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v2', durationMs: scenario.durationMs, startedAt: 0 })
+  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v2', durationMs: scenario.durationMs })
   let facts: MoveFacts = {}
   const outcome: Outcome = { end: 'none', endedAtMs: -1, newCalls: 0, totalCalls: 0, badCalls: 0 }
   for (let now = 0; now < scenario.durationMs * 1.5; now += TICK_MS) {
@@ -55,9 +55,9 @@
     if (!facts.rollback && !facts.outcome) {
       const report = Object.entries(rows).filter(([, row]) => row.calls > 0)
         .map(([version, row]) => ({ route: 'r', version, ms: row.calls * 250, ...row }))
-      move.onReport({ service: 's', daemon: 'd', rows: report }, now)
+      move.onReport({ service: 's', daemon: 'd', incarnation: 1, sequence: now, rows: report }, now)
       for (const fact of move.tick({
-        now, wallNow: now, facts, newSlots: now > 1_000 ? 24 : 0, oldSlots: 24, slotsPerTarget: 6, isReturn: false
+        isCoordinator: true, now, wallNow: now, facts, newSlots: now > 1_000 ? 24 : 0, oldSlots: 24, slotsPerTarget: 6, isReturn: false
       })) facts = mergeMoveFact(facts, fact)
       if (facts.rollback ?? facts.outcome) Object.assign(outcome, { end: facts.rollback ? 'rolledBack' : 'done', endedAtMs: now })
     }
@@ -105,11 +105,11 @@
 }
 
 test('guards against a service staying without a version because its old targets stopped at the end of a move that nobody remembers', (t) => {
-  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v2', durationMs: 60_000, startedAt: 0 })
+  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v2', durationMs: 60_000 })
   let facts: MoveFacts = {}
   const reached: string[] = []
   const tick = (now: number, oldSlots: number): void => {
-    for (const fact of move.tick({ now, wallNow: now, facts, newSlots: 24, oldSlots, slotsPerTarget: 6, isReturn: false })) {
+    for (const fact of move.tick({ isCoordinator: true, now, wallNow: now, facts, newSlots: 24, oldSlots, slotsPerTarget: 6, isReturn: false })) {
       facts = mergeMoveFact(facts, fact)
       reached.push(`${fact.kind} ${fact.kind === 'stage' ? fact.stage : ''} at ${now}`)
     }
@@ -119,15 +119,37 @@
 })
 
 test('guards against the trusted version being tested and taken back when an operator orders it again', (t) => {
-  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v1', durationMs: 60_000, startedAt: 0 })
+  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v1', durationMs: 60_000 })
   let facts: MoveFacts = {}
   const reached: string[] = []
   for (let now = 0; now < 4_000; now += 200) {
-    move.onReport({ service: 's', daemon: 'd', rows: [{ route: 'r', version: 'v1', calls: 20, errors: 20, slow: 0, ms: 100 }, { route: 'r', version: 'v2', calls: 20, errors: 0, slow: 0, ms: 100 }] }, now)
-    for (const fact of move.tick({ now, wallNow: now, facts, newSlots: now < 400 ? 0 : 24, oldSlots: 24, slotsPerTarget: 6, isReturn: true })) {
+    move.onReport({ service: 's', daemon: 'd', incarnation: 1, sequence: now, rows: [{ route: 'r', version: 'v1', calls: 20, errors: 20, slow: 0, ms: 100 }, { route: 'r', version: 'v2', calls: 20, errors: 0, slow: 0, ms: 100 }] }, now)
+    for (const fact of move.tick({ isCoordinator: true, now, wallNow: now, facts, newSlots: now < 400 ? 0 : 24, oldSlots: 24, slotsPerTarget: 6, isReturn: true })) {
       facts = mergeMoveFact(facts, fact)
       reached.push(`${fact.kind} ${fact.kind === 'stage' ? `${fact.stage} ${fact.share} ` : ''}at ${now}`)
     }
   }
   t.deepEqual(reached, ['stage 4 1 at 400', 'outcome at 2200'])
 })
+
+const BAD_ROW = { route: 'r', version: 'v2', calls: 2, errors: 2, slow: 0, ms: 100 }
+
+test('guards against a bad version staying while its coordinator is lost, and against two daemons advancing a move', (t) => {
+  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v2', durationMs: 2_000 })
+  const input = { isCoordinator: false, wallNow: 0, facts: {}, newSlots: 24, oldSlots: 24, slotsPerTarget: 6, isReturn: false }
+  for (let now = 0; now < 4_000; now += 200) t.deepEqual([...move.tick({ ...input, now })], [])
+  move.onReport({ service: 's', daemon: 'd', incarnation: 1, sequence: 1, rows: [BAD_ROW] }, 4_000)
+  t.deepEqual([...move.tick({ ...input, now: 4_000 })], [])
+  move.onReport({ service: 's', daemon: 'd', incarnation: 1, sequence: 2, rows: [BAD_ROW] }, 4_000)
+  t.deepEqual([...move.tick({ ...input, now: 4_000 })].map(({ kind }) => kind), ['rollback'])
+})
+
+test('guards against a good version being taken back because a report arrived twice', (t) => {
+  const move = new BriefMove({ move: 'm', daemon: 'd', to: 'v2', durationMs: 60_000 })
+  const input = { isCoordinator: false, now: 0, wallNow: 0, facts: {}, newSlots: 24, oldSlots: 24, slotsPerTarget: 6, isReturn: false }
+  const report = { service: 's', daemon: 'd', incarnation: 1, sequence: 1, rows: [BAD_ROW] }
+  for (let i = 0; i < 5; i++) move.onReport(report, 0)
+  t.deepEqual([...move.tick(input)], [])
+  move.onReport({ ...report, incarnation: 2 }, 0)
+  t.deepEqual([...move.tick(input)].map(({ kind }) => kind), ['rollback'])
+})
--- a/packages/moves/src/brief/briefMove.ts
+++ b/packages/moves/src/brief/briefMove.ts
@@ -1,8 +1,10 @@
 import type { MoveFact, MoveFacts } from '@lentilwheel/core'
 import { CusumTest, type BriefReport } from './cusumTest.js'
 
-/** What the coordinator of a brief move reads at each tick. */
+/** What a daemon that watches a brief move reads at each tick. */
 export interface BriefInput {
+  /** Whether this daemon coordinates the move; others only take a bad version back. */
+  isCoordinator: boolean
   /** Monotonic milliseconds. */
   now: number
   /** Unix milliseconds, for the facts only. */
@@ -27,8 +29,6 @@
   to: string
   /** Time that the move should take. */
   durationMs: number
-  /** Monotonic milliseconds. */
-  startedAt: number
 }
 
 /** A step of the ramp; its number is the number of the stage fact. */
@@ -78,15 +78,22 @@
 const MIN_STEP_MS = 700
 
 /**
- * Coordinates a brief move, which has seconds rather than minutes: the regular engine needs 17 s for its shortest ramp and
+ * Watches a brief move, which has seconds rather than minutes: the regular engine needs 17 s for its shortest ramp and
  * a hold time after it. The new version is tested with each report, first at small shares, then at full load on one of its
  * targets, before it gets all traffic. The facts it publishes are those of the regular engine.
+ *
+ * Only the coordinator advances the move. Every daemon that gets the reports may take the version back, as a rollback needs
+ * no agreement: so a bad version doesn't stay until the loss of its coordinator has been noticed.
  */
 export class BriefMove {
   readonly #opts: BriefMoveOptions
   readonly #cusumTest: CusumTest
+  /** Number of the last report of each daemon. */
+  readonly #lastReports = new Map<string, Pick<BriefReport, 'incarnation' | 'sequence'>>()
   #stage = 0
-  #enteredAt: number
+  #enteredAt = 0
+  /** Since when this daemon coordinates the move; undefined while it doesn't. */
+  #coordinatesSince: number | undefined
   #totalCalls = 0
   #totalMs = 0
   #firstCallAt: number | undefined
@@ -96,11 +103,14 @@
   constructor (opts: BriefMoveOptions) {
     this.#opts = opts
     this.#cusumTest = new CusumTest(opts.to)
-    this.#enteredAt = opts.startedAt
   }
 
-  /** Takes in a daemon's counts. */
+  /** Takes in a daemon's counts, unless they were taken in before. */
   onReport (report: BriefReport, now: number): void {
+    const { daemon, incarnation, sequence } = report
+    const last = this.#lastReports.get(daemon)
+    if (last?.incarnation === incarnation && sequence <= last.sequence) return
+    this.#lastReports.set(daemon, { incarnation, sequence })
     this.#firstCallAt ??= now
     for (const row of report.rows) {
       this.#totalCalls += row.calls
@@ -114,14 +124,26 @@
     const { rollback, outcome, stage } = input.facts
     if (rollback || outcome) return
     if (stage && stage.stage > this.#stage) this.#enterStage(stage.stage, input.now)
-    if (input.isReturn) return yield * this.#return(input)
+    this.#setCoordinator(input)
     const { verdict } = this.#cusumTest
-    if (verdict !== undefined) {
+    if (verdict !== undefined && !input.isReturn) {
       const { move, daemon } = this.#opts
       yield { kind: 'rollback', move, reason: verdict, at: input.wallNow, daemon }
       return
     }
-    yield * this.#advance(input)
+    if (!input.isCoordinator) return
+    yield * input.isReturn ? this.#return(input) : this.#advance(input)
+  }
+
+  /** A coordinator that takes over begins the time of the present step anew. */
+  #setCoordinator ({ isCoordinator, now }: BriefInput): void {
+    if (!isCoordinator) {
+      this.#coordinatesSince = undefined
+    } else if (this.#coordinatesSince === undefined) {
+      this.#coordinatesSince = now
+      this.#enteredAt = now
+      this.#oldGoneSince = undefined
+    }
   }
 
   /** The trusted version is not tested: it gets all traffic at once, and nothing is left to compare it with. */
@@ -163,8 +185,8 @@
 
   #isStepOver (input: BriefInput, stageMs: number): boolean {
     const step = STEPS[this.#stage - 1]!
-    const { durationMs, startedAt } = this.#opts
-    const elapsedMs = input.now - startedAt
+    const { durationMs } = this.#opts
+    const elapsedMs = input.now - (this.#coordinatesSince ?? input.now)
     if (stageMs < MIN_STEP_MS || elapsedMs < step.endFraction * durationMs) return false
     return this.#cusumTest.newCalls >= step.minCalls || elapsedMs >= step.endFraction * durationMs * MAX_STRETCH
   }
--- a/packages/moves/src/brief/cusumTest.ts
+++ b/packages/moves/src/brief/cusumTest.ts
@@ -11,10 +11,14 @@
   ms: number
 }
 
-/** One daemon's counts of a service's versions since its last report; evidence for the coordinator of a brief move. */
+/** One daemon's counts of a service's versions since its last report; evidence for the daemons that watch a brief move. */
 export interface BriefReport {
   service: string
   daemon: string
+  /** Incarnation of the daemon; each one numbers its reports anew. */
+  incarnation: number
+  /** Rises with each report, so that one which arrives twice counts once. */
+  sequence: number
   rows: BriefRow[]
 }
 
