Move the decision that a peer is silent out of the connection to it

The pings and the verdict that a peer is silent are decided by SilenceDetector, without a socket, so that simulated links find out as real ones do.

--- a/packages/hop/src/link/nodePeerConnection.ts
+++ b/packages/hop/src/link/nodePeerConnection.ts
@@ -7,6 +7,7 @@
 import type { BufferBudget } from '../buffers/bufferBudget.js'
 import type { OpenSockets } from './nodeOpenSockets.js'
 import type { SendQueue } from './sendQueue.js'
+import { SilenceDetector } from './silenceDetector.js'
 import { CONTROL_URGENCY } from './urgency.js'
 
 export interface PeerConnectionOptions {
@@ -43,12 +44,6 @@
 export type ExchangeOutcome = { kind: 'payload', payload: unknown } | { kind: 'broken', mayHaveArrived: boolean }
 
 const CONNECT_TIMEOUT_MS = 700
-/** Silence after which the peer is pinged while a request is pending. */
-const PENDING_PING_MS = 250
-/** Silence after which the peer is pinged when other connections have turned out to be silent. */
-const CHECK_PING_MS = 500
-/** Time without an answer to a ping after which the connection is closed. */
-const PING_TIMEOUT_MS = 800
 /** Bounds of the exponential delay before another attempt to connect to an unreachable peer. */
 const MIN_RECONNECT_DELAY_MS = 150
 const MAX_RECONNECT_DELAY_MS = 2_000
@@ -68,7 +63,7 @@
   #isConnected = false
   #isProven = false
   #isOtherHost = false
-  #pingedAt = -Infinity
+  readonly #silence = new SilenceDetector()
   #connectFailures = 0
   #retryAt = 0
   #isRefused = false
@@ -226,30 +221,23 @@
     const socket = this.#opts.isPersistent ? this.#open() : this.#socket
     if (!socket || !this.#isConnected) return
     const now = this.#opts.timers.now()
-    const silentMs = now - socket.lastReceivedAt
-    if (this.#isPingPending(socket)) {
-      if (now - this.#pingedAt <= PING_TIMEOUT_MS) return
-      socket.destroy(`peer silent for ${Math.round(silentMs)} ms`)
-      return this.#opts.onSilent()
-    }
+    const { lastReceivedAt } = socket
     const [oldest] = this.#pending.values()
-    const pendingSilentMs = now - Math.max(socket.lastReceivedAt, oldest?.sentAt ?? now)
-    if (pendingSilentMs >= PENDING_PING_MS || silentMs >= this.#opts.idlePingMs()) this.#ping(socket)
+    const verdict = this.#silence.check({ now, lastReceivedAt, oldestSentAt: oldest?.sentAt, idlePingMs: this.#opts.idlePingMs() })
+    if (verdict === 'ping') return this.#ping(socket)
+    if (verdict !== 'silent') return
+    socket.destroy(`peer silent for ${Math.round(now - lastReceivedAt)} ms`)
+    this.#opts.onSilent()
   }
 
-  /** Pings a peer that has been silent for a moment, as connections to others have turned out to be dead. */
+  /** Pings a peer that has been silent for a moment, to find out early whether it still runs. */
   check (): void {
     const socket = this.#socket
-    if (!socket || !this.#isConnected || this.#isPingPending(socket)) return
-    if (this.#opts.timers.now() - socket.lastReceivedAt >= CHECK_PING_MS) this.#ping(socket)
-  }
-
-  #isPingPending (socket: FrameSocket): boolean {
-    return this.#pingedAt > socket.lastReceivedAt
+    if (!socket || !this.#isConnected) return
+    if (this.#silence.checkEarly({ now: this.#opts.timers.now(), lastReceivedAt: socket.lastReceivedAt })) this.#ping(socket)
   }
 
   #ping (socket: FrameSocket): void {
-    this.#pingedAt = this.#opts.timers.now()
     socket.send([FRAME_KINDS.ping, 0])
   }
 }
