Let the successors of a coordinator find out that it is lost

What callers saw: at many hosts a move whose coordinator falls silent without a reset stays as it is for as long as it takes the next daemon to notice: a good version isn't completed in time.

Cause: a daemon that waits for nothing pings its link to a peer after a silence of 3 s, and with more than 30 peers after 0.1 s a peer: 19.5 s at 195 hosts. The reporters notice after about a second, as they wait for replies, but the next daemon goes on taking the lost one for the coordinator.

Now each daemon that watches a move pings those ranked before it after half a second of silence, at any number of hosts.

--- a/packages/hop/src/fleet/fleet.ts
+++ b/packages/hop/src/fleet/fleet.ts
@@ -119,6 +119,11 @@
     return firstHosts(this.#dutyCandidates(), count)
   }
 
+  /** Finds out whether the daemons ranked before this one still run, though nothing waits for them. */
+  checkRankedBefore (): void {
+    for (const { host } of this.#dutyCandidates()) if (host < this.own.host) this.#links.get(host)?.check()
+  }
+
   /** Sends results of a service's versions to a daemon that watches its move; tells whether they have arrived. */
   async sendReports (host: string, reports: BriefReport[]): Promise<boolean> {
     return await this.#syncWith(host, { ...this.#messages.update([]), reports })
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -229,6 +229,7 @@
     this.#sendReport()
     for (const order of this.#rules.orders()) this.#coordinate(order)
     const { fleet } = this.#opts
+    if (this.#watched.size > 0) fleet.checkRankedBefore()
     if (fleet.isWarmedUp && fleet.rank() === 0) this.#trustedStore.reconcile()
   }
 
