--- a/packages/hop/src/inbound/__tests__/endOfConnection.spec.ts
+++ b/packages/hop/src/inbound/__tests__/endOfConnection.spec.ts
@@ -13,14 +13,19 @@
 const HEAD = 'HTTP/1.1 200 OK\r\nx-id: r\r\nx-sig: s\r\n'
 const SHORT_BYTES = 10
 const LONG_BYTES = 4 * 1024 * 1024
+const HEAD_END = /\r\n\r\n/
+const HEAD_END_BYTES = 4
+
+/** Gets the connection, and how many bytes of the body came with the head. */
+type OnHead = (socket: Socket, bodyBytes: number) => void
 
 /** Sends one request with a body to a target that handles its connection in the given way as soon as it has the head. */
-async function exchange (t: ExecutionContext, bodyBytes: number, onHead: (socket: Socket) => void): Promise<TargetResult> {
+async function exchange (t: ExecutionContext, bodyBytes: number, onHead: OnHead): Promise<TargetResult> {
   const sockets = new Set<Socket>()
   const server = createServer({ allowHalfOpen: true }, (socket) => {
     sockets.add(socket)
     socket.on('error', () => {})
-    socket.once('data', () => onHead(socket))
+    socket.once('data', (chunk: Buffer) => onHead(socket, chunk.length - HEAD_END.exec(chunk.toString('latin1'))!.index - HEAD_END_BYTES))
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const client = new NodeTargetClient({
@@ -35,7 +40,7 @@
   return result
 }
 
-async function outcomes (t: ExecutionContext, bodyBytes: number, onHead: (socket: Socket) => void): Promise<Record<string, number>> {
+async function outcomes (t: ExecutionContext, bodyBytes: number, onHead: OnHead): Promise<Record<string, number>> {
   const counts: Record<string, number> = {}
   for (let n = 0; n < ROUNDS; n++) {
     const result = await exchange(t, bodyBytes, onHead)
@@ -71,6 +76,27 @@
   t.deepEqual(await outcomes(t, SHORT_BYTES, (socket) => socket.end(`${HEAD}\r\n${PART}`)), { [`response of ${PART.length} bytes`]: ROUNDS })
 })
 
+for (const [size, bodyBytes] of [['short', SHORT_BYTES], ['long', LONG_BYTES]] as const) {
+  test.serial(`guards against a whole answer without a length becoming a failure because the target closes both directions at once, in order: ${size} request`, async (t) => {
+    const answer: OnHead = (socket, receivedBytes) => {
+      let missing = bodyBytes - receivedBytes
+      // All of the request has been read, so the system ends the connection without a reset.
+      const close = (): void => { socket.end(`${HEAD}\r\n${PART}`, () => socket.destroy()) }
+      if (missing <= 0) return close()
+      socket.on('data', (chunk: Buffer) => { if ((missing -= chunk.length) <= 0) close() })
+    }
+    t.deepEqual(await outcomes(t, bodyBytes, answer), { [`response of ${PART.length} bytes`]: ROUNDS })
+  })
+}
+
+test.serial('guards against a whole answer without a length becoming a failure because the target ends it in order and closes at once, while the upload is being written', async (t) => {
+  const answer = (socket: Socket): void => {
+    socket.pause()
+    socket.end(`${HEAD}\r\n${PART}`, () => socket.destroy())
+  }
+  t.deepEqual(await outcomes(t, LONG_BYTES, answer), { [`response of ${PART.length} bytes`]: ROUNDS })
+})
+
 test.serial('guards against a whole answer without a length being lost because the target leaves the rest of the upload unread', async (t) => {
   const answer = (socket: Socket): void => {
     socket.pause()
