Let only a daemon that has found its peers coordinate a move

Cause: a daemon without links ranks itself first, and coordinated from its first tick.

A daemon now coordinates once it has had its time to find its peers (1 s), as for its other duties.

--- a/packages/hop/src/rollout/__tests__/coordinatorLoss.spec.ts
+++ b/packages/hop/src/rollout/__tests__/coordinatorLoss.spec.ts
@@ -10,6 +10,8 @@
 /** When the hosts of the new version start, and when all know them, before the order. */
 const NEW_HOSTS_AT_MS = -500
 const STEP_MS = 10
+/** Time in which a daemon that has started finds its peers. */
+const WARM_UP_MS = 1_000
 /** When a version that is bad late turns bad, after the order. */
 const BAD_AT_MS = 3_000
 /** Time that a move may take whose coordinator is lost: the next one begins the time of the present step anew. */
@@ -169,3 +171,15 @@
     t.is((await play(seed, { fleet: SMALL, durationMs: MAX_GOOD_MS, events: { 500: cut } })).moveState, 'completed', `good, seed ${seed}`)
   }
 })
+
+test('guards against a daemon that has just started, and knows no peer yet, advancing a move', async (t) => {
+  const sim = await play(1, { fleet: SMALL, durationMs: 500, events: {} })
+  const peers = [...sim.hosts]
+  const order = sim.coordinator.moves.orders()[0]!
+  const started = sim.add('a000')
+  for (const { own } of peers) for (const pair of [[own.host, 'a000'], ['a000', own.host]]) sim.cuts.add(pair.join(' '))
+  started.fleet.merge(peers.map(({ own }) => own))
+  started.moves.onOrder(order, 'a seed')
+  await sim.timers.advanceAsync(WARM_UP_MS - 100, STEP_MS)
+  t.deepEqual(started.fleet.facts.all(), [])
+})
--- a/packages/hop/src/rollout/moveController.ts
+++ b/packages/hop/src/rollout/moveController.ts
@@ -242,7 +242,7 @@
       this.#watched.delete(order.id)
       return
     }
-    const isCoordinator = rank === 0
+    const isCoordinator = rank === 0 && fleet.isWarmedUp
     const move = isCoordinator ? this.#watch(order) : this.#watched.get(order.id)
     if (!move) return
     const facts = fleet.facts.of(order.id)
