Let no connection count as idle while the tests of ending connections keep their process busy

Traced (a trial that prints the state): the server has closed the connection, without a reason of its own, and the request that isn't passed on crosses that. The HTTP server's keep-alive timeout goes by the real clock, and follows the idle timeout of the test, 2 s; the other tests of the file compare strings of 8 MB and keep the process busy for longer.

--- a/packages/hop/src/outbound/__tests__/endingConnections.spec.ts
+++ b/packages/hop/src/outbound/__tests__/endingConnections.spec.ts
@@ -14,6 +14,8 @@
 /** A response without a length is larger than those that the system holds before it, so that at some number of them it has room for them alone. */
 const UNFRAMED_BYTES = 900_000
 const HELD_BYTES = 500_000
+/** Longer than the other tests here, with their large strings, may keep this process busy, so that no connection counts as idle for that. */
+const LONG_IDLE_MS = 600_000
 /** Time in which the system takes a response if it has room. */
 const TAKE_MS = 100
 
@@ -225,6 +227,7 @@
 async function outcomeBehind (t: ExecutionContext, held: number): Promise<string> {
   const setup = await setUp(t, { maxUnreadBytes: Infinity })
   const { passedOn, server } = setup
+  server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: 1_000_000, headerTimeoutMs: LONG_IDLE_MS, idleTimeoutMs: LONG_IDLE_MS })
   const caller = connectPaused(setup)
   for (let i = 0; i <= held; i++) {
     caller.socket.write(requests(i, i))
